--- /dev/null
+++ b/basaltport/__main__.py
@@ -0,0 +1,3 @@
+import basaltport.main as main
+
+main.run()
--- /dev/null
+++ b/basaltport/bellman/duties.py
@@ -0,0 +1,54 @@
+"""Duties cut by key over live rostrums. The leader agrees owners; an entry's serial is the owner's fence."""
+
+import hashlib
+
+import basaltport.ledger.seat as seat
+
+GONE = 1500
+STORE = "store"
+
+
+def weight(key, name):
+    return int.from_bytes(hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest(), "big")
+
+
+def zone_key(z):
+    return f"zone/{z}"
+
+
+def keys(manifest):
+    return [zone_key(z) for z in sorted((manifest or {}).get("zones", {}))] + [STORE]
+
+
+def pick(key, live):
+    """Highest weight among live rostrums, those of the key's own zone first."""
+    own = [r for r in live if zone_key(r["zone"]) == key]
+    return max(own or live, key=lambda r: weight(key, r["name"]))["seat"]
+
+
+class DutyMixin:
+    """Needs LeadMixin: hands keys out and, once an owner's lease has surely lapsed, on."""
+
+    def keep_duties(self):
+        if not self.settled() or self.pending("duty") or self.now < self.since + seat.LEASE:
+            return
+        t = self.tip_book
+        if t["manifest"] is None:
+            return
+        live = [r for s, r in t["roster"].items() if r["role"] == "rostrum" and self.quiet(s) < GONE]
+        if not live:
+            return
+        owners = {}
+        for k in keys(t["manifest"]):
+            d = t["duties"].get(k)
+            if d and not self.lost(d["owner"]):
+                continue
+            owners[k] = pick(k, live)
+        if owners:
+            self.note(18, owners=owners)
+            self.append({"op": "duty", "owners": owners})
+
+    def lost(self, s):
+        if s not in self.tip_book["roster"]:
+            return self.now >= self.lapse.get(s, 0)
+        return self.quiet(s) >= GONE and self.now >= self.lapse.get(s, 0)
--- /dev/null
+++ b/basaltport/docket/check.py
@@ -0,0 +1,168 @@
+"""Checks of manifests and of the platform's list: all findings together, each with its place."""
+
+import re
+
+import result
+import trafaret
+
+_NAME = trafaret.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$"))
+_HASH = trafaret.Regexp(re.compile(r"^sha256:[0-9a-f]{64}$"))
+
+
+def _plain(v):
+    return v if type(v) is int else trafaret.DataError("value is not a whole number")
+
+
+def whole(gte, lte=None):
+    return trafaret.Call(_plain) & trafaret.Int(gte=gte, lte=lte)
+
+
+_MS = whole(1, 86_400_000)
+_COUNT = whole(0, 1_000_000)
+
+
+def _key(name, default=None, optional=False):
+    if default is not None:
+        return trafaret.Key(name, default=default)
+    return trafaret.Key(name, optional=optional)
+
+
+LINE = trafaret.Dict(
+    {
+        _key("senders"): trafaret.Mapping(_NAME, _HASH),
+        _key("urgency"): whole(1, 9),
+        _key("patience_ms"): _MS,
+        _key("bound"): whole(1, 100_000),
+        _key("once_only"): trafaret.Bool(),
+        _key("items"): trafaret.List(trafaret.String(max_length=200), min_length=1),
+        _key("pool"): _NAME,
+        _key("timeout_ms"): _MS,
+        _key("ready_timeout_ms", optional=True): _MS,
+    }
+)
+POOL = trafaret.Dict(
+    {
+        _key("waiting"): _COUNT,
+        _key("resend_percent"): whole(0, 20),
+        _key("resend_allowance"): whole(0, 100),
+        _key("loading"): _COUNT,
+    }
+)
+ADAPTER = trafaret.Dict({_key("size"): whole(1), _key("kept", optional=True): trafaret.Bool()})
+MODEL = trafaret.Dict(
+    {
+        _key("size"): whole(1),
+        _key("group"): _NAME,
+        _key("kept", optional=True): trafaret.Bool(),
+        _key("copies", optional=True): whole(1, 100),
+        _key("idle_window_ms", optional=True): _MS,
+        _key("ready_timeout_ms", optional=True): _MS,
+        _key("expected_load_ms", optional=True): _MS,
+        _key("adapters", optional=True): trafaret.Mapping(_NAME, ADAPTER),
+    }
+)
+GROUP = trafaret.Dict(
+    {
+        _key("room"): whole(1),
+        _key("slots"): whole(1, 10_000),
+        _key("fresh_slots", optional=True): whole(1, 10_000),
+    }
+)
+MANIFEST = trafaret.Dict(
+    {
+        _key("lines"): trafaret.Mapping(_NAME, LINE),
+        _key("pools"): trafaret.Mapping(_NAME, POOL),
+        _key("models"): trafaret.Mapping(_NAME, MODEL),
+        _key("groups"): trafaret.Mapping(_NAME, GROUP),
+        _key("zones"): trafaret.Mapping(_NAME, trafaret.Dict({})),
+        _key("store"): trafaret.Dict({_key("loads"): whole(1, 10_000)}),
+    }
+)
+PLATFORM = trafaret.Mapping(
+    _NAME,
+    trafaret.Dict(
+        {
+            _key("url"): trafaret.Regexp(re.compile(r"^http://[0-9.]+:[0-9]+$")),
+            _key("zone"): _NAME,
+            _key("group"): _NAME,
+        }
+    ),
+)
+
+
+def _flat(err, place=""):
+    if not isinstance(err, dict):
+        return [{"place": place, "finding": str(err)}]
+    if set(err) <= {"key", "value"}:
+        return [f for v in err.values() for f in _flat(v, place)]
+    out = []
+    for k, v in err.items():
+        out += _flat(v, f"{place}.{k}" if place else str(k))
+    return out
+
+
+def shape(form, doc):
+    try:
+        return result.Ok(form.check(doc))
+    except trafaret.DataError as e:
+        return result.Err(_flat(e.as_dict()))
+
+
+def platform(doc):
+    return shape(PLATFORM, doc)
+
+
+def manifest(doc):
+    got = shape(MANIFEST, doc)
+    if got.is_err():
+        return got
+    fs = _references(doc)
+    return result.Err(fs) if fs else got
+
+
+def items_of(m):
+    for k, v in m["models"].items():
+        yield k
+        for a in v.get("adapters") or {}:
+            yield f"{k}/{a}"
+
+
+def match(pattern, item):
+    """`m` is a model, `m/a` an adapter, `m/*` a model's adapters, `*` everything."""
+    if pattern.endswith("*"):
+        return item.startswith(pattern[:-1])
+    return pattern == item
+
+
+def _references(m):
+    fs = []
+
+    def find(place, text):
+        fs.append({"place": place, "finding": text})
+
+    every = list(items_of(m))
+    if not m["zones"]:
+        find("zones", "at least one zone is needed")
+    tokens = {}
+    for k, v in m["lines"].items():
+        if v["pool"] not in m["pools"]:
+            find(f"lines.{k}.pool", f"no pool {v['pool']!r}")
+        for n, p in enumerate(v["items"]):
+            if not any(match(p, i) for i in every):
+                find(f"lines.{k}.items.{n}", f"{p!r} names no model or adapter")
+        for s, h in v["senders"].items():
+            if tokens.setdefault((k, h), s) != s:
+                find(f"lines.{k}.senders.{s}", f"same token as sender {tokens[(k, h)]!r}")
+        if v["timeout_ms"] > 600_000:
+            find(f"lines.{k}.timeout_ms", "over ten minutes")
+    for k, v in m["models"].items():
+        g = m["groups"].get(v["group"])
+        if g is None:
+            find(f"models.{k}.group", f"no group {v['group']!r}")
+            continue
+        if v["size"] > g["room"]:
+            find(f"models.{k}.size", f"size {v['size']} is over the room {g['room']} of group {v['group']!r}")
+        for a, w in (v.get("adapters") or {}).items():
+            if v["size"] + w["size"] > g["room"]:
+                find(f"models.{k}.adapters.{a}.size", f"with its model it is over the room {g['room']}")
+    return fs
--- /dev/null
+++ b/basaltport/docket/rules.py
@@ -0,0 +1,92 @@
+"""A manifest compiled to rules: for each line a short program that the rostrum's interpreter runs."""
+
+import dataclasses
+
+import basaltport.docket.check as check
+import basaltport.kinds as kinds
+
+
+@dataclasses.dataclass(slots=True)
+class ItemRule:
+    item: kinds.Item
+    size: int
+    group: str
+    kept: bool
+    copies: int
+    idle_window: int
+    ready_timeout: int
+    expected: int
+
+
+@dataclasses.dataclass(slots=True)
+class LineRule:
+    name: str
+    program: list
+    urgency: int
+    patience: int
+    bound: int
+    once_only: bool
+    pool: str
+    timeout: int
+    ready_timeout: int
+    senders: frozenset
+    items: frozenset
+
+
+@dataclasses.dataclass(slots=True)
+class Rules:
+    serial: int
+    lines: dict
+    items: dict
+    pools: dict
+    groups: dict
+    zones: list
+    loads: int
+
+
+def compile(m, serial):
+    if m is None:
+        return Rules(serial, {}, {}, {}, {}, [], 0)
+    return Rules(
+        serial,
+        {k: _line(k, v, m) for k, v in m["lines"].items()},
+        {i.item: i for k, v in m["models"].items() for i in _items(k, v)},
+        m["pools"],
+        m["groups"],
+        sorted(m["zones"]),
+        m["store"]["loads"],
+    )
+
+
+def _items(k, v):
+    c, w = v.get("copies", 1), v.get("idle_window_ms", 0)
+    rt, ex = v.get("ready_timeout_ms", 0), v.get("expected_load_ms", 0)
+    yield ItemRule(kinds.Item(k), v["size"], v["group"], v.get("kept", False), c, w, rt, ex)
+    for a, d in (v.get("adapters") or {}).items():
+        yield ItemRule(kinds.Item(f"{k}/{a}"), d["size"], v["group"], d.get("kept", False), c, w, rt, ex)
+
+
+def _line(k, v, m):
+    items = frozenset(i for i in check.items_of(m) if any(check.match(p, i) for p in v["items"]))
+    program = [
+        ("sender", {h: s for s, h in v["senders"].items()}),
+        ("item", items),
+        ("deadline", v["patience_ms"]),
+        ("bound", v["bound"]),
+        ("credit", v["pool"]),
+        ("readiness", None),
+        ("wait", None),
+    ]
+    return LineRule(
+        k,
+        program,
+        v["urgency"],
+        v["patience_ms"],
+        v["bound"],
+        v["once_only"],
+        v["pool"],
+        v["timeout_ms"],
+        v.get("ready_timeout_ms", 0),
+        frozenset(v["senders"]),
+        items,
+    )
--- /dev/null
+++ b/basaltport/host.py
@@ -0,0 +1,199 @@
+"""The shell round a reducer: one loop, wires, HTTP, a writer thread for the disk; carries effects out."""
+
+import asyncio
+import concurrent.futures
+import os
+import random
+import signal
+
+import aiohttp.web
+
+import basaltport.clerk.http as http
+import basaltport.consign.adapter as adapter
+import basaltport.events as events
+import basaltport.kinds as kinds
+import basaltport.ledger.journal as journal
+import basaltport.ledger.role as ledger
+import basaltport.logs as logs
+import basaltport.member as member
+import basaltport.rostrum.front as front
+import basaltport.rostrum.role as rostrum
+import basaltport.wires as wires
+
+TICK = 0.025
+GRACE = 10_000
+
+
+class Host:
+    """Reducer steps never await, so they need no lock; what awaits works on copies."""
+
+    def __init__(self, role, s):
+        self.role = role
+        self.settings = s
+        self.stopping = False
+        seat = f"{s['name']}-{os.urandom(4).hex()}"
+        self.me = member.Me(
+            s["house"],
+            s["name"],
+            seat,
+            role,
+            s["zone"],
+            s["addr"],
+            s["http"],
+            s["seeds"],
+            s["expected_seats"],
+            s["expected_ledgers"],
+        )
+        self.disk = None
+        self.member = None
+        self.tasks = {}
+        self.front = front.Front(self)
+        self.clerk = http.Clerk(self)
+        self.adapter = adapter.Adapter(self.may_write)
+        self.wires = wires.Wires(s["addr"], self.heard, self.refused)
+
+    def open(self):
+        """Ok, or Err with the reason the data folder cannot be used."""
+        seed = random.SystemRandom().getrandbits(64)
+        now = kinds.steady()
+        if self.role == "rostrum":
+            self.member = rostrum.Rostrum(self.me, seed, now)
+            return None
+        self.disk = journal.Disk(self.settings["data"], self.settings["name"])
+        got = self.disk.open()
+        if got.is_err():
+            logs.note(21, {"folder": self.settings["data"], "why": got.err_value})
+            return got.err_value
+        held, promised = got.ok_value
+        if held is not None:
+            self.me.seat = self.disk.seat_of(self.me.seat)
+        else:
+            self.disk.keep_seat(self.me.seat)
+        self.member = ledger.Ledger(self.me, seed, now, held, promised)
+        g, n = self.member.head()
+        logs.note(20, {"serial": int(n), "generation": g.text(), "seat": self.me.seat})
+        return None
+
+    async def run(self):
+        loop = asyncio.get_running_loop()
+        self.end = asyncio.Event()
+        for sig in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(sig, self.end.set)
+        self.writer = concurrent.futures.ThreadPoolExecutor(1)
+        await self.adapter.start()
+        runner = aiohttp.web.AppRunner(
+            self.app(), handler_cancellation=True, access_log=None, shutdown_timeout=GRACE / 1000
+        )
+        await runner.setup()
+        ip, port = self.me.http.split(":")
+        await aiohttp.web.TCPSite(runner, ip, int(port), backlog=1024).start()
+        await self.wires.start()
+        logs.note(1, self.me.row())
+        ticker = loop.create_task(self.tick())
+        await self.end.wait()
+        logs.note(2, {"name": self.me.name})
+        self.stopping = True
+        await self.drain()
+        ticker.cancel()
+        await self.wires.stop()
+        await runner.cleanup()
+        await self.adapter.stop()
+        self.writer.shutdown()
+        if self.disk:
+            self.disk.close()
+
+    def app(self):
+        app = aiohttp.web.Application(client_max_size=self.settings["body_limit"])
+        self.clerk.routes(app)
+        if self.role == "rostrum":
+            self.front.routes(app)
+        return app
+
+    async def drain(self):
+        """What was taken in is finished, within bounds."""
+        until = kinds.steady() + GRACE
+        while self.front.sinks and kinds.steady() < until:
+            await asyncio.sleep(TICK)
+
+    async def tick(self):
+        while True:
+            self.step(events.Tick(kinds.steady()))
+            await asyncio.sleep(TICK)
+
+    def heard(self, src, msg):
+        self.step(events.Heard(kinds.steady(), src, msg))
+
+    def refused(self, peer, why):
+        logs.note(33, {"peer": peer, "why": why})
+
+    def may_write(self, dispatch):
+        self.member.now = max(self.member.now, kinds.steady())
+        return self.member.may_write(dispatch)
+
+    def step(self, ev):
+        for e in self.member.step(ev):
+            getattr(self, "do_" + type(e).__name__.lower())(e)
+
+    # effects
+
+    def do_send(self, e):
+        if e.addr == self.me.addr:
+            asyncio.get_running_loop().call_soon(self.heard, self.me.addr, e.msg)
+            return
+        self.wires.send(e.addr, e.msg)
+
+    def do_write(self, e):
+        loop = asyncio.get_running_loop()
+        whole = None
+        if e.whole is not None:
+            whole = {"promised": list(self.member.promised), **e.whole, "tail": list(e.whole["tail"])}
+        f = loop.run_in_executor(self.writer, self.disk.write, e.records, whole)
+        f.add_done_callback(lambda f: self.synced(e.token, f))
+
+    def synced(self, token, f):
+        if f.cancelled():
+            return
+        self.step(events.Synced(kinds.steady(), token, f.exception() is None))
+
+    def do_answer(self, e):
+        self.clerk.answer(e.call, e.status, e.body)
+
+    def do_note(self, e):
+        logs.note(e.number, e.fields)
+
+    def do_close(self, e):
+        s = self.front.sinks.get(e.query)
+        if s:
+            s.close(e.status, e.body, e.retry_after)
+
+    def do_dispatch(self, e):
+        self.tasks[e.dispatch] = asyncio.get_running_loop().create_task(self.dispatch(e))
+
+    async def dispatch(self, e):
+        sink = self.front.sinks.get(e.query)
+        got = ("broken", 0, "abandoned")
+        try:
+            got = await self.adapter.run(e, sink)
+        finally:
+            self.tasks.pop(e.dispatch, None)
+            out, n, why = got
+            self.step(events.Replied(kinds.steady(), e.dispatch, out, n, why, n if out == "refused" else 0))
+
+    def do_abandon(self, e):
+        t = self.tasks.get(e.dispatch)
+        if t:
+            t.cancel()
+
+    def do_poll(self, e):
+        asyncio.get_running_loop().create_task(self.poll(e))
+
+    async def poll(self, e):
+        ok, doc = await self.adapter.ask("GET", e.url)
+        self.step(events.Polled(kinds.steady(), e.replica, ok, doc))
+
+    def do_order(self, e):
+        asyncio.get_running_loop().create_task(self.order(e))
+
+    async def order(self, e):
+        ok, doc = await self.adapter.ask("POST", e.url, e.body)
+        self.step(events.Ordered(kinds.steady(), e.order, ok, doc))
--- /dev/null
+++ b/basaltport/ledger/elect.py
@@ -0,0 +1,126 @@
+"""A ledger's way to lead: a new generation promised by seats, recovered from the highest serial held."""
+
+import basaltport.events as events
+import basaltport.kinds as kinds
+import basaltport.messages as messages
+
+PATIENCE = 700
+STRANGER = 2500
+ROUND = 600
+RESTART = 2500
+
+
+class ElectMixin:
+    """Needs SeatMixin and LeadMixin."""
+
+    def elect_start(self):
+        self.camp = None
+        self.top = 0
+        self.camp_since = None
+        self.camp_at = self.now + self.jitter()
+
+    def jitter(self):
+        return self.rng.randrange(0, 400)
+
+    def patience(self):
+        if self.book["roster"] and self.me.seat not in self.tip()["ledgers"]:
+            return STRANGER
+        return PATIENCE
+
+    def tick_elect(self):
+        if self.leading:
+            return
+        if self.now - self.heard_at < self.patience():
+            self.camp = None
+            self.camp_since = None
+            self.camp_at = self.now + self.patience() + self.jitter()
+            return
+        if self.now < self.camp_at or self.now - self.promised_at < ROUND + self.jitter() or self.stalled:
+            return
+        self.campaign()
+
+    def campaign(self):
+        self.camp_at = self.now + ROUND + self.jitter()
+        if self.camp_since is None:
+            self.camp_since = self.now
+        gen = kinds.Generation(max(self.promised.count, self.top) + 1, self.me.name)
+        self.promised = gen
+        own = self.promise(gen, True)
+        self.camp = {"gen": gen, "got": {self.me.seat: own}}
+        m = messages.Campaign(gen, self.me.seat, self.me.name, self.me.addr)
+        addrs = {x["addr"] for x in self.members.values()} | set(self.me.seeds)
+        addrs |= {r["addr"] for r in self.tip()["roster"].values()}
+        sends = [events.Send(a, m) for a in sorted(addrs - {self.me.addr})]
+        self.write([{"promise": list(gen)}], then=sends)
+        self.note(11, generation=gen.text())
+
+    def hear_promise(self, src, m):
+        c = self.camp
+        if c is None or self.leading:
+            return
+        if not m.ok:
+            self.top = max(self.top, m.promised.count)
+            return
+        if m.gen != c["gen"] or self.promised != c["gen"]:
+            return
+        c["got"][m.seat] = m
+        self.weigh()
+
+    def weigh(self):
+        c = self.camp
+        best = max(c["got"].values(), key=lambda p: (p.hgen, p.serial))
+        if best.serial == 0:
+            self.weigh_founding()
+            return
+        if (best.hgen, best.serial) > self.head():
+            self.send(best.me["addr"], messages.Fetch(c["gen"], self.me.seat))
+            return
+        if self.quorum(c["got"]):
+            self.win()
+            return
+        swap = self.attested(c["got"])
+        if swap is not None:
+            self.win(swap=swap)
+
+    def hear_copy(self, src, m):
+        c = self.camp
+        if c is None or m.gen != c["gen"] or self.promised != c["gen"]:
+            return
+        self.install(m.copy)
+        self.weigh()
+
+    def quorum(self, got):
+        roster = self.tip()["roster"]
+        return 2 * len(roster.keys() & got.keys()) > len(roster)
+
+    def attested(self, got):
+        """After a power cut: most ledger disks, and successors attesting the loss of seats they replace."""
+        t = self.tip()
+        roster = t["roster"]
+        kept = roster.keys() & got.keys()
+        fresh = {p.name: p.me for s, p in got.items() if s not in roster and p.serial == 0}
+        swap = [[s, fresh[r["name"]]] for s, r in roster.items() if s not in kept and r["name"] in fresh]
+        if 2 * (len(kept) + len(swap)) <= len(roster):
+            return None
+        if 2 * len(kept & set(t["ledgers"])) <= len(t["ledgers"]):
+            return None
+        return swap if self.now - self.camp_since >= RESTART else None
+
+    def weigh_founding(self):
+        c = self.camp
+        names = {p.name for p in c["got"].values()}
+        if 2 * len(names) <= self.me.expected:
+            return
+        ls = [p for p in c["got"].values() if p.me["role"] == "ledger"]
+        if 2 * len(ls) <= self.me.ledgers:
+            return
+        self.note(12, seats=len(names), expected=self.me.expected)
+        self.win({"roster": {p.seat: p.me for p in c["got"].values()}, "ledgers": sorted(p.seat for p in ls)})
+
+    def win(self, found=None, swap=()):
+        c = self.camp
+        self.camp = None
+        self.camp_since = None
+        self.leading = True
+        self.note(13, generation=c["gen"].text(), serial=int(self.head()[1]))
+        self.lead_start(found, c["got"], list(swap))
--- /dev/null
+++ b/basaltport/ledger/lead.py
@@ -0,0 +1,335 @@
+"""The leader: appends entries, replicates them, confirms leases, keeps roster and acknowledgements."""
+
+import basaltport.kinds as kinds
+import basaltport.ledger.book as book
+import basaltport.ledger.seat as seat
+import basaltport.messages as messages
+
+BEAT = 200
+RESEND = 250
+SILENT = 6000
+DROP = 1600
+MARGIN = 150
+STALL = 1000
+PAST = 400
+
+
+class LeadMixin:
+    """Needs SeatMixin. Holds nothing that a new leader could not learn again."""
+
+    def lead_clear(self):
+        self.leading = False
+        self.waiting = []
+        self.reads = []
+
+    def lead_start(self, found, got, swap):
+        self.since = self.now
+        self.first = None
+        self.match = {}
+        self.sent = {}
+        self.acks = {}
+        self.beats = {}
+        self.seen_n = {}
+        self.echoes = {}
+        self.lapse = {}
+        self.beat_at = -(10**9)
+        self.n = 0
+        self.vouched = self.now
+        self.commit_gen = book.gen(self.book)
+        self.acked = 0
+        self.past = {}
+        self.needs = set()
+        self.leader = None
+        self.waiting = []
+        self.reads = []
+        self.tip_book = self.tip()
+        old = [s for s, r in self.tip_book["roster"].items() if r["role"] == "rostrum"]
+        for s in old:
+            self.lapse[s] = self.now + seat.LEASE + MARGIN
+        for s in got:
+            self.acks[s] = self.now
+        if found:
+            self.append({"op": "found", **found})
+            return
+        ls = self.tip_book["ledgers"]
+        live = sorted(s for s, p in got.items() if p.me["role"] == "ledger")
+        op = {"op": "lead", "swap": swap}
+        if 2 * len(set(ls) & set(live)) <= len(ls):
+            op["ledgers"] = live
+            self.note(14, lost=sorted(set(ls) - set(live)), live=live)
+        self.append(op)
+
+    def lost_lead(self, gen):
+        if self.leading:
+            self.step_down(f"generation {gen.text()}")
+
+    def step_down(self, why):
+        self.note(15, why=why)
+        for w in self.waiting:
+            self.unknown(w)
+        for r in self.reads:
+            self.respond(r["src"], r["call"], 503, {"error": "no-leader", "detail": why, "changed": False})
+        self.lead_clear()
+        self.leader = None
+        self.heard_at = self.now
+
+    def append(self, op):
+        g = self.promised
+        e = book.entry(self.head()[1] + 1, g, op)
+        self.tail.append(e)
+        self.tip_book = book.apply(self.tip_book, e)
+        if self.first is None:
+            self.first = e["s"]
+        self.write([{"entry": e}])
+        self.beat_at = -(10**9)
+        return kinds.Serial(e["s"])
+
+    # beats
+
+    def tick_lead(self):
+        if not self.leading:
+            return
+        if self.now - self.vouched > seat.LEASE:
+            self.step_down("not vouched for by most seats")
+            return
+        if self.stalled and self.now - min(self.stalled.values()) > STALL:
+            self.step_down("the disk stalls")
+            self.camp_at = self.now + 2 * STALL
+            return
+        self.keep_roster()
+        self.keep_duties()
+        if self.now - self.beat_at >= BEAT:
+            self.beat()
+        self.settle()
+
+    def beat(self):
+        self.beat_at = self.now
+        self.n += 1
+        self.beats[self.n] = self.now
+        self.beats.pop(self.n - 100, None)
+        for s, r in self.tip_book["roster"].items():
+            if s != self.me.seat:
+                self.beat_to(s, r)
+        self.vouch()
+
+    def beat_to(self, s, r):
+        head = self.head()
+        at, upto = self.sent.get(s, (-(10**9), 0))
+        m = self.match.get(s)
+        es, copy = [], {}
+        pg, ps = head
+        if s in self.needs:
+            copy = self.copy()
+            self.needs.discard(s)
+            self.sent[s] = (self.now, head[1])
+        elif m is None or m < head[1]:
+            base = m if m is not None else head[1] - 1
+            if self.now - at < RESEND and upto >= head[1]:
+                es = []
+            else:
+                if self.now - at < RESEND:
+                    base = max(base, upto)
+                es, pg, ps = self.entries_from(base)
+                if es is None:
+                    es, copy = [], self.copy()
+                self.sent[s] = (self.now, head[1])
+        echo = self.echo_for(s, r)
+        age = kinds.Millis(self.now - self.vouched)
+        b = messages.Beat(
+            self.promised,
+            self.me.seat,
+            self.me.name,
+            self.me.addr,
+            self.n,
+            book.serial(self.book),
+            book.gen(self.book),
+            pg,
+            ps,
+            es,
+            copy,
+            age,
+            echo,
+        )
+        self.send(r["addr"], b)
+
+    def entries_from(self, s):
+        """Entries after serial s with what stands before them, or None where only a copy will do."""
+        have = {book.serial(self.book): book.gen(self.book)}
+        have.update({k: book.gen_of(e) for k, e in self.past.items()})
+        have.update({e["s"]: book.gen_of(e) for e in self.tail})
+        if s not in have:
+            return None, *self.head()
+        es = [self.past[k] for k in sorted(self.past) if k > s] + [e for e in self.tail if e["s"] > s]
+        if es and es[0]["s"] != s + 1:
+            return None, *self.head()
+        return es, have[s], kinds.Serial(s)
+
+    def echo_for(self, s, r):
+        if r["role"] != "rostrum" or s not in self.echoes:
+            return 0
+        k, at, applied = self.echoes[s]
+        if applied < self.acked or self.late(applied):
+            return 0
+        self.lapse[s] = max(self.lapse.get(s, 0), at + seat.LEASE + MARGIN)
+        return k
+
+    def late(self, applied):
+        return any(
+            w["serial"] > applied and self.now - w["committed"] > 400 for w in self.waiting if w["committed"]
+        )
+
+    def hear_ack(self, src, m):
+        if not self.leading:
+            return
+        if not m.ok:
+            if m.promised > self.promised:
+                self.step_down(f"generation {m.promised.text()}")
+                self.top = max(self.top, m.promised.count)
+            return
+        if m.promised != self.promised:
+            return
+        self.acks[m.seat] = self.now
+        if m.n in self.beats:
+            self.match_n(m.seat, m.n)
+        if m.need:
+            self.needs.add(m.seat)
+            r = self.tip_book["roster"].get(m.seat)
+            if r:
+                self.beat_to(m.seat, r)
+            return
+        es, g, s = self.entries_from(m.serial)
+        if es is not None and g == m.hgen:
+            self.match[m.seat] = max(m.serial, self.match.get(m.seat, 0))
+        e = self.echoes.get(m.seat)
+        if e is None or m.k > e[0]:
+            self.echoes[m.seat] = (m.k, self.now, m.applied)
+        self.count()
+        self.settle()
+
+    def match_n(self, s, n):
+        self.seen_n[s] = max(self.seen_n.get(s, 0), n)
+        self.vouch()
+
+    def vouch(self):
+        roster = self.tip_book["roster"]
+        ns = sorted((self.n if s == self.me.seat else self.seen_n.get(s, 0) for s in roster), reverse=True)
+        n = ns[len(roster) // 2] if ns else 0
+        self.vouched = max(self.vouched, self.beats.get(n, -1))
+
+    # agreement
+
+    def durable_head(self, head):
+        super().durable_head(head)
+        if self.leading and self.dur_promised == self.promised:
+            self.match[self.me.seat] = self.dur[1]
+            self.count()
+            self.settle()
+
+    def count(self):
+        """Agreed: held by most seats, synced by most ledgers, and of this generation."""
+        t = self.tip_book
+        was = self.book["serial"]
+        for e in reversed(self.tail):
+            if book.gen_of(e) != self.promised:
+                break
+            have = {s for s, m in self.match.items() if m >= e["s"]}
+            if 2 * len(have & set(t["roster"])) <= len(t["roster"]):
+                continue
+            if 2 * len(have & set(t["ledgers"])) <= len(t["ledgers"]):
+                continue
+            for x in self.tail:
+                if x["s"] <= e["s"]:
+                    self.past[x["s"]] = x
+            for k in [k for k in self.past if k <= e["s"] - PAST]:
+                del self.past[k]
+            self.advance(e["s"], book.gen_of(e))
+            break
+        if self.book["serial"] == was:
+            return
+        for w in self.waiting:
+            if w["serial"] <= self.book["serial"] and w["committed"] is None:
+                w["committed"] = self.now
+        self.beat()
+
+    def settled(self):
+        """True once an entry of this generation is agreed."""
+        return self.leading and self.first is not None and self.book["serial"] >= self.first
+
+    def settle(self):
+        """Acknowledge what every leased rostrum applied; give reads that most seats confirmed."""
+        while self.waiting:
+            w = self.waiting[0]
+            if w["serial"] > self.book["serial"] or self.behind(w["serial"]):
+                break
+            self.waiting.pop(0)
+            self.acked = max(self.acked, w["serial"])
+            self.acknowledge(w)
+        if not self.settled():
+            return
+        rs, self.reads = self.reads, []
+        for r in rs:
+            if r["at"] <= self.vouched:
+                self.serve_read(r)
+                continue
+            self.reads.append(r)
+
+    def behind(self, s):
+        for x, until in list(self.lapse.items()):
+            if self.now >= until:
+                del self.lapse[x]
+                continue
+            e = self.echoes.get(x)
+            if e is None or e[2] < s:
+                return True
+        return False
+
+    # roster
+
+    def pending(self, *ops):
+        return any(e["op"]["op"] in ops for e in self.tail)
+
+    def keep_roster(self):
+        if not self.settled() or self.pending("roster", "ledgers", "found", "lead"):
+            return
+        t = self.tip_book
+        roster = t["roster"]
+        names = {r["name"]: s for s, r in roster.items()}
+        new = [m for m in self.members.values() if m["seat"] not in roster and self.now - m["at"] < 1500]
+        new = [{k: v for k, v in m.items() if k != "at"} for m in new]
+        if self.me.seat not in roster:
+            new.append(self.me.row())
+        swap = [[names[m["name"]], m] for m in new if m["name"] in names]
+        add = [m for m in new if m["name"] not in names]
+        if swap or add:
+            op = {"op": "roster", "swap": swap, "add": add[0] if add else None}
+            for _, m in swap + [[None, m] for m in add[:1]]:
+                self.acks[m["seat"]] = self.now
+                self.needs.add(m["seat"])
+                self.note(16, member=m["name"], seat=m["seat"])
+            self.append(op)
+            return
+        self.keep_ledgers(t) or self.drop_lost(t)
+
+    def quiet(self, s):
+        return self.now - self.acks.get(s, self.since) if s != self.me.seat else 0
+
+    def keep_ledgers(self, t):
+        have = set(t["ledgers"])
+        live = {s for s, r in t["roster"].items() if r["role"] == "ledger" and self.quiet(s) < DROP}
+        want = have | live
+        lost = have - live
+        if lost and (len(live) >= self.me.ledgers or 2 * len(have & live) <= len(have)):
+            want = live
+        if want == have:
+            return False
+        self.append({"op": "ledgers", "ledgers": sorted(want)})
+        return True
+
+    def drop_lost(self, t):
+        lost = [s for s in t["roster"] if self.quiet(s) > SILENT]
+        if not lost:
+            return False
+        s = min(lost)
+        self.note(17, member=t["roster"][s]["name"], seat=s)
+        self.append({"op": "roster", "drop": s})
+        return True
--- /dev/null
+++ b/basaltport/ledger/role.py
@@ -0,0 +1,40 @@
+"""The disk machine: all its mixins in one reducer."""
+
+import basaltport.bellman.duties as duties
+import basaltport.clerk.desk as desk
+import basaltport.ledger.elect as elect
+import basaltport.ledger.lead as lead
+import basaltport.ledger.seat as seat
+import basaltport.member as member
+import basaltport.saleroom.cell as cell
+
+
+SNAPSHOT_EVERY = 400
+
+
+class Ledger(
+    elect.ElectMixin,
+    lead.LeadMixin,
+    duties.DutyMixin,
+    cell.CellMixin,
+    desk.DeskMixin,
+    seat.SeatMixin,
+    member.Member,
+):
+    TICKS = ("tick_hello", "tick_elect", "tick_lead", "tick_desk")
+    durable = True
+
+    def __init__(self, me, seed, now, held=None, promised=seat.NONE):
+        member.Member.__init__(self, me, seed, now)
+        self.lead_clear()
+        self.elect_start()
+        self.cell_start()
+        self.desk_start()
+        self.seat_start(held, promised)
+        self.kept_at = self.book["serial"]
+
+    def in_force(self):
+        if self.book["serial"] - self.kept_at < SNAPSHOT_EVERY:
+            return
+        self.kept_at = self.book["serial"]
+        self.write([], whole=self.copy())
--- /dev/null
+++ b/basaltport/ledger/seat.py
@@ -0,0 +1,211 @@
+"""What every seat does, ledger or rostrum: promise, hold entries, follow the feed, vouch for its leader."""
+
+import basaltport.events as events
+import basaltport.kinds as kinds
+import basaltport.ledger.book as book
+import basaltport.messages as messages
+
+LEASE = 1500
+STICKY = 500
+HELLO = 400
+NONE = kinds.Generation()
+
+
+class SeatMixin:
+    """Needs Member. `book` is what is in force here; `tail` is held but not yet known to be agreed."""
+
+    def seat_start(self, held=None, promised=NONE):
+        self.book = (held or {}).get("book") or book.new()
+        self.tail = list((held or {}).get("tail") or [])
+        self.promised = promised
+        self.promised_at = -(10**9)
+        self.leader = None
+        self.heard_at = -(10**9)
+        self.beat_n = 0
+        self.ack_k = 0
+        self.sent_at = {}
+        self.lease_end = -1
+        self.members = {}
+        self.hello_at = -(10**9)
+        self.dur = self.head()
+        self.dur_promised = promised
+        self.synced_promise = []
+
+    def head(self):
+        if self.tail:
+            return book.gen_of(self.tail[-1]), kinds.Serial(self.tail[-1]["s"])
+        return book.gen(self.book), book.serial(self.book)
+
+    def leased(self):
+        return self.now < self.lease_end
+
+    def tip(self):
+        b = self.book
+        for e in self.tail:
+            b = book.apply(b, e)
+        return b
+
+    def copy(self):
+        return {"book": self.book, "tail": list(self.tail)}
+
+    def durable_head(self, head):
+        self.dur, self.dur_promised = head, self.synced_promise.pop(0)
+        if self.leader:
+            self.ack(self.leader)
+
+    def disk_failed(self):
+        self.note(23)
+
+    # discovery
+
+    def tick_hello(self):
+        if self.now < self.hello_at + HELLO:
+            return
+        self.hello_at = self.now
+        known = [m for m in self.members.values() if self.now - m["at"] < 10_000][:40]
+        known = [{k: v for k, v in m.items() if k != "at"} for m in known]
+        addrs = {m["addr"] for m in known} | set(self.me.seeds)
+        for a in sorted(addrs - {self.me.addr}):
+            self.send(a, self.hello(known))
+
+    def hello(self, known):
+        m = self.me
+        return messages.Hello(m.house, m.name, m.seat, m.role, m.zone, m.addr, m.http, self.head()[0], known)
+
+    def hear_hello(self, src, m):
+        if m.house != self.me.house:
+            self.note(31, member=m.name, house=m.house)
+            return
+        if m.seat == self.me.seat:
+            return
+        if m.name == self.me.name:
+            self.note(32, member=m.name, addr=m.addr)
+            return
+        row = {"name": m.name, "seat": m.seat, "role": m.role, "zone": m.zone, "addr": m.addr, "http": m.http}
+        old = self.members.get(m.name)
+        if old is None or old["seat"] != m.seat:
+            self.note(30, member=m.name, seat=m.seat, role=m.role, zone=m.zone)
+        self.members[m.name] = {**row, "at": self.now}
+        for r in m.known:
+            if r["name"] != self.me.name and r["name"] not in self.members:
+                self.members[r["name"]] = {**r, "at": self.now - 9000}
+
+    def addr_of(self, seat):
+        row = self.book["roster"].get(seat)
+        if row:
+            return row["addr"]
+        for m in self.members.values():
+            if m["seat"] == seat:
+                return m["addr"]
+        return None
+
+    # promises
+
+    def hear_campaign(self, src, m):
+        if m.gen <= self.promised:
+            self.send(m.addr, self.promise(m.gen, False))
+            return
+        if self.leader and self.now - self.heard_at < STICKY:
+            self.send(m.addr, self.promise(m.gen, False))
+            return
+        self.promised = m.gen
+        self.promised_at = self.now
+        self.lost_lead(m.gen)
+        self.write([{"promise": list(m.gen)}], then=[events.Send(m.addr, self.promise(m.gen, True))])
+
+    def lost_lead(self, gen):
+        pass
+
+    def promise(self, gen, ok):
+        g, s = self.head()
+        return messages.Promise(gen, self.me.seat, self.me.name, ok, self.promised, g, s, self.me.row())
+
+    def hear_fetch(self, src, m):
+        if m.gen != self.promised:
+            return
+        addr = self.addr_of(m.seat)
+        if addr:
+            self.send(addr, messages.Copy(m.gen, self.me.seat, self.copy()))
+
+    # the feed
+
+    def hear_beat(self, src, m):
+        if m.gen < self.promised:
+            self.send(m.addr, self.ack_for(m.n, False, False))
+            return
+        if m.gen > self.promised:
+            self.promised = m.gen
+            self.lost_lead(m.gen)
+            self.write([{"promise": list(m.gen)}])
+        if self.leader is None or self.leader.gen != m.gen:
+            self.note(10, leader=m.name, generation=m.gen.text())
+        self.leader = m
+        self.heard_at = self.now
+        self.beat_n = m.n
+        need = False
+        if m.copy:
+            self.install(m.copy)
+        elif m.entries:
+            need = not self.extend(m)
+        self.advance(m.commit, m.cgen)
+        if m.echo in self.sent_at:
+            self.lease_end = max(self.lease_end, self.sent_at[m.echo] + LEASE - m.age)
+        self.ack(m, need)
+
+    def ack(self, m, need=False):
+        if self.durable and self.dur_promised != self.promised:
+            return
+        self.send(m.addr, self.ack_for(m.n, True, need))
+
+    def ack_for(self, n, ok, need):
+        self.ack_k += 1
+        self.sent_at[self.ack_k] = self.now
+        self.sent_at.pop(self.ack_k - 200, None)
+        g, s = self.dur if self.durable else self.head()
+        return messages.Ack(
+            self.promised, self.me.seat, n, self.ack_k, ok, self.promised, g, s, book.serial(self.book), need
+        )
+
+    def install(self, copy):
+        was = book.serial(self.book)
+        self.book = copy["book"]
+        self.tail = list(copy["tail"])
+        self.write([], whole=self.copy())
+        gens = {e["s"]: book.gen_of(e) for e in self.tail}
+        if was > book.serial(self.book) and was in gens:
+            self.advance(was, gens[was])
+        else:
+            self.in_force()
+
+    def extend(self, m):
+        have = {book.serial(self.book): book.gen(self.book)}
+        have.update({kinds.Serial(e["s"]): book.gen_of(e) for e in self.tail})
+        if m.pserial < book.serial(self.book):
+            es = [e for e in m.entries if e["s"] > book.serial(self.book)]
+            if not es or es[0]["s"] != book.serial(self.book) + 1:
+                return bool(m.entries and m.entries[-1]["s"] <= book.serial(self.book))
+        elif have.get(m.pserial) != m.pgen:
+            return False
+        else:
+            es = m.entries
+        i = 0
+        while i < len(es) and have.get(es[i]["s"]) == book.gen_of(es[i]):
+            i += 1
+        es = es[i:]
+        if not es:
+            return True
+        self.tail = [e for e in self.tail if e["s"] < es[0]["s"]] + es
+        self.write([{"entry": e} for e in es])
+        return True
+
+    def advance(self, commit, cgen):
+        if commit <= self.book["serial"]:
+            return
+        if not any(e["s"] == commit and book.gen_of(e) == cgen for e in self.tail):
+            return
+        while self.tail and self.tail[0]["s"] <= commit:
+            self.book = book.apply(self.book, self.tail.pop(0))
+        self.in_force()
+
+    def in_force(self):
+        """A newer book is in force here; roles override to compile rules and the like."""
--- /dev/null
+++ b/basaltport/main.py
@@ -0,0 +1,43 @@
+"""One program; the role or the verb is the first word."""
+
+import sys
+
+import basaltport.clerk.cli as cli
+import basaltport.daemon as daemon
+import basaltport.paddle.cli as paddle
+import basaltport.rehearsal.cli as rehearsal
+
+GROUPS = [
+    ("Roles", daemon.VERBS),
+    ("Operators' verbs, at any node", cli.VERBS),
+    ("Tools", {**paddle.VERBS, **rehearsal.VERBS}),
+]
+
+
+def usage():
+    out = ["usage: basaltport VERB [--flag=value ...] [argument ...]", ""]
+    for title, verbs in GROUPS:
+        out.append(title + ":")
+        out += [f"  {k:<12} {v.help}" for k, v in verbs.items()]
+        out.append("")
+    out += [
+        "`basaltport VERB --help` tells a verb's flags.",
+        "Exit codes: 0 done, 1 refused or a check failed, 2 bad input, 3 unknown outcome, 4 nobody answered.",
+    ]
+    return "\n".join(out)
+
+
+def run(argv=None):
+    argv = list(sys.argv if argv is None else argv)
+    if len(argv) < 2 or argv[1] in ("-h", "--help", "help"):
+        print(usage())
+        sys.exit(0 if len(argv) > 1 else 2)
+    verbs = {k: v for _, vs in GROUPS for k, v in vs.items()}
+    if argv[1] not in verbs:
+        print(f"no verb {argv[1]!r}\n\n{usage()}", file=sys.stderr)
+        sys.exit(2)
+    sys.exit(verbs[argv[1]].call(argv[1:]) or 0)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/basaltport/messages.py
@@ -0,0 +1,206 @@
+"""What members say to each other. Field types decide the form on the wire (see frames)."""
+
+import dataclasses
+
+import basaltport.kinds as kinds
+
+KINDS = {}
+
+
+def _message(number):
+    def wrap(cls):
+        cls = dataclasses.dataclass(slots=True)(cls)
+        cls.KIND = number
+        KINDS[number] = cls
+        return cls
+
+    return wrap
+
+
+@_message(1)
+class Hello:
+    house: str
+    name: kinds.Name
+    seat: kinds.Seat
+    role: str
+    zone: kinds.Zone
+    addr: str
+    http: str
+    gen: kinds.Generation
+    known: list
+
+
+@_message(2)
+class Campaign:
+    gen: kinds.Generation
+    seat: kinds.Seat
+    name: kinds.Name
+    addr: str
+
+
+@_message(3)
+class Promise:
+    gen: kinds.Generation
+    seat: kinds.Seat
+    name: kinds.Name
+    ok: bool
+    promised: kinds.Generation
+    hgen: kinds.Generation
+    serial: kinds.Serial
+    me: dict
+
+
+@_message(4)
+class Fetch:
+    gen: kinds.Generation
+    seat: kinds.Seat
+
+
+@_message(5)
+class Copy:
+    gen: kinds.Generation
+    seat: kinds.Seat
+    copy: dict
+
+
+@_message(6)
+class Beat:
+    gen: kinds.Generation
+    seat: kinds.Seat
+    name: kinds.Name
+    addr: str
+    n: int
+    commit: kinds.Serial
+    cgen: kinds.Generation
+    pgen: kinds.Generation
+    pserial: kinds.Serial
+    entries: list
+    copy: dict
+    age: kinds.Millis
+    echo: int
+
+
+@_message(7)
+class Ack:
+    gen: kinds.Generation
+    seat: kinds.Seat
+    n: int
+    k: int
+    ok: bool
+    promised: kinds.Generation
+    hgen: kinds.Generation
+    serial: kinds.Serial
+    applied: kinds.Serial
+    need: bool
+
+
+@_message(8)
+class Forward:
+    call: str
+    addr: str
+    verb: str
+    body: dict
+
+
+@_message(9)
+class Reply:
+    call: str
+    status: int
+    body: dict
+
+
+@_message(10)
+class Pulse:
+    """Heartbeat to a watcher that the ring names."""
+
+    seat: kinds.Seat
+    n: int
+
+
+@_message(11)
+class Suspect:
+    seat: kinds.Seat
+    of: kinds.Seat
+
+
+@_message(12)
+class CellNews:
+    zone: kinds.Zone
+    fence: kinds.Fence
+    version: int
+    rows: dict
+
+
+@_message(13)
+class Want:
+    """A rostrum asks the steward of a zone for an item; `wake` orders the load."""
+
+    ask: int
+    seat: kinds.Seat
+    item: kinds.Item
+    zone: kinds.Zone
+    wake: bool
+    pool: str
+
+
+@_message(14)
+class Facts:
+    ask: int
+    zone: kinds.Zone
+    item: kinds.Item
+    state: str
+    retry_after: kinds.Millis
+    kept: bool
+    idle_window: kinds.Millis
+    expected: kinds.Millis
+    serving_for: kinds.Millis
+    loading_for: kinds.Millis
+    replicas: list
+    reason: str
+
+
+@_message(15)
+class Need:
+    """A rostrum's slots: what it holds, uses and wants, replica by replica."""
+
+    seat: kinds.Seat
+    k: int
+    zone: kinds.Zone
+    fence: kinds.Fence
+    seen: int
+    rows: dict
+
+
+@_message(16)
+class Grants:
+    zone: kinds.Zone
+    fence: kinds.Fence
+    echo: int
+    n: int
+    rows: dict
+
+
+@_message(17)
+class PermitAsk:
+    seat: kinds.Seat
+    zone: kinds.Zone
+    fence: kinds.Fence
+    k: int
+    held: dict
+    want: dict
+
+
+@_message(18)
+class PermitGrant:
+    zone: kinds.Zone
+    fence: kinds.Fence
+    k: int
+    granted: dict
+
+
+@_message(19)
+class Leaving:
+    """News ahead of the feed that a replica is leaving or a zone is emptied."""
+
+    replica: str
+    zone: str
--- /dev/null
+++ b/basaltport/rehearsal/fleet.py
@@ -0,0 +1,112 @@
+"""A whole fleet as processes on loopback, started and ended by id, in bounded time."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import basaltport.rehearsal.presets as presets
+
+IP = "127.0.0.1"
+
+
+def ports(n):
+    """Ports picked by the kernel, all held until all are picked."""
+    socks = [socket.socket() for _ in range(n)]
+    for s in socks:
+        s.bind((IP, 0))
+    out = [s.getsockname()[1] for s in socks]
+    for s in socks:
+        s.close()
+    return out
+
+
+class Fleet:
+    def __init__(self, preset, folder, seed=1):
+        self.p = presets.PRESETS[preset]
+        self.folder = os.path.abspath(folder)
+        self.seed = seed
+        self.procs = {}
+        self.settings = {}
+        os.makedirs(self.folder, exist_ok=True)
+
+    def path(self, *parts):
+        return os.path.join(self.folder, *parts)
+
+    def plan(self):
+        p = self.p
+        members = [("ledger", f"ledger-{i + 1}", i) for i in range(p["ledgers"])]
+        members += [("rostrum", f"rostrum-{i + 1}", i) for i in range(p["rostrums"])]
+        ps = iter(ports(2 * len(members) + sum(g["replicas"] for g in p["groups"].values()) + 1))
+        rows = [
+            (r, n, f"z{i % p['zones'] + 1}", f"{IP}:{next(ps)}", f"{IP}:{next(ps)}") for r, n, i in members
+        ]
+        seeds = [a for _, _, _, a, _ in rows[:3]]
+        for role, name, zone, addr, http in rows:
+            s = {"house": p["house"], "name": name, "zone": zone, "addr": addr, "http": http}
+            s.update(seeds=seeds, expected_seats=len(rows), expected_ledgers=p["ledgers"])
+            s["log"] = self.path(f"{name}.log")
+            if role == "ledger":
+                s["data"] = self.path(f"{name}.data")
+            self.settings[name] = (role, s)
+            self.dump(f"{name}.json", s)
+        reps = {}
+        for g, v in p["groups"].items():
+            for i in range(v["replicas"]):
+                url = f"http://{IP}:{next(ps)}"
+                reps[f"{g}-{i + 1}"] = {"url": url, "zone": f"z{i % p['zones'] + 1}", "group": g}
+        self.nodes = [h for r, _, _, _, h in rows if r == "rostrum"]
+        self.all_nodes = [h for _, _, _, _, h in rows]
+        self.admin = f"{IP}:{next(ps)}"
+        conf = {"replicas": reps, "nodes": self.all_nodes, "admin": self.admin, "seed": self.seed}
+        conf.update({k: p[k] for k in ("groups", "load_ms_per_size", "service_ms", "loads")})
+        self.dump("standins.json", conf)
+        about = {
+            "nodes": self.nodes,
+            "all_nodes": self.all_nodes,
+            "admin": self.admin,
+            "manifest": p["manifest"],
+        }
+        self.dump("fleet.json", about)
+
+    def dump(self, name, doc):
+        with open(self.path(name), "w") as f:
+            json.dump(doc, f, indent=1)
+
+    def spawn(self, name, *args):
+        out = open(self.path(f"{name}.out"), "ab")
+        cmd = [sys.executable, "-m", "basaltport", *args]
+        self.procs[name] = subprocess.Popen(cmd, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
+        out.close()
+
+    def start(self):
+        self.plan()
+        self.spawn("standins", "standins", f"--conf={self.path('standins.json')}")
+        for name in self.settings:
+            self.start_member(name)
+        self.note_ids()
+
+    def start_member(self, name):
+        self.spawn(name, self.settings[name][0], f"--settings={self.path(name + '.json')}")
+
+    def note_ids(self):
+        self.dump("ids.json", {k: p.pid for k, p in self.procs.items()})
+
+    def signal(self, name, sig):
+        self.procs[name].send_signal(sig)
+
+    def stop(self):
+        for p in self.procs.values():
+            if p.poll() is None:
+                p.send_signal(signal.SIGCONT)
+                p.terminate()
+        end = time.monotonic() + 15
+        for p in self.procs.values():
+            try:
+                p.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                p.kill()
+                p.wait()
--- /dev/null
+++ b/basaltport/rostrum/front.py
@@ -0,0 +1,126 @@
+"""The senders' side of a rostrum: reads queries whole, relays replies, ends broken ones abnormally."""
+
+import asyncio
+import hashlib
+import json
+
+import aiohttp.web
+
+import basaltport.consign.adapter as adapter
+import basaltport.events as events
+import basaltport.kinds as kinds
+
+QUERY = "Basaltport-Query"
+
+
+class Sink:
+    """Where a query's final word or its reply goes; each query gets exactly one end."""
+
+    def __init__(self, request, query):
+        self.request = request
+        self.query = query
+        self.done = asyncio.get_running_loop().create_future()
+        self.reply = None
+        self.begun = False
+
+    def close(self, status, body, retry):
+        if self.done.done():
+            return
+        h = {QUERY: self.query, adapter.RAN: body.get("ran", "unknown")}
+        if retry:
+            h["Retry-After"] = str(-(-retry // 1000))
+        self.done.set_result(aiohttp.web.json_response(body, status=status, headers=h))
+
+    async def whole(self, status, doc):
+        if self.done.done():
+            return
+        ok = status < 400
+        body = {"query": self.query, "ran": "yes", "reply": doc.get("reply")}
+        if not ok:
+            body = {
+                "query": self.query,
+                "ran": "yes",
+                "error": "replica-failed",
+                "detail": doc.get("error", ""),
+            }
+        h = {QUERY: self.query, adapter.RAN: "yes"}
+        self.done.set_result(aiohttp.web.json_response(body, status=200 if ok else 502, headers=h))
+
+    async def piece(self, n, piece):
+        if self.reply is None:
+            self.begun = True
+            h = {QUERY: self.query, adapter.RAN: "yes", "Content-Type": "application/x-ndjson"}
+            self.reply = aiohttp.web.StreamResponse(headers=h)
+            await self.reply.prepare(self.request)
+        await self.reply.write(json.dumps({"n": n, "piece": piece}).encode() + b"\n")
+
+    async def end(self, n):
+        if self.reply is None:
+            await self.whole(200, {"reply": ""})
+            return
+        await self.reply.write(json.dumps({"end": True, "pieces": n}).encode() + b"\n")
+        await self.reply.write_eof()
+        if not self.done.done():
+            self.done.set_result(self.reply)
+
+    async def cut(self):
+        if self.request.transport is not None:
+            self.request.transport.abort()
+        if not self.done.done():
+            self.done.set_result(self.reply)
+
+
+def token_of(request):
+    h = request.headers.get("Authorization", "")
+    if not h.startswith("Bearer "):
+        return ""
+    return "sha256:" + hashlib.sha256(h[7:].strip().encode()).hexdigest()
+
+
+class Front:
+    def __init__(self, host):
+        self.host = host
+        self.sinks = {}
+        self.n = 0
+
+    def routes(self, app):
+        app.router.add_post("/v1/lines/{line}/query", self.query)
+
+    def next_id(self):
+        self.n += 1
+        return kinds.QueryId(f"{self.host.me.seat}-{self.n}")
+
+    def bad(self, qid, status, code, detail):
+        b = {"query": qid, "error": code, "detail": detail, "ran": "no"}
+        return aiohttp.web.json_response(b, status=status, headers={QUERY: qid, adapter.RAN: "no"})
+
+    async def query(self, request):
+        qid = self.next_id()
+        if self.host.stopping:
+            return self.bad(qid, 503, "stopping", "this node is stopping; ask another")
+        try:
+            body = await request.json()
+        except (ValueError, UnicodeDecodeError):
+            return self.bad(qid, 400, "malformed", "the body is not JSON")
+        if not isinstance(body, dict) or not isinstance(body.get("model"), str) or "prompt" not in body:
+            return self.bad(qid, 400, "malformed", "an object with `model` and `prompt` is needed")
+        if not isinstance(body.get("adapter", ""), str) or not isinstance(body.get("stream", False), bool):
+            return self.bad(qid, 400, "malformed", "`adapter` is a string, `stream` true or false")
+        deadline = -1
+        raw = request.headers.get(adapter.DEADLINE)
+        if raw is not None:
+            if not raw.isascii() or not raw.isdigit() or len(raw) > 9:
+                return self.bad(
+                    qid, 400, "bad-deadline", f"{adapter.DEADLINE} is a whole number of milliseconds"
+                )
+            deadline = int(raw)
+        sink = self.sinks[qid] = Sink(request, qid)
+        line = request.match_info["line"]
+        self.host.step(events.Arrived(kinds.steady(), qid, line, token_of(request), body, deadline))
+        try:
+            return await sink.done
+        except asyncio.CancelledError:
+            self.host.step(events.Gone(kinds.steady(), qid))
+            raise
+        finally:
+            self.sinks.pop(qid, None)
--- /dev/null
+++ b/basaltport/rostrum/interp.py
@@ -0,0 +1,101 @@
+"""The interpreter: runs a line's compiled program over a query until it waits or is refused."""
+
+import basaltport.events as events
+import basaltport.kinds as kinds
+import basaltport.rostrum.credits as credits
+import basaltport.rostrum.query as query
+
+
+class InterpMixin:
+    """Needs the other mixins of Rostrum. Each instruction gives None or a refusal."""
+
+    def on_arrived(self, ev):
+        if not self.leased():
+            self.refuse_id(ev.query, 503, "no-leader", "no leader is heard; nothing was run", 1000)
+            return
+        rule = self.rules.lines.get(ev.line)
+        if rule is None:
+            self.refuse_id(ev.query, 404, "unknown-line", f"no line {ev.line!r}")
+            return
+        model, adapter = ev.body.get("model"), ev.body.get("adapter")
+        item = kinds.Item(f"{model}/{adapter}" if adapter else str(model))
+        q = query.Query(ev.query, ev.line, "", item, ev.body, self.now, 0, rule)
+        for op, arg in rule.program:
+            bad = getattr(self, "do_" + op)(q, arg, ev)
+            if bad:
+                self.refuse_id(ev.query, *bad)
+                return
+        self.pump()
+
+    def do_sender(self, q, arg, ev):
+        s = arg.get(ev.token)
+        if s is None:
+            return 401, "unknown-token", "the bearer token is not one of this line's senders"
+        q.sender = s
+
+    def do_item(self, q, arg, ev):
+        if q.item not in self.rules.items:
+            return 404, "unknown-model", f"no model or adapter {q.item!r}"
+        if q.item not in arg:
+            return 403, "not-in-line", f"line {q.line!r} does not serve {q.item!r}"
+
+    def do_deadline(self, q, arg, ev):
+        wait = arg if ev.deadline < 0 else min(arg, ev.deadline)
+        if wait == 0:
+            return 504, "deadline-too-short", "no time is left"
+        q.until = self.now + wait
+
+    def do_bound(self, q, arg, ev):
+        if self.lines.size(q.line) >= credits.share(arg, self.seats(), self.me.seat):
+            return 429, "line-full", f"line {q.line!r} is full here", self.guess(q)
+
+    def do_credit(self, q, arg, ev):
+        p = self.rules.pools[arg]
+        used = sum(n.size for k, n in self.lines.by_name.items() if self.pool_of(k) == arg)
+        if used >= credits.share(p["waiting"], self.seats(), self.me.seat):
+            return 429, "pool-empty", f"pool {arg!r} has no waiting credit left", self.guess(q)
+
+    def do_readiness(self, q, arg, ev):
+        if self.hopeless(q):
+            return 503, "too-busy", "it could not be answered in time", self.guess(q)
+        return self.ready_or_wait(q)
+
+    def do_wait(self, q, arg, ev):
+        self.queries[q.id] = q
+        self.lines.put(q)
+
+    def seats(self):
+        return [s for s, r in self.book["roster"].items() if r["role"] == "rostrum"]
+
+    def pool_of(self, line):
+        r = self.rules.lines.get(line)
+        return r.pool if r else ""
+
+    def refuse_id(self, qid, status, code, detail="", retry=0):
+        b = {"query": qid, "error": code, "detail": detail, "ran": "no"}
+        if retry:
+            b["retry_after_ms"] = retry
+        self.queries.pop(qid, None)
+        self.tally[code] = self.tally.get(code, 0) + 1
+        self.emit(events.Close(qid, status, b, retry))
+
+    def refuse(self, q, status, code, detail="", retry=0):
+        self.lines.drop(q)
+        self.refuse_id(q.id, status, code, detail, retry)
+
+    def give_up(self, q, status, code, detail=""):
+        """A final word where it may have run."""
+        self.queries.pop(q.id, None)
+        self.tally[code] = self.tally.get(code, 0) + 1
+        self.emit(
+            events.Close(q.id, status, {"query": q.id, "error": code, "detail": detail, "ran": "unknown"})
+        )
+
+    def on_gone(self, ev):
+        q = self.queries.pop(ev.query, None)
+        if q is None:
+            return
+        self.lines.drop(q)
+        if q.dispatch in self.runs:
+            self.emit(events.Abandon(kinds.DispatchId(q.dispatch)))
+        self.tally["sender-gone"] = self.tally.get("sender-gone", 0) + 1
--- /dev/null
+++ b/basaltport/rostrum/role.py
@@ -0,0 +1,89 @@
+"""The data node: all its mixins in one reducer."""
+
+import basaltport.clerk.desk as desk
+import basaltport.docket.rules as rules
+import basaltport.ledger.seat as seat
+import basaltport.member as member
+import basaltport.readiness.routine as routine
+import basaltport.rostrum.dispatch as dispatch
+import basaltport.rostrum.interp as interp
+import basaltport.rostrum.lines as lines
+import basaltport.saleroom.cell as cell
+import basaltport.steward.store as store
+import basaltport.steward.zone as zone
+
+
+HINT = 8000
+
+
+class Rostrum(
+    interp.InterpMixin,
+    routine.ReadinessMixin,
+    dispatch.DispatchMixin,
+    zone.StewardMixin,
+    store.StoreMixin,
+    cell.CellMixin,
+    desk.AskMixin,
+    seat.SeatMixin,
+    member.Member,
+):
+    TICKS = (
+        "tick_hello",
+        "tick_readiness",
+        "tick_slots",
+        "tick_steward",
+        "tick_store",
+        "tick_shunned",
+        "tick_desk",
+    )
+
+    def __init__(self, me, seed, now):
+        member.Member.__init__(self, me, seed, now)
+        self.rules = rules.compile(None, 0)
+        self.rules_serial = -1
+        self.queries = {}
+        self.lines = lines.Lines()
+        self.tally = {}
+        self.shunned = {}
+        self.shunned_zones = {}
+        self.share_from = now
+        self.cell_start()
+        self.readiness_start()
+        self.dispatch_start()
+        self.steward_start()
+        self.store_start()
+        self.desk_start()
+        self.seat_start()
+
+    def in_force(self):
+        if self.book["mserial"] != self.rules_serial:
+            self.rules = rules.compile(self.book["manifest"], self.book["mserial"])
+            self.rules_serial = self.book["mserial"]
+            self.note(42, serial=int(self.book["mserial"]), lines=len(self.rules.lines))
+            self.recheck()
+        self.take_duties()
+
+    def recheck(self):
+        """Queries of lines or items that are no more are refused; the rest take the new rules."""
+        for q in list(self.lines):
+            r = self.rules.lines.get(q.line)
+            if r is None or q.item not in r.items or q.sender not in r.senders:
+                self.refuse(q, 410, "withdrawn", "the manifest no longer has this line, model or sender")
+                continue
+            q.rule = r
+
+    def hear_leaving(self, src, m):
+        if m.replica:
+            self.shunned[m.replica] = self.now
+        if m.zone:
+            self.shunned_zones[m.zone] = self.now
+
+    def tick_shunned(self):
+        """Hints go once the agreed mark took over, or proved not to come."""
+        b = self.book
+        for r, at in list(self.shunned.items()):
+            if r in b["leaving"] or self.now - at > HINT:
+                del self.shunned[r]
+        for z, at in list(self.shunned_zones.items()):
+            if z in b["drains"] or self.now - at > HINT:
+                del self.shunned_zones[z]
--- /dev/null
+++ b/tests/test_docket.py
@@ -0,0 +1,103 @@
+import copy
+import json
+import pathlib
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+import basaltport.docket.check as check
+import basaltport.docket.patch as patch
+import basaltport.docket.rules as rules
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+def load(name):
+    return json.loads((EXAMPLES / name).read_text())
+
+
+@pytest.mark.parametrize(
+    "name, models, adapters", [("thin.json", 2, 1), ("furrow.json", 30, 55), ("tsehay.json", 35, 40)]
+)
+def test_examples_have_the_sizes_of_the_deployments(name, models, adapters):
+    m = load(name)
+    assert check.manifest(m).is_ok()
+    big = [v for v in m["models"].values() if v["group"] == "models"]
+    assert len(big) == models
+    assert sum(len(v.get("adapters", {})) for v in big) == adapters
+
+
+def test_all_findings_come_together_with_their_places():
+    m = load("thin.json")
+    m["lines"]["desk"]["urgency"] = "9"
+    m["lines"]["desk"]["senders"]["desk"] = "plain"
+    m["pools"]["all"]["resend_percent"] = 21
+    m["surprise"] = 1
+    del m["store"]
+    got = {f["place"] for f in check.manifest(m).err_value}
+    assert got == {
+        "lines.desk.urgency",
+        "lines.desk.senders.desk",
+        "pools.all.resend_percent",
+        "surprise",
+        "store",
+    }
+
+
+def test_references_to_nothing_and_room_too_small_are_found():
+    m = load("thin.json")
+    m["lines"]["desk"]["pool"] = "none"
+    m["lines"]["letters"]["items"] = ["oak"]
+    m["models"]["alder"]["size"] = 41
+    m["models"]["birch"]["size"] = 40
+    m["lines"]["desk"]["senders"]["twin"] = m["lines"]["desk"]["senders"]["desk"]
+    got = {f["place"] for f in check.manifest(m).err_value}
+    assert got == {
+        "lines.desk.pool",
+        "lines.letters.items.0",
+        "models.alder.size",
+        "models.birch.adapters.gate.size",
+        "lines.desk.senders.twin",
+    }
+
+
+DOC = st.recursive(
+    st.integers() | st.text(max_size=3) | st.booleans(),
+    lambda x: st.dictionaries(st.sampled_from("abcd"), x, max_size=3),
+    max_leaves=12,
+)
+OBJECT = st.dictionaries(st.sampled_from("abcd"), DOC, max_size=4)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(OBJECT, OBJECT)
+def test_the_diff_of_two_manifests_patches_one_into_the_other(a, b):
+    kept = copy.deepcopy(a)
+    assert patch.merge(a, patch.diff(a, b)) == b
+    assert a == kept
+
+
+def test_rfc_7396_examples():
+    cases = [
+        ({"a": "b"}, {"a": "c"}, {"a": "c"}),
+        ({"a": "b"}, {"b": "c"}, {"a": "b", "b": "c"}),
+        ({"a": "b"}, {"a": None}, {}),
+        ({"a": ["b"]}, {"a": "c"}, {"a": "c"}),
+        ({"a": {"b": "c"}}, {"a": {"b": "d", "c": None}}, {"a": {"b": "d"}}),
+        ({"a": [{"b": "c"}]}, {"a": [1]}, {"a": [1]}),
+        ({"e": None}, {"a": 1}, {"e": None, "a": 1}),
+        ([1, 2], {"a": "b", "c": None}, {"a": "b"}),
+        ({}, {"a": {"bb": {"ccc": None}}}, {"a": {"bb": {}}}),
+    ]
+    for doc, p, want in cases:
+        assert patch.merge(doc, p) == want
+
+
+def test_rules_know_a_line_s_items_and_senders():
+    r = rules.compile(load("furrow.json"), 4)
+    assert r.lines["blurbs"].items == {
+        "adze", "adze/adze-1", "adze/adze-2", "bevel", "bevel/bevel-1", "bevel/bevel-2",
+    }  # fmt: skip
+    assert r.lines["blurbs"].senders == {"auctioneer", "clerk"}
+    assert r.items["adze/adze-1"].size == 1
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,53 @@
+import pytest
+
+import basaltport.frames as frames
+import basaltport.kinds as kinds
+import basaltport.messages as messages
+
+GEN = kinds.Generation(3, "ledger-1")
+BEAT = messages.Beat(
+    GEN,
+    kinds.Seat("s1"),
+    kinds.Name("ledger-1"),
+    "127.0.0.1:1",
+    7,
+    kinds.Serial(5),
+    GEN,
+    GEN,
+    kinds.Serial(4),
+    [{"s": 5, "g": [3, "ledger-1"], "op": {"op": "lead"}}],
+    {},
+    kinds.Millis(12),
+    9,
+)
+
+
+def test_a_frame_comes_back_as_it_went():
+    got = frames.unpack(frames.pack(BEAT)).ok_value
+    assert got == BEAT
+    assert type(got.commit) is kinds.Serial and type(got.gen) is kinds.Generation
+
+
+def _flip(raw, at):
+    return raw[:at] + bytes([raw[at] ^ 0x41]) + raw[at + 1 :]
+
+
+@pytest.mark.parametrize(
+    "raw, why",
+    [
+        (_flip(frames.pack(BEAT), 0), "garbled header"),
+        (_flip(frames.pack(BEAT), 4), "frame version"),
+        (_flip(frames.pack(BEAT), 5), "unknown kind"),
+        (_flip(frames.pack(BEAT), 30), "checksum differs"),
+        (frames.pack(BEAT)[:-3], "checksum differs"),
+        (frames.pack(BEAT)[:9], "garbled header"),
+    ],
+)
+def test_a_bad_frame_is_refused_with_its_reason(raw, why):
+    assert why in frames.unpack(raw).err_value
+
+
+def test_a_body_of_the_wrong_form_is_refused():
+    body = b"\x05hello"
+    head = frames.HEADER.build({"version": 1, "kind": 6, "crc": __import__("zlib").crc32(body), "length": 6})
+    assert "garbled body" in frames.unpack(head + body).err_value
