Checks seen to fail by mutation; a replica that takes no wire is left alone

Cause: a crashed replica stayed 'up' for 1.5 s in its steward's eyes, so queries spent all their tries on it within milliseconds and were refused. Now a rostrum leaves a replica that took no wire alone for a second, and two missed polls make it dark.

Fourteen mutations break one safety rule each and see its check fail; exchanges with senders and operators are held as approved transcripts over real sockets; findings of form no longer hide those of reference.

--- a/basaltport/docket/check.py
+++ b/basaltport/docket/check.py
@@ -114,13 +114,26 @@
 
 
 def manifest(doc):
+    """The whole manifest's findings: those of form, and of reference wherever the form allows."""
     got = shape(MANIFEST, doc)
-    if got.is_err():
-        return got
-    fs = _references(doc)
+    fs = got.err_value if got.is_err() else []
+    if isinstance(doc, dict):
+        fs = fs + _references(_sound(doc))
     return result.Err(fs) if fs else got
 
 
+def _sound(doc):
+    """Of each section the entries whose own form is right; None where the section is not there at all."""
+    out = {}
+    for k, form in (("lines", LINE), ("models", MODEL)):
+        d = doc.get(k)
+        out[k] = {n: v for n, v in d.items() if shape(form, v).is_ok()} if isinstance(d, dict) else {}
+    for k in ("pools", "groups", "zones"):
+        out[k] = doc.get(k) if isinstance(doc.get(k), dict) else None
+    out["every"] = list(items_of(out)) if len(out["models"]) == len(doc.get("models") or ()) else None
+    return out
+
+
 def items_of(m):
     for k, v in m["models"].items():
         yield k
@@ -141,32 +154,44 @@
     def find(place, text):
         fs.append({"place": place, "finding": text})
 
-    every = list(items_of(m))
-    if not m["zones"]:
+    if m["zones"] == {}:
         find("zones", "at least one zone is needed")
-    tokens = {}
     for k, v in m["lines"].items():
-        if v["pool"] not in m["pools"]:
-            find(f"lines.{k}.pool", f"no pool {v['pool']!r}")
+        _line_references(m, k, v, find)
+    for k, v in m["models"].items():
+        _model_references(m, k, v, find)
+    return fs
+
+
+def _line_references(m, k, v, find):
+    if m["pools"] is not None and v["pool"] not in m["pools"]:
+        find(f"lines.{k}.pool", f"no pool {v['pool']!r}")
+    if m["every"] is not None:
         for n, p in enumerate(v["items"]):
-            if not any(match(p, i) for i in every):
+            if not any(match(p, i) for i in m["every"]):
                 find(f"lines.{k}.items.{n}", f"{p!r} names no model or adapter")
         for n, p in enumerate(v.get("prewarm", [])):
-            if p not in every:
+            if p not in m["every"]:
                 find(f"lines.{k}.prewarm.{n}", f"{p!r} names no model or adapter")
-        for s, h in v["senders"].items():
-            if tokens.setdefault((k, h), s) != s:
-                find(f"lines.{k}.senders.{s}", f"same token as sender {tokens[(k, h)]!r}")
-        if v["timeout_ms"] > 600_000:
-            find(f"lines.{k}.timeout_ms", "over ten minutes")
-    for k, v in m["models"].items():
-        g = m["groups"].get(v["group"])
-        if g is None:
-            find(f"models.{k}.group", f"no group {v['group']!r}")
-            continue
-        if v["size"] > g["room"]:
-            find(f"models.{k}.size", f"size {v['size']} is over the room {g['room']} of group {v['group']!r}")
-        for a, w in (v.get("adapters") or {}).items():
-            if v["size"] + w["size"] > g["room"]:
-                find(f"models.{k}.adapters.{a}.size", f"with its model it is over the room {g['room']}")
-    return fs
+    tokens = {}
+    for s, h in v["senders"].items():
+        if tokens.setdefault(h, s) != s:
+            find(f"lines.{k}.senders.{s}", f"same token as sender {tokens[h]!r}")
+    if v["timeout_ms"] > 600_000:
+        find(f"lines.{k}.timeout_ms", "over ten minutes")
+
+
+def _model_references(m, k, v, find):
+    if m["groups"] is None:
+        return
+    g = m["groups"].get(v["group"])
+    if g is None:
+        find(f"models.{k}.group", f"no group {v['group']!r}")
+        return
+    if not shape(GROUP, g).is_ok():
+        return
+    if v["size"] > g["room"]:
+        find(f"models.{k}.size", f"size {v['size']} is over the room {g['room']} of group {v['group']!r}")
+    for a, w in (v.get("adapters") or {}).items():
+        if v["size"] + w["size"] > g["room"]:
+            find(f"models.{k}.adapters.{a}.size", f"with its model it is over the room {g['room']}")
--- a/basaltport/host.py
+++ b/basaltport/host.py
@@ -24,6 +24,16 @@
 GRACE = 10_000
 
 
+@aiohttp.web.middleware
+async def errors_as_json(request, handler):
+    """What is refused before any handler saw it ran nothing and changed nothing."""
+    try:
+        return await handler(request)
+    except aiohttp.web.HTTPException as e:
+        b = {"error": e.reason.lower().replace(" ", "-"), "detail": e.text, "ran": "no", "changed": False}
+        return aiohttp.web.json_response(b, status=e.status, headers={adapter.RAN: "no"})
+
+
 class Host:
     """Reducer steps never await, so they need no lock; what awaits works on copies."""
 
@@ -77,35 +87,43 @@
         return None
 
     async def run(self):
-        loop = asyncio.get_running_loop()
-        self.end = asyncio.Event()
         for sig in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(sig, self.end.set)
+            asyncio.get_running_loop().add_signal_handler(sig, lambda: self.end.set())
+        await self.start()
+        await self.end.wait()
+        await self.finish()
+
+    async def start(self):
+        self.end = asyncio.Event()
         self.writer = concurrent.futures.ThreadPoolExecutor(1)
         await self.adapter.start()
-        runner = aiohttp.web.AppRunner(
+        self.runner = aiohttp.web.AppRunner(
             self.app(), handler_cancellation=True, access_log=None, shutdown_timeout=GRACE / 1000
         )
-        await runner.setup()
+        await self.runner.setup()
         ip, port = self.me.http.split(":")
-        await aiohttp.web.TCPSite(runner, ip, int(port), backlog=1024).start()
+        await aiohttp.web.TCPSite(self.runner, ip, int(port), backlog=1024).start()
         await self.wires.start()
         logs.note(1, self.me.row())
-        ticker = loop.create_task(self.tick())
-        await self.end.wait()
+        self.ticker = asyncio.get_running_loop().create_task(self.tick())
+
+    async def finish(self):
+        """Takes no more, finishes what runs, within bounds."""
         logs.note(2, {"name": self.me.name})
         self.stopping = True
         await self.drain()
-        ticker.cancel()
+        self.ticker.cancel()
         await self.wires.stop()
-        await runner.cleanup()
+        await self.runner.cleanup()
         await self.adapter.stop()
         self.writer.shutdown()
         if self.disk:
             self.disk.close()
 
     def app(self):
-        app = aiohttp.web.Application(client_max_size=self.settings["body_limit"])
+        app = aiohttp.web.Application(
+            client_max_size=self.settings["body_limit"], middlewares=[errors_as_json]
+        )
         self.clerk.routes(app)
         if self.role == "rostrum":
             self.front.routes(app)
--- a/basaltport/readiness/routine.py
+++ b/basaltport/readiness/routine.py
@@ -24,6 +24,7 @@
         "reason",
         "load",
         "load_since",
+        "asked",
     )
 
     def __init__(self):
@@ -37,19 +38,19 @@
         self.reason = ""
         self.load = None
         self.load_since = 0
+        self.asked = -(10**9)
 
 
 class Shared:
     """One wait for an item, shared by every query for it here."""
 
-    __slots__ = ("item", "since", "next", "ask", "asked", "zones", "began")
+    __slots__ = ("item", "since", "next", "ask", "zones", "began")
 
     def __init__(self, item, now):
         self.item = item
         self.since = now
         self.next = now
         self.ask = 0
-        self.asked = -1
         self.zones = []
         self.began = False
 
@@ -100,6 +101,10 @@
             return
         w = self.waits[item] = Shared(item, self.now)
         w.zones = self.zones_for(item)
+        at = self.fact(item).asked
+        if self.now - at < limits.POLL:
+            w.next = at + limits.POLL
+            return
         self.ask_next(w)
 
     def zones_for(self, item):
@@ -115,7 +120,7 @@
             self.unavailable(w.item, "no zone can hold it")
             return
         z = w.zones[0]
-        w.asked = self.now
+        self.fact(w.item).asked = self.now
         w.ask = self.ask(w.item, z, True)
         w.next = self.now + ASK_LAPSE
 
--- a/basaltport/rehearsal/backend.py
+++ b/basaltport/rehearsal/backend.py
@@ -93,7 +93,7 @@
         self.later(self.hop(), self.poll_there, n, n.life, r, r.life, e, fence)
 
     def poll_there(self, n, life, r, rlife, e, fence):
-        ok = r.mode == "up" and r.life == rlife
+        ok = r.mode in ("up", "sick") and r.life == rlife
         st = r.logic.state(self.now, fence) if ok else {}
         self.later(self.hop(), self.give, n, life, events.Polled(self.now, e.replica, ok, st))
 
@@ -173,7 +173,7 @@
         self.give(n, life, ev)
 
     def admit(self, n, life, r, rlife, e, st):
-        if r.life != rlife or r.mode != "up":
+        if r.life != rlife or r.mode not in ("up", "sick"):
             self.later(self.hop(), self.back, n, life, e, st, events.Replied(self.now, e.dispatch, "broken"))
             return
         self.log("reach", node=n.name, replica=r.rid, zone=r.row["zone"], dispatch=e.dispatch)
@@ -185,6 +185,10 @@
         at = {"age": int(self.now - r.logic.born), "running": len(r.logic.running), "group": r.row["group"]}
         p = e.body["prompt"]
         self.log("ran", replica=r.rid, dispatch=e.dispatch, prompt=p, serial=e.serial, **at)
+        if r.mode == "sick":
+            r.logic.finish(self.now, e.dispatch)
+            self.later(self.hop(), self.back, n, life, e, st, events.Replied(self.now, e.dispatch, "broken"))
+            return
         ms = self.preset["service_ms"][r.row["group"]] * self.rng.uniform(0.6, 1.4) * r.slow
         self.later(int(ms) + 1, self.finish, n, life, r, r.life, e, st)
 
@@ -193,7 +197,7 @@
             self.later(self.hop(), self.back, n, life, e, st, events.Replied(self.now, e.dispatch, "broken"))
             return
         r.logic.finish(self.now, e.dispatch)
-        if r.mode != "up" or (r.rid, n.name) in self.cuts:
+        if r.mode not in ("up", "sick") or (r.rid, n.name) in self.cuts:
             return
         self.later(self.hop(), self.reply, n, life, e, st)
 
--- a/basaltport/rehearsal/scenarios.py
+++ b/basaltport/rehearsal/scenarios.py
@@ -252,6 +252,7 @@
 
 @scenario()
 def replicas_crash(p):
+    p.crowd.factor = {"letters": 8}
     for _ in range(3):
         r = p.rng.choice(sorted(p.w.replicas))
         p.w.crash_replica(r)
@@ -261,6 +262,19 @@
     p.back_after(8000)
 
 
+@scenario()
+def replicas_sick(p):
+    """Every replica takes queries and breaks its wires; repeatable ones must not be resent without bound."""
+    p.crowd.factor = {"desk": 3}
+    for r in p.w.replicas.values():
+        r.mode = "sick"
+    p.w.run(6000)
+    for r in p.w.replicas.values():
+        r.mode = "up"
+    p.crowd.factor = {}
+    p.back_after(4000)
+
+
 @scenario()
 def replicas_dark(p):
     r = p.rng.choice(sorted(p.w.replicas))
@@ -273,7 +287,7 @@
 @scenario()
 def replica_leaves(p):
     """Short notice: told at one node, gone a second later."""
-    r = p.rng.choice(sorted(p.w.replicas))
+    r = p.w.live()[0].member.usable("alder")[0]
     p.w.ask(p.rostrum(), "leaving", {"replica": r, "change": f"leave-{r}"})
     p.w.run(4000)
     p.w.crash_replica(r)
@@ -288,6 +302,33 @@
     p.back_after(8000)
 
 
+@scenario()
+def replicas_restart(p):
+    """Every replica is replaced by a fresh start, one after another, under a crowd."""
+    p.crowd.factor = {"desk": 4}
+    for r in sorted(p.w.replicas):
+        p.w.crash_replica(r)
+        p.w.run(200)
+        p.w.start_replica(r)
+        p.w.run(1500)
+    p.crowd.factor = {}
+    p.back_after(8000)
+
+
+@scenario("furrow")
+def cold_storm(p):
+    """Every model and adapter of the house is asked for in one breath, at every rostrum."""
+    w = p.w
+    for line, d in sorted(p.crowd.demand["lines"].items()):
+        once = w.manifest["lines"][line]["once_only"]
+        for item in d["items"]:
+            model, _, adapter = item.partition("/")
+            for n in w.live():
+                s = sorted(d["senders"])[0]
+                w.send_query(line, model, adapter, stage.hashed(d["senders"][s]), once, node=n.name)
+    p.back_after(6000, share=0.9)
+
+
 @scenario()
 def storm(p):
     """Two operators at once, in quick storms, one of them with compare-and-set."""
--- a/basaltport/rehearsal/standin.py
+++ b/basaltport/rehearsal/standin.py
@@ -14,6 +14,9 @@
 import basaltport.rehearsal.replica as replica
 
 
+FAULTS = ("dark", "crash", "hold", "cut")
+
+
 class Served:
     """One replica on one port."""
 
@@ -24,6 +27,7 @@
         self.store = store
         self.rng = rng
         self.fault = ""
+        self.healed = asyncio.Event()
         self.logic = None
         self.tasks = set()
         self.past = []
@@ -86,18 +90,32 @@
         try:
             if body.get("stream"):
                 return await self.pieces(request, d, body, ms)
-            await asyncio.sleep(ms / 1000)
+            await self.work(ms)
             doc = {"dispatch": d, "reply": f"{body['model']}: {body['prompt']}"}
             return aiohttp.web.json_response(doc, headers={adapter.DISPATCH: d})
         finally:
             logic.finish(kinds.steady(), d)
 
+    async def work(self, ms):
+        """The time a run takes; a replica at fault `hold` holds until it is healed."""
+        await asyncio.sleep(ms / 1000)
+        while self.fault == "hold":
+            await self.healed.wait()
+
+    def set_fault(self, fault):
+        self.fault = fault
+        if fault != "hold":
+            self.healed.set()
+            self.healed = asyncio.Event()
+
     async def pieces(self, request, d, body, ms):
         r = aiohttp.web.StreamResponse(headers={adapter.DISPATCH: d, "Content-Type": "application/x-ndjson"})
         await r.prepare(request)
         words = f"{body['model']}: {body['prompt']}".split(" ")
         for n, w in enumerate(words):
-            await asyncio.sleep(ms / 1000 / len(words))
+            await self.work(ms / len(words))
+            if self.fault == "cut" and n == 1:
+                request.transport.abort()
             await r.write(json.dumps({"dispatch": d, "n": n, "piece": w}).encode() + b"\n")
         await r.write(json.dumps({"dispatch": d, "end": True, "pieces": len(words)}).encode() + b"\n")
         await r.write_eof()
@@ -115,20 +133,28 @@
         }
 
     async def run(self):
-        self.end = asyncio.Event()
         for sig in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(sig, self.end.set)
+            asyncio.get_running_loop().add_signal_handler(sig, lambda: self.end.set())
+        await self.start()
+        await self.announce()
+        await self.end.wait()
+
+    async def start(self):
+        self.end = asyncio.Event()
         for s in self.served.values():
             await s.start()
         app = aiohttp.web.Application()
         app.router.add_get("/record", self.record)
         app.router.add_post("/fault", self.fault)
-        runner = aiohttp.web.AppRunner(app, access_log=None)
-        await runner.setup()
+        self.runner = aiohttp.web.AppRunner(app, access_log=None)
+        await self.runner.setup()
         host, port = self.conf["admin"].split(":")
-        await aiohttp.web.TCPSite(runner, host, int(port)).start()
-        await self.announce()
-        await self.end.wait()
+        await aiohttp.web.TCPSite(self.runner, host, int(port)).start()
+
+    async def stop(self):
+        self.end.set()
+        for r in [self.runner] + [s.runner for s in self.served.values()]:
+            await r.cleanup()
 
     async def announce(self):
         """The platform's part: its list goes to any node until one acknowledges it."""
@@ -161,5 +187,5 @@
         s = self.served[b["replica"]]
         if b["fault"] == "restart":
             s.restart()
-        s.fault = b["fault"] if b["fault"] in ("dark", "crash") else ""
+        s.set_fault(b["fault"] if b["fault"] in FAULTS else "")
         return aiohttp.web.json_response({"replica": b["replica"], "fault": b["fault"]})
--- a/basaltport/rostrum/dispatch.py
+++ b/basaltport/rostrum/dispatch.py
@@ -10,6 +10,7 @@
 IDLE_NEED = 400
 SLOT_LEASE = 2000
 MAX_TRIES = 4
+DOWN = 1000
 UNWRITTEN = ("withheld", "no-wire")
 
 
@@ -36,6 +37,7 @@
         self.seen = {}
         self.hot = False
         self.serial_seen = 0
+        self.down = {}
 
     def slot(self, r):
         s = self.slots.get(r)
@@ -44,7 +46,9 @@
         return s
 
     def usable(self, item):
-        return [r for _, r in self.holders.get(item, []) if self.may_use(r)]
+        return [
+            r for _, r in self.holders.get(item, []) if self.may_use(r) and self.now >= self.down.get(r, 0)
+        ]
 
     def pick(self, q):
         """The replica with most free slots of mine; one that just failed the query comes last."""
@@ -160,6 +164,8 @@
         q.avoid = run.replica
         if ev.detail in ("not-held", "starting"):
             self.fact(q.item).served = None
+        if ev.detail == "no-wire":
+            self.down[run.replica] = self.now + DOWN
         if ev.detail == "stale-serial":
             q.avoid = ""
             self.serial_seen = max(self.serial_seen, ev.serial)
@@ -175,6 +181,7 @@
         """The wire broke with the reply outstanding: it may have run."""
         q.avoid = run.replica
         self.fact(q.item).served = None
+        self.down[run.replica] = self.now + DOWN // 4
         if not self.resend(q, "broken"):
             self.give_up(q, 502, "dispatch-broken", ev.detail)
 
--- a/basaltport/steward/zone.py
+++ b/basaltport/steward/zone.py
@@ -14,13 +14,14 @@
 ORDER_LAPSE = 2000
 LOADS = 2
 PLACE = 100
+MISSES = 2
 IDLE = 2000
 
 
 class Rep:
     """A replica as its steward knows it from its own word."""
 
-    __slots__ = "id url group epoch held running up at asked fresh ordering heard room".split()
+    __slots__ = "id url group epoch held running up at asked fresh ordering heard room misses".split()
 
     def __init__(self, rid, url, group):
         self.id = rid
@@ -34,6 +35,7 @@
         self.asked = -(10**9)
         self.fresh = -1
         self.ordering = {}
+        self.misses = 0
         self.heard = False
         self.room = 0
 
@@ -115,7 +117,13 @@
         z = self.zone_of(ev.replica)
         d = self.duties.get(z)
         p = d.reps.get(ev.replica) if d else None
-        if p is None or not ev.ok:
+        if p is None:
+            return
+        if not ev.ok:
+            p.misses += 1
+            if p.up and p.misses >= MISSES:
+                p.up = False
+                self.note(62, replica=p.id)
             return
         self.take_state(d, p, ev.state)
 
@@ -128,7 +136,7 @@
             p.fresh = self.now - st["up_ms"]
             p.ordering = {}
             self.note(61, replica=p.id, epoch=p.epoch)
-        p.heard, p.up, p.at = True, True, self.now
+        p.heard, p.up, p.at, p.misses = True, True, self.now, 0
         p.room = min(st["room"], self.rules.groups.get(p.group, {"room": 0})["room"])
         p.running = st["running"]
         before, p.held = p.held, st["held"]
--- a/tests/test_docket.py
+++ b/tests/test_docket.py
@@ -101,3 +101,14 @@
     }  # fmt: skip
     assert r.lines["blurbs"].senders == {"auctioneer", "clerk"}
     assert r.items["adze/adze-1"].size == 1
+
+
+def test_findings_of_form_do_not_hide_those_of_reference():
+    m = load("thin.json")
+    m["surprise"] = 1
+    m["lines"]["desk"]["urgency"] = 0
+    m["lines"]["letters"]["pool"] = "none"
+    got = {f["place"] for f in check.manifest(m).err_value}
+    assert got == {"surprise", "lines.desk.urgency", "lines.letters.pool"}
+    for doc in (None, [], "x", {}, {"lines": 3, "models": {"a": 1}}):
+        assert check.manifest(doc).is_err()
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,81 @@
+"""Approved transcripts of whole exchanges with senders and operators, over real sockets."""
+
+import asyncio
+import json
+
+import basaltport.rehearsal.stage as stage
+import tests.live as live
+
+Q = "/v1/lines/desk/query"
+
+
+def _ask(model="alder", prompt="good morning to you", **kw):
+    return json.dumps({"model": model, "prompt": prompt, **kw})
+
+
+SENDERS = [
+    ("a warm model, JSON", live.post(Q, _ask(), "example-desk")),
+    ("a cold model, loaded on demand", live.post(Q, _ask("birch"), "example-desk")),
+    ("a stream", live.post(Q, _ask(stream=True), "example-desk")),
+    ("no such line", live.post("/v1/lines/none/query", _ask(), "example-desk")),
+    ("no token", live.post(Q, _ask())),
+    ("another's token", live.post(Q, _ask(), "example-office")),
+    ("no such model", live.post(Q, _ask("oak"), "example-desk")),
+    ("a model of another line", live.post("/v1/lines/letters/query", _ask(), "example-office")),
+    ("not JSON", live.post(Q, '{"model": "alder"', "example-desk")),
+    ("no prompt", live.post(Q, '{"model": "alder"}', "example-desk")),
+    ("stream is no boolean", live.post(Q, _ask(stream="yes"), "example-desk")),
+    ("a deadline of words", live.post(Q, _ask(), "example-desk", ["Basaltport-Deadline-Ms: soon"])),
+    ("a negative deadline", live.post(Q, _ask(), "example-desk", ["Basaltport-Deadline-Ms: -1"])),
+    ("no time left", live.post(Q, _ask(), "example-desk", ["Basaltport-Deadline-Ms: 0"])),
+    ("an oversize body", live.post(Q, _ask(prompt="x" * 1_100_000), "example-desk")),
+    ("an oversize header", live.post(Q, _ask(), "example-desk", ["X-Long: " + "x" * 20_000])),
+]
+
+
+def _ops(verb, **body):
+    return live.post(f"/v1/ops/{verb}", json.dumps(body))
+
+
+THIN = stage.example("thin.json")
+OPERATORS = [
+    ("the same change again", _ops("apply", manifest=THIN, change="first")),
+    ("a patch", _ops("patch", patch={"lines": {"desk": {"bound": 60}}}, change="second")),
+    ("what became of it", live.get("/v1/ops/change?change=second")),
+    ("what became of one never sent", live.get("/v1/ops/change?change=never")),
+    ("compare-and-set that lost", _ops("patch", patch={"lines": None}, change="third", if_serial=1)),
+    ("a patch with findings", _ops("patch", patch={"pools": {"all": None}, "x": 1}, change="fourth")),
+    ("a refused change is not there", live.get("/v1/ops/change?change=fourth")),
+    ("a patch that is no object", _ops("patch", patch=[1], change="fifth")),
+    ("a zone that is not there", _ops("drain", zone="z9", change="sixth")),
+    ("a replica that is not there", _ops("leaving", replica="r9", change="seventh")),
+    ("a list that is none", _ops("platform", replicas={"r": {"url": "ftp://x"}}, change="eighth")),
+    ("no such verb", live.get("/v1/ops/dance")),
+    ("a read as a change", _ops("show")),
+    ("not JSON", live.post("/v1/ops/apply", "{")),
+    ("a change id that is a number", _ops("drain", zone="z1", change=7)),
+    ("history", live.get("/v1/ops/history")),
+]
+
+
+def test_senders_and_operators(tmp_path):
+    async def run():
+        async with live.Live(str(tmp_path)) as house:
+            await house.play()
+            await live.until(lambda: house.r.member.usable("alder"))
+            out = [(t, live.tidy(await house.raw(raw))) for t, raw in SENDERS]
+            ops = []
+            for t, raw in OPERATORS:
+                one, two = await house.raw(raw), await house.raw(raw, "ledger-2")
+                if b"POST /v1/ops/patch" not in raw or b"second" not in raw:
+                    assert live.tidy(one).replace("rostrum-1", "X") == live.tidy(two).replace(
+                        "ledger-2", "X"
+                    ), t
+                ops.append((t, live.tidy(one)))
+            runs = [r["prompt"] for s in house.standins.served.values() for r in s.logic.record]
+            return out, ops, runs
+
+    out, ops, runs = asyncio.run(run())
+    assert len(runs) == 3
+    live.approve("senders", "\n\n".join(f"## {t}\n{x}" for t, x in out) + "\n")
+    live.approve("operators", "\n\n".join(f"## {t}\n{x}" for t, x in ops) + "\n")
--- /dev/null
+++ b/tests/test_mutations.py
@@ -0,0 +1,112 @@
+"""Each check is seen to fail: one safety rule of the daemons is broken, and its check must say so."""
+
+import pytest
+
+import basaltport.ledger.elect as elect
+import basaltport.ledger.lead as lead
+import basaltport.ledger.seat as seat
+import basaltport.readiness.routine as routine
+import basaltport.rehearsal.backend as backend
+import basaltport.rehearsal.scenarios as scenarios
+import basaltport.rostrum.dispatch as dispatch
+import basaltport.rostrum.interp as interp
+import basaltport.saleroom.cell as cell
+import basaltport.steward.slots as slots
+import basaltport.steward.store as store
+import basaltport.steward.zone as zone
+
+
+def _resend_all(self, q, why):
+    q.resent = False
+    self.requeue(q, why)
+    return True
+
+
+def _refuse_all(self, q, status, code, detail="", retry=0):
+    self.lines.drop(q)
+    self.refuse_id(q.id, status, code, detail, retry)
+
+
+def _use_all(self, replica):
+    return replica in self.book["platform"]
+
+
+def _leased(self):
+    return bool(self.book["serial"])
+
+
+def _unconfirmed(self):
+    if self.settled():
+        rs, self.reads = self.reads, []
+        for r in rs:
+            self.serve_read(r)
+    _settle(self)
+
+
+def _alone(self):
+    """Agreed by the leader's own disk."""
+    for e in self.tail:
+        e["g"] = list(self.promised)
+    if self.tail:
+        last = self.tail[-1]
+        self.advance(last["s"], self.promised)
+        for w in self.waiting:
+            w["committed"] = self.now
+
+
+def _hasty(self):
+    while self.waiting:
+        self.acknowledge(self.waiting.pop(0))
+    _settle(self)
+
+
+def _lead_on(self):
+    if self.leading:
+        self.keep_roster()
+        self.keep_duties()
+        if self.now - self.beat_at >= lead.BEAT:
+            self.beat()
+        self.settle()
+
+
+def _never(self, s):
+    return False
+
+
+def _reply_other(self, n, life, e, st):
+    e.body = {**e.body, "prompt": "p1"}
+    _reply(self, n, life, e, st)
+
+
+_settle = lead.LeadMixin.settle
+_reply = backend.BackendMixin.reply
+
+LEAD = lead.LeadMixin
+CASES = [
+    ("once-only", "replicas-crash", 3, [(routine.ReadinessMixin, "resend", _resend_all)]),
+    ("refusal", "mayhem", 124, [(interp.InterpMixin, "refuse", _refuse_all)]),
+    ("reply", "calm", 1, [(backend.BackendMixin, "reply", _reply_other)]),
+    ("leaving", "replica-leaves", 1, [(cell.CellMixin, "may_use", _use_all)]),
+    ("emptied", "zone-emptied", 1, [(cell.CellMixin, "may_use", _use_all)]),
+    ("in-force", "core-split", 1, [(seat.SeatMixin, "leased", _leased)]),
+    ("in-force", "storm", 1, [(LEAD, "settle", _hasty)]),
+    ("acknowledged", "core-split", 1, [(LEAD, "count", _alone), (LEAD, "behind", _never)]),
+    ("resend", "replicas-sick", 1, [(dispatch.DispatchMixin, "resend_credit", lambda self, q: True)]),
+    ("flood", "replicas-restart", 1, [(slots.SlotMixin, "slot_limit", lambda self, p: 8)]),
+    ("store", "cold-storm", 1, [(store.StoreMixin, "share_permits", lambda self, m: dict(m.want))]),
+    ("room", "cold-storm", 1, [(zone.StewardMixin, "free", lambda self, p: 1000)]),
+    ("read", "core-split", 1, [(LEAD, "settle", _unconfirmed), (LEAD, "tick_lead", _lead_on)]),
+    ("back", "leader-killed", 1, [(elect.ElectMixin, "patience", lambda self: 30_000)]),
+]
+
+
+@pytest.mark.parametrize("rule, name, seed, breaks", CASES, ids=[f"{c[0]}-{c[1]}" for c in CASES])
+def test_a_broken_rule_is_found(monkeypatch, rule, name, seed, breaks):
+    for cls, attr, broken in breaks:
+        monkeypatch.setattr(cls, attr, broken)
+    found = set()
+    for s in range(seed, seed + 4):
+        found |= {f["rule"] for f in scenarios.Play(name, s).play().findings()}
+        if rule in found:
+            break
+    assert rule in found
--- /dev/null
+++ b/tests/test_wires.py
@@ -0,0 +1,214 @@
+"""Faults between processes, over real sockets: what is cut, garbled, left or answered for another."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+
+import basaltport.consign.adapter as adapter
+import basaltport.events as events
+import basaltport.frames as frames
+import basaltport.logs as logs
+import tests.live as live
+
+Q = "/v1/lines/desk/query"
+
+
+class Sink:
+    def __init__(self):
+        self.begun = False
+        self.got = []
+
+    async def whole(self, status, doc):
+        self.got.append(("whole", doc))
+
+    async def piece(self, n, piece):
+        self.begun = True
+        self.got.append(("piece", piece))
+
+    async def end(self, n):
+        self.got.append(("end", n))
+
+    async def cut(self):
+        self.got.append(("cut",))
+
+
+async def _against(answer, n=1, method=None):
+    """What the adapter makes of a server that answers raw bytes and ends the wire; and the requests seen."""
+    seen = []
+
+    async def serve(r, w):
+        while True:
+            head = await r.readuntil(b"\r\n\r\n")
+            size = [x for x in head.lower().split(b"\r\n") if x.startswith(b"content-length:")]
+            if size:
+                await r.readexactly(int(size[0].split(b":")[1]))
+            seen.append(head.split(b" ")[0])
+            raw = answer(len(seen))
+            if raw is None:
+                w.transport.abort()
+                return
+            w.write(raw)
+            if b"keep" not in raw:
+                w.close()
+                return
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    a = adapter.Adapter(lambda d: 9)
+    await a.start()
+    out, sink = [], Sink()
+    for i in range(n):
+        if method:
+            out.append(await a.ask(method, f"http://127.0.0.1:{port}/state"))
+            continue
+        d = events.Dispatch(f"q.{i}", "q", "x", f"http://127.0.0.1:{port}", {"prompt": "p"}, 1, 5000, 5000)
+        out.append(await a.run(d, sink))
+    await a.stop()
+    server.close()
+    return out, seen, sink.got
+
+
+def _reply(doc, dispatch="q.0", heads="", kind="application/json"):
+    body = doc if isinstance(doc, bytes) else json.dumps(doc).encode()
+    h = f"HTTP/1.1 200 OK\r\nBasaltport-Dispatch: {dispatch}\r\nContent-Type: {kind}\r\n{heads}"
+    return (h + f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def test_nothing_is_sent_twice_on_a_dropped_keep_alive_wire():
+    ok = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX: keep\r\nContent-Length: 2\r\n\r\n{}"
+    for method in ("GET", "POST"):
+        out, seen, _ = asyncio.run(_against(lambda n: ok if n == 1 else None, 2, method))
+        assert [x[0] for x in out] == [True, False]
+        assert len(seen) == 2
+
+
+def test_the_library_would_have_sent_it_again():
+    """The danger is real: with the library's own resend left on, a third request is seen."""
+
+    async def run():
+        start = adapter.Adapter.start
+
+        async def with_resend(self):
+            await start(self)
+            self.session._retry_connection = True
+
+        adapter.Adapter.start = with_resend
+        try:
+            ok = (
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX: keep\r\nContent-Length: 2\r\n\r\n{}"
+            )
+            return await _against(lambda n: ok if n != 2 else None, 2, "GET")
+        finally:
+            adapter.Adapter.start = start
+
+    _, seen, _ = asyncio.run(run())
+    assert len(seen) == 3
+
+
+PIECES = b'{"dispatch":"q.0","n":0,"piece":"a"}\n{"dispatch":"q.0","n":1,"piece":"b"}\n'
+ND = "application/x-ndjson"
+
+
+@pytest.mark.parametrize(
+    "raw, outcome, last",
+    [
+        (_reply({"dispatch": "q.0", "reply": "x"}), "done", "whole"),
+        (_reply({"dispatch": "q.7", "reply": "x"}, "q.7"), "broken", None),
+        (_reply({"dispatch": "q.7", "reply": "x"}), "broken", None),
+        (_reply({"dispatch": "q.0", "reply": "x"})[:-4], "broken", None),
+        (_reply(b"{"), "broken", None),
+        (_reply({"dispatch": "q.0", "error": "busy"}, heads="Basaltport-Ran: no\r\n"), "refused", None),
+        (None, "broken", None),
+        (_reply(PIECES + b'{"dispatch":"q.0","end":true,"pieces":2}\n', kind=ND), "done", "end"),
+        (_reply(PIECES, kind=ND), "cut", "cut"),
+        (_reply(PIECES + b'{"dispatch":"q.0","end":true,"pieces":3}\n', kind=ND), "cut", "cut"),
+        (_reply(PIECES + b'{"dispatch":"q.0","n":3,"piece":"d"}\n', kind=ND), "cut", "cut"),
+        (_reply(PIECES + b'{"dispatch":"q.1","n":2,"piece":"c"}\n', kind=ND), "cut", "cut"),
+        (_reply(PIECES + b'{"dispatch":"q.0","n":1,"piece":"b"}\n', kind=ND), "cut", "cut"),
+    ],
+)
+def test_only_whole_replies_of_its_own_are_done(raw, outcome, last):
+    out, seen, got = asyncio.run(_against(lambda n: raw))
+    assert out[0][0] == outcome and len(seen) == 1
+    assert (got[-1][0] if got else None) == last
+
+
+def test_what_the_guard_withholds_is_never_written():
+    async def run():
+        seen = []
+
+        async def serve(r, w):
+            seen.append(await r.read(10))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        a = adapter.Adapter(lambda d: None)
+        await a.start()
+        d = events.Dispatch("q.0", "q", "x", f"http://127.0.0.1:{port}", {}, 1, 1000, 1000)
+        got = await a.run(d, Sink())
+        await a.stop()
+        server.close()
+        return got, seen
+
+    got, seen = asyncio.run(run())
+    assert got == ("refused", 0, "withheld")
+    assert seen in ([], [b""])
+
+
+def test_a_cut_stream_ends_the_sender_s_wire_abnormally(tmp_path):
+    async def run():
+        async with live.Live(str(tmp_path)) as h:
+            await h.play()
+            await live.until(lambda: h.r.member.usable("alder"))
+            for s in h.standins.served.values():
+                s.set_fault("cut")
+            body = json.dumps({"model": "alder", "prompt": "a b c d", "stream": True})
+            return await h.raw(live.post(Q, body, "example-desk"))
+
+    raw = asyncio.run(run())
+    assert b'"n": 0' in raw and b'"end"' not in raw
+    assert not raw.endswith(b"0\r\n\r\n")
+
+
+def test_a_sender_that_goes_away_gives_its_slot_back(tmp_path):
+    async def run():
+        async with live.Live(str(tmp_path)) as h:
+            await h.play()
+            m = h.r.member
+            await live.until(lambda: m.usable("alder"))
+            for s in h.standins.served.values():
+                s.set_fault("hold")
+            async with aiohttp.ClientSession() as s:
+                heads = {"Authorization": "Bearer example-desk"}
+                body = {"model": "alder", "prompt": "p"}
+                t = asyncio.create_task(s.post(f"http://{h.r.me.http}{Q}", json=body, headers=heads))
+                await live.until(lambda: m.runs)
+                assert sum(x.using for x in m.slots.values()) == 1
+                t.cancel()
+                await live.until(lambda: not m.runs)
+            return sum(x.using for x in m.slots.values()), dict(m.tally), len(m.queries)
+
+    using, tally, left = asyncio.run(run())
+    assert using == 0 and left == 0 and tally["sender-gone"] == 1
+
+
+def test_a_garbled_frame_closes_its_wire_and_is_logged(tmp_path, monkeypatch):
+    notes = []
+    monkeypatch.setattr(logs, "note", lambda n, f: notes.append((n, f)))
+
+    async def run():
+        async with live.Live(str(tmp_path)) as h:
+            ip, port = h.r.me.addr.split(":")
+            for raw in (b"x" * 64, b"BSLT\x09" + b"\0" * 60, frames.HEADER.build(
+                {"version": 1, "kind": 1, "crc": 0, "length": frames.LIMIT + 1}
+            )):  # fmt: skip
+                r, w = await asyncio.open_connection(ip, int(port))
+                w.write(raw)
+                assert await r.read() == b""
+                w.close()
+
+    asyncio.run(run())
+    why = [f["why"] for n, f in notes if n == 33]
+    assert [w.split(" ")[0] for w in why] == ["garbled", "frame", "frame"]
