--- a/basaltport/docket/rules.py
+++ b/basaltport/docket/rules.py
@@ -10,6 +10,7 @@
 class ItemRule:
     item: kinds.Item
     size: int
+    full: int
     group: str
     kept: bool
     copies: int
@@ -62,9 +63,12 @@
 def _items(k, v):
     c, w = v.get("copies", 1), v.get("idle_window_ms", 0)
     rt, ex = v.get("ready_timeout_ms", 0), v.get("expected_load_ms", 0)
-    yield ItemRule(kinds.Item(k), v["size"], v["group"], v.get("kept", False), c, w, rt, ex)
+    full = v["size"] + sum(d["size"] for d in (v.get("adapters") or {}).values())
+    yield ItemRule(kinds.Item(k), v["size"], full, v["group"], v.get("kept", False), c, w, rt, ex)
     for a, d in (v.get("adapters") or {}).items():
-        yield ItemRule(kinds.Item(f"{k}/{a}"), d["size"], v["group"], d.get("kept", False), c, w, rt, ex)
+        yield ItemRule(
+            kinds.Item(f"{k}/{a}"), d["size"], d["size"], v["group"], d.get("kept", False), c, w, rt, ex
+        )
 
 
 def _line(k, v, m):
--- a/basaltport/main.py
+++ b/basaltport/main.py
@@ -7,12 +7,13 @@
 import basaltport.daemon as daemon
 import basaltport.paddle.cli as paddle
 import basaltport.rehearsal.cli as rehearsal
+import basaltport.rehearsal.planner as planner
 import basaltport.rehearsal.play as play
 
 GROUPS = [
     ("Roles", daemon.VERBS),
     ("Operators' verbs, at any node", cli.VERBS),
-    ("Tools", {**paddle.VERBS, **rehearsal.VERBS, **play.VERBS}),
+    ("Tools", {**paddle.VERBS, **rehearsal.VERBS, **play.VERBS, **planner.VERBS}),
 ]
 
 
--- a/basaltport/readiness/routine.py
+++ b/basaltport/readiness/routine.py
@@ -108,11 +108,12 @@
         self.ask_next(w)
 
     def zones_for(self, item):
-        """A model's zones by weight; its home first, zones that already hold it before the others."""
+        """Zones that hold it first, then those with room for it, then by weight, its home first."""
         zs = [z for z in self.rules.zones if z not in self.book["drains"] and z not in self.shunned_zones]
         held = {z for z, r in self.holders.get(item, []) if self.may_use(r)}
-        base = {z for z, r in self.holders.get(item.base(), []) if self.may_use(r)}
-        zs.sort(key=lambda z: (z not in held, z not in base, -duties.weight(item.base(), z)))
+        base = self.near.get(item.base(), ())
+        roomy = {z for z in zs if self.has_room(z, item)}
+        zs.sort(key=lambda z: (z not in held, z not in base, z not in roomy, -duties.weight(item.base(), z)))
         return zs
 
     def ask_next(self, w):
--- a/basaltport/rehearsal/world.py
+++ b/basaltport/rehearsal/world.py
@@ -103,7 +103,7 @@
         return n
 
     def seeds(self):
-        return [self.nodes[n].addr for n in ("ledger-1", "rostrum-1", "rostrum-2")]
+        return [self.nodes[n].addr for n in ("ledger-1", "rostrum-1", "rostrum-2") if n in self.nodes]
 
     def boot(self, name):
         n = self.nodes[name]
--- a/basaltport/saleroom/cell.py
+++ b/basaltport/saleroom/cell.py
@@ -14,6 +14,7 @@
     def cell_start(self):
         self.cells = {}
         self.holders = {}
+        self.near = {}
 
     def hear_cellnews(self, src, m):
         c = self.cells.get(m.zone, BLANK)
@@ -34,20 +35,36 @@
         self.index()
 
     def index(self):
-        hs = {}
+        hs, near = {}, {}
         for z, c in self.cells.items():
             rows = c["rows"]
             for k, v in rows.items():
                 r, _, i = k.partition("|")
+                if i:
+                    near.setdefault(i, set()).add(z)
                 if i and v == "loaded" and rows.get(r, {}).get("up"):
                     hs.setdefault(i, []).append((z, r))
-        self.holders = hs
+        self.holders, self.near = hs, near
 
     def cell_row(self, zone, replica):
         rows = self.cells.get(zone, BLANK)["rows"]
         held = {k.partition("|")[2]: v for k, v in rows.items() if k.startswith(replica + "|")}
         return {**rows.get(replica, {}), "held": held}
 
+    def has_room(self, zone, item):
+        """Whether some replica of the zone could take an item, by this copy, with nothing evicted."""
+        rule = self.rules.items.get(item)
+        if rule is None:
+            return False
+        rows = self.cells.get(zone, BLANK)["rows"]
+        free = {r: v["room"] for r, v in rows.items() if "|" not in r and v["up"] and self.may_use(r)}
+        for k in rows:
+            r, _, i = k.partition("|")
+            if i and r in free and i in self.rules.items:
+                free[r] -= self.rules.items[i].size
+        group = {r for r in free if self.book["platform"][r]["group"] == rule.group}
+        return any(free[r] >= rule.full for r in group)
+
     def may_use(self, replica):
         """False for a replica that is leaving, unlisted, or in an emptied zone."""
         r = self.book["platform"].get(replica)
--- a/basaltport/steward/zone.py
+++ b/basaltport/steward/zone.py
@@ -247,7 +247,7 @@
             return
         room = [p for p in fit if self.free(p) >= r.size]
         if room:
-            p = max(room, key=lambda p: (self.free(p), p.id))
+            p = max(room, key=lambda p: (self.free(p) >= r.full, self.free(p), p.id))
             self.load(d, p, r, pool)
             return
         self.make_room(d, fit, r, goal)
--- a/tests/node.py
+++ b/tests/node.py
@@ -58,7 +58,7 @@
         self.r.lease_end = 10**12
         self.n = 0
         self.news_n = 0
-        self.rows = {"x1": {"up": True}, "x2": {"up": True}}
+        self.rows = {x: {"up": True, "room": 50} for x in ("x1", "x2")}
         self.out = []
 
     def step(self, ev):
