--- a/basaltport/rostrum/dispatch.py
+++ b/basaltport/rostrum/dispatch.py
@@ -263,4 +263,5 @@
         if not t or not rs or not self.warm(q.item):
             return False
         n = sum(max(self.slot(r).n, 1) for r in rs)
-        return self.ahead(q) * t // n + t > q.until - self.now
+        busy = sum(self.slot(r).using for r in rs)
+        return (2 * self.ahead(q) + busy) * t // (2 * n) + t > q.until - self.now
