--- a/basaltport/clerk/cli.py
+++ b/basaltport/clerk/cli.py
@@ -172,6 +172,14 @@
     return show(fv, status, doc, lambda d: print(f"{d['stopping']} stops"))
 
 
+def run_override(fv, args):
+    if not args:
+        print("needs the names of the members given up for lost", file=sys.stderr)
+        return 2
+    status, doc = ask(fv, "POST", "/v1/override", {"lost": args, "change": ""})
+    return show(fv, status, doc, lambda d: print(f"given up: {', '.join(d['given_up'])}"))
+
+
 def run_prewarm(fv, args):
     status, doc = ask(fv, "POST", "/v1/prewarm", {"items": args, "change": ""})
     return show(fv, status, doc)
@@ -270,6 +278,7 @@
     "prewarm": verbs.Verb("Order loads of items without waiting.", run_prewarm, define, "ITEM ..."),
     "self": verbs.Verb("Tell of the one node asked.", run_self, define),
     "stop": verbs.Verb("Stop the one node asked, gracefully.", run_stop, define),
+    "override": verbs.Verb("Give members up for lost, at one ledger.", run_override, define, "NAME ..."),
     "watch": verbs.Verb("Print changes as they come.", run_watch, define_watch),
     "hash": verbs.Verb("Hash a bearer token from standard input.", run_hash),
 }
--- a/basaltport/clerk/http.py
+++ b/basaltport/clerk/http.py
@@ -24,6 +24,7 @@
         app.router.add_get("/v1/ops/{verb}", self.ask)
         app.router.add_post("/v1/prewarm", self.prewarm)
         app.router.add_post("/v1/stop", self.stop)
+        app.router.add_post("/v1/override", self.override)
 
     def allowed(self, request):
         want = self.host.settings.get("operator_token")
@@ -53,6 +54,8 @@
             "held": [list(g), int(s)],
             "leader": m.leader.name if m.leader else (m.me.name if getattr(m, "leading", False) else None),
         }
+        if self.host.role == "ledger":
+            out["missing"] = m.missing() if m.camp else []
         if self.host.role == "rostrum":
             out["leased"] = m.leased()
             out["counts"] = dict(m.tally)
@@ -83,6 +86,22 @@
         self.host.end.set()
         return aiohttp.web.json_response({"stopping": self.host.me.name})
 
+    async def override(self, request):
+        if not self.allowed(request):
+            return self.no(401, "unauthorized", "an operator's bearer token is needed")
+        if self.host.role != "ledger":
+            return self.no(404, "not-here", "ask a ledger")
+        try:
+            lost = (await request.json())["lost"]
+        except (ValueError, KeyError, TypeError):
+            return self.no(400, "malformed", "an object with a list `lost` is needed")
+        if not isinstance(lost, list) or not lost or not all(isinstance(x, str) for x in lost):
+            return self.no(400, "malformed", "`lost` is a list of names")
+        why = self.host.override(lost)
+        if why:
+            return self.no(409, "refused", why)
+        return aiohttp.web.json_response({"given_up": sorted(lost)})
+
     async def ask(self, request):
         verb = request.match_info["verb"]
         if not self.allowed(request):
--- a/basaltport/host.py
+++ b/basaltport/host.py
@@ -154,6 +154,13 @@
         for e in self.member.step(ev):
             getattr(self, "do_" + type(e).__name__.lower())(e)
 
+    def override(self, names):
+        self.member.out = []
+        why = self.member.override(names)
+        for e in self.member.out:
+            self.do_note(e)
+        return why
+
     # effects
 
     def do_send(self, e):
--- a/basaltport/ledger/book.py
+++ b/basaltport/ledger/book.py
@@ -86,9 +86,9 @@
         ls = [row["seat"] if x == old else x for x in ls]
     if op.get("add"):
         r[op["add"]["seat"]] = op["add"]
-    if op.get("drop"):
-        r.pop(op["drop"], None)
-        ls = [x for x in ls if x != op["drop"]]
+    for s in op.get("drops", []):
+        r.pop(s, None)
+        ls = [x for x in ls if x != s]
     b["roster"], b["ledgers"] = r, ls
 
 
--- a/basaltport/ledger/elect.py
+++ b/basaltport/ledger/elect.py
@@ -8,6 +8,7 @@
 STRANGER = 2500
 ROUND = 600
 RESTART = 2500
+OVERRIDE = 5000
 
 
 class ElectMixin:
@@ -16,6 +17,8 @@
     def elect_start(self):
         self.camp = None
         self.top = 0
+        self.lost_names = set()
+        self.told_missing = self.now
         self.camp_since = None
         self.camp_at = self.now + self.jitter()
 
@@ -35,14 +38,22 @@
             self.camp_since = None
             self.camp_at = self.now + self.patience() + self.jitter()
             return
-        if self.now < self.camp_at or self.now - self.promised_at < ROUND + self.jitter() or self.stalled:
+        if (
+            self.now < self.camp_at
+            or self.now - self.promised_at < ROUND + self.jitter()
+            or self.stalled
+            or self.bad
+        ):
             return
         self.campaign()
 
     def campaign(self):
         self.camp_at = self.now + ROUND + self.jitter()
         if self.camp_since is None:
-            self.camp_since = self.now
+            self.camp_since = self.told_missing = self.now
+        if self.now - self.told_missing >= OVERRIDE:
+            self.told_missing = self.now
+            self.note(19, missing=self.missing())
         gen = kinds.Generation(max(self.promised.count, self.top) + 1, self.me.name)
         self.promised = gen
         own = self.promise(gen, True)
@@ -81,6 +92,10 @@
         swap = self.attested(c["got"])
         if swap is not None:
             self.win(swap=swap)
+            return
+        drops = self.overridden(c["got"])
+        if drops:
+            self.win(drops=drops)
 
     def hear_copy(self, src, m):
         c = self.camp
@@ -106,6 +121,32 @@
             return None
         return swap if self.now - self.camp_since >= RESTART else None
 
+    def overridden(self, got):
+        """An operator's word that members are gone for good: most of the others are enough."""
+        roster = self.tip()["roster"]
+        drops = [s for s, r in roster.items() if r["name"] in self.lost_names and s not in got]
+        left = roster.keys() - set(drops)
+        return drops if 2 * len(left & got.keys()) > len(left) else None
+
+    def missing(self):
+        """Names of roster members whose promise is not there."""
+        got = self.camp["got"] if self.camp else {}
+        return sorted(r["name"] for s, r in self.tip()["roster"].items() if s not in got)
+
+    def override(self, names):
+        """None, or why the word is not taken."""
+        if self.leading or self.now - self.heard_at < OVERRIDE:
+            return "there is a leader, or was within five seconds"
+        known = {r["name"] for r in self.tip()["roster"].values()}
+        if set(names) - known:
+            return f"not in the roster: {sorted(set(names) - known)}"
+        heard = [n for n in names if n in self.members and self.now - self.members[n]["at"] < OVERRIDE]
+        if heard:
+            return f"heard of within five seconds: {heard}"
+        self.note(24, lost=sorted(names))
+        self.lost_names = set(names)
+        return None
+
     def weigh_founding(self):
         c = self.camp
         names = {p.name for p in c["got"].values()}
@@ -117,10 +158,11 @@
         self.note(12, seats=len(names), expected=self.me.expected)
         self.win({"roster": {p.seat: p.me for p in c["got"].values()}, "ledgers": sorted(p.seat for p in ls)})
 
-    def win(self, found=None, swap=()):
+    def win(self, found=None, swap=(), drops=()):
         c = self.camp
         self.camp = None
         self.camp_since = None
         self.leading = True
         self.note(13, generation=c["gen"].text(), serial=int(self.head()[1]))
-        self.lead_start(found, c["got"], list(swap))
+        self.lost_names = set()
+        self.lead_start(found, c["got"], list(swap), list(drops))
--- a/basaltport/ledger/journal.py
+++ b/basaltport/ledger/journal.py
@@ -75,6 +75,7 @@
         self.name = name
         self.n = 0
         self.file = None
+        self.broken = False
 
     def path(self, *parts):
         return os.path.join(self.folder, *parts)
@@ -177,12 +178,19 @@
             os.close(fd)
 
     def write(self, records, whole):
+        """After a failure only a whole snapshot is taken: the journal may end in half a record."""
         if whole is not None:
             self.switch(whole)
-        if records:
-            self.file.write(b"".join(encode(r) for r in records))
-            self.file.flush()
-            os.fsync(self.file.fileno())
+            self.broken = False
+        if not records:
+            return
+        if self.broken:
+            raise OSError("the journal broke off; a snapshot is needed")
+        self.broken = True
+        self.file.write(b"".join(encode(r) for r in records))
+        self.file.flush()
+        os.fsync(self.file.fileno())
+        self.broken = False
 
     def write_all(self, batch):
         """Writes in their order; records after the last snapshot share one sync."""
--- a/basaltport/ledger/lead.py
+++ b/basaltport/ledger/lead.py
@@ -22,7 +22,7 @@
         self.waiting = []
         self.reads = []
 
-    def lead_start(self, found, got, swap):
+    def lead_start(self, found, got, swap, drops):
         self.since = self.now
         self.first = None
         self.match = {}
@@ -53,7 +53,7 @@
             return
         ls = self.tip_book["ledgers"]
         live = sorted(s for s, p in got.items() if p.me["role"] == "ledger")
-        op = {"op": "lead", "swap": swap}
+        op = {"op": "lead", "swap": swap, "drops": drops}
         if 2 * len(set(ls) & set(live)) <= len(ls):
             op["ledgers"] = live
             self.note(14, lost=sorted(set(ls) - set(live)), live=live)
@@ -84,6 +84,11 @@
         self.beat_at = -(10**9)
         return kinds.Serial(e["s"])
 
+    def disk_failed(self):
+        super().disk_failed()
+        if self.leading:
+            self.step_down("the disk failed")
+
     # beats
 
     def tick_lead(self):
@@ -218,8 +223,8 @@
 
     # agreement
 
-    def durable_head(self, head):
-        super().durable_head(head)
+    def durable_head(self, head, promise):
+        super().durable_head(head, promise)
         if self.leading and self.dur_promised == self.promised:
             self.match[self.me.seat] = self.dur[1]
             self.count()
@@ -331,5 +336,5 @@
             return False
         s = min(lost)
         self.note(17, member=t["roster"][s]["name"], seat=s)
-        self.append({"op": "roster", "drop": s})
+        self.append({"op": "roster", "drops": [s]})
         return True
--- a/basaltport/ledger/role.py
+++ b/basaltport/ledger/role.py
@@ -11,6 +11,7 @@
 
 
 SNAPSHOT_EVERY = 400
+RETRY = 1000
 
 
 class Ledger(
@@ -23,7 +24,7 @@
     seat.SeatMixin,
     member.Member,
 ):
-    TICKS = ("tick_hello", "tick_elect", "tick_lead", "tick_ring", "tick_desk")
+    TICKS = ("tick_disk", "tick_hello", "tick_elect", "tick_lead", "tick_ring", "tick_desk")
     durable = True
 
     def __init__(self, me, seed, now, held=None, promised=seat.NONE):
@@ -35,6 +36,13 @@
         self.desk_start()
         self.seat_start(held, promised)
         self.kept_at = self.book["serial"]
+        self.retry_at = now
+
+    def tick_disk(self):
+        """A disk that failed is tried again with a whole snapshot."""
+        if self.bad and not self.after and self.now - self.retry_at >= RETRY:
+            self.retry_at = self.now
+            self.write([], whole=self.copy())
 
     def in_force(self):
         if self.book["serial"] - self.kept_at < SNAPSHOT_EVERY:
--- a/basaltport/ledger/seat.py
+++ b/basaltport/ledger/seat.py
@@ -49,8 +49,8 @@
     def copy(self):
         return {"book": self.book, "tail": list(self.tail)}
 
-    def durable_head(self, head):
-        self.dur, self.dur_promised = head, self.synced_promise.pop(0)
+    def durable_head(self, head, promise):
+        self.dur, self.dur_promised = head, promise
         if self.leader:
             self.ack(self.leader)
 
--- a/basaltport/member.py
+++ b/basaltport/member.py
@@ -41,6 +41,7 @@
         self.token = 0
         self.after = {}
         self.stalled = {}
+        self.bad = False
 
     def step(self, ev):
         self.now = max(self.now, ev.now)
@@ -73,18 +74,24 @@
             self.out.extend(then)
             return
         self.token += 1
-        self.after[self.token] = (self.head(), list(then))
+        self.after[self.token] = (self.head(), list(then), whole is not None)
         self.stalled[self.token] = self.now
         self.synced_promise.append(self.promised)
         self.emit(events.Write(self.token, records, whole))
 
     def on_synced(self, ev):
-        head, then = self.after.pop(ev.token)
+        """After a failed write only a whole snapshot counts again: what lay between may be lost."""
+        head, then, whole = self.after.pop(ev.token)
+        promise = self.synced_promise.pop(0)
         self.stalled.pop(ev.token, None)
         if not ev.ok:
+            self.bad = True
             self.disk_failed()
             return
-        self.durable_head(head)
+        if self.bad and not whole:
+            return
+        self.bad = False
+        self.durable_head(head, promise)
         self.out.extend(then)
 
 
--- a/basaltport/rehearsal/scenarios.py
+++ b/basaltport/rehearsal/scenarios.py
@@ -241,6 +241,23 @@
     p.back_after(6000)
 
 
+@scenario()
+def disk_full(p):
+    """The leader's disk takes nothing any more, and later does again."""
+    lead = p.w.leader().name
+    p.unquiet.append((p.t() - 100, p.t() + 8000))
+    p.w.nodes[lead].disk.full = True
+    p.changes(10, 400)
+    p.w.nodes[lead].disk.full = False
+    p.changes(5, 400)
+    p.back_after(6000)
+    n = p.w.nodes[lead]
+    p.w.kill(lead, power=True)
+    p.w.boot(lead)
+    p.w.run(3000)
+    assert n.member is not None, n.reason
+
+
 @scenario()
 def disks_slow(p):
     p.unquiet.append((p.t() - 100, p.t() + 60_000))
--- a/basaltport/rehearsal/simdisk.py
+++ b/basaltport/rehearsal/simdisk.py
@@ -18,6 +18,7 @@
         self.slow = 1
         self.stalled = False
         self.full = False
+        self.broken = False
 
     def write(self, token, records, whole):
         """Takes a write; it is safe only when `done` is called for it."""
@@ -35,11 +36,15 @@
         """What the sync covered is safe: tokens and whether it went well."""
         batch, self.queue = self.queue[: self.syncing], self.queue[self.syncing :]
         self.syncing = 0
-        for _, raw, whole in [] if self.full else batch:
-            if whole is not None:
-                self.snap, self.safe = whole, b""
-            self.safe += raw
-        return [(token, not self.full) for token, _, _ in batch]
+        out = []
+        for token, raw, whole in batch:
+            if not self.full and whole is not None:
+                self.snap, self.safe, self.broken = whole, b"", False
+            self.broken = self.broken or self.full
+            if not self.broken:
+                self.safe += raw
+            out.append((token, not self.broken))
+        return out
 
     def power_loss(self):
         """A prefix of what was under way may have reached the disk, torn anywhere."""
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -41,3 +41,26 @@
         return w.trace
 
     assert play(False) == play(False) == play(True)
+
+
+def test_without_most_seats_nothing_is_invented_and_the_override_is_explicit():
+    w = stage.ready("mid", 8)
+    got = w.must("patch", {"patch": {"lines": {"desk": {"bound": 71}}}, "change": "kept"})
+    gone = [n.name for n in w.live()][:3] + [n.name for n in w.live("ledger")][:2]
+    for n in gone:
+        w.kill(n, disk=True)
+    w.run(15_000)
+    assert w.leader() is None
+    left = w.live("ledger")[0].member
+    told = [r["f_missing"] for r in w.trace if r["k"] == "note" and r["number"] == 19]
+    assert sorted(gone) in told
+    alive = w.live()[0].name
+    left.out = []
+    assert "not in the roster" in left.override(["nobody"])
+    assert "heard of" in left.override([alive])
+    assert left.override(gone) is None
+    assert w.run_until(lambda: w.leader() is not None, 10_000)
+    w.run(2000)
+    assert w.leader().member.book["changes"]["kept"] == got[1]["serial"]
+    assert w.asked(alive, "patch", {"patch": {"lines": {"desk": {"bound": 72}}}, "change": "on"})[0] == 200
+    assert "there is a leader" in w.leader().member.override(gone)
