A new steward is silent until its replicas spoke

Cause: the first news of a zone's new steward went out before any of its polls came back and told every member that nothing was held there; items were then loaded again in other zones. A test kills each zone's steward in turn and counts loads; without the change it fails.

--- /dev/null
+++ b/basaltport/rehearsal/acts.py
@@ -0,0 +1,80 @@
+"""What a scenario is: faults on a ready house under load, and the notes that the checks need."""
+
+import basaltport.rehearsal.checks as checks
+import basaltport.rehearsal.stage as stage
+
+SCENARIOS = {}
+
+
+def scenario(preset="mid"):
+    def wrap(f):
+        SCENARIOS[f.__name__.replace("_", "-")] = (preset, f)
+        return f
+
+    return wrap
+
+
+class Play:
+    """A ready house under load, and the notes that the checks need."""
+
+    def __init__(self, name, seed, preset=None, **kw):
+        self.name = name
+        self.preset, self.act = SCENARIOS[name]
+        self.preset = preset or self.preset
+        self.seed = seed
+        self.w = stage.ready(self.preset, seed, **kw)
+        self.rng = self.w.rng
+        self.crowd = stage.crowd(self.w, self.preset, seed)
+        self.served = []
+        self.unquiet = []
+
+    def t(self):
+        return int(self.w.now - self.w.start)
+
+    def play(self):
+        self.crowd.start()
+        self.w.run(4000)
+        self.act(self)
+        self.crowd.stop()
+        self.w.run(6000)
+        self.w.heal()
+        for n in self.w.nodes:
+            self.w.wake(n)
+        return self
+
+    def back_after(self, ms=12_000, span=3000, share=0.95):
+        """Service must be back this long after now."""
+        lo = self.t() + ms
+        self.w.run(ms + span)
+        self.served.append((lo, lo + span, share))
+
+    def rostrum(self):
+        return self.rng.choice(self.w.live()).name
+
+    def findings(self):
+        w = self.w
+        pools = w.manifest["pools"].values()
+        about = {
+            "groups": w.manifest["groups"],
+            "loads": w.manifest["store"]["loads"],
+            "allowance": sum(p["resend_allowance"] for p in pools),
+            "served": self.served,
+            "unquiet": self.unquiet,
+        }
+        lead = w.leader()
+        if lead is not None:
+            about["final"] = lead.member.book["changes"]
+        out = checks.run(w.trace, about)
+        if lead is None and self.name not in ("no-majority",):
+            out.append({"rule": "back", "t": self.t(), "finding": "no leader at the end"})
+        return out
+
+    def changes(self, n, gap=300):
+        """Operators at random nodes patch the manifest and read it."""
+        w = self.w
+        for i in range(n):
+            live = [x.name for x in w.live() + w.live("ledger")]
+            p = {"lines": {"desk": {"bound": 100 + i}}}
+            w.ask(self.rng.choice(live), "patch", {"patch": p, "change": f"c{self.t()}-{i}"})
+            w.ask(self.rng.choice(live), "show", {})
+            w.run(gap)
--- a/basaltport/rehearsal/scenarios.py
+++ b/basaltport/rehearsal/scenarios.py
@@ -1,83 +1,12 @@
-"""Named scenarios: each plays faults on a ready house under load and says what must hold after."""
-
-import basaltport.rehearsal.checks as checks
-import basaltport.rehearsal.stage as stage
-
-SCENARIOS = {}
-
-
-def scenario(preset="mid"):
-    def wrap(f):
-        SCENARIOS[f.__name__.replace("_", "-")] = (preset, f)
-        return f
-
-    return wrap
-
-
-class Play:
-    """A ready house under load, and the notes that the checks need."""
-
-    def __init__(self, name, seed, preset=None, **kw):
-        self.name = name
-        self.preset, self.act = SCENARIOS[name]
-        self.preset = preset or self.preset
-        self.seed = seed
-        self.w = stage.ready(self.preset, seed, **kw)
-        self.rng = self.w.rng
-        self.crowd = stage.crowd(self.w, self.preset, seed)
-        self.served = []
-        self.unquiet = []
-
-    def t(self):
-        return int(self.w.now - self.w.start)
-
-    def play(self):
-        self.crowd.start()
-        self.w.run(4000)
-        self.act(self)
-        self.crowd.stop()
-        self.w.run(6000)
-        self.w.heal()
-        for n in self.w.nodes:
-            self.w.wake(n)
-        return self
-
-    def back_after(self, ms=12_000, span=3000, share=0.95):
-        """Service must be back this long after now."""
-        lo = self.t() + ms
-        self.w.run(ms + span)
-        self.served.append((lo, lo + span, share))
-
-    def rostrum(self):
-        return self.rng.choice(self.w.live()).name
-
-    def findings(self):
-        w = self.w
-        pools = w.manifest["pools"].values()
-        about = {
-            "groups": w.manifest["groups"],
-            "loads": w.manifest["store"]["loads"],
-            "allowance": sum(p["resend_allowance"] for p in pools),
-            "served": self.served,
-            "unquiet": self.unquiet,
-        }
-        lead = w.leader()
-        if lead is not None:
-            about["final"] = lead.member.book["changes"]
-        out = checks.run(w.trace, about)
-        if lead is None and self.name not in ("no-majority",):
-            out.append({"rule": "back", "t": self.t(), "finding": "no leader at the end"})
-        return out
-
-    def changes(self, n, gap=300):
-        """Operators at random nodes patch the manifest and read it."""
-        w = self.w
-        for i in range(n):
-            live = [x.name for x in w.live() + w.live("ledger")]
-            p = {"lines": {"desk": {"bound": 100 + i}}}
-            w.ask(self.rng.choice(live), "patch", {"patch": p, "change": f"c{self.t()}-{i}"})
-            w.ask(self.rng.choice(live), "show", {})
-            w.run(gap)
+"""Named scenarios of the members: kills, freezes, splits, disks, storms."""
+
+import basaltport.rehearsal.acts as acts
+import basaltport.rehearsal.scenes as scenes
+
+scenario = acts.scenario
+Play = acts.Play
+SCENARIOS = acts.SCENARIOS
+BACKENDS = scenes.NAMES
 
 
 @scenario()
@@ -297,85 +226,6 @@
     p.back_after(2000)
 
 
-@scenario()
-def replicas_crash(p):
-    p.crowd.factor = {"letters": 8}
-    for _ in range(3):
-        r = p.rng.choice(sorted(p.w.replicas))
-        p.w.crash_replica(r)
-        p.w.run(1500)
-        p.w.start_replica(r)
-        p.w.run(2500)
-    p.back_after(8000)
-
-
-@scenario()
-def replicas_sick(p):
-    """Every replica takes queries and breaks its wires; repeatable ones must not be resent without bound."""
-    p.crowd.factor = {"desk": 3}
-    for r in p.w.replicas.values():
-        r.mode = "sick"
-    p.w.run(6000)
-    for r in p.w.replicas.values():
-        r.mode = "up"
-    p.crowd.factor = {}
-    p.back_after(4000)
-
-
-@scenario()
-def replicas_dark(p):
-    r = p.rng.choice(sorted(p.w.replicas))
-    p.w.dark_replica(r)
-    p.w.run(6000)
-    p.w.dark_replica(r, False)
-    p.back_after(6000)
-
-
-@scenario()
-def replica_leaves(p):
-    """Short notice: told at one node, gone a second later."""
-    r = p.w.live()[0].member.usable("alder")[0]
-    p.w.ask(p.rostrum(), "leaving", {"replica": r, "change": f"leave-{r}"})
-    p.w.run(4000)
-    p.w.crash_replica(r)
-    p.back_after(8000)
-
-
-@scenario()
-def zone_emptied(p):
-    p.w.must("drain", {"zone": "z1"})
-    p.w.run(8000)
-    p.w.must("undrain", {"zone": "z1"})
-    p.back_after(8000)
-
-
-@scenario()
-def replicas_restart(p):
-    """Every replica is replaced by a fresh start, one after another, under a crowd."""
-    p.crowd.factor = {"desk": 4}
-    for r in sorted(p.w.replicas):
-        p.w.crash_replica(r)
-        p.w.run(200)
-        p.w.start_replica(r)
-        p.w.run(1500)
-    p.crowd.factor = {}
-    p.back_after(8000)
-
-
-@scenario("furrow")
-def cold_storm(p):
-    """Every model and adapter of the house is asked for in one breath, at every rostrum."""
-    w = p.w
-    for line, d in sorted(p.crowd.demand["lines"].items()):
-        once = w.manifest["lines"][line]["once_only"]
-        for item in d["items"]:
-            model, _, adapter = item.partition("/")
-            for n in w.live():
-                s = sorted(d["senders"])[0]
-                w.send_query(line, model, adapter, stage.hashed(d["senders"][s]), once, node=n.name)
-    p.back_after(6000, share=0.9)
-
-
 @scenario()
 def storm(p):
     """Two operators at once, in quick storms, one of them with compare-and-set."""
--- /dev/null
+++ b/basaltport/rehearsal/scenes.py
@@ -0,0 +1,88 @@
+"""Named scenarios of the replicas and zones: crashes, darkness, notice, crowds of cold models."""
+
+import basaltport.rehearsal.acts as acts
+import basaltport.rehearsal.stage as stage
+
+scenario = acts.scenario
+
+
+@scenario()
+def replicas_crash(p):
+    p.crowd.factor = {"letters": 8}
+    for _ in range(3):
+        r = p.rng.choice(sorted(p.w.replicas))
+        p.w.crash_replica(r)
+        p.w.run(1500)
+        p.w.start_replica(r)
+        p.w.run(2500)
+    p.back_after(8000)
+
+
+@scenario()
+def replicas_sick(p):
+    """Every replica takes queries and breaks its wires; repeatable ones must not be resent without bound."""
+    p.crowd.factor = {"desk": 3}
+    for r in p.w.replicas.values():
+        r.mode = "sick"
+    p.w.run(6000)
+    for r in p.w.replicas.values():
+        r.mode = "up"
+    p.crowd.factor = {}
+    p.back_after(4000)
+
+
+@scenario()
+def replicas_dark(p):
+    r = p.rng.choice(sorted(p.w.replicas))
+    p.w.dark_replica(r)
+    p.w.run(6000)
+    p.w.dark_replica(r, False)
+    p.back_after(6000)
+
+
+@scenario()
+def replica_leaves(p):
+    """Short notice: told at one node, gone a second later."""
+    r = p.w.live()[0].member.usable("alder")[0]
+    p.w.ask(p.rostrum(), "leaving", {"replica": r, "change": f"leave-{r}"})
+    p.w.run(4000)
+    p.w.crash_replica(r)
+    p.back_after(8000)
+
+
+@scenario()
+def zone_emptied(p):
+    p.w.must("drain", {"zone": "z1"})
+    p.w.run(8000)
+    p.w.must("undrain", {"zone": "z1"})
+    p.back_after(8000)
+
+
+@scenario()
+def replicas_restart(p):
+    """Every replica is replaced by a fresh start, one after another, under a crowd."""
+    p.crowd.factor = {"desk": 4}
+    for r in sorted(p.w.replicas):
+        p.w.crash_replica(r)
+        p.w.run(200)
+        p.w.start_replica(r)
+        p.w.run(1500)
+    p.crowd.factor = {}
+    p.back_after(8000)
+
+
+@scenario("furrow")
+def cold_storm(p):
+    """Every model and adapter of the house is asked for in one breath, at every rostrum."""
+    w = p.w
+    for line, d in sorted(p.crowd.demand["lines"].items()):
+        once = w.manifest["lines"][line]["once_only"]
+        for item in d["items"]:
+            model, _, adapter = item.partition("/")
+            for n in w.live():
+                s = sorted(d["senders"])[0]
+                w.send_query(line, model, adapter, stage.hashed(d["senders"][s]), once, node=n.name)
+    p.back_after(6000, share=0.9)
+
+
+NAMES = tuple(acts.SCENARIOS)
--- a/basaltport/steward/news.py
+++ b/basaltport/steward/news.py
@@ -4,6 +4,7 @@
 import basaltport.tally.ranges as ranges
 
 NEWS = 500
+QUIET = 1500
 
 
 class NewsMixin:
@@ -18,6 +19,9 @@
         return rows
 
     def tell(self, d):
+        """A new owner is silent until its replicas spoke: what it has not heard is no news."""
+        if self.now - d.since < QUIET and any(not p.heard for p in d.reps.values()):
+            return
         rows = self.rows_of(d)
         if rows == d.shown and self.now - d.news_at < NEWS:
             return
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -64,3 +64,19 @@
     assert w.leader().member.book["changes"]["kept"] == got[1]["serial"]
     assert w.asked(alive, "patch", {"patch": {"lines": {"desk": {"bound": 72}}}, "change": "on"})[0] == 200
     assert "there is a leader" in w.leader().member.override(gone)
+
+
+def test_a_new_steward_takes_over_without_loading_anything_again():
+    w = stage.ready("mid", 9)
+    c = stage.crowd(w, "mid", 1)
+    c.start()
+    w.run(6000)
+    loads = sum(r["k"] == "load" for r in w.trace)
+    for z in ("zone/z1", "zone/z2", "zone/z3"):
+        book = w.leader().member.book
+        w.kill(book["roster"][book["duties"][z]["owner"]]["name"])
+        w.run(5000)
+        dead = [n for n in w.nodes.values() if n.member is None]
+        w.boot(dead[0].name)
+        w.run(2000)
+    assert sum(r["k"] == "load" for r in w.trace) == loads
