JSON is read strictly; examples are packaged; paddle knows the deployments' mixes

Cause: a name given twice in a manifest silently took the last value; and an installed package found no examples, since they lay outside it.

--- a/basaltport/clerk/cli.py
+++ b/basaltport/clerk/cli.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 import basaltport.docket.check as check
+import basaltport.docket.read as read
 import basaltport.verbs as verbs
 
 EXIT = {200: 0, 404: 1, 409: 1, 422: 1, 400: 2, 401: 2, 405: 2, 503: 4, 504: 3}
@@ -75,13 +76,18 @@
     """(document, None) or (None, finding)."""
     try:
         if path == "-":
-            return json.load(sys.stdin), None
-        with open(path) as f:
-            return json.load(f), None
-    except OSError as e:
-        return None, f"{path}: {e.strerror}"
-    except ValueError as e:
-        return None, f"{path}: not JSON: {e}"
+            text = sys.stdin.read()
+        else:
+            with open(path) as f:
+                text = f.read()
+    except (OSError, UnicodeDecodeError) as e:
+        return None, f"{path}: {getattr(e, 'strerror', None) or 'not text'}"
+    got = read.loads(text)
+    if got.is_ok():
+        return got.ok_value, None
+    return None, "\n".join(
+        f"{path}: {f['place']}: {f['finding']}".replace(": : ", ": ") for f in got.err_value
+    )
 
 
 def table(rows, cols):
--- a/basaltport/clerk/http.py
+++ b/basaltport/clerk/http.py
@@ -7,6 +7,7 @@
 import aiohttp.web
 
 import basaltport.clerk.desk as desk
+import basaltport.docket.read as read
 import basaltport.events as events
 import basaltport.kinds as kinds
 
@@ -113,9 +114,13 @@
         body = dict(request.query)
         if request.method == "POST":
             try:
-                body = await request.json()
-            except (ValueError, UnicodeDecodeError):
-                return self.no(400, "malformed", "the body is not JSON")
+                got = read.loads(await request.text())
+            except UnicodeDecodeError:
+                return self.no(400, "malformed", "the body is not text")
+            if got.is_err():
+                b = {"error": "malformed", "findings": got.err_value, "changed": False}
+                return aiohttp.web.json_response(b, status=400)
+            body = got.ok_value
             if not isinstance(body, dict):
                 return self.no(400, "malformed", "the body is not an object")
             bad = desk.malformed(body)
--- a/basaltport/paddle/cli.py
+++ b/basaltport/paddle/cli.py
@@ -12,12 +12,16 @@
 import basaltport.paddle.plan as plan
 import basaltport.paddle.shoot as shoot
 import basaltport.paddle.verdict as verdict
+import basaltport.rehearsal.stage as stage
 import basaltport.verbs as verbs
 
+PRESETS = ["furrow", "thin", "tsehay"]
+
 
 def define(fv):
     flags.DEFINE_list("node", ["127.0.0.1:7000"], "host:port of rostrums; shots go round.", flag_values=fv)
     flags.DEFINE_string("demand", None, "The demand document: lines, rates, items, bursts.", flag_values=fv)
+    flags.DEFINE_enum("preset", None, PRESETS, "Instead of --demand: a deployment's own.", flag_values=fv)
     flags.DEFINE_string("fleet", None, "A fleet.json: its rostrums and stand-ins are used.", flag_values=fv)
     flags.DEFINE_string("record", None, "host:port of the stand-ins' record of runs.", flag_values=fv)
     flags.DEFINE_float("seconds", 20, "How long to send.", 0.1, 3600, flag_values=fv)
@@ -34,7 +38,8 @@
 
 
 def run(fv, args):
-    doc, bad = clerk.read_doc(fv.demand or "")
+    path = stage.EXAMPLES / f"{fv.preset}-demand.json" if fv.preset else fv.demand or ""
+    doc, bad = clerk.read_doc(path)
     if bad:
         print(f"--demand {bad}", file=sys.stderr)
         return 2
--- a/basaltport/rehearsal/cli.py
+++ b/basaltport/rehearsal/cli.py
@@ -10,6 +10,7 @@
 
 import basaltport.rehearsal.fleet as fleet
 import basaltport.rehearsal.presets as presets
+import basaltport.rehearsal.stage as stage
 import basaltport.rehearsal.standin as standin
 import basaltport.verbs as verbs
 
@@ -45,7 +46,9 @@
         signal.signal(sig, lambda *_: stop.append(1))
     f.start()
     print(f"nodes: {','.join(f.nodes)}", flush=True)
-    print(f"stand-ins: {f.admin}; manifest: examples/{f.p['manifest']}; all in {f.folder}", flush=True)
+    print(
+        f"stand-ins: {f.admin}; manifest: {stage.EXAMPLES}/{f.p['manifest']}; all in {f.folder}", flush=True
+    )
     end = time.monotonic() + fv.seconds
     try:
         while time.monotonic() < end and not stop:
--- a/basaltport/rehearsal/stage.py
+++ b/basaltport/rehearsal/stage.py
@@ -8,7 +8,7 @@
 import basaltport.rehearsal.presets as presets
 import basaltport.rehearsal.world as world
 
-EXAMPLES = pathlib.Path(__file__).parent.parent.parent / "examples"
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
 
 def example(name):
--- a/basaltport/settings.py
+++ b/basaltport/settings.py
@@ -1,12 +1,12 @@
 """A process's settings: a JSON file, flags over it, all findings together."""
 
-import json
 import re
 
 import result
 import trafaret
 
 import basaltport.docket.check as check
+import basaltport.docket.read as read
 
 _ADDR = trafaret.Regexp(re.compile(r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"))
 _NAME = trafaret.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$"))
@@ -32,11 +32,14 @@
 def load(path, over, role):
     try:
         with open(path) as f:
-            doc = json.load(f)
+            got = read.loads(f.read())
     except OSError as e:
         return result.Err([{"place": path, "finding": e.strerror}])
-    except ValueError as e:
-        return result.Err([{"place": path, "finding": f"not JSON: {e}"}])
+    except UnicodeDecodeError:
+        return result.Err([{"place": path, "finding": "not text"}])
+    if got.is_err():
+        return got
+    doc = got.ok_value
     if not isinstance(doc, dict):
         return result.Err([{"place": path, "finding": "not an object"}])
     doc.update({k: v for k, v in over.items() if v is not None})
--- a/tests/test_docket.py
+++ b/tests/test_docket.py
@@ -8,9 +8,10 @@
 
 import basaltport.docket.check as check
 import basaltport.docket.patch as patch
+import basaltport.docket.read as read
 import basaltport.docket.rules as rules
 
-EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+EXAMPLES = pathlib.Path(__file__).parent.parent / "basaltport" / "examples"
 
 
 def load(name):
@@ -78,6 +79,13 @@
     assert a == kept
 
 
+def test_a_name_given_twice_is_found_with_its_place():
+    got = read.loads('{"lines": {"a": {"x": 1, "x": 2}, "b": [{"y": 1, "y": 1}], "a": {}}, "n": 1}')
+    assert [f["place"] for f in got.err_value] == ["lines.a", "lines.b.0.y"]
+    assert read.loads('{"a": NaN}').is_err() and read.loads("[" * 100_000).is_err()
+    assert read.loads('{"a": [1, {"b": null}]}').ok_value == {"a": [1, {"b": None}]}
+
+
 def test_rfc_7396_examples():
     cases = [
         ({"a": "b"}, {"a": "c"}, {"a": "c"}),
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -53,6 +53,7 @@
     ("no such verb", live.get("/v1/ops/dance")),
     ("a read as a change", _ops("show")),
     ("not JSON", live.post("/v1/ops/apply", "{")),
+    ("a name given twice", live.post("/v1/ops/drain", '{"zone": "z1", "zone": "z2"}')),
     ("a change id that is a number", _ops("drain", zone="z1", change=7)),
     ("history", live.get("/v1/ops/history")),
 ]
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -10,7 +10,7 @@
 import basaltport.rehearsal.planner as planner
 import basaltport.rehearsal.stage as stage
 
-EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+EXAMPLES = pathlib.Path(__file__).parent.parent / "basaltport" / "examples"
 
 
 def call(capsys, *argv):
@@ -123,6 +123,6 @@
         for v in verbs:
             assert f"  {v}" in out
             assert call(capsys, v, "--help")[0] == 0
-    page = (EXAMPLES.parent / "docs" / "events.md").read_text()
+    page = (EXAMPLES.parent.parent / "docs" / "events.md").read_text()
     rows = [f"| {n} | {name} | {text} |" for n, (name, text) in logs.CATALOGUE.items()]
     assert [r for r in page.split("\n") if r.startswith("| ") and r[2].isdigit()] == rows
