--- a/basaltport/clerk/cli.py
+++ b/basaltport/clerk/cli.py
@@ -65,7 +65,11 @@
 
 
 def show(fv, status, doc, human=None):
-    if fv.json or human is None or status != 200:
+    if not fv.json and doc.get("findings"):
+        print(f"{doc.get('outcome') or doc.get('error')}:")
+        for f in doc["findings"]:
+            print(f"  {f['place']}: {f['finding']}" if f["place"] else f"  {f['finding']}")
+    elif fv.json or human is None or status != 200:
         print(json.dumps(doc, indent=None if fv.json else 2, sort_keys=True))
     else:
         human(doc)
