--- a/basaltport/bellman/ring.py
+++ b/basaltport/bellman/ring.py
@@ -23,7 +23,7 @@
     if seat not in roster:
         return []
     i = ring.index(seat)
-    return [s for s in (ring[(i + k) % len(ring)] for k in range(1, WATCHERS + 1)) if s != seat]
+    return [ring[(i + k) % len(ring)] for k in range(1, min(WATCHERS, len(ring) - 1) + 1)]
 
 
 class RingMixin:
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,108 @@
+"""Range digests, the mending of cells, the watchers' ring, and hands of duties."""
+
+import hypothesis
+import hypothesis.strategies as st
+
+import basaltport.bellman.ring as ring
+import basaltport.rehearsal.stage as stage
+import basaltport.tally.ranges as ranges
+
+ROWS = st.dictionaries(st.text("abcdef|", min_size=1, max_size=5), st.integers(0, 3), max_size=30)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(ROWS, ROWS)
+def test_mending_the_ranges_that_differ_makes_the_copies_equal(old, new):
+    bits = ranges.differ(ranges.digests(old), ranges.digests(new))
+    assert bits.any() == (old != new)
+    sent = ranges.cut(new, ranges.unpack(ranges.pack(bits)))
+    assert ranges.mend(old, bits, sent) == new
+    same = {k for k in old if new.get(k) == old[k] and not bits[ranges.range_of(k)]}
+    assert not same & sent.keys()
+
+
+def test_a_garbled_set_of_ranges_asks_for_nothing():
+    for text in ("", "01", "x" * ranges.RANGES, "2" + "0" * (ranges.RANGES - 1)):
+        assert not ranges.unpack(text).any()
+
+
+def _cells(n):
+    return {z: c["rows"] for z, c in n.member.cells.items()}
+
+
+def test_a_member_that_missed_news_has_its_copy_mended():
+    w = stage.ready("mid", 3)
+    w.run(4000)
+    book = w.leader().member.book
+    owners = {book["roster"][d["owner"]]["name"] for k, d in book["duties"].items() if k != "store"}
+    name = next(n.name for n in w.live() if n.name not in owners)
+    for o in owners:
+        w.cut(o, name, both=False)
+    at = _cells(w.nodes[name])
+    for n in w.live():
+        if n.name != name:
+            w.send_query("letters", "birch", "gate", stage.hashed("example-office"), True, node=n.name)
+    w.run(3000)
+    other = next(n for n in w.live() if n.name not in (name, *owners))
+    assert _cells(w.nodes[name]) == at != _cells(other)
+    w.heal()
+    w.run(600)
+    assert _cells(w.nodes[name]) == _cells(other)
+
+
+def test_every_seat_has_watchers_and_nobody_watches_itself():
+    seats = [f"s{i}" for i in range(11)]
+    for s in seats:
+        ws = ring.watchers(s, seats)
+        assert len(set(ws)) == ring.WATCHERS and s not in ws
+    assert ring.watchers("stranger", seats) == []
+    assert ring.watchers("s0", ["s0"]) == []
+    assert ring.watchers("s0", ["s0", "s1"]) == ["s1"]
+
+
+def _handed(w, name, ms):
+    """How long until the duties of a rostrum are another's."""
+    seat = w.nodes[name].seat_was
+    t = w.now
+    ok = w.run_until(lambda: all(d["owner"] != seat for d in w.leader().member.book["duties"].values()), ms)
+    return w.now - t if ok else None
+
+
+def _owner(w):
+    book = w.leader().member.book
+    name = book["roster"][book["duties"]["zone/z1"]["owner"]]["name"]
+    w.nodes[name].seat_was = book["duties"]["zone/z1"]["owner"]
+    return name
+
+
+def test_a_duty_changes_hands_soon_where_watchers_agree_and_never_within_the_lease():
+    w = stage.ready("mid", 5)
+    w.run(4000)
+    name = _owner(w)
+    w.kill(name)
+    took = _handed(w, name, 8000)
+    assert 1400 <= took < 2500
+
+
+def test_a_duty_changes_hands_later_where_only_the_leader_misses_its_owner():
+    w = stage.ready("mid", 5)
+    w.run(4000)
+    name = _owner(w)
+    w.cut(name, w.leader().name)
+    took = _handed(w, name, 8000)
+    assert 3500 <= took < 6000
+
+
+def test_a_watcher_that_stood_still_accuses_nobody():
+    w = stage.ready("mid", 7)
+    w.run(4000)
+    name = _owner(w)
+    w.freeze(name)
+    w.run(1000)
+    w.wake(name)
+    w.run(300)
+    assert not any(name in by for of in w.leader().member.voices.values() for by in of)
+    lead = w.leader().member
+    assert all(
+        w.now - at > 300 or s != w.nodes[name].seat_was for v in lead.voices.values() for s, at in v.items()
+    )
