Read once more: twins made one, dead code removed

The operators' token is asked for in one place instead of six, the session that never resends is made in one place instead of three, a steward's wait for first words and its verdict of darkness are one method each, the form of names and hashes is the docket's alone, and scenarios say how long the house is unsettled by one method. Removed: a state that no replica has, four fields and functions that nothing used. A test now holds that the token closes every operators' path.

--- a/basaltport/clerk/cli.py
+++ b/basaltport/clerk/cli.py
@@ -9,6 +9,7 @@
 import absl.flags as flags
 import aiohttp
 
+import basaltport.consign.adapter as adapter
 import basaltport.docket.check as check
 import basaltport.docket.read as read
 import basaltport.verbs as verbs
@@ -40,8 +41,7 @@
 
 async def one(fv, node, method, path, body, query):
     t = aiohttp.ClientTimeout(total=fv.lapse)
-    async with aiohttp.ClientSession(timeout=t, headers=heads(fv)) as s:
-        s._retry_connection = False
+    async with adapter.once_session(timeout=t, headers=heads(fv)) as s:
         async with s.request(method, f"http://{node}{path}", json=body, params=query) as r:
             return r.status, await r.json(content_type=None)
 
--- a/basaltport/clerk/http.py
+++ b/basaltport/clerk/http.py
@@ -20,12 +20,22 @@
 
     def routes(self, app):
         app.router.add_get("/live", self.live)
-        app.router.add_get("/v1/self", self.self_)
-        app.router.add_post("/v1/ops/{verb}", self.ask)
-        app.router.add_get("/v1/ops/{verb}", self.ask)
-        app.router.add_post("/v1/prewarm", self.prewarm)
-        app.router.add_post("/v1/stop", self.stop)
-        app.router.add_post("/v1/override", self.override)
+        app.router.add_get("/v1/self", self.guarded(self.self_))
+        app.router.add_post("/v1/ops/{verb}", self.guarded(self.ask))
+        app.router.add_get("/v1/ops/{verb}", self.guarded(self.ask))
+        app.router.add_post("/v1/prewarm", self.guarded(self.prewarm))
+        app.router.add_post("/v1/stop", self.guarded(self.stop))
+        app.router.add_post("/v1/override", self.guarded(self.override))
+
+    def guarded(self, handler):
+        """The handler for those only who hold the operators' token, where there is one."""
+
+        async def wrapped(request):
+            if not self.allowed(request):
+                return self.no(401, "unauthorized", "an operator's bearer token is needed")
+            return await handler(request)
+
+        return wrapped
 
     def allowed(self, request):
         want = self.host.settings.get("operator_token")
@@ -44,8 +54,6 @@
         return aiohttp.web.json_response({"ready": bool(ready)}, status=200 if ready else 503)
 
     async def self_(self, request):
-        if not self.allowed(request):
-            return self.no(401, "unauthorized", "an operator's bearer token is needed")
         m = self.host.member
         g, s = m.head()
         out = {
@@ -66,8 +74,6 @@
         return aiohttp.web.json_response(out)
 
     async def prewarm(self, request):
-        if not self.allowed(request):
-            return self.no(401, "unauthorized", "an operator's bearer token is needed")
         if self.host.role != "rostrum":
             return self.no(404, "not-here", "ask a rostrum")
         try:
@@ -82,14 +88,10 @@
         return aiohttp.web.json_response({"asked": items})
 
     async def stop(self, request):
-        if not self.allowed(request):
-            return self.no(401, "unauthorized", "an operator's bearer token is needed")
         self.host.end.set()
         return aiohttp.web.json_response({"stopping": self.host.me.name})
 
     async def override(self, request):
-        if not self.allowed(request):
-            return self.no(401, "unauthorized", "an operator's bearer token is needed")
         if self.host.role != "ledger":
             return self.no(404, "not-here", "ask a ledger")
         try:
@@ -105,8 +107,6 @@
 
     async def ask(self, request):
         verb = request.match_info["verb"]
-        if not self.allowed(request):
-            return self.no(401, "unauthorized", "an operator's bearer token is needed")
         if verb not in desk.READS + desk.CHANGES:
             return self.no(404, "unknown-verb", f"verbs: {', '.join(desk.READS + desk.CHANGES)}")
         if (request.method == "POST") != (verb in desk.CHANGES):
--- a/basaltport/consign/adapter.py
+++ b/basaltport/consign/adapter.py
@@ -10,7 +10,13 @@
 SERIAL = "Basaltport-Serial"
 DEADLINE = "Basaltport-Deadline-Ms"
 RAN = "Basaltport-Ran"
-CONNECT = 1000
+
+
+def once_session(**kw):
+    """A session that never sends a request twice by itself."""
+    s = aiohttp.ClientSession(**kw)
+    s._retry_connection = False
+    return s
 
 
 class Withheld(Exception):
@@ -46,8 +52,7 @@
 
     async def start(self):
         self.wires = Guarded(self.guard, limit=0, keepalive_timeout=10)
-        self.session = aiohttp.ClientSession(connector=self.wires, auto_decompress=False)
-        self.session._retry_connection = False
+        self.session = once_session(connector=self.wires, auto_decompress=False)
 
     async def stop(self):
         await self.session.close()
--- a/basaltport/docket/check.py
+++ b/basaltport/docket/check.py
@@ -5,8 +5,8 @@
 import result
 import trafaret
 
-_NAME = trafaret.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$"))
-_HASH = trafaret.Regexp(re.compile(r"^sha256:[0-9a-f]{64}$"))
+NAME = trafaret.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$"))
+HASH = trafaret.Regexp(re.compile(r"^sha256:[0-9a-f]{64}$"))
 
 
 def _plain(v):
@@ -29,13 +29,13 @@
 
 LINE = trafaret.Dict(
     {
-        _key("senders"): trafaret.Mapping(_NAME, _HASH),
+        _key("senders"): trafaret.Mapping(NAME, HASH),
         _key("urgency"): whole(1, 9),
         _key("patience_ms"): _MS,
         _key("bound"): whole(1, 100_000),
         _key("once_only"): trafaret.Bool(),
         _key("items"): trafaret.List(trafaret.String(max_length=200), min_length=1),
-        _key("pool"): _NAME,
+        _key("pool"): NAME,
         _key("timeout_ms"): _MS,
         _key("ready_timeout_ms", optional=True): _MS,
         _key("prewarm", optional=True): trafaret.List(trafaret.String(max_length=200)),
@@ -53,13 +53,13 @@
 MODEL = trafaret.Dict(
     {
         _key("size"): whole(1),
-        _key("group"): _NAME,
+        _key("group"): NAME,
         _key("kept", optional=True): trafaret.Bool(),
         _key("copies", optional=True): whole(1, 100),
         _key("idle_window_ms", optional=True): _MS,
         _key("ready_timeout_ms", optional=True): _MS,
         _key("expected_load_ms", optional=True): _MS,
-        _key("adapters", optional=True): trafaret.Mapping(_NAME, ADAPTER),
+        _key("adapters", optional=True): trafaret.Mapping(NAME, ADAPTER),
     }
 )
 GROUP = trafaret.Dict(
@@ -71,21 +71,21 @@
 )
 MANIFEST = trafaret.Dict(
     {
-        _key("lines"): trafaret.Mapping(_NAME, LINE),
-        _key("pools"): trafaret.Mapping(_NAME, POOL),
-        _key("models"): trafaret.Mapping(_NAME, MODEL),
-        _key("groups"): trafaret.Mapping(_NAME, GROUP),
-        _key("zones"): trafaret.Mapping(_NAME, trafaret.Dict({})),
+        _key("lines"): trafaret.Mapping(NAME, LINE),
+        _key("pools"): trafaret.Mapping(NAME, POOL),
+        _key("models"): trafaret.Mapping(NAME, MODEL),
+        _key("groups"): trafaret.Mapping(NAME, GROUP),
+        _key("zones"): trafaret.Mapping(NAME, trafaret.Dict({})),
         _key("store"): trafaret.Dict({_key("loads"): whole(1, 10_000)}),
     }
 )
 PLATFORM = trafaret.Mapping(
-    _NAME,
+    NAME,
     trafaret.Dict(
         {
             _key("url"): trafaret.Regexp(re.compile(r"^http://[0-9.]+:[0-9]+$")),
-            _key("zone"): _NAME,
-            _key("group"): _NAME,
+            _key("zone"): NAME,
+            _key("group"): NAME,
         }
     ),
 )
--- a/basaltport/kinds.py
+++ b/basaltport/kinds.py
@@ -50,10 +50,6 @@
     __slots__ = ()
 
 
-class ChangeId(str):
-    __slots__ = ()
-
-
 class Generation(typing.NamedTuple):
     count: int = 0
     name: str = ""
--- a/basaltport/ledger/lead.py
+++ b/basaltport/ledger/lead.py
@@ -35,7 +35,6 @@
         self.beat_at = -(10**9)
         self.n = 0
         self.vouched = self.now
-        self.commit_gen = book.gen(self.book)
         self.acked = self.head()[1]
         self.past = {}
         self.needs = set()
@@ -217,7 +216,8 @@
             return
         self.acks[m.seat] = self.now
         if m.n in self.beats:
-            self.match_n(m.seat, m.n)
+            self.seen_n[m.seat] = max(self.seen_n.get(m.seat, 0), m.n)
+            self.vouch()
         if m.need:
             self.needs.add(m.seat)
             r = self.tip_book["roster"].get(m.seat)
@@ -233,10 +233,6 @@
         self.count()
         self.settle()
 
-    def match_n(self, s, n):
-        self.seen_n[s] = max(self.seen_n.get(s, 0), n)
-        self.vouch()
-
     def vouch(self):
         roster = self.tip_book["roster"]
         ns = sorted((self.n if s == self.me.seat else self.seen_n.get(s, 0) for s in roster), reverse=True)
@@ -321,8 +317,7 @@
         t = self.tip_book
         roster = t["roster"]
         names = {r["name"]: s for s, r in roster.items()}
-        fresh = [m for m in self.members.values() if self.now - m["at"] < 2500]
-        fresh = [{k: v for k, v in m.items() if k != "at"} for m in fresh] + [self.me.row()]
+        fresh = self.heard_within(2500) + [self.me.row()]
         new = [m for m in fresh if m["seat"] not in self.left and roster.get(m["seat"]) != m]
         swap = [[names[m["name"]], m] for m in new if m["name"] in names]
         add = [m for m in new if m["name"] not in names]
--- a/basaltport/ledger/seat.py
+++ b/basaltport/ledger/seat.py
@@ -24,7 +24,6 @@
         self.outdated = set()
         self.leader = None
         self.heard_at = -(10**9)
-        self.beat_n = 0
         self.ack_k = 0
         self.sent_at = {}
         self.lease_end = -1
@@ -66,12 +65,16 @@
         if self.now < self.hello_at + (SETTLED_HELLO if settled else HELLO):
             return
         self.hello_at = self.now
-        known = [m for m in self.members.values() if self.now - m["at"] < 10_000][:40]
-        known = [{k: v for k, v in m.items() if k != "at"} for m in known]
+        known = self.heard_within(10_000)[:40]
         addrs = {m["addr"] for m in known} | set(self.me.seeds)
         for a in sorted(addrs - {self.me.addr}):
             self.send(a, self.hello(known))
 
+    def heard_within(self, ms):
+        """Rows of the members heard of so lately, without when."""
+        rows = [m for m in self.members.values() if self.now - m["at"] < ms]
+        return [{k: v for k, v in m.items() if k != "at"} for m in rows]
+
     def hello(self, known):
         m = self.me
         return messages.Hello(m.house, m.name, m.seat, m.role, m.zone, m.addr, m.http, self.head()[0], known)
@@ -158,7 +161,6 @@
             self.note(10, leader=m.name, generation=m.gen.text())
         self.leader = m
         self.heard_at = self.now
-        self.beat_n = m.n
         need = False
         if m.copy:
             self.install(m.copy)
--- a/basaltport/member.py
+++ b/basaltport/member.py
@@ -93,7 +93,3 @@
         self.bad = False
         self.durable_head(head, promise)
         self.out.extend(then)
-
-
-def reduce(state, ev):
-    return state, state.step(ev)
--- a/basaltport/paddle/shoot.py
+++ b/basaltport/paddle/shoot.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+import basaltport.consign.adapter as adapter
+
 
 class Shot:
     __slots__ = ("n", "line", "item", "prompt", "due", "outcome", "code", "ms", "late_ms", "detail")
@@ -36,8 +38,7 @@
         t = aiohttp.ClientTimeout(total=self.lapse)
         conn = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
         tasks = []
-        async with aiohttp.ClientSession(timeout=t, connector=conn) as s:
-            s._retry_connection = False
+        async with adapter.once_session(timeout=t, connector=conn) as s:
             self.begin = time.monotonic() + 0.2
             for n, (at, line, item, sender) in enumerate(self.plan):
                 wait = self.begin + at - time.monotonic()
--- a/basaltport/rehearsal/acts.py
+++ b/basaltport/rehearsal/acts.py
@@ -48,6 +48,10 @@
         self.w.run(ms + span)
         self.served.append((lo, lo + span, share))
 
+    def unsettle(self, ms, before=100):
+        """From a little before now on, changes may take longer than two seconds."""
+        self.unquiet.append((self.t() - before, self.t() + ms))
+
     def rostrum(self):
         return self.rng.choice(self.w.live()).name
 
--- a/basaltport/rehearsal/backend.py
+++ b/basaltport/rehearsal/backend.py
@@ -57,11 +57,10 @@
         self.log("replica-crash", replica=rid)
         r.mode = "gone"
         r.life += 1
-        for i, h in r.logic.held.items():
+        for h in r.logic.held.values():
             if h["state"] == "loading":
                 self.store.end()
                 h["state"] = "lost"
-            del i
 
     def dark_replica(self, rid, on=True):
         self.log("replica-dark", replica=rid, on=on)
--- a/basaltport/rehearsal/replica.py
+++ b/basaltport/rehearsal/replica.py
@@ -73,9 +73,6 @@
             return
         h.update(state="loaded", took=now - h["since"], since=now, last=now)
 
-    def failed(self, item):
-        self.held.pop(item, None)
-
     def admit(self, now, dispatch, serial, body):
         """None, or (status, error) of a refusal: it never ran and never will."""
         if serial < self.serial:
--- a/basaltport/rehearsal/scenarios.py
+++ b/basaltport/rehearsal/scenarios.py
@@ -19,7 +19,7 @@
 def leader_killed(p):
     p.changes(3)
     lead = p.w.leader().name
-    p.unquiet.append((p.t() - 500, p.t() + 6000))
+    p.unsettle(6000, 500)
     p.w.kill(lead, power=True)
     p.changes(5, 200)
     p.back_after()
@@ -30,7 +30,7 @@
 @scenario()
 def leader_frozen(p):
     lead = p.w.leader().name
-    p.unquiet.append((p.t() - 100, p.t() + 9000))
+    p.unsettle(9000)
     p.w.freeze(lead)
     p.changes(12, 300)
     p.w.wake(lead)
@@ -41,7 +41,7 @@
 @scenario()
 def rostrum_killed(p):
     name = p.rostrum()
-    p.unquiet.append((p.t() - 100, p.t() + 3000))
+    p.unsettle(3000)
     p.w.kill(name)
     p.changes(4)
     p.back_after(4000)
@@ -53,7 +53,7 @@
 @scenario()
 def rolling_restart(p):
     """Every process once, in good order, under load: no query is lost, doubled or broken."""
-    p.unquiet.append((p.t() - 100, p.t() + 60_000))
+    p.unsettle(60_000)
     for name in list(p.w.nodes):
         p.w.stop(name)
         p.w.boot(name)
@@ -67,7 +67,7 @@
 def rostrum_frozen(p):
     """Frozen longer than every lease, with changes and marks meanwhile, then woken."""
     name = p.rostrum()
-    p.unquiet.append((p.t() - 100, p.t() + 12_000))
+    p.unsettle(12_000)
     p.w.freeze(name)
     p.w.run(600)
     r = p.rng.choice(sorted(p.w.replicas))
@@ -82,7 +82,7 @@
 def core_split(p):
     """The leader with a minority on one side."""
     lead = p.w.leader().name
-    p.unquiet.append((p.t() - 100, p.t() + 14_000))
+    p.unsettle(14_000)
     side = [lead, p.rostrum()]
     p.w.split(side)
     p.changes(10, 400)
@@ -96,7 +96,7 @@
     """The leader with the majority; a ledger and a rostrum alone."""
     lead = p.w.leader().name
     other = [n.name for n in p.w.live("ledger") if n.name != lead]
-    p.unquiet.append((p.t() - 100, p.t() + 14_000))
+    p.unsettle(14_000)
     p.w.split([p.rng.choice(other), p.rostrum()])
     p.changes(10, 400)
     p.w.heal()
@@ -106,7 +106,7 @@
 
 @scenario()
 def one_way_cuts(p):
-    p.unquiet.append((p.t() - 100, p.t() + 20_000))
+    p.unsettle(20_000)
     lead = p.w.leader().name
     a = p.rostrum()
     p.w.cut(lead, a, both=False)
@@ -121,7 +121,7 @@
 def ledgers_replaced(p):
     """All ledgers are lost with their disks; empty ones come up at new addresses."""
     p.changes(3)
-    p.unquiet.append((p.t() - 500, p.t() + 12_000))
+    p.unsettle(12_000, 500)
     for n in list(p.w.live("ledger")):
         p.w.kill(n.name, disk=True)
     for i in range(3):
@@ -134,7 +134,7 @@
 @scenario()
 def ledgers_swapped(p):
     """The same, one by one, with changes throughout."""
-    p.unquiet.append((p.t() - 500, p.t() + 60_000))
+    p.unsettle(60_000, 500)
     for i, n in enumerate(list(p.w.live("ledger"))):
         p.w.kill(n.name, disk=True)
         p.w.add_node(f"ledger-{i + 4}", "ledger", f"z{i + 1}")
@@ -147,7 +147,7 @@
 def power_cut(p):
     """Everything loses power at once right after an acknowledgement; disks keep what was synced."""
     p.changes(3)
-    p.unquiet.append((p.t() - 1500, p.t() + 20_000))
+    p.unsettle(20_000, 1500)
     p.w.asked(p.rostrum(), "patch", {"patch": {"lines": {"desk": {"bound": 77}}}, "change": "last-word"})
     names = list(p.w.nodes)
     slow = p.rng.choice((1, 80))
@@ -165,7 +165,7 @@
 @scenario()
 def house_moved(p):
     """Everything stops and starts again at new addresses; only the ledgers' disks are the same."""
-    p.unquiet.append((p.t() - 1500, p.t() + 20_000))
+    p.unsettle(20_000, 1500)
     names = list(p.w.nodes)
     for n in names:
         p.w.kill(n, power=True)
@@ -179,7 +179,7 @@
 @scenario()
 def ledger_disk_lost(p):
     """A ledger loses its disk right after saying yes and comes back empty under its name."""
-    p.unquiet.append((p.t() - 500, p.t() + 12_000))
+    p.unsettle(12_000, 500)
     for n in [x.name for x in p.w.live("ledger")][:2]:
         p.w.asked(p.rostrum(), "patch", {"patch": {"lines": {"desk": {"bound": 55}}}, "change": f"x-{n}"})
         p.w.kill(n, disk=True)
@@ -192,7 +192,7 @@
 @scenario()
 def disk_stalled(p):
     lead = p.w.leader().name
-    p.unquiet.append((p.t() - 100, p.t() + 8000))
+    p.unsettle(8000)
     p.w.stall(lead, True)
     p.changes(10, 400)
     p.w.stall(lead, False)
@@ -204,7 +204,7 @@
 def disk_full(p):
     """The leader's disk takes nothing any more, and later does again."""
     lead = p.w.leader().name
-    p.unquiet.append((p.t() - 100, p.t() + 8000))
+    p.unsettle(8000)
     p.w.nodes[lead].disk.full = True
     p.changes(10, 400)
     p.w.nodes[lead].disk.full = False
@@ -219,7 +219,7 @@
 
 @scenario()
 def disks_slow(p):
-    p.unquiet.append((p.t() - 100, p.t() + 60_000))
+    p.unsettle(60_000)
     for n in p.w.live("ledger"):
         n.disk.slow = 60
     p.changes(10, 400)
@@ -246,7 +246,7 @@
 
 @scenario()
 def lossy(p):
-    p.unquiet.append((p.t() - 100, p.t() + 60_000))
+    p.unsettle(60_000)
     p.w.loss, p.w.twice, p.w.slow = 0.1, 0.05, 8
     p.changes(12, 500)
     p.w.loss, p.w.twice, p.w.slow = 0, 0, 1
@@ -257,7 +257,7 @@
 def mayhem(p):
     """Faults at random, one on another, then peace."""
     w = p.w
-    p.unquiet.append((p.t() - 100, p.t() + 90_000))
+    p.unsettle(90_000)
     for _ in range(10):
         f = p.rng.randrange(7)
         live = [n.name for n in w.live() + w.live("ledger")]
--- a/basaltport/settings.py
+++ b/basaltport/settings.py
@@ -9,13 +9,12 @@
 import basaltport.docket.read as read
 
 _ADDR = trafaret.Regexp(re.compile(r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"))
-_NAME = trafaret.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,63}$"))
 
 FORM = trafaret.Dict(
     {
-        trafaret.Key("house"): _NAME,
-        trafaret.Key("name"): _NAME,
-        trafaret.Key("zone"): _NAME,
+        trafaret.Key("house"): check.NAME,
+        trafaret.Key("name"): check.NAME,
+        trafaret.Key("zone"): check.NAME,
         trafaret.Key("addr"): _ADDR,
         trafaret.Key("http"): _ADDR,
         trafaret.Key("seeds"): trafaret.List(_ADDR, min_length=1, max_length=16),
@@ -23,7 +22,7 @@
         trafaret.Key("expected_ledgers", default=3): check.whole(1, 9),
         trafaret.Key("data", optional=True): trafaret.String(),
         trafaret.Key("log", optional=True): trafaret.String(),
-        trafaret.Key("operator_token", optional=True): trafaret.Regexp(re.compile(r"^sha256:[0-9a-f]{64}$")),
+        trafaret.Key("operator_token", optional=True): check.HASH,
         trafaret.Key("body_limit", default=1_000_000): check.whole(100, 100_000_000),
     }
 )
--- a/basaltport/steward/news.py
+++ b/basaltport/steward/news.py
@@ -20,7 +20,7 @@
 
     def tell(self, d):
         """A new owner is silent until its replicas spoke: what it has not heard is no news."""
-        if self.now - d.since < QUIET and any(not p.heard for p in d.reps.values()):
+        if self.unheard(d, QUIET):
             return
         rows = self.rows_of(d)
         if rows == d.shown and self.now - d.news_at < NEWS:
--- a/basaltport/steward/store.py
+++ b/basaltport/steward/store.py
@@ -25,7 +25,7 @@
         sd = self.store_duty()
         if sd is None or self.now - d.ask_at < ASK:
             return
-        if any(not p.heard for p in d.reps.values()) and self.now - d.since < 2 * ASK:
+        if self.unheard(d, 2 * ASK):
             return
         addr = self.addr_of(sd["owner"])
         if addr is None:
--- a/basaltport/steward/zone.py
+++ b/basaltport/steward/zone.py
@@ -110,9 +110,17 @@
             if self.now - p.asked >= POLL:
                 p.asked = self.now
                 self.emit(events.Poll(p.id, f"{p.url}/state?fence={d.fence}"))
-            if p.up and self.now - p.at > DARK:
-                p.up = False
-                self.note(62, replica=p.id)
+            if self.now - p.at > DARK:
+                self.darken(p)
+
+    def darken(self, p):
+        if p.up:
+            p.up = False
+            self.note(62, replica=p.id)
+
+    def unheard(self, d, grace):
+        """Whether a new duty should still wait for the first word of some replica."""
+        return self.now - d.since < grace and any(not p.heard for p in d.reps.values())
 
     def on_polled(self, ev):
         z = self.zone_of(ev.replica)
@@ -122,9 +130,8 @@
             return
         if not ev.ok:
             p.misses += 1
-            if p.up and p.misses >= MISSES:
-                p.up = False
-                self.note(62, replica=p.id)
+            if p.misses >= MISSES:
+                self.darken(p)
             return
         self.take_state(d, p, ev.state)
 
@@ -192,7 +199,7 @@
             return "unavailable", [], -1, 0, "not in the manifest"
         if not wake:
             return "unavailable", [], -1, 0, "not held"
-        if any(not p.heard for p in d.reps.values()) and self.now - d.since < 2 * DARK:
+        if self.unheard(d, 2 * DARK):
             return "loading", [], -1, 0, ""
         why = d.refused.get(item)
         if why:
@@ -216,7 +223,7 @@
         d.placed = self.now
         if d.zone in self.book["drains"]:
             return
-        if self.now - d.since < 2 * DARK and any(not p.heard for p in d.reps.values()):
+        if self.unheard(d, 2 * DARK):
             return
         need = {i: w[1] for i, w in d.wants.items() if self.now - w[0] < WANTED}
         d.wants = {i: w for i, w in d.wants.items() if i in need}
@@ -276,8 +283,6 @@
         """Evict what is idle longest, neither wanted nor in use, where that gives room."""
         best = None
         for p in fit:
-            if any(h["state"] == "leaving" for h in p.held.values()):
-                return
             idle = []
             for i, h in p.held.items():
                 if i in goal or h["state"] != "loaded" or h["running"] or self.wanted_by_adapter(p, i, goal):
@@ -330,7 +335,7 @@
         for p in d.reps.values():
             for h in p.held.values():
                 if h["state"] == "loading":
-                    n[h.get("pool", "")] = n.get(h.get("pool", ""), 0) + 1
+                    n[h["pool"]] = n.get(h["pool"], 0) + 1
             for i in p.ordering:
                 if i not in p.held:
                     pool = p.ordering[i][2]
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -80,3 +80,20 @@
     assert len(runs) == 3
     live.approve("senders", "\n\n".join(f"## {t}\n{x}" for t, x in out) + "\n")
     live.approve("operators", "\n\n".join(f"## {t}\n{x}" for t, x in ops) + "\n")
+
+
+def test_an_operators_token_closes_every_operators_path(tmp_path):
+    paths = [live.get("/v1/self"), live.get("/v1/ops/status"), _ops("drain", zone="z1")]
+    paths += [live.post(p, "{}") for p in ("/v1/prewarm", "/v1/stop", "/v1/override")]
+
+    async def run():
+        async with live.Live(str(tmp_path)) as house:
+            house.r.settings["operator_token"] = stage.hashed("key")
+            shut = [(await house.raw(p)).split(b" ")[1] for p in paths]
+            key = ["Authorization: Bearer key"]
+            opened = await house.raw(live.post("/v1/prewarm", "{}", None, key))
+            return shut, opened.split(b" ")[1], house.r.end.is_set()
+
+    shut, opened, ended = asyncio.run(run())
+    assert shut == [b"401"] * len(paths)
+    assert opened == b"400" and not ended
