The final word comes in the step that decides it, with when to come back

Cause: after a request timeout every query awaited the controller for up to 400 ms, also one that is once-only, was resent already, or has no credit or time left; and many final words had no Retry-After or a constant. Ruled out: skipping the question altogether (the cache learns from it). Now only what may be resent awaits the controller; any other is answered from the facts held.

--- a/basaltport/readiness/routine.py
+++ b/basaltport/readiness/routine.py
@@ -194,7 +194,7 @@
         f = self.fact(item)
         why = f.reason or why
         for q in [q for q in self.lines if q.item == item and not q.ready]:
-            self.refuse(q, 503, "unavailable", f"{item}: {why}", 2000)
+            self.refuse(q, 503, "unavailable", f"{item}: {why}")
 
     def check_deadlines(self, item, f):
         """Fail before sending what cannot outlast the load; time already waited counts for it."""
@@ -227,9 +227,9 @@
         over = self.now - self.lease_end > interp.HOLD
         for q in list(self.lines):
             if over:
-                self.refuse(q, 503, "no-leader", "no leader is heard", 1000)
+                self.refuse(q, 503, "no-leader", "no leader is heard")
             elif self.now >= q.until - self.least(q.item):
-                self.refuse(q, 504, "waited-too-long", f"after {self.now - q.born} ms without a leader", 1000)
+                self.refuse(q, 504, "waited-too-long", f"after {self.now - q.born} ms without a leader")
 
     def expire(self):
         for q in [q for q in self.lines if q.state == query.WAIT]:
@@ -237,7 +237,7 @@
             f = self.fact(q.item)
             if self.now >= q.until - self.least(q.item):
                 code = "waited-too-long" if q.ready else "readiness-timeout"
-                self.refuse(q, 504, code, f"after {self.now - q.born} ms; phase {f.state or 'asking'}", 1000)
+                self.refuse(q, 504, code, f"after {self.now - q.born} ms; phase {f.state or 'asking'}")
                 continue
             if q.ready:
                 if not self.usable(q.item):
@@ -249,7 +249,7 @@
             lim = limits.limit(t, f.expected)
             if self.now - q.waited >= lim:
                 d = f"limit {lim} ms ended, phase {f.state or 'asking'}, waited {self.now - q.waited} ms"
-                self.refuse(q, 504, "readiness-timeout", d, 1000)
+                self.refuse(q, 504, "readiness-timeout", d)
 
     def hear_cellnews(self, src, m):
         super().hear_cellnews(src, m)
@@ -260,13 +260,16 @@
     # after a request timeout
 
     def timed_out(self, q, run):
-        """Forget that it was warm, ask the controller once, without waking."""
+        """Forget that it was warm, ask the controller once, without waking. Only a query that may be
+        resent awaits its word; any other is answered now, from the facts held."""
         f = self.fact(q.item)
         f.served = None
         f.kept = False
+        a = self.ask(q.item, self.zone_of(run.replica), False)
+        if not self.may_resend(q):
+            self.classify((q, run, self.now), f)
+            return
         q.state = query.ASK
-        z = self.zone_of(run.replica)
-        a = self.ask(q.item, z, False)
         self.doubts[a] = (q, run, self.now + CLASSIFY)
 
     def classify(self, doubt, f):
@@ -276,18 +279,22 @@
         cold = False
         if f is not None:
             since = f.serving_since
-            cold = f.state != "loaded" or (since is not None and since > run.sent)
+            cold = f.state not in ("loaded", "") or (since is not None and since > run.sent)
         code = "cold-load-timeout" if cold else "request-timeout"
         self.note(52, query=q.id, item=q.item, phase=code)
         if not self.resend(q, code):
             self.give_up(q, 504, code, f"{q.item} on {run.replica} after {self.now - run.sent} ms")
 
+    def may_resend(self, q):
+        """Once, only where repeats are harmless, only within credit and time."""
+        late = self.now >= q.until - self.least(q.item)
+        return not (q.rule.once_only or q.resent or late) and self.resend_credit(q, spend=False)
+
     def resend(self, q, why):
-        """Once, only where repeats are harmless, only within credit and time, after readiness."""
-        if q.rule.once_only or q.resent or self.now >= q.until:
-            return False
-        if not self.resend_credit(q):
+        """After readiness."""
+        if not self.may_resend(q):
             return False
+        self.resend_credit(q)
         q.resent = True
         self.requeue(q, why)
         return True
--- a/basaltport/rehearsal/checks.py
+++ b/basaltport/rehearsal/checks.py
@@ -5,6 +5,7 @@
 LEAVING = 3000
 EMPTIED = 5000
 WINDOW = 10_000
+OWN = (400, 401, 403, 404, 413, 422)
 UNKNOWN = ("unknown-line", "unknown-token", "unknown-model", "not-in-line")
 
 
@@ -219,9 +220,31 @@
     return out
 
 
+def final_word(trace, about):
+    """What is given up on is answered in the step that decides it, and told when to come back."""
+    once = {r["query"] for r in trace if r["k"] == "query" and r["once"]}
+    fates = collections.Counter()
+    due, out = {}, []
+    for r in trace:
+        for q, f in list(due.items()):
+            if r["t"] > f["t"]:
+                out.append(_find("final-word", f, f"{q} was given up on and not answered at once"))
+                del due[q]
+        if r["k"] == "fate":
+            fates[r["query"]] += 1
+            if r["query"] in once or fates[r["query"]] > 1:
+                due[r["query"]] = r
+        if r["k"] == "end":
+            due.pop(r["query"], None)
+            if r["outcome"] in ("refused", "unknown") and r["status"] not in OWN and not r.get("retry"):
+                out.append(_find("final-word", r, f"{r['query']}: {r['code']} without when to come back"))
+    return out
+
+
 CHECKS = (
     once_only,
     refusal,
+    final_word,
     replies,
     marks,
     manifests,
--- a/basaltport/rehearsal/world.py
+++ b/basaltport/rehearsal/world.py
@@ -210,6 +210,8 @@
         self.step(n, ev)
 
     def step(self, n, ev):
+        if isinstance(ev, events.Replied) and ev.outcome in ("late", "broken") and ev.detail != "abandoned":
+            self.log("fate", node=n.name, query=ev.dispatch.rsplit(".", 1)[0], outcome=ev.outcome)
         for e in n.member.step(ev):
             getattr(self, "do_" + type(e).__name__.lower())(n, e)
 
--- a/basaltport/rostrum/credits.py
+++ b/basaltport/rostrum/credits.py
@@ -35,9 +35,12 @@
         while self.again and self.again[0] <= now - WINDOW:
             self.again.popleft()
 
-    def spend(self, now, percent, allowance):
+    def room(self, now, percent, allowance):
         self.trim(now)
-        if len(self.again) + 1 > allowance + len(self.first) * percent // 100:
+        return len(self.again) < allowance + len(self.first) * percent // 100
+
+    def spend(self, now, percent, allowance):
+        if not self.room(now, percent, allowance):
             return False
         self.again.append(now)
         return True
--- a/basaltport/rostrum/dispatch.py
+++ b/basaltport/rostrum/dispatch.py
@@ -121,14 +121,15 @@
             w = self.resends[pool] = credits.Resends()
         return w
 
-    def resend_credit(self, q):
+    def resend_credit(self, q, spend=True):
         p = self.rules.pools.get(q.rule.pool)
         if p is None:
             return False
         allow = credits.share(p["resend_allowance"], self.seats(), self.me.seat)
         if self.now < self.share_from:
             allow = 0
-        return self.resends_of(q.rule.pool).spend(self.now, p["resend_percent"], allow)
+        w = self.resends_of(q.rule.pool)
+        return (w.spend if spend else w.room)(self.now, p["resend_percent"], allow)
 
     def zone_of(self, r):
         row = self.book["platform"].get(r)
@@ -176,7 +177,7 @@
         if q.tries < MAX_TRIES and self.now < q.until and (free or self.resend_credit(q)):
             self.requeue(q, ev.detail)
             return
-        self.refuse(q, 503, "replica-refused", ev.detail, 500)
+        self.refuse(q, 503, "replica-refused", ev.detail)
 
     def was_broken(self, q, run, ev):
         """The wire broke with the reply outstanding: it may have run."""
@@ -258,11 +259,6 @@
     def ahead(self, q):
         return sum(1 for x in self.lines if x.item == q.item and x.rule.urgency >= q.rule.urgency)
 
-    def guess(self, q):
-        t = self.typical(q.item)
-        n = sum(max(self.slot(r).n, 1) for r in self.usable(q.item)) or 1
-        return max(200, self.ahead(q) * t // n)
-
     def hopeless(self, q):
         t = self.typical(q.item)
         rs = self.usable(q.item)
--- a/basaltport/rostrum/front.py
+++ b/basaltport/rostrum/front.py
@@ -11,6 +11,8 @@
 import basaltport.kinds as kinds
 
 QUERY = "Basaltport-Query"
+FAILED = 1000
+STOPPING = 1000
 
 
 class Sink:
@@ -42,8 +44,11 @@
                 "ran": "yes",
                 "error": "replica-failed",
                 "detail": doc.get("error", ""),
+                "retry_after_ms": FAILED,
             }
         h = {QUERY: self.query, adapter.RAN: "yes"}
+        if not ok:
+            h["Retry-After"] = str(-(-FAILED // 1000))
         self.done.set_result(aiohttp.web.json_response(body, status=200 if ok else 502, headers=h))
 
     async def piece(self, n, piece):
@@ -90,14 +95,18 @@
         self.n += 1
         return kinds.QueryId(f"{self.host.me.seat}-{self.n}")
 
-    def bad(self, qid, status, code, detail):
+    def bad(self, qid, status, code, detail, retry=0):
         b = {"query": qid, "error": code, "detail": detail, "ran": "no"}
-        return aiohttp.web.json_response(b, status=status, headers={QUERY: qid, adapter.RAN: "no"})
+        h = {QUERY: qid, adapter.RAN: "no"}
+        if retry:
+            b["retry_after_ms"] = retry
+            h["Retry-After"] = str(-(-retry // 1000))
+        return aiohttp.web.json_response(b, status=status, headers=h)
 
     async def query(self, request):
         qid = self.next_id()
         if self.host.stopping:
-            return self.bad(qid, 503, "stopping", "this node is stopping; ask another")
+            return self.bad(qid, 503, "stopping", "this node is stopping; ask another", STOPPING)
         try:
             body = await request.json()
         except (ValueError, UnicodeDecodeError):
--- a/basaltport/rostrum/interp.py
+++ b/basaltport/rostrum/interp.py
@@ -15,7 +15,9 @@
 
     def on_arrived(self, ev):
         if not self.leased() and self.now - self.lease_end > HOLD:
-            self.refuse_id(ev.query, 503, "no-leader", "no leader is heard; nothing was run", 1000)
+            self.refuse_id(
+                ev.query, 503, "no-leader", "no leader is heard; nothing was run", self.lease_back()
+            )
             return
         rule = self.rules.lines.get(ev.line)
         if rule is None:
@@ -46,22 +48,22 @@
     def do_deadline(self, q, arg, ev):
         wait = arg if ev.deadline < 0 else min(arg, ev.deadline)
         if wait == 0:
-            return 504, "deadline-too-short", "no time is left"
+            return 504, "deadline-too-short", "no time is left", self.come_back(q)
         q.until = self.now + wait
 
     def do_bound(self, q, arg, ev):
         if self.lines.size(q.line) >= credits.share(arg, self.seats(), self.me.seat):
-            return 429, "line-full", f"line {q.line!r} is full here", self.guess(q)
+            return 429, "line-full", f"line {q.line!r} is full here", self.come_back(q)
 
     def do_credit(self, q, arg, ev):
         p = self.rules.pools[arg]
         used = sum(n.size for k, n in self.lines.by_name.items() if self.pool_of(k) == arg)
         if used >= credits.share(p["waiting"], self.seats(), self.me.seat):
-            return 429, "pool-empty", f"pool {arg!r} has no waiting credit left", self.guess(q)
+            return 429, "pool-empty", f"pool {arg!r} has no waiting credit left", self.come_back(q)
 
     def do_readiness(self, q, arg, ev):
         if self.hopeless(q):
-            return 503, "too-busy", "it could not be answered in time", self.guess(q)
+            return 503, "too-busy", "it could not be answered in time", self.come_back(q)
         return self.ready_or_wait(q)
 
     def do_prewarm(self, q, arg, ev):
@@ -82,30 +84,6 @@
         r = self.rules.lines.get(line)
         return r.pool if r else ""
 
-    def refuse_id(self, qid, status, code, detail="", retry=0):
-        b = {"query": qid, "error": code, "detail": detail, "ran": "no"}
-        if retry:
-            b["retry_after_ms"] = retry
-        self.queries.pop(qid, None)
-        self.tally[code] = self.tally.get(code, 0) + 1
-        self.emit(events.Close(qid, status, b, retry))
-
-    def refuse(self, q, status, code, detail="", retry=0):
-        """A refusal is said only where nothing ran; after a dispatch of unknown fate the word is unknown."""
-        self.lines.drop(q)
-        if q.resent:
-            self.give_up(q, status, code, detail)
-            return
-        self.refuse_id(q.id, status, code, detail, retry)
-
-    def give_up(self, q, status, code, detail=""):
-        """A final word where it may have run."""
-        self.queries.pop(q.id, None)
-        self.tally[code] = self.tally.get(code, 0) + 1
-        self.emit(
-            events.Close(q.id, status, {"query": q.id, "error": code, "detail": detail, "ran": "unknown"})
-        )
-
     def on_gone(self, ev):
         q = self.queries.pop(ev.query, None)
         if q is None:
--- a/basaltport/rostrum/role.py
+++ b/basaltport/rostrum/role.py
@@ -7,6 +7,7 @@
 import basaltport.member as member
 import basaltport.messages as messages
 import basaltport.readiness.routine as routine
+import basaltport.rostrum.comeback as comeback
 import basaltport.rostrum.dispatch as dispatch
 import basaltport.rostrum.interp as interp
 import basaltport.rostrum.lines as lines
@@ -20,6 +21,7 @@
 
 class Rostrum(
     interp.InterpMixin,
+    comeback.ComebackMixin,
     routine.ReadinessMixin,
     dispatch.DispatchMixin,
     zone.StewardMixin,
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -8,6 +8,7 @@
 import basaltport.readiness.routine as routine
 import basaltport.rehearsal.backend as backend
 import basaltport.rehearsal.scenarios as scenarios
+import basaltport.rostrum.comeback as comeback
 import basaltport.rostrum.dispatch as dispatch
 import basaltport.saleroom.cell as cell
 import basaltport.steward.slots as slots
@@ -78,6 +79,15 @@
     return False
 
 
+def _ask_first(self, q, run):
+    """Every timed-out query awaits the controller, also one that can't be resent."""
+    self.doubts[self.ask(q.item, self.zone_of(run.replica), False)] = (q, run, self.now + 400)
+
+
+def _no_time(self, q):
+    return 0
+
+
 def _reply_other(self, n, life, e, st):
     e.body = {**e.body, "prompt": "p1"}
     _reply(self, n, life, e, st)
@@ -90,6 +100,13 @@
 CASES = [
     ("once-only", "replicas-crash", 3, [(routine.ReadinessMixin, "resend", _resend_all)]),
     ("refusal", "replicas-sick", 1, [(dispatch.DispatchMixin, "was_broken", _broken_is_refused)]),
+    ("final-word", "replicas-dark", 1, [(routine.ReadinessMixin, "timed_out", _ask_first)]),
+    (
+        "final-word",
+        "replicas-sick",
+        1,
+        [(comeback, "AGAIN", 0), (comeback.ComebackMixin, "come_back", _no_time)],
+    ),
     ("reply", "calm", 1, [(backend.BackendMixin, "reply", _reply_other)]),
     ("leaving", "replica-leaves", 1, [(cell.CellMixin, "may_use", _use_all)]),
     ("emptied", "zone-emptied", 1, [(cell.CellMixin, "may_use", _use_all)]),
