--- a/basaltport/rehearsal/backend.py
+++ b/basaltport/rehearsal/backend.py
@@ -152,7 +152,7 @@
         self.later(self.hop(), self.admit, n, life, r, r.life, e, st)
 
     def late(self, n, life, e, st):
-        if st["over"] or e.dispatch in self.abandoned:
+        if st["over"] or e.dispatch in self.abandoned or n.life != life:
             return
         st["over"] = True
         self.give(n, life, self.broke_off(e, st, "late"))
@@ -165,7 +165,7 @@
         return events.Replied(self.now, e.dispatch, "cut")
 
     def back(self, n, life, e, st, ev):
-        if st["over"] or e.dispatch in self.abandoned:
+        if st["over"] or e.dispatch in self.abandoned or n.life != life:
             return
         st["over"] = True
         if ev.outcome == "broken":
--- a/basaltport/rehearsal/scenes.py
+++ b/basaltport/rehearsal/scenes.py
@@ -53,10 +53,12 @@
     p.crowd.factor = {p.chief: 3}
     p.w.run(1000)
     for _ in range(3):
-        r = p.rng.choice(sorted(p.w.replicas))
-        p.w.crash_replica(r)
+        rs = p.rng.sample(sorted(p.w.replicas), 3)
+        for r in rs:
+            p.w.crash_replica(r)
         p.w.run(500)
-        p.w.start_replica(r)
+        for r in rs:
+            p.w.start_replica(r)
         name = p.rostrum()
         p.w.kill(name)
         p.w.run(1000)
--- a/basaltport/saleroom/cell.py
+++ b/basaltport/saleroom/cell.py
@@ -31,7 +31,7 @@
             rows = {k: v for k, v in rows.items() if k not in m.gone}
         bits = ranges.differ(ranges.digests(rows), m.digests)
         whole = c["whole"] or not bits.any()
-        v = max(m.version, c["version"])
+        v = max(m.version, c["version"]) if c["fence"] == m.fence else m.version
         self.cells[m.zone] = {"fence": m.fence, "version": v, "rows": rows, "whole": whole}
         addr = self.addr_of(m.seat)
         if bits.any() and addr:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -4,8 +4,11 @@
 import hypothesis.strategies as st
 
 import basaltport.bellman.ring as ring
+import basaltport.events as events
+import basaltport.messages as messages
 import basaltport.rehearsal.stage as stage
 import basaltport.tally.ranges as ranges
+import tests.node as node
 
 ROWS = st.dictionaries(st.text("abcdef|", min_size=1, max_size=5), st.integers(0, 3), max_size=30)
 
@@ -30,6 +33,18 @@
     return {z: c["rows"] for z, c in n.member.cells.items()}
 
 
+def test_a_new_steward_s_first_news_is_newer_than_all_of_the_old_one_s():
+    n = node.Node()
+    n.news_n = 40
+    n.holds("x1", "m")
+    rows = {"x1": {"up": True, "room": 50}, "x1|n": "loaded"}
+    for v in (1, 2):
+        rows["x1|m"] = f"loaded{v}"
+        m = messages.CellNews(node.Z, 6, "st-s", v, dict(rows), [], ranges.digests(rows), "")
+        n.step(events.Heard(n.now, "b:1", m))
+    assert n.r.cells["z1"]["version"] == 2 and n.r.cells["z1"]["rows"]["x1|m"] == "loaded2"
+
+
 def test_a_member_that_missed_news_has_its_copy_mended():
     w = stage.ready("mid", 3)
     w.run(4000)
