--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+import basaltport.clerk.desk as desk
 import basaltport.consign.pieces as pieces
 import basaltport.events as events
 import basaltport.ledger.elect as elect
@@ -79,6 +80,14 @@
         self.settle()
 
 
+def _all_live(self, s):
+    return self.quiet(s) < lead.DROP
+
+
+def _no_compare(self, t, body, manifest, op):
+    return op
+
+
 def _never(self, s):
     return False
 
@@ -138,6 +147,8 @@
     ("in-force", "core-split", 1, [(seat.SeatMixin, "leased", _leased)]),
     ("in-force", "storm", 1, [(LEAD, "settle", _hasty)]),
     ("in-force", "power-cut", 5, [(LEAD, "echo_for", _eager_lease)]),
+    ("in-force", "ledgers-dying", 1, [(LEAD, "heard_of", _all_live)]),
+    ("lost-update", "storm", 1, [(desk.DeskMixin, "manifest_op", _no_compare)]),
     ("acknowledged", "core-split", 1, [(LEAD, "count", _alone), (LEAD, "behind", _never)]),
     (
         "resend",
