--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -147,7 +147,7 @@
     ("in-force", "core-split", 1, [(seat.SeatMixin, "leased", _leased)]),
     ("in-force", "storm", 1, [(LEAD, "settle", _hasty)]),
     ("in-force", "power-cut", 5, [(LEAD, "echo_for", _eager_lease)]),
-    ("in-force", "ledgers-dying", 1, [(LEAD, "heard_of", _all_live)]),
+    ("in-force", "ledgers-dying", 1, [(LEAD, "heard_of", _all_live), (lead, "STUCK", 10**9)]),
     ("lost-update", "storm", 1, [(desk.DeskMixin, "manifest_op", _no_compare)]),
     ("acknowledged", "core-split", 1, [(LEAD, "count", _alone), (LEAD, "behind", _never)]),
     (
