Wires keep order, hold bytes through cuts and deliver late; real wires bound undelivered bytes

Cause: the simulator dropped every frame of a cut; TCP holds them and delivers afterwards, stale. Real wires had no bound on undelivered bytes: a replica machine gone dark was noticed only at the dispatch's timeout (up to 30 s), and a healed cut only when TCP's own back-off had run out.

--- a/basaltport/consign/adapter.py
+++ b/basaltport/consign/adapter.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 import basaltport.consign.pieces as pieces
+import basaltport.sockets as sockets
 
 DISPATCH = "Basaltport-Dispatch"
 SERIAL = "Basaltport-Serial"
@@ -53,7 +54,7 @@
         self.session = None
 
     async def start(self):
-        self.wires = Guarded(self.guard, limit=0, keepalive_timeout=10)
+        self.wires = Guarded(self.guard, limit=0, keepalive_timeout=10, socket_factory=sockets.factory)
         self.session = once_session(connector=self.wires, auto_decompress=False)
 
     async def stop(self):
--- a/basaltport/rehearsal/checks.py
+++ b/basaltport/rehearsal/checks.py
@@ -175,6 +175,8 @@
     for lo, hi, share in about.get("served", []):
         mine = [r for r in trace if r["k"] == "query" and lo <= r["t"] < hi]
         mine = [r for r in mine if not (about.get("blank") and r.get("key"))]
+        cut = {q for q, e in ended.items() if e["outcome"] == "cut" and e["t"] > hi}
+        mine = [r for r in mine if r["query"] not in cut]
         good = [r for r in mine if ended.get(r["query"], {}).get("outcome") in ("done", "gone")]
         if not mine or len(good) < share * len(mine):
             text = f"{len(good)} of {len(mine)} sent from {lo} to {hi} ms were answered"
--- a/basaltport/rehearsal/scenarios.py
+++ b/basaltport/rehearsal/scenarios.py
@@ -111,6 +111,37 @@
     p.back_after(8000)
 
 
+@scenario()
+def cuts_held(p):
+    """Wires hold all bytes through cuts, between members and to replicas, and deliver them afterwards."""
+    w = p.w
+    w.hold = 60_000
+    for ms in (300, 900, 1600, 2500, 4000, 8000):
+        lead = w.leader()
+        a = lead.name if lead and p.rng.random() < 0.5 else p.rostrum()
+        b = p.rng.choice([n for n in w.nodes if n != a])
+        w.cut(a, b, both=p.rng.random() < 0.5)
+        for r in p.rng.sample(sorted(w.replicas), 2):
+            w.cut(p.rostrum(), r)
+        p.changes(max(1, ms // 400), 400)
+        w.heal()
+        p.changes(2, 300)
+    p.back_after(6000)
+
+
+@scenario()
+def splits_held(p):
+    """The core is split for long, and all that was said meanwhile is delivered at its end."""
+    w = p.w
+    w.hold = 60_000
+    for ms in (2000, 6000, 12_000):
+        w.split([w.leader().name, p.rostrum()] if w.leader() else p.rng.sample(sorted(w.nodes), 2))
+        p.changes(ms // 400, 400)
+        w.heal()
+        p.changes(5, 400)
+    p.back_after(8000)
+
+
 @scenario()
 def ledgers_replaced(p):
     """All ledgers are lost with their disks; empty ones come up at new addresses."""
--- a/basaltport/rehearsal/world.py
+++ b/basaltport/rehearsal/world.py
@@ -51,6 +51,9 @@
         self.nodes = {}
         self.by_addr = {}
         self.cuts = set()
+        self.hold = None
+        self.held = []
+        self.last_at = {}
         self.trace = []
         self.calls = {}
         self.verbs = {}
@@ -248,8 +251,13 @@
         self.loss, self.twice, self.slow = loss, twice, slow
 
     def heal(self):
+        """What wires held through the cut comes now, in its order, as far as they hold that long."""
         self.log("heal")
         self.cuts = set()
+        held, self.held = self.held, []
+        for at, f, a in held:
+            if self.now - at <= self.hold:
+                self.later(1, f, *a)
 
     def do_send(self, n, e):
         to = self.by_addr.get(e.addr)
@@ -259,10 +267,21 @@
         raw = frames.pack(e.msg) if self.packed else e.msg
         times = 2 if self.rng.random() < self.twice else 1
         for _ in range(times):
+            if (n.name, to.name) in self.cuts and self.hold is not None:
+                self.held.append((self.now, self.arrive, (n.name, to, raw)))
+                continue
             if (n.name, to.name) in self.cuts or self.rng.random() < self.loss:
                 continue
-            d = self.rng.randrange(1, 4) * self.slow if to is not n else 0
-            self.later(d, self.arrive, n.name, to, raw)
+            self.at(self.wire(n, to), self.arrive, n.name, to, raw)
+
+    def wire(self, n, to):
+        """When a frame arrives: wires keep order, save where frames are lost and doubled."""
+        at = self.now + (self.rng.randrange(1, 4) * self.slow if to is not n else 0)
+        if self.loss:
+            return at
+        k = (n.name, to.name, n.life, to.life)
+        at = self.last_at[k] = max(at, self.last_at.get(k, 0))
+        return at
 
     def arrive(self, src, to, raw):
         if (src, to.name) in self.cuts or to.member is None:
--- a/basaltport/wires.py
+++ b/basaltport/wires.py
@@ -4,9 +4,13 @@
 import collections
 
 import basaltport.frames as frames
+import basaltport.sockets as sockets
 
 BOUND = 2000
 RETRY = 0.2
+SILENT = 15
+BODY = 5
+RATE = 1 << 20
 
 
 class Wires:
@@ -42,6 +46,7 @@
             await ev.wait()
             try:
                 _, w = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+                sockets.bound(w.get_extra_info("socket"))
             except (OSError, TimeoutError):
                 q.clear()
                 ev.clear()
@@ -67,17 +72,22 @@
         self.open.add(t)
         peer = w.get_extra_info("peername")
         try:
+            sockets.bound(w.get_extra_info("socket"))
             while True:
-                h = frames.header(await r.readexactly(frames.HEADER_SIZE))
+                async with asyncio.timeout(SILENT):
+                    raw = await r.readexactly(frames.HEADER_SIZE)
+                h = frames.header(raw)
                 if h.is_err():
                     self.refused(str(peer), h.err_value)
                     return
-                m = frames.body(h.ok_value, await r.readexactly(h.ok_value.length))
+                async with asyncio.timeout(BODY + h.ok_value.length / RATE):
+                    raw = await r.readexactly(h.ok_value.length)
+                m = frames.body(h.ok_value, raw)
                 if m.is_err():
                     self.refused(str(peer), m.err_value)
                     return
                 self.heard("", m.ok_value)
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, OSError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
             self.open.discard(t)
