Five keepers for a range of keys, and the rule that makes losing two of them harmless

Ruled out: a shorter keep_ms (senders' repeats come later than that). Now five keepers; those that stay join anew where most of the new are fewer than most of the old.

--- a/basaltport/ledger/book.py
+++ b/basaltport/ledger/book.py
@@ -9,7 +9,7 @@
 import basaltport.tally.ranges as ranges
 
 KEEP = 200
-COPIES = 3
+COPIES = 5
 
 
 def new():
@@ -98,9 +98,14 @@
     _keepers(b, s)
 
 
+def fewer(new, old):
+    """Whether most of the new are fewer than most of the old were."""
+    return len(new) // 2 < len(old) // 2
+
+
 def _keepers(b, s):
-    """Three rostrums keep each range of keys; each has with it the entry it joined by, and who kept it
-    before. Where so many are lost at once that a claim may be known to none that stay, all join anew."""
+    """Five rostrums keep each range of keys; each has with it the entry it joined by, and who kept it
+    before. Where fewer of them would be most than before, those that stay join anew as well."""
     names = {r["name"]: x for x, r in b["roster"].items() if r["role"] == "rostrum"}
     old, out = b.get("keepers", {}), {}
     for i in map(str, range(ranges.RANGES)):
@@ -111,7 +116,7 @@
             out[i] = was
             continue
         prior = {x: v[0] for x, v in seats.items()}
-        anew = 2 * len(seats.keys() - top) >= len(seats)
+        anew = fewer(top, seats)
         out[i] = {"at": s, "seats": {x: not anew and seats.get(x) or [s, prior] for x in sorted(top)}}
     b["keepers"] = out
 
