--- a/basaltport/ledger/seat.py
+++ b/basaltport/ledger/seat.py
@@ -9,6 +9,7 @@
 STICKY = 500
 HELLO = 300
 SETTLED_HELLO = 1000
+REPLAYED = 25
 NONE = kinds.Generation()
 
 
@@ -22,6 +23,8 @@
         self.promised_at = -(10**9)
         self.stopped = False
         self.outdated = set()
+        self.replayed = set()
+        self.beat_n = 0
         self.leader = None
         self.heard_at = -(10**9)
         self.ack_k = 0
@@ -159,6 +162,11 @@
             self.write([{"promise": list(m.gen)}])
         if self.leader is None or self.leader.gen != m.gen:
             self.note(10, leader=m.name, generation=m.gen.text())
+            self.beat_n = 0
+        if m.n + REPLAYED <= self.beat_n and m.gen not in self.replayed:
+            self.replayed = {m.gen}
+            self.note(35, leader=m.name, generation=m.gen.text(), n=m.n, newest=self.beat_n)
+        self.beat_n = max(self.beat_n, m.n)
         self.leader = m
         self.heard_at = self.now
         need = False
--- a/basaltport/logs.py
+++ b/basaltport/logs.py
@@ -30,6 +30,7 @@
         "old-generation",
         "A leader of a generation that was given up still beats; it is told to step down.",
     ),
+    35: ("frame-replayed", "A beat long past came again; it lengthens no lease and changes nothing."),
     40: ("change-refused", "A change was refused; it is never in force."),
     41: ("change-acknowledged", "A change is agreed, kept and in force at every leased node."),
     42: ("manifest-in-force", "This node now works by the manifest of the serial given."),
--- a/basaltport/rehearsal/acts.py
+++ b/basaltport/rehearsal/acts.py
@@ -31,6 +31,7 @@
         self.crowd = stage.crowd(self.w, self.preset, seed)
         self.served = []
         self.blank = False
+        self.faults = []
         self.extra = []
         rates = {k: d["rate"] for k, d in self.crowd.demand["lines"].items()}
         once = [k for k in sorted(rates) if self.w.manifest["lines"][k]["once_only"]]
@@ -57,6 +58,7 @@
 
     def back_after(self, ms=12_000, span=3000, share=0.95):
         """Service must be back this long after now."""
+        self.faults.append((self.t(), self.t() + ms + span))
         lo = self.t() + ms
         self.w.run(ms + span)
         self.served.append((lo, lo + span, share))
@@ -75,6 +77,10 @@
     def rostrum(self):
         return self.rng.choice(self.w.live()).name
 
+    def recoveries(self):
+        """For each last fault, how long it took until every half second was answered at 95 %."""
+        return [checks.recovery(self.w.trace, lo, hi, self.blank) for lo, hi in self.faults]
+
     def findings(self):
         w = self.w
         pools = w.manifest["pools"].values()
--- a/basaltport/rehearsal/checks.py
+++ b/basaltport/rehearsal/checks.py
@@ -170,6 +170,22 @@
     return out
 
 
+HALF = 500
+
+
+def recovery(trace, lo, hi, blank=False, share=0.95):
+    """From a fault to the end of the last half second in which less than the share was answered."""
+    ended = {r["query"]: r for r in trace if r["k"] == "end"}
+    by = collections.defaultdict(lambda: [0, 0])
+    for r in trace:
+        if r["k"] == "query" and lo <= r["t"] < hi and not (blank and r.get("key")):
+            row = by[(r["t"] - lo) // HALF]
+            row[0] += 1
+            row[1] += ended.get(r["query"], {}).get("outcome") in ("done", "gone")
+    low = [k for k, (n, ok) in by.items() if ok < share * n]
+    return (max(low) + 1) * HALF if low else 0
+
+
 def back(trace, about):
     """Service is back: of what was sent in each stated span, the stated share was answered."""
     out = []
--- a/basaltport/rehearsal/notice.py
+++ b/basaltport/rehearsal/notice.py
@@ -117,4 +117,38 @@
     p.back_after(8000)
 
 
+@scenario()
+def each_role_frozen(p):
+    """Leader, other ledger, each duty's owner and a plain rostrum: frozen longer than every lease, woken."""
+    w = p.w
+
+    def owners(lead):
+        b = lead.member.book
+        return [
+            b["roster"][d["owner"]]["name"]
+            for _, d in sorted(b["duties"].items())
+            if d["owner"] in b["roster"]
+        ]
+
+    roles = [
+        lambda lead: lead.name,
+        lambda lead: next(n.name for n in w.live("ledger") if n is not lead),
+        *[lambda lead, i=i: (owners(lead) + [p.rostrum()] * 4)[i] for i in range(4)],
+        lambda lead: next((n.name for n in w.live() if n.name not in owners(lead)), p.rostrum()),
+    ]
+    for role in roles:
+        w.run_until(lambda: w.leader() is not None, 6000)
+        name = role(w.leader())
+        w.freeze(name)
+        r = p.rng.choice(sorted(w.replicas))
+        w.ask(p.rostrum(), "leaving", {"replica": r, "change": f"leave-{p.t()}"})
+        p.changes(8, 400)
+        w.wake(name)
+        rest = {k: v for k, v in w.platform_list().items() if k != r}
+        w.must("platform", {"replicas": rest})
+        w.must("platform", {"replicas": w.platform_list()})
+        p.changes(4, 400)
+    p.back_after(8000)
+
+
 NAMES = tuple(acts.SCENARIOS)
--- a/basaltport/rehearsal/play.py
+++ b/basaltport/rehearsal/play.py
@@ -53,7 +53,10 @@
             p = scenarios.Play(name, seed, fv.preset, packed=fv.packed).play()
             fs = p.findings()
             word = "ok" if not fs else f"BROKEN {len(fs)}"
-            print(f"{name:<18} seed {seed:<5} {p.preset:<7} {word:<10} {counts(p.w)}", flush=True)
+            ms = ",".join(map(str, p.recoveries()))
+            print(
+                f"{name:<22} seed {seed:<5} {p.preset:<7} {word:<10} back {ms:<12} {counts(p.w)}", flush=True
+            )
             if fv.trace:
                 save(fv.trace, p, fs)
             if fs:
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -1,5 +1,7 @@
 """Whole houses on virtual time: founding, crowds, and what must never happen while they last."""
 
+import basaltport.events as events
+import basaltport.messages as messages
 import basaltport.rehearsal.stage as stage
 
 
@@ -66,6 +68,22 @@
     assert "there is a leader" in w.leader().member.override(gone)
 
 
+def test_a_beat_long_past_that_comes_again_is_told_of_and_lengthens_no_lease():
+    w = stage.ready("thin", 4)
+    n = w.live()[0]
+    old = []
+    send = w.do_send
+    w.do_send = lambda x, e: old.append(e) if isinstance(e.msg, messages.Beat) and not old else send(x, e)
+    w.run(300)
+    w.do_send = send
+    w.run(8000)
+    w.cut(w.leader().name, n.name)
+    end = n.member.lease_end
+    w.step(n, events.Heard(w.now, "", old[0].msg))
+    assert n.member.lease_end == end and n.member.book["serial"] == w.leader().member.book["serial"]
+    assert [r["number"] for r in w.trace if r["k"] == "note" and r["number"] == 35] == [35]
+
+
 def test_a_new_steward_takes_over_without_loading_anything_again():
     w = stage.ready("mid", 9)
     c = stage.crowd(w, "mid", 1)
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import aiohttp
 import pytest
@@ -9,6 +10,11 @@
 import basaltport.consign.adapter as adapter
 import basaltport.events as events
 import basaltport.frames as frames
+import basaltport.wires as wires
+import basaltport.sockets as sockets
+import basaltport.rehearsal.fleet as fleet
+import basaltport.messages as messages
+import basaltport.kinds as kinds
 import basaltport.logs as logs
 import tests.live as live
 
@@ -196,6 +202,141 @@
     assert using == 0 and left == 0 and tally["sender-gone"] == 1
 
 
+class Relay:
+    """A stand-in for the network between two members: forwards, holds all bytes, cuts in the middle."""
+
+    def __init__(self, port):
+        self.port = port
+        self.flow = asyncio.Event()
+        self.flow.set()
+        self.left = None
+        self.tasks = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.join, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def join(self, r, w):
+        r2, w2 = await asyncio.open_connection("127.0.0.1", self.port)
+        for a, b in ((r, w2), (r2, w)):
+            t = asyncio.create_task(self.pipe(a, b))
+            self.tasks.add(t)
+            t.add_done_callback(self.tasks.discard)
+
+    async def pipe(self, r, w):
+        try:
+            while b := await r.read(4096):
+                await self.flow.wait()
+                if self.left is not None:
+                    w.write(b[: self.left])
+                    break
+                w.write(b)
+        except OSError:
+            pass
+        w.close()
+
+    def stop(self):
+        self.server.close()
+        for t in list(self.tasks):
+            t.cancel()
+
+
+def _hello(n):
+    row = ["h", f"m{n}", f"m{n}-s", "rostrum", "z", "127.0.0.1:1", "127.0.0.1:2"]
+    return messages.Hello(*row, kinds.Generation(), [])
+
+
+def _relayed(play):
+    """What a member's wires hear through a relay."""
+
+    async def run():
+        heard, refused, step = [], [], asyncio.Event()
+
+        def hear(src, m):
+            heard.append(m.name)
+            step.set()
+
+        async def until(n):
+            async with asyncio.timeout(30):
+                while len(heard) < n:
+                    step.clear()
+                    await step.wait()
+
+        (port,) = fleet.ports(1)
+        b = wires.Wires(f"127.0.0.1:{port}", hear, lambda p, why: refused.append(why))
+        await b.start()
+        relay = Relay(port)
+        via = f"127.0.0.1:{await relay.start()}"
+        a = wires.Wires("127.0.0.1:1", None, None)
+        await play(a, b, via, relay, until, heard)
+        for t in a.tasks.values():
+            t.cancel()
+        relay.stop()
+        await b.stop()
+        return heard, refused
+
+    return asyncio.run(run())
+
+
+def test_bytes_held_through_a_cut_come_in_order_and_the_wire_goes_on():
+    async def play(a, b, via, relay, until, heard):
+        a.send(via, _hello(0))
+        await until(1)
+        relay.flow.clear()
+        for n in range(1, 50):
+            a.send(via, _hello(n))
+        await asyncio.sleep(0)
+        relay.flow.set()
+        await until(50)
+
+    heard, refused = _relayed(play)
+    assert heard == [f"m{n}" for n in range(50)] and refused == []
+
+
+def test_a_wire_cut_in_the_middle_of_a_frame_gives_nothing_and_is_opened_again():
+    async def play(a, b, via, relay, until, heard):
+        a.send(via, _hello(0))
+        await until(1)
+        relay.left = 20
+        a.send(via, _hello(1))
+        async with asyncio.timeout(30):
+            while relay.tasks:
+                await asyncio.sleep(0)
+        relay.left = None
+        n = 2
+        async with asyncio.timeout(30):
+            while len(heard) < 2:
+                a.send(via, _hello(n))
+                n += 1
+                await asyncio.sleep(0)
+
+    heard, refused = _relayed(play)
+    assert "m1" not in heard and heard[0] == "m0" and len(heard) > 1 and refused == []
+
+
+def test_every_wire_is_bounded_against_dead_peers():
+    async def run():
+        got = []
+
+        async def accept(r, w):
+            got.append(w.get_extra_info("socket"))
+            await r.read()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        s = sockets.factory((socket.AF_INET, socket.SOCK_STREAM, 0, "", None))
+        await asyncio.get_running_loop().sock_connect(s, ("127.0.0.1", port))
+        out = (
+            s.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            s.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+        )
+        s.close()
+        server.close()
+        return out
+
+    assert asyncio.run(run()) == (sockets.UNDELIVERED, 1)
+
+
 def test_what_a_gone_sender_asked_with_a_key_runs_on_and_is_kept_for_its_repeat(tmp_path):
     async def run():
         async with live.Live(str(tmp_path)) as h:
