--- a/basaltport/bellman/duties.py
+++ b/basaltport/bellman/duties.py
@@ -7,6 +7,7 @@
 
 GONE = 1500
 UNHEARD = 4000
+SWAPPED = 400
 VOICES = 2
 STORE = "store"
 
@@ -34,7 +35,9 @@
     """Needs LeadMixin: hands keys out and, once an owner's lease has surely lapsed, on."""
 
     def keep_duties(self):
-        if not self.settled() or self.pending("duty") or self.now < self.since + seat.LEASE:
+        if not self.settled() or self.pending("duty"):
+            return
+        if self.now < self.since + (SWAPPED if self.fresh else seat.LEASE):
             return
         t = self.tip_book
         if t["manifest"] is None:
@@ -54,7 +57,11 @@
             owners[k] = pick(k, live)
         if owners:
             self.note(18, owners=owners)
-            self.append({"op": "duty", "owners": owners})
+            op = {"op": "duty", "owners": owners}
+            self.append(
+                {**op, "fresh": True} if self.fresh and set(owners) == set(keys(t["manifest"])) else op
+            )
+            self.fresh = False
 
     def lost(self, s):
         """Never before its lease lapsed; soon where watchers miss it too, later on the leader alone."""
--- a/basaltport/ledger/book.py
+++ b/basaltport/ledger/book.py
@@ -166,11 +166,16 @@
     b["leaving"] = {k: v for k, v in b["leaving"].items() if k in op["replicas"]}
 
 
+def _owned(k, owner, s, fresh, old):
+    return {"owner": owner, "fence": s, "first": fresh or k not in old, "new": k not in old}
+
+
 def _duty(b, op, s):
-    old = b["duties"]
+    """Fresh: every rostrum is another than those of the owners before, so nothing of theirs is out."""
+    old, fresh = b["duties"], op.get("fresh", False)
     b["duties"] = {
         **old,
-        **{k: {"owner": o, "fence": s, "first": k not in old} for k, o in op["owners"].items()},
+        **{k: _owned(k, o, s, fresh, old) for k, o in op["owners"].items()},
     }
 
 
--- a/basaltport/ledger/elect.py
+++ b/basaltport/ledger/elect.py
@@ -38,6 +38,10 @@
             self.camp_since = None
             self.camp_at = self.now + self.patience() + self.jitter()
             return
+        if self.camp and self.promised == self.camp["gen"] and len(self.camp["got"]) > 1:
+            self.weigh()
+            if self.leading:
+                return
         if (
             self.now < self.camp_at
             or self.now - self.promised_at < ROUND + self.jitter()
--- a/basaltport/ledger/lead.py
+++ b/basaltport/ledger/lead.py
@@ -50,8 +50,11 @@
         self.reads = []
         self.tip_book = self.tip()
         old = [s for s, r in self.tip_book["roster"].items() if r["role"] == "rostrum"]
+        gone = {s for s, _ in swap}
+        self.fresh = bool(old) and gone >= set(old)
         for s in old:
-            self.lapse[s] = self.now + seat.LEASE + feed.MARGIN
+            if s not in gone:
+                self.lapse[s] = self.now + seat.LEASE + feed.MARGIN
         for s in got:
             self.acks[s] = self.now
         if found:
--- a/basaltport/rehearsal/drill.py
+++ b/basaltport/rehearsal/drill.py
@@ -156,6 +156,44 @@
             self.note(f"{what}: serial {got['serial']} after {time.monotonic() - t:.2f} s")
         self.note(f"{len(json.dumps(m)) / 1e6:.1f} MB")
 
+    async def frozen_for(self, name, seconds=5):
+        self.note(f"freeze {name}")
+        self.f.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.note("wake")
+        self.f.signal(name, signal.SIGCONT)
+
+    async def roles_frozen(self):
+        """The leader, another ledger, and each duty's owner, in turn."""
+        got = await self.http("GET", self.f.nodes[0], "/v1/ops/status")
+        lead = got[1]["leader"]
+        other = next(n for n in self.f.settings if n.startswith("ledger") and n != lead)
+        for name in [lead, other, *sorted(set(got[1]["duties"].values()))]:
+            await self.frozen_for(name, 3)
+            await asyncio.sleep(3)
+
+    async def power_loss(self):
+        """Every member at once, by SIGKILL; ledgers' folders stay."""
+        for name in self.f.settings:
+            self.f.signal(name, signal.SIGKILL)
+        self.note("all members killed")
+        for name in self.f.settings:
+            self.f.procs[name].wait()
+            self.f.start_member(name)
+        t = time.monotonic()
+        await self.live("rostrum-1")
+        self.note(f"rostrum-1 live after {time.monotonic() - t:.2f} s")
+
+    async def ledgers_replaced(self):
+        """All ledgers with their folders; empty ones come under new names at new addresses."""
+        old = [n for n in self.f.settings if n.startswith("ledger")]
+        for name in old:
+            self.kill(name)
+        self.f.replace_ledgers(old)
+        t = time.monotonic()
+        got = await self.must("patch", {"patch": {"pools": {}}})
+        self.note(f"a change after {time.monotonic() - t:.2f} s: serial {got['serial']}")
+
     async def calm(self):
         pass
 
@@ -204,6 +242,9 @@
     "replica_leaves",
     "zone_emptied",
     "large_manifest",
+    "roles_frozen",
+    "power_loss",
+    "ledgers_replaced",
 )
 
 
--- a/basaltport/rehearsal/fleet.py
+++ b/basaltport/rehearsal/fleet.py
@@ -92,6 +92,20 @@
     def start_member(self, name):
         self.spawn(name, self.settings[name][0], f"--settings={self.path(name + '.json')}")
 
+    def replace_ledgers(self, old):
+        """Other ledgers, with names, ports and folders of their own; the dead ones are forgotten."""
+        ps = iter(ports(2 * len(old)))
+        for n, name in enumerate(old):
+            role, was = self.settings.pop(name)
+            new = f"ledger-{len(old) + n + 1}"
+            s = {**was, "name": new, "addr": f"{IP}:{next(ps)}", "http": f"{IP}:{next(ps)}"}
+            s.update(log=self.path(f"{new}.log"), data=self.path(f"{new}.data"))
+            self.settings[new] = (role, s)
+            self.dump(f"{new}.json", s)
+            self.start_member(new)
+        self.all_nodes = [s["http"] for _, s in self.settings.values()]
+        self.note_ids()
+
     def note_ids(self):
         self.dump("ids.json", {k: p.pid for k, p in self.procs.items()})
 
--- a/basaltport/rehearsal/scenes.py
+++ b/basaltport/rehearsal/scenes.py
@@ -113,6 +113,28 @@
 @scenario("furrow", opens=0)
 def cold_storm(p):
     """Every model and adapter of the house is asked for in one breath, at every rostrum."""
+    breath(p)
+    p.back_after(6000, share=0.9)
+
+
+@scenario("furrow", opens=0)
+def power_cut_loading(p):
+    """The same, and all members lose power while the replicas load on."""
+    w = p.w
+    p.blank = True
+    for _ in range(2):
+        breath(p)
+        w.run(p.rng.randrange(200, 1500))
+        for n in list(w.nodes):
+            w.kill(n, power=True)
+        w.run(500)
+        for n in list(w.nodes):
+            w.later(p.rng.randrange(0, 1500), w.boot, n)
+        w.run(3000)
+    p.back_after(share=0.9)
+
+
+def breath(p):
     w = p.w
     for line, d in sorted(p.crowd.demand["lines"].items()):
         once = w.manifest["lines"][line]["once_only"]
@@ -121,7 +143,6 @@
             for n in w.live():
                 s = sorted(d["senders"])[0]
                 w.send_query(line, model, adapter, stage.hashed(d["senders"][s]), once, node=n.name)
-    p.back_after(6000, share=0.9)
 
 
 NAMES = tuple(acts.SCENARIOS)
--- a/basaltport/steward/store.py
+++ b/basaltport/steward/store.py
@@ -39,7 +39,8 @@
         d.budget = {}
         held = self.in_flight(d)
         dark = sum(zone.LOADS for p in d.reps.values() if not p.heard) if self.may_load_on(d) else 0
-        if dark and not self.book["duties"][duties.zone_key(d.zone)]["first"]:
+        row = self.book["duties"][duties.zone_key(d.zone)]
+        if dark and not row.get("new", row["first"]):
             held["?"] = dark
         m = messages.PermitAsk(self.me.seat, d.zone, d.fence, d.ask_k, held, want)
         self.send(addr, m)
