An operator's ask outlives the leader that it was sent to

Ruled out: asking all ledgers at once (doubles the work of every ask). Now reads, and changes with an id, are asked again of the next leader, once; the id keeps a change from being carried out twice.

--- a/basaltport/clerk/desk.py
+++ b/basaltport/clerk/desk.py
@@ -44,7 +44,7 @@
                 return
             ev.body["checked"] = True
         self.hint(ev.verb, ev.body)
-        self.calls[ev.call] = (self.now, ev.verb, ev.body.get("change"))
+        self.calls[ev.call] = [self.now, ev.verb, ev.body, self.leader.gen]
         self.send(self.leader.addr, messages.Forward(ev.call, self.me.addr, ev.verb, ev.body))
 
     def hint(self, verb, body):
@@ -68,8 +68,11 @@
         self.serve(m.addr, m.call, m.verb, m.body)
 
     def tick_desk(self):
-        for c, (at, verb, change) in list(self.calls.items()):
+        for c, (at, verb, body, gen) in list(self.calls.items()):
+            change = body.get("change")
             if self.now - at < WAIT:
+                if gen != self.heard_gen() and (change or verb in READS):
+                    self.ask_again(c)
                 continue
             del self.calls[c]
             if verb in READS:
@@ -81,6 +84,20 @@
         self.note(40, change=change, findings=len(findings))
         self.respond(src, call, status, {"outcome": "refused", "change": change, "findings": findings})
 
+    def heard_gen(self):
+        return self.leader.gen if self.leader else None
+
+    def ask_again(self, c):
+        """A new leader is asked what the old one left open; a change's id keeps it from being done twice."""
+        if getattr(self, "leading", False):
+            _, verb, body, _ = self.calls.pop(c)
+            self.serve(None, c, verb, body)
+            return
+        if self.leader is None:
+            return
+        self.calls[c][3] = self.leader.gen
+        self.send(self.leader.addr, messages.Forward(c, self.me.addr, *self.calls[c][1:3]))
+
     def respond(self, src, call, status, body):
         if src is None:
             self.emit(events.Answer(call, status, body))
