--- a/basaltport/clerk/desk.py
+++ b/basaltport/clerk/desk.py
@@ -9,6 +9,7 @@
 CHANGES = ("apply", "patch", "drain", "undrain", "leaving", "platform")
 READS = ("show", "history", "status", "members", "replicas", "placement", "change")
 WAIT = 6000
+AGAIN = 200
 
 
 def malformed(body):
@@ -24,6 +25,20 @@
     return None
 
 
+class Call:
+    """An ask that waits for a leader's answer."""
+
+    __slots__ = ("at", "verb", "body", "gen", "again", "next")
+
+    def __init__(self, at, verb, body, gen):
+        self.at = at
+        self.verb = verb
+        self.body = body
+        self.gen = gen
+        self.again = False
+        self.next = at
+
+
 class AskMixin:
     """Any member: forwards to the leader, or says at once that there is none."""
 
@@ -44,7 +59,7 @@
                 return
             ev.body["checked"] = True
         self.hint(ev.verb, ev.body)
-        self.calls[ev.call] = [self.now, ev.verb, ev.body, self.leader.gen]
+        self.calls[ev.call] = Call(self.now, ev.verb, ev.body, self.leader.gen)
         self.send(self.leader.addr, messages.Forward(ev.call, self.me.addr, ev.verb, ev.body))
 
     def hint(self, verb, body):
@@ -61,21 +76,27 @@
         pass
 
     def hear_reply(self, src, m):
-        if self.calls.pop(m.call, None):
-            self.respond(None, m.call, m.status, m.body)
+        c = self.calls.get(m.call)
+        if c is None:
+            return
+        if c.again and m.status == 503:
+            c.gen, c.next = None, self.now + AGAIN
+            return
+        del self.calls[m.call]
+        self.respond(None, m.call, m.status, m.body)
 
     def hear_forward(self, src, m):
         self.serve(m.addr, m.call, m.verb, m.body)
 
     def tick_desk(self):
-        for c, (at, verb, body, gen) in list(self.calls.items()):
-            change = body.get("change")
-            if self.now - at < WAIT:
-                if gen != self.heard_gen() and (change or verb in READS):
-                    self.ask_again(c)
+        for c, x in list(self.calls.items()):
+            change = x.body.get("change")
+            if self.now - x.at < WAIT:
+                if self.now >= x.next and x.gen != self.heard_gen() and (change or x.verb in READS):
+                    self.ask_again(c, x)
                 continue
             del self.calls[c]
-            if verb in READS:
+            if x.verb in READS:
                 self.respond(None, c, 503, {"error": "no-answer", "changed": False})
                 continue
             self.respond(None, c, 504, {"outcome": "unknown", "change": change, "advice": "ask by change id"})
@@ -87,16 +108,18 @@
     def heard_gen(self):
         return self.leader.gen if self.leader else None
 
-    def ask_again(self, c):
-        """A new leader is asked what the old one left open; a change's id keeps it from being done twice."""
+    def ask_again(self, c, x):
+        """A new leader is asked what the old one left open; a change's id keeps it from being done twice.
+        From then on a leader's word that it changed nothing is not the whole truth."""
         if getattr(self, "leading", False):
-            _, verb, body, _ = self.calls.pop(c)
-            self.serve(None, c, verb, body)
+            if self.settled():
+                del self.calls[c]
+                self.serve(None, c, x.verb, x.body)
             return
         if self.leader is None:
             return
-        self.calls[c][3] = self.leader.gen
-        self.send(self.leader.addr, messages.Forward(c, self.me.addr, *self.calls[c][1:3]))
+        x.gen, x.again = self.leader.gen, True
+        self.send(self.leader.addr, messages.Forward(c, self.me.addr, x.verb, x.body))
 
     def respond(self, src, call, status, body):
         if src is None:
--- a/basaltport/rehearsal/agreed.py
+++ b/basaltport/rehearsal/agreed.py
@@ -103,12 +103,16 @@
 
 def manifests(trace, about):
     """Acknowledged ones are kept and nothing older goes out after; refused ones are never in force."""
-    out, acked, refused = [], {}, set()
+    out, acked, refused, unchanged = [], {}, set(), {}
     ask, top = asks(trace), 0
     node_at, replica_at, seen = collections.defaultdict(int), collections.defaultdict(int), 0
     for r in trace:
+        if r["k"] == "ask":
+            unchanged.pop(r.get("change"), None)
         if r["k"] == "answer" and r["call"] in ask:
             a = ask[r["call"]]
+            if r.get("changed") is False and a["verb"] in CHANGES and a.get("change"):
+                unchanged[a["change"]] = r
             if r.get("outcome") == "acknowledged" and a["verb"] in CHANGES:
                 acked[r["change"]] = r["serial"]
                 if a["verb"] in ("apply", "patch"):
@@ -135,7 +139,7 @@
                 out.append(find("regress", r, text))
             replica_at[r["replica"]] = r["serial"]
             seen = max(seen, r["serial"])
-    return out + _final(about, acked, refused, ask)
+    return out + _final(about, acked, refused | set(unchanged), ask)
 
 
 def _final(about, acked, refused, ask):
--- a/basaltport/rehearsal/world.py
+++ b/basaltport/rehearsal/world.py
@@ -352,7 +352,7 @@
         b = e.body
         if b.get("outcome") == "acknowledged" and self.verbs.get(e.call) in ("apply", "patch"):
             self.acked = max(self.acked, b["serial"])
-        tell = {k: b[k] for k in ("outcome", "serial", "change") if k in b}
+        tell = {k: b[k] for k in ("outcome", "serial", "change", "changed") if k in b}
         if b.get("history"):
             tell["serial"] = b["history"][-1]["serial"]
         self.log("answer", call=e.call, node=n.name, status=e.status, **tell)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,7 +6,7 @@
 
 
 RUNS = [(name, 1) for name in sorted(scenarios.SCENARIOS)]
-RUNS += [("mayhem", 124), ("mayhem", 171), ("cold-storm", 5029), ("cold-storm", 5035)]
+RUNS += [("mayhem", 1122), ("mayhem", 124), ("mayhem", 171), ("cold-storm", 5029), ("cold-storm", 5035)]
 
 
 def test_a_leader_names_only_ledgers_that_its_beats_reach():
