--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -180,14 +180,19 @@
     assert not raw.endswith(b"0\r\n\r\n")
 
 
+async def _held(h):
+    """The first rostrum of a house that serves, whose stand-ins hold what they run."""
+    await h.play()
+    await live.until(lambda: h.r.member.usable("alder"))
+    for s in h.standins.served.values():
+        s.set_fault("hold")
+    return h.r.member
+
+
 def test_a_sender_that_goes_away_gives_its_slot_back(tmp_path):
     async def run():
         async with live.Live(str(tmp_path)) as h:
-            await h.play()
-            m = h.r.member
-            await live.until(lambda: m.usable("alder"))
-            for s in h.standins.served.values():
-                s.set_fault("hold")
+            m = await _held(h)
             async with aiohttp.ClientSession() as s:
                 heads = {"Authorization": "Bearer example-desk"}
                 body = {"model": "alder", "prompt": "p"}
@@ -340,11 +345,7 @@
 def test_what_a_gone_sender_asked_with_a_key_runs_on_and_is_kept_for_its_repeat(tmp_path):
     async def run():
         async with live.Live(str(tmp_path)) as h:
-            await h.play()
-            m = h.r.member
-            await live.until(lambda: m.usable("alder"))
-            for s in h.standins.served.values():
-                s.set_fault("hold")
+            m = await _held(h)
             heads = {"Authorization": "Bearer example-desk", "Idempotency-Key": "k"}
             url = f"http://{h.r.me.http}{Q}"
             out = []
