--- a/basaltport/rehearsal/play.py
+++ b/basaltport/rehearsal/play.py
@@ -19,6 +19,7 @@
     flags.DEFINE_integer("seeds", 1, "How many seeds from it on.", 1, 100_000, flag_values=fv)
     flags.DEFINE_enum("preset", None, sorted(presets.PRESETS), "Another size of house.", flag_values=fv)
     flags.DEFINE_string("trace", None, "Write the last run's trace here.", flag_values=fv)
+    flags.DEFINE_bool("lines", False, "Print each line's latency and fairness.", flag_values=fv)
     flags.DEFINE_bool("shrink", False, "Shrink a failing mayhem to its fewest faults.", flag_values=fv)
     flags.DEFINE_bool("packed", False, "Send every message as a frame's bytes.", flag_values=fv)
 
@@ -30,6 +31,24 @@
     return dict(sorted(c.items()))
 
 
+def by_line(w):
+    """For each line: sent, done, latency, and Jain's index over its senders' shares answered."""
+    rows, count = {}, collections.Counter
+    for q in w.queries.values():
+        r = rows.setdefault(q["line"], {"sent": 0, "ms": [], "who": count(), "all": count()})
+        r["sent"] += 1
+        r["all"][q["sender"]] += 1
+        if q["outcome"] == "done":
+            r["ms"].append(q["end"] - q["at"])
+            r["who"][q["sender"]] += 1
+    for k, r in sorted(rows.items()):
+        ms, xs = sorted(r["ms"]) or [0], [r["who"][s] / n for s, n in r["all"].items()]
+        jain = sum(xs) ** 2 / (len(xs) * sum(x * x for x in xs) or 1)
+        p50, p99 = ms[len(ms) // 2], ms[len(ms) * 99 // 100]
+        line = f"  {k:<10} sent {r['sent']:<6} done {len(r['ms']):<6} p50 {p50:<6} p99 {p99:<6}"
+        yield f"{line} jain {jain:.3f}"
+
+
 def command(p):
     return f"basaltport rehearse {p.name} --seed={p.seed} --preset={p.preset}"
 
@@ -58,6 +77,8 @@
             print(
                 f"{name:<22} seed {seed:<5} {p.preset:<7} {word:<10} back {ms:<12} {counts(p.w)}", flush=True
             )
+            if fv.lines:
+                print("\n".join(by_line(p.w)))
             if fv.trace:
                 save(fv.trace, p, fs)
             if fs:
--- a/basaltport/rehearsal/scenes.py
+++ b/basaltport/rehearsal/scenes.py
@@ -134,6 +134,23 @@
     p.back_after(share=0.9)
 
 
+def crowd(factor):
+    @scenario("furrow")
+    def act(p):
+        """Every line at so many times its peak for six seconds, then its peak again."""
+        p.crowd.factor = dict.fromkeys(p.crowd.demand["lines"], factor)
+        p.w.run(6000)
+        p.crowd.factor = {}
+        p.back_after(3000)
+
+    return act
+
+
+for n in (1, 2, 4):
+    acts.SCENARIOS[f"crowd-{n}"] = ("furrow", crowd(n), acts.OPENS)
+acts.SCENARIOS.pop("act")
+
+
 def breath(p):
     w = p.w
     for line, d in sorted(p.crowd.demand["lines"].items()):
--- a/basaltport/rehearsal/senders.py
+++ b/basaltport/rehearsal/senders.py
@@ -97,7 +97,15 @@
         key = kw.get("key", "")
         live = [n for n in self.nodes.values() if n.role == "rostrum" and n.member is not None]
         live = [n for n in live if not n.stopping]
-        q = {"prompt": prompt, "line": line, "once": once, "at": int(self.now), "outcome": "", "code": ""}
+        q = {
+            "prompt": prompt,
+            "line": line,
+            "once": once,
+            "at": int(self.now),
+            "outcome": "",
+            "code": "",
+            "sender": token,
+        }
         q.update(pieces=[], key=key)
         n = self.nodes[node] if node else (self.rng.choice(live) if live else None)
         q["id"] = qid = f"q{self.sent_n}"
