--- a/basaltport/rostrum/dispatch.py
+++ b/basaltport/rostrum/dispatch.py
@@ -16,13 +16,12 @@
 
 
 class Slot:
-    __slots__ = ("n", "until", "using", "void")
+    __slots__ = ("n", "until", "using")
 
     def __init__(self):
         self.n = 0
         self.until = -1
         self.using = 0
-        self.void = -1
 
 
 class DispatchMixin:
@@ -175,8 +174,6 @@
     def was_refused(self, q, run, ev):
         """Proof that it never ran: it may go again, also once-only, within credit."""
         q.avoid = run.replica
-        if ev.detail in ("not-held", "starting", "no-wire"):
-            self.void_grant(run.replica)
         if ev.detail in ("not-held", "starting"):
             self.fact(q.item).served = None
         if ev.detail == "no-wire":
@@ -192,15 +189,9 @@
             return
         self.refuse(q, 503, "replica-refused", ev.detail)
 
-    def void_grant(self, r):
-        """The replica may have started anew: slots granted before now were for its former start."""
-        s = self.slot(r)
-        s.n, s.void = 0, self.now
-
     def was_broken(self, q, run, ev):
         """The wire broke with the reply outstanding: it may have run."""
         q.avoid = run.replica
-        self.void_grant(run.replica)
         self.fact(q.item).served = None
         self.down[run.replica] = self.now + DOWN // 4
         if not self.resend(q, "broken"):
@@ -264,8 +255,7 @@
         self.seen[m.zone] = (m.fence, m.n)
         for r, n in m.rows.items():
             s = self.slot(r)
-            if at >= s.void:
-                s.n, s.until = n, at + SLOT_LEASE
+            s.n, s.until = n, at + SLOT_LEASE
         self.pump()
 
     # honest guesses
