Read once more: twins made one in drills and scenarios, a digest made once for a round

leader_frozen wrote out what frozen_for does; three scenarios each set every replica's mode in a loop of their own; a joining keeper made the digest of its range anew for each keeper it asked; the first of the times at which a claim's end is told was never used.

--- a/basaltport/rehearsal/acts.py
+++ b/basaltport/rehearsal/acts.py
@@ -75,6 +75,10 @@
         for i in [r.item for r in rules if r.kept and r.item not in here]:
             self.extra.append({"rule": "kept", "t": self.t(), "finding": f"{i} is kept and held nowhere"})
 
+    def all_replicas(self, mode):
+        for r in self.w.replicas.values():
+            r.mode = mode
+
     def rostrum(self):
         return self.rng.choice(self.w.live()).name
 
--- a/basaltport/rehearsal/drill.py
+++ b/basaltport/rehearsal/drill.py
@@ -79,12 +79,7 @@
         self.f.start_member(name)
 
     async def leader_frozen(self):
-        name = await self.leader()
-        self.note(f"freeze {name}")
-        self.f.signal(name, signal.SIGSTOP)
-        await asyncio.sleep(5)
-        self.note("wake")
-        self.f.signal(name, signal.SIGCONT)
+        await self.frozen_for(await self.leader())
 
     async def rostrum_frozen(self):
         self.note("freeze rostrum-2")
--- a/basaltport/rehearsal/notice.py
+++ b/basaltport/rehearsal/notice.py
@@ -75,8 +75,7 @@
 def replicas_sick_restarts(p):
     """Sick replicas while rostrums restart and the pools' figures change: resends stay bounded fleet-wide."""
     p.crowd.factor = {p.chief: 2}
-    for r in p.w.replicas.values():
-        r.mode = "sick"
+    p.all_replicas("sick")
     pools = sorted(p.w.manifest["pools"])
     for i in range(4):
         name = p.rostrum()
@@ -86,8 +85,7 @@
         q = {k: {"resend_allowance": i % 3, "resend_percent": 20 - 5 * (i % 2)} for k in pools}
         p.w.ask(p.rostrum(), "patch", {"patch": {"pools": q}, "change": f"pool-{i}"})
         p.w.run(2500)
-    for r in p.w.replicas.values():
-        r.mode = "up"
+    p.all_replicas("up")
     p.crowd.factor = {}
     p.back_after(8000)
 
--- a/basaltport/rehearsal/scenes.py
+++ b/basaltport/rehearsal/scenes.py
@@ -22,11 +22,9 @@
 def replicas_sick(p):
     """Every replica takes queries and breaks its wires; repeatable ones must not be resent without bound."""
     p.crowd.factor = {p.chief: 3}
-    for r in p.w.replicas.values():
-        r.mode = "sick"
+    p.all_replicas("sick")
     p.w.run(6000)
-    for r in p.w.replicas.values():
-        r.mode = "up"
+    p.all_replicas("up")
     p.crowd.factor = {}
     p.back_after(4000)
 
@@ -36,11 +34,9 @@
     """Every replica breaks whole replies off and tears streams: lines lost, doubled, of other runs."""
     for line in p.crowd.demand["lines"].values():
         line["stream"] = True
-    for r in p.w.replicas.values():
-        r.mode = "torn"
+    p.all_replicas("torn")
     p.w.run(6000)
-    for r in p.w.replicas.values():
-        r.mode = "up"
+    p.all_replicas("up")
     p.back_after(4000)
 
 
--- a/basaltport/rostrum/claims.py
+++ b/basaltport/rostrum/claims.py
@@ -10,7 +10,7 @@
 RETRY = 100
 FOLLOW = 200
 SILENT = 1500
-AGAIN = (0, 300, 1500)
+AGAIN = (300, 1500)
 
 
 def kid_of(line, sender, key):
@@ -171,4 +171,4 @@
         st = {"no": "free", "yes": "done"}.get(ran, "unknown") if c.held else "free"
         m = messages.Settle(c.kid, c.digest, q.id, self.me.seat, c.k, st, status, reply or {})
         self.tell_keepers(m)
-        self.settles += [(self.now + t, m) for t in AGAIN[1:]]
+        self.settles += [(self.now + t, m) for t in AGAIN]
--- a/basaltport/tally/keep.py
+++ b/basaltport/tally/keep.py
@@ -79,10 +79,10 @@
             if self.now < j["next"]:
                 continue
             j["next"] = self.now + COPY
+            d = self.digest_of(int(i))
             for s in sorted(set(j["prior"]) - j["got"]):
                 addr = self.addr_of(s)
                 if addr:
-                    d = self.digest_of(int(i))
                     self.send(addr, messages.KeepWant(self.me.seat, int(i), j["at"], j["prior"][s], d))
         self.swept = (self.swept + 1) % ranges.RANGES
         x = self.kept[self.swept]
