--- a/basaltport/bellman/duties.py
+++ b/basaltport/bellman/duties.py
@@ -3,7 +3,7 @@
 import functools
 import hashlib
 
-import basaltport.ledger.seat as seat
+import basaltport.consensus.seat as seat
 
 GONE = 1500
 UNHEARD = 4000
--- a/basaltport/clerk/cli.py
+++ b/basaltport/clerk/cli.py
@@ -10,8 +10,8 @@
 import aiohttp
 
 import basaltport.consign.adapter as adapter
-import basaltport.docket.check as check
-import basaltport.docket.read as read
+import basaltport.configuration.check as check
+import basaltport.configuration.read as read
 import basaltport.verbs as verbs
 
 EXIT = {200: 0, 404: 1, 409: 1, 422: 1, 400: 2, 401: 2, 405: 2, 503: 4, 504: 3}
--- a/basaltport/clerk/desk.py
+++ b/basaltport/clerk/desk.py
@@ -1,9 +1,9 @@
 """Operators' asks at any node: changes and reads go to the leader and its answer comes back."""
 
-import basaltport.docket.check as check
-import basaltport.docket.patch as patch
+import basaltport.configuration.check as check
+import basaltport.configuration.patch as patch
 import basaltport.events as events
-import basaltport.ledger.book as book
+import basaltport.consensus.book as book
 import basaltport.messages as messages
 
 CHANGES = ("apply", "patch", "drain", "undrain", "leaving", "platform")
--- a/basaltport/clerk/http.py
+++ b/basaltport/clerk/http.py
@@ -7,7 +7,7 @@
 import aiohttp.web
 
 import basaltport.clerk.desk as desk
-import basaltport.docket.read as read
+import basaltport.configuration.read as read
 import basaltport.events as events
 import basaltport.kinds as kinds
 
--- a/basaltport/docket/check.py
+++ b/basaltport/configuration/check.py
@@ -5,7 +5,7 @@
 import result
 import trafaret
 
-import basaltport.docket.items as items
+import basaltport.configuration.items as items
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}").fullmatch
 _HASH = re.compile(r"sha256:[0-9a-f]{64}").fullmatch
--- a/basaltport/docket/rules.py
+++ b/basaltport/configuration/rules.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-import basaltport.docket.items as items
+import basaltport.configuration.items as items
 import basaltport.kinds as kinds
 
 KEEP_MS = 120_000
--- a/basaltport/ledger/book.py
+++ b/basaltport/consensus/book.py
@@ -4,7 +4,7 @@
 import json
 
 import basaltport.bellman.ring as ring
-import basaltport.docket.patch as patch
+import basaltport.configuration.patch as patch
 import basaltport.kinds as kinds
 import basaltport.tally.ranges as ranges
 
--- a/basaltport/ledger/feed.py
+++ b/basaltport/consensus/feed.py
@@ -1,8 +1,8 @@
 """The feed: beats with what each seat lacks, and the echoes that lengthen leases."""
 
 import basaltport.kinds as kinds
-import basaltport.ledger.book as book
-import basaltport.ledger.seat as seat
+import basaltport.consensus.book as book
+import basaltport.consensus.seat as seat
 import basaltport.messages as messages
 import basaltport.text as text
 
--- a/basaltport/ledger/journal.py
+++ b/basaltport/consensus/journal.py
@@ -10,7 +10,7 @@
 import result
 
 import basaltport.kinds as kinds
-import basaltport.ledger.book as book
+import basaltport.consensus.book as book
 import basaltport.text as text
 
 FORMAT = 1
--- a/basaltport/ledger/lead.py
+++ b/basaltport/consensus/lead.py
@@ -1,9 +1,9 @@
 """The leader: appends entries, replicates them, confirms leases, keeps roster and acknowledgements."""
 
 import basaltport.kinds as kinds
-import basaltport.ledger.book as book
-import basaltport.ledger.feed as feed
-import basaltport.ledger.seat as seat
+import basaltport.consensus.book as book
+import basaltport.consensus.feed as feed
+import basaltport.consensus.seat as seat
 import basaltport.messages as messages
 
 SILENT = 6000
--- a/basaltport/ledger/role.py
+++ b/basaltport/consensus/role.py
@@ -3,9 +3,9 @@
 import basaltport.bellman.duties as duties
 import basaltport.bellman.ring as ring
 import basaltport.clerk.desk as desk
-import basaltport.ledger.elect as elect
-import basaltport.ledger.lead as lead
-import basaltport.ledger.seat as seat
+import basaltport.consensus.elect as elect
+import basaltport.consensus.lead as lead
+import basaltport.consensus.seat as seat
 import basaltport.member as member
 import basaltport.saleroom.cell as cell
 
--- a/basaltport/ledger/seat.py
+++ b/basaltport/consensus/seat.py
@@ -2,7 +2,7 @@
 
 import basaltport.events as events
 import basaltport.kinds as kinds
-import basaltport.ledger.book as book
+import basaltport.consensus.book as book
 import basaltport.messages as messages
 
 LEASE = 1500
--- a/basaltport/host.py
+++ b/basaltport/host.py
@@ -12,8 +12,8 @@
 import basaltport.consign.adapter as adapter
 import basaltport.events as events
 import basaltport.kinds as kinds
-import basaltport.ledger.journal as journal
-import basaltport.ledger.role as ledger
+import basaltport.consensus.journal as journal
+import basaltport.consensus.role as ledger
 import basaltport.logs as logs
 import basaltport.member as member
 import basaltport.rostrum.front as front
--- a/basaltport/paddle/plan.py
+++ b/basaltport/paddle/plan.py
@@ -5,7 +5,7 @@
 import result
 import trafaret
 
-import basaltport.docket.check as check
+import basaltport.configuration.check as check
 
 _RATE = trafaret.Float(gte=0, lte=100_000) | trafaret.Int(gte=0, lte=100_000)
 LINE = trafaret.Dict(
--- a/basaltport/rehearsal/planner.py
+++ b/basaltport/rehearsal/planner.py
@@ -6,7 +6,7 @@
 import absl.flags as flags
 
 import basaltport.clerk.cli as clerk
-import basaltport.docket.check as check
+import basaltport.configuration.check as check
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.rehearsal.world as world
--- a/basaltport/rehearsal/simdisk.py
+++ b/basaltport/rehearsal/simdisk.py
@@ -3,7 +3,7 @@
 import json
 
 import basaltport.kinds as kinds
-import basaltport.ledger.journal as journal
+import basaltport.consensus.journal as journal
 
 
 class SimDisk:
--- a/basaltport/rehearsal/world.py
+++ b/basaltport/rehearsal/world.py
@@ -6,7 +6,7 @@
 import basaltport.events as events
 import basaltport.frames as frames
 import basaltport.kinds as kinds
-import basaltport.ledger.role as ledger
+import basaltport.consensus.role as ledger
 import basaltport.member as member
 import basaltport.rehearsal.backend as backend
 import basaltport.rehearsal.senders as senders
--- a/basaltport/rostrum/role.py
+++ b/basaltport/rostrum/role.py
@@ -2,8 +2,8 @@
 
 import basaltport.bellman.ring as ring
 import basaltport.clerk.desk as desk
-import basaltport.docket.rules as rules
-import basaltport.ledger.seat as seat
+import basaltport.configuration.rules as rules
+import basaltport.consensus.seat as seat
 import basaltport.member as member
 import basaltport.messages as messages
 import basaltport.readiness.routine as routine
--- a/basaltport/settings.py
+++ b/basaltport/settings.py
@@ -5,8 +5,8 @@
 import result
 import trafaret
 
-import basaltport.docket.check as check
-import basaltport.docket.read as read
+import basaltport.configuration.check as check
+import basaltport.configuration.read as read
 
 _ADDR = trafaret.Regexp(re.compile(r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"))
 
--- a/tests/test_docket.py
+++ b/tests/test_configuration.py
@@ -6,10 +6,10 @@
 import hypothesis.strategies as st
 import pytest
 
-import basaltport.docket.check as check
-import basaltport.docket.patch as patch
-import basaltport.docket.read as read
-import basaltport.docket.rules as rules
+import basaltport.configuration.check as check
+import basaltport.configuration.patch as patch
+import basaltport.configuration.read as read
+import basaltport.configuration.rules as rules
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "basaltport" / "examples"
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -7,8 +7,8 @@
 import hypothesis.strategies as st
 
 import basaltport.kinds as kinds
-import basaltport.ledger.book as book
-import basaltport.ledger.journal as journal
+import basaltport.consensus.book as book
+import basaltport.consensus.journal as journal
 
 G = kinds.Generation(1, "l")
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -7,7 +7,7 @@
 
 import basaltport.events as events
 import basaltport.kinds as kinds
-import basaltport.ledger.book as book
+import basaltport.consensus.book as book
 import basaltport.member as member
 import basaltport.messages as messages
 import basaltport.rostrum.claims as claims
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -3,11 +3,11 @@
 import hypothesis
 import hypothesis.strategies as st
 
-import basaltport.docket.check as check
-import basaltport.docket.rules as rules
+import basaltport.configuration.check as check
+import basaltport.configuration.rules as rules
 import basaltport.frames as frames
-import basaltport.ledger.book as book
-import basaltport.ledger.journal as journal
+import basaltport.consensus.book as book
+import basaltport.consensus.journal as journal
 import basaltport.kinds as kinds
 import basaltport.messages as messages
 import basaltport.rehearsal.stage as stage
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -5,10 +5,10 @@
 import basaltport.clerk.desk as desk
 import basaltport.consign.pieces as pieces
 import basaltport.events as events
-import basaltport.ledger.elect as elect
-import basaltport.ledger.feed as feed
-import basaltport.ledger.lead as lead
-import basaltport.ledger.seat as seat
+import basaltport.consensus.elect as elect
+import basaltport.consensus.feed as feed
+import basaltport.consensus.lead as lead
+import basaltport.consensus.seat as seat
 import basaltport.readiness.routine as routine
 import basaltport.rehearsal.backend as backend
 import basaltport.rehearsal.scenarios as scenarios
