Agreement among keepers alone, the keeper role and the feed to proxies

Cause: on the platform any number of front machines may go at once and nobody tells how many there are, so a majority of all seats cannot be the rule there. Voters may now be the keepers alone (the old mode stays the default): founding by the seeds of a first start, a replaced machine joins and the dead one leaves one seat at a time, an emptied machine is a new seat, acknowledged is what most keepers have synced. The keeper takes configurations and evacuations by change id and publishes the agreed book and replicas' rows to proxies.

--- a/basaltport/consensus/book.py
+++ b/basaltport/consensus/book.py
@@ -5,6 +5,7 @@
 
 import basaltport.bellman.ring as ring
 import basaltport.configuration.patch as patch
+import basaltport.configuration.routes as routes
 import basaltport.kinds as kinds
 import basaltport.tally.ranges as ranges
 
@@ -76,7 +77,7 @@
 def _remember(b, op, s):
     c = dict(b["changes"])
     c[op["change"]] = s
-    while len(c) > KEEP:
+    while len(c) > b.get("keep", KEEP):
         del c[next(iter(c))]
     b["changes"] = c
     b["history"] = (b["history"] + [{"serial": s, "op": op["op"], "change": op["change"]}])[-KEEP:]
@@ -84,11 +85,13 @@
 
 def _lead(b, op, s):
     _roster(b, op, s)
-    if op.get("ledgers"):
+    if op.get("ledgers") and "voters" not in b:
         b["ledgers"] = list(op["ledgers"])
 
 
 def _found(b, op, s):
+    """With `voters`, ledgers alone are in the roster and vote; with `keep`, that many changes are kept."""
+    b.update({k: op[k] for k in ("voters", "keep") if k in op})
     b["roster"] = dict(op["roster"])
     b["ledgers"] = list(op["ledgers"])
     _keepers(b, s)
@@ -106,7 +109,7 @@
     for x in op.get("drops", []):
         r.pop(x, None)
         ls = [y for y in ls if y != x]
-    b["roster"], b["ledgers"] = r, ls
+    b["roster"], b["ledgers"] = r, sorted(r) if "voters" in b else ls
     _keepers(b, s)
 
 
@@ -118,6 +121,8 @@
 def _keepers(b, s):
     """Five rostrums keep each range of keys; each has with it the entry it joined by, and who kept it
     before. Where fewer of them would be most than before, those that stay join anew as well."""
+    if "voters" in b:
+        return
     names = {r["name"]: x for x, r in b["roster"].items() if r["role"] == "rostrum"}
     old, out = b.get("keepers", {}), {}
     for i in map(str, range(ranges.RANGES)):
@@ -145,6 +150,11 @@
     b["manifest"], b["mserial"] = patch.merge(b["manifest"], op["patch"]), s
 
 
+def _alter(b, op, s):
+    """Named items of a routing configuration are put or removed."""
+    b["manifest"], b["mserial"] = routes.patch(b["manifest"], op["patch"]), s
+
+
 def _drain(b, op, s):
     d = dict(b["drains"])
     d[op["zone"]] = s
@@ -186,6 +196,7 @@
     "ledgers": _ledgers,
     "manifest": _manifest,
     "patch": _patch,
+    "alter": _alter,
     "drain": _drain,
     "undrain": _undrain,
     "leaving": _leaving,
--- a/basaltport/consensus/journal.py
+++ b/basaltport/consensus/journal.py
@@ -81,6 +81,16 @@
     return {"book": book.new(), "tail": [], "promised": [0, ""]}
 
 
+class Snapshot(dbm.dumb._Database):
+    """As `dbm.dumb.open` gives it, but without `chmod`, which not every place offers."""
+
+    def __init__(self, path, flag):
+        super().__init__(path, 0o666, flag)
+
+    def _chmod(self, file):
+        pass
+
+
 class Disk:
     """Blocking; one writer thread calls it. `name` guards the folder against another member's start."""
 
@@ -94,6 +104,11 @@
     def path(self, *parts):
         return os.path.join(self.folder, *parts)
 
+    def empty(self):
+        """Whether nothing was ever kept here; then the folder is made."""
+        os.makedirs(self.folder, exist_ok=True)
+        return not os.path.exists(self.path("current"))
+
     def open(self):
         os.makedirs(self.folder, exist_ok=True)
         if not os.path.exists(self.path("current")):
@@ -118,7 +133,7 @@
         if got.is_err():
             return got
         recs, good = got.ok_value
-        self.file = open(self.path(f"journal.{n}"), "r+b")
+        self.file = open(self.path(f"journal.{n}"), "r+b", buffering=0)
         self.file.truncate(good)
         self.file.seek(good)
         os.fsync(self.file.fileno())
@@ -133,7 +148,20 @@
         except OSError:
             return fallback
 
-    def keep_seat(self, seat):
+    def founders(self):
+        """Addresses that may found, kept at the first start of all; None where this was another start."""
+        try:
+            with open(self.path("founders")) as f:
+                return json.load(f)
+        except (OSError, ValueError):
+            return None
+
+    def keep_seat(self, seat, founders=None):
+        if founders is not None:
+            with open(self.path("founders"), "w") as f:
+                json.dump(list(founders), f)
+                f.flush()
+                os.fsync(f.fileno())
         with open(self.path("seat.new"), "w") as f:
             f.write(seat)
             f.flush()
@@ -143,7 +171,7 @@
 
     def load_snapshot(self):
         try:
-            with dbm.dumb.open(self.path(f"snap.{self.n}"), "r") as db:
+            with Snapshot(self.path(f"snap.{self.n}"), "r") as db:
                 want = json.loads(db["sum"])
                 raw = {k.decode(): db[k] for k in db.keys() if k != b"sum"}
             if {k: zlib.crc32(v) for k, v in raw.items()} != want:
@@ -160,12 +188,12 @@
         n = self.n + 1
         raw = parts(state)
         raw["sum"] = json.dumps({k: zlib.crc32(v) for k, v in raw.items()}).encode()
-        with dbm.dumb.open(self.path(f"snap.{n}"), "n") as db:
+        with Snapshot(self.path(f"snap.{n}"), "n") as db:
             for k, v in raw.items():
                 db[k] = v
         for ext in ("dat", "dir"):
             self.sync(self.path(f"snap.{n}.{ext}"))
-        f = open(self.path(f"journal.{n}"), "w+b")
+        f = open(self.path(f"journal.{n}"), "w+b", buffering=0)
         os.fsync(f.fileno())
         tmp = self.path("current.new")
         with open(tmp, "w") as c:
@@ -190,7 +218,8 @@
             os.close(fd)
 
     def write(self, records, whole):
-        """After a failure only a whole snapshot is taken: the journal may end in half a record."""
+        """After a failure only a whole snapshot is taken: the journal may end in half a record. A batch is
+        one write, so that a power cut tears it at one place and nothing good stands behind."""
         if whole is not None:
             self.switch(whole)
             self.broken = False
@@ -199,8 +228,9 @@
         if self.broken:
             raise OSError("the journal broke off; a snapshot is needed")
         self.broken = True
-        self.file.write(b"".join(r if type(r) is bytes else encode(r) for r in records))
-        self.file.flush()
+        raw = b"".join(r if type(r) is bytes else encode(r) for r in records)
+        while raw:
+            raw = raw[self.file.write(raw) :]
         os.fsync(self.file.fileno())
         self.broken = False
 
--- /dev/null
+++ b/basaltport/fleet/follow.py
@@ -0,0 +1,133 @@
+"""A proxy's side of the feed: what it knows, kept also while no leader is heard; never older than it was."""
+
+import basaltport.consensus.book as book
+import basaltport.fleet.messages as messages
+import basaltport.kinds as kinds
+
+FOLLOW = 400
+SEEK = 300
+UNLED = 1200
+AT_ONCE = 100
+
+
+class FollowMixin:
+    """Needs Member. `book`: the agreed book, `rows`: replicas by id, `keepers`: addresses, `proxies`: how
+    many live, `led_at`: when the leader was heard. Hooks: `followed`, `rows_changed`, `on_facts`, `usage`."""
+
+    def follow_start(self):
+        self.book = book.new()
+        self.rows = {}
+        self.keepers = []
+        self.proxies = 0
+        self.led_at = -(10**9)
+        self.feed_gen = kinds.Generation()
+        self.feed_n = -1
+        self.leader_address = ""
+        self.follow_at = -(10**9)
+
+    def led(self):
+        return self.now - self.led_at < UNLED
+
+    # hooks
+
+    def followed(self):
+        """The book changed."""
+
+    def rows_changed(self, ids):
+        """Rows of these ids came, changed or went."""
+
+    def on_facts(self, items):
+        """Facts by item, as Placement gives them."""
+
+    def usage(self):
+        """(use, load) since the last call; see Follow."""
+        return {}, {}
+
+    # asking
+
+    def tick_follow(self):
+        if self.now - self.follow_at >= (FOLLOW if self.led() else SEEK):
+            self.follow()
+
+    def addresses(self):
+        if self.led() and self.leader_address:
+            return [self.leader_address]
+        return sorted({*self.keepers, *self.me.seeds, *filter(None, [self.leader_address])} - {self.me.addr})
+
+    def follow(self):
+        self.follow_at = self.now
+        use, load = self.usage() if self.led() else ({}, {})
+        for a in self.addresses():
+            self.send(a, self.follow_of(use, load))
+
+    def follow_of(self, use, load):
+        """Where the leader's address is not known, it is to tell all anew."""
+        m, s = self.me, book.serial(self.book)
+        gen = self.feed_gen if self.leader_address else kinds.Generation()
+        return messages.Follow(m.name, m.zone, m.addr, gen, s, self.feed_n, use, load)
+
+    def want(self, items):
+        for a in self.addresses():
+            self.send(a, messages.Want(self.me.name, self.me.zone, self.me.addr, items))
+
+    # hearing
+
+    def hear_update(self, src, m):
+        """An older leader's word counts for nothing; what does not join on to what is known is asked for."""
+        if m.gen < self.feed_gen:
+            return
+        if m.gen > self.feed_gen:
+            self.feed_gen, self.feed_n, self.leader_address = m.gen, -1, ""
+        self.led_at = self.now
+        self.proxies = m.proxies
+        if m.leader_address:
+            self.leader_address, self.keepers = m.leader_address, list(m.keepers)
+        was = self.book["serial"]
+        self.take_book(m)
+        ids = self.take_rows(m)
+        if self.book["serial"] > was:
+            self.followed()
+        if ids:
+            self.rows_changed(ids)
+        lacks = m.serial > self.book["serial"] or m.n > self.feed_n
+        if lacks and self.now - self.follow_at >= AT_ONCE:
+            self.follow()
+
+    def take_book(self, m):
+        if m.copy and m.copy["serial"] > self.book["serial"]:
+            self.book = {**book.new(), **m.copy}
+        for e in m.entries:
+            if e["s"] == self.book["serial"] + 1:
+                self.book = book.apply(self.book, e)
+
+    def take_rows(self, m):
+        """Ids whose rows are not as they were."""
+        if m.n < 0 or m.n <= self.feed_n:
+            return set()
+        if m.full:
+            new = m.rows
+        elif m.base <= self.feed_n and self.feed_n >= 0:
+            new = {**self.rows, **m.rows}
+            for i in m.gone:
+                new.pop(i, None)
+        else:
+            return set()
+        self.feed_n = m.n
+        old, self.rows = self.rows, new
+        return {i for i in old.keys() | new.keys() if old.get(i) != new.get(i)}
+
+    def hear_redirect(self, src, m):
+        """A leader that steps down names nobody: all keepers are asked at once."""
+        if m.keepers and m.gen >= self.feed_gen:
+            self.keepers = list(m.keepers)
+        if self.led() and (m.address or m.gen != self.feed_gen):
+            return
+        if not m.address:
+            self.led_at = -(10**9)
+            return
+        if m.gen >= self.feed_gen and m.address not in {self.leader_address, *self.keepers, *self.me.seeds}:
+            self.leader_address = m.address
+            self.send(m.address, self.follow_of({}, {}))
+
+    def hear_facts(self, src, m):
+        self.on_facts(m.items)
--- /dev/null
+++ b/basaltport/fleet/messages.py
@@ -0,0 +1,65 @@
+"""What keepers and proxies say to each other; numbers from 40."""
+
+import basaltport.kinds as kinds
+import basaltport.messages as messages
+
+
+@messages.message(40)
+class Follow:
+    """A proxy tells the leader what it has: `serial` of the book, `seen` of the rows (-1: none), of which
+    leader's (`gen`); requests begun since the last one by item (`use`), now running by replica (`load`)."""
+
+    name: kinds.Name
+    zone: kinds.Zone
+    address: str
+    gen: kinds.Generation
+    serial: kinds.Serial
+    seen: int
+    use: dict
+    load: dict
+
+
+@messages.message(41)
+class Update:
+    """The agreed book up to `serial`: `entries` after what the proxy has, or a `copy`. Rows changed and ids
+    gone after number `base` up to `n`, or with `full` all rows. Empty where nothing changed: `leader`,
+    `leader_address`, `keepers` (addresses). `proxies`: how many are live."""
+
+    gen: kinds.Generation
+    leader: kinds.Name
+    leader_address: str
+    keepers: list
+    serial: kinds.Serial
+    entries: list
+    copy: dict
+    full: bool
+    base: int
+    n: int
+    rows: dict
+    gone: list
+    proxies: int
+
+
+@messages.message(42)
+class Redirect:
+    """Of a keeper that doesn't lead: whom it follows ("" if nobody) and all keepers' addresses."""
+
+    gen: kinds.Generation
+    leader: kinds.Name
+    address: str
+    keepers: list
+
+
+@messages.message(43)
+class Want:
+    """Requests that wait at a proxy, by item."""
+
+    name: kinds.Name
+    zone: kinds.Zone
+    address: str
+    items: dict
+
+
+@messages.message(44)
+class Facts:
+    items: dict
--- /dev/null
+++ b/basaltport/fleet/publish.py
@@ -0,0 +1,156 @@
+"""The leader's side of the feed to proxies: the agreed book and replicas' rows, to each what it lacks."""
+
+import basaltport.fleet.messages as messages
+import basaltport.text as text
+
+IDLE = 1000
+FORGET = 3000
+RESEND = 300
+ROWS = 40
+RATE = 2000
+GONE = 5000
+SMALL = 2000
+COPIED = ("serial", "gen", "mserial", "manifest", "drains", "roster", "voters")
+
+
+class Proxy:
+    """A follower: what it has or was sent, and until when that may be under way."""
+
+    __slots__ = ("zone", "address", "at", "serial", "seen", "told", "sent_at", "until")
+
+    def __init__(self):
+        self.serial = 0
+        self.seen = -1
+        self.told = None
+        self.sent_at = -(10**9)
+        self.until = -(10**9)
+
+
+class PublishMixin:
+    """Needs RosterMixin, VoterMixin and `placement`. `rows_known`: the list was read since this one leads."""
+
+    def publish_start(self):
+        self.proxies = {}
+        self.rows_known = False
+        self.feed_n = 0
+        self.feed_at = {}
+        self.rows_sent = -(10**9)
+        self.published = None
+        self.looked = -(10**9)
+
+    def publish_clear(self):
+        self.publish_start()
+        self.placement.changed.clear()
+
+    def lead_start(self, *args):
+        super().lead_start(*args)
+        self.publish_clear()
+
+    def step_down(self, why):
+        """Proxies look for the next leader at once."""
+        was, gen = self.leading, self.promised
+        super().step_down(why)
+        if was:
+            m = messages.Redirect(gen, "", "", self.keepers())
+            for p in self.proxies.values():
+                self.send(p.address, m)
+        self.publish_clear()
+
+    def keepers(self):
+        return sorted(r["addr"] for r in self.book["roster"].values())
+
+    def hear_follow(self, src, m):
+        if not self.leading:
+            x = self.leader if self.hears_leader() else None
+            known = (x.gen, x.name, x.addr) if x else (self.promised, "", "")
+            self.send(m.address, messages.Redirect(*known, self.keepers()))
+            return
+        p = self.proxies.get(m.name)
+        if p is None:
+            p = self.proxies[m.name] = Proxy()
+        p.zone, p.address, p.at = m.zone, m.address, self.now
+        if m.gen != self.promised:
+            p.told = None
+        if self.now >= p.until:
+            p.serial, p.seen = m.serial, m.seen if m.gen == self.promised else -1
+        if m.use or m.load:
+            self.heard_use(m.zone, m.use, m.load)
+        self.published = None
+
+    def tell_facts(self, address, facts):
+        self.send(address, messages.Facts(facts))
+
+    # updates
+
+    def publish(self):
+        """To each proxy what it lacks, at once; else an empty word now and then."""
+        if not self.leading or not self.holds():
+            return
+        if self.rows_known and self.placement.changed:
+            self.number_rows()
+        state = (self.book["serial"], self.feed_n)
+        if state == self.published and self.now - self.looked < ROWS:
+            return
+        self.looked = self.now
+        for k in [k for k, p in self.proxies.items() if self.now - p.at > FORGET]:
+            del self.proxies[k]
+        rows = self.rows_known and self.now - self.rows_sent >= ROWS
+        for p in self.proxies.values():
+            lacks = p.serial < state[0] or rows and p.seen < self.feed_n
+            if lacks and self.now >= p.until - RESEND or self.now - p.sent_at >= IDLE:
+                self.update(p)
+        if rows or not self.rows_known:
+            self.rows_sent, self.published = self.now, state
+
+    def number_rows(self):
+        self.feed_n += 1
+        for i in self.placement.changed:
+            self.feed_at.pop(i, None)
+            self.feed_at[i] = self.feed_n
+        self.placement.changed.clear()
+        while len(self.feed_at) > GONE + len(self.placement.rows):
+            del self.feed_at[next(iter(self.feed_at))]
+
+    def update(self, p):
+        entries, copy = self.book_for(p.serial)
+        full, base, rows, gone = self.rows_for(p.seen)
+        n = self.feed_n if self.rows_known else -1
+        keepers = self.keepers()
+        fresh = p.told != keepers
+        m = messages.Update(
+            self.promised,
+            self.me.name if fresh else "",
+            self.me.addr if fresh else "",
+            keepers if fresh else [],
+            self.book["serial"],
+            entries,
+            copy,
+            full,
+            base,
+            n,
+            rows,
+            gone,
+            len(self.proxies),
+        )
+        size = text.size(copy) + text.size(entries) + 300 * len(rows)
+        p.serial, p.seen, p.told, p.sent_at = self.book["serial"], n, keepers, self.now
+        p.until = self.now + RESEND + size // RATE
+        self.send(p.address, m)
+
+    def book_for(self, serial):
+        """Entries after a serial, or a copy of what proxies need where those are not here or are more."""
+        top = self.book["serial"]
+        here = top - serial <= len(self.past)
+        es = [self.past.get(k) for k in range(serial + 1, top + 1)] if here else [None]
+        if serial and all(es) and sum(map(text.size, es)) <= text.size(self.book) + SMALL:
+            return es, {}
+        return [], {k: self.book[k] for k in COPIED if k in self.book}
+
+    def rows_for(self, seen):
+        if not self.rows_known:
+            return False, -1, {}, []
+        rows = self.placement.rows
+        if seen < 0:
+            return True, -1, dict(rows), []
+        ids = [i for i, n in self.feed_at.items() if n > seen]
+        return False, seen, {i: rows[i] for i in ids if i in rows}, [i for i in ids if i not in rows]
--- a/basaltport/host.py
+++ b/basaltport/host.py
@@ -18,6 +18,7 @@
 import basaltport.member as member
 import basaltport.rostrum.front as front
 import basaltport.rostrum.role as rostrum
+import basaltport.shell as shell
 import basaltport.wires as wires
 
 TICK = 0.025
@@ -35,10 +36,9 @@
         return aiohttp.web.json_response(b, status=e.status, headers={adapter.RAN: "no"})
 
 
-class Host:
-    """Reducer steps never await, so they need no lock; what awaits works on copies."""
-
+class Host(shell.Shell):
     def __init__(self, role, s):
+        super().__init__()
         self.role = role
         self.settings = s
         self.stopping = False
@@ -55,11 +55,8 @@
             s["expected_seats"],
             s["expected_ledgers"],
         )
-        self.disk = None
-        self.member = None
+        self.period = TICK
         self.tasks = {}
-        self.writes = []
-        self.writing = False
         self.front = front.Front(self)
         self.clerk = http.Clerk(self)
         self.adapter = adapter.Adapter(self.may_write)
@@ -138,25 +135,10 @@
         while self.front.sinks and kinds.steady() < until:
             await asyncio.sleep(TICK)
 
-    async def tick(self):
-        while True:
-            self.step(events.Tick(kinds.steady()))
-            await asyncio.sleep(TICK)
-
-    def heard(self, src, msg):
-        self.step(events.Heard(kinds.steady(), src, msg))
-
-    def refused(self, peer, why):
-        logs.note(33, {"peer": peer, "why": why})
-
     def may_write(self, dispatch):
         self.member.now = max(self.member.now, kinds.steady())
         return self.member.may_write(dispatch)
 
-    def step(self, ev):
-        for e in self.member.step(ev):
-            getattr(self, "do_" + type(e).__name__.lower())(e)
-
     def override(self, names):
         self.member.out = []
         why = self.member.override(names)
@@ -166,42 +148,9 @@
 
     # effects
 
-    def do_send(self, e):
-        if e.addr == self.me.addr:
-            asyncio.get_running_loop().call_soon(self.heard, self.me.addr, e.msg)
-            return
-        self.wires.send(e.addr, e.msg)
-
-    def do_write(self, e):
-        whole = None
-        if e.whole is not None:
-            whole = {"parts": journal.parts({"promised": self.member.promised, **e.whole})}
-        self.writes.append((e.token, [journal.encode(r) for r in e.records], whole))
-        if not self.writing:
-            self.write_next()
-
-    def write_next(self):
-        """All that waits goes in one sync."""
-        batch, self.writes = self.writes, []
-        self.writing = True
-        f = asyncio.get_running_loop().run_in_executor(self.writer, self.disk.write_all, batch)
-        f.add_done_callback(lambda f: self.synced(batch, f))
-
-    def synced(self, batch, f):
-        self.writing = False
-        if f.cancelled():
-            return
-        for token, _, _ in batch:
-            self.step(events.Synced(kinds.steady(), token, f.exception() is None))
-        if self.writes and not self.writing:
-            self.write_next()
-
     def do_answer(self, e):
         self.clerk.answer(e.call, e.status, e.body)
 
-    def do_note(self, e):
-        logs.note(e.number, e.fields)
-
     def do_close(self, e):
         s = self.front.sinks.get(e.query)
         if s:
--- /dev/null
+++ b/basaltport/keeper/role.py
@@ -0,0 +1,139 @@
+"""The keeper: agreement among keepers, operators' asks, placement and the feed to proxies in one reducer."""
+
+import basaltport.consensus.campaign as campaign
+import basaltport.consensus.roster as roster
+import basaltport.consensus.seat as seat
+import basaltport.consensus.voters as voters
+import basaltport.fleet.publish as publish
+import basaltport.keeper.desk as desk
+import basaltport.member as member
+import basaltport.placement.machine as machine
+import basaltport.text as text
+
+SNAPSHOT_EVERY = 200
+SNAPSHOT_BYTES = 4 << 20
+RETRY = 1000
+HOLD = 3700
+PUT_OFF = 2000
+
+
+class Keeper(
+    campaign.CampaignMixin,
+    desk.DeskMixin,
+    publish.PublishMixin,
+    roster.RosterMixin,
+    voters.VoterMixin,
+    member.Member,
+):
+    """`placement`: as `placement.machine.Placement`; `hold_ms`: how long after it leads it orders nothing."""
+
+    TICKS = ("tick_disk", "tick_hello", "tick_elect", "tick_lead", "tick_desk", "tick_place")
+    durable = True
+
+    def __init__(self, me, seed, now, held=None, promised=seat.NONE, placement=None, hold_ms=HOLD):
+        member.Member.__init__(self, me, seed, now)
+        self.placement = machine.Placement(self.rng) if placement is None else placement
+        self.placement.hold_ms = hold_ms
+        self.placing = None
+        self.placed_of = None
+        self.put_off = []
+        self.lead_clear()
+        self.seat_start(held, promised)
+        self.elect_start()
+        self.desk_start()
+        self.publish_start()
+        self.kept_at = self.book["serial"]
+        self.unkept = 0
+        self.retry_at = now
+
+    def step(self, ev):
+        super().step(ev)
+        self.keep_placement()
+        if self.leading and self.beat_at < 0:
+            self.beat()
+        self.publish()
+        return self.out
+
+    # disk
+
+    def tick_disk(self):
+        """A disk that failed is tried again with a whole snapshot."""
+        if self.bad and not self.after and self.now - self.retry_at >= RETRY:
+            self.retry_at = self.now
+            self.write([], whole=self.copy())
+
+    def keep_past(self, e):
+        super().keep_past(e)
+        self.unkept += text.size(e)
+
+    def in_force(self):
+        if self.book["serial"] - self.kept_at < SNAPSHOT_EVERY and self.unkept < SNAPSHOT_BYTES:
+            return
+        self.kept_at, self.unkept = self.book["serial"], 0
+        self.write([], whole=self.copy())
+
+    # placement
+
+    def keep_placement(self):
+        """Started once this leader's own entry is agreed, under its serial; stopped with its lead."""
+        if not self.leading:
+            if self.placing is not None:
+                self.placing, self.put_off = None, []
+                self.placement.stop()
+            return
+        if not self.settled():
+            return
+        if self.placing is None:
+            self.placing, self.placed_of = self.first, None
+            self.place("start", self.first, self.me.name)
+        of = (self.book["mserial"], sorted(self.book["drains"]))
+        if of != self.placed_of:
+            self.placed_of = of
+            self.place("configure", self.book["manifest"], set(of[1]))
+
+    def place(self, call, *args):
+        """Put off while it is not sure that no other leads."""
+        if self.placing is None:
+            return
+        if not self.holds():
+            self.put_off = [*self.put_off, (call, args)][-PUT_OFF:]
+            return
+        self.place_put_off()
+        self.tell_placement(call, args)
+        if getattr(self.placement, "deposed", False):
+            self.step_down("a replica knows a higher fence")
+
+    def place_put_off(self):
+        calls, self.put_off = self.put_off, []
+        for call, args in calls:
+            self.tell_placement(call, args)
+
+    def tell_placement(self, call, args):
+        self.out.extend(list(getattr(self.placement, call)(self.now, *args) or ()))
+        self.rows_known = self.rows_known or call == "listed"
+
+    def tick_place(self):
+        if self.placing is not None and self.holds():
+            self.place("tick")
+
+    def on_listed(self, ev):
+        if ev.ok:
+            self.place("listed", ev.rows)
+            return
+        self.place("list_failed")
+
+    def on_ordered(self, ev):
+        self.place("ordered", ev.order, ev.outcome, ev.took)
+
+    def on_reported(self, ev):
+        self.place("reported", ev.replica, ev.ok, ev.report)
+
+    def heard_use(self, zone, use, load):
+        if self.holds():
+            self.place("used", zone, use, load)
+
+    def hear_want(self, src, m):
+        if not self.holds():
+            return
+        self.place("wanted", m.zone, m.items)
+        self.tell_facts(m.address, {i: self.placement.facts(self.now, i) for i in m.items})
--- a/basaltport/member.py
+++ b/basaltport/member.py
@@ -8,11 +8,42 @@
 
 
 class Me:
-    """Who a member is: its place from the settings and its seat, new with every start without memory."""
-
-    __slots__ = ("house", "name", "seat", "role", "zone", "addr", "http", "seeds", "expected", "ledgers")
-
-    def __init__(self, house, name, seat, role, zone, addr, http, seeds, expected, ledgers=3):
+    """Who a member is: its place from the settings and its seat, new with every start without memory.
+    `voters`: "seats" where all members vote, "ledgers" where those with disks alone do; then `founders` are
+    the addresses that may found, and `first_start` is true where nothing can have been agreed before."""
+
+    __slots__ = (
+        "house",
+        "name",
+        "seat",
+        "role",
+        "zone",
+        "addr",
+        "http",
+        "seeds",
+        "expected",
+        "ledgers",
+        "voters",
+        "first_start",
+        "founders",
+    )
+
+    def __init__(
+        self,
+        house,
+        name,
+        seat,
+        role,
+        zone,
+        addr,
+        http,
+        seeds,
+        expected,
+        ledgers=3,
+        voters="seats",
+        first_start=False,
+        founders=None,
+    ):
         self.house = house
         self.name = kinds.Name(name)
         self.seat = kinds.Seat(seat)
@@ -23,6 +54,9 @@
         self.seeds = list(seeds)
         self.expected = expected
         self.ledgers = ledgers
+        self.voters = voters
+        self.first_start = first_start
+        self.founders = list(seeds if founders is None else founders)
 
     def row(self):
         return {k: str(getattr(self, k)) for k in ("name", "seat", "role", "zone", "addr", "http")}
--- a/basaltport/messages.py
+++ b/basaltport/messages.py
@@ -7,7 +7,9 @@
 KINDS = {}
 
 
-def _message(number):
+def message(number):
+    """Registers a class as a message of this number; its fields are its form on the wire."""
+
     def wrap(cls):
         cls = dataclasses.dataclass(slots=True)(cls)
         cls.KIND = number
@@ -17,7 +19,7 @@
     return wrap
 
 
-@_message(1)
+@message(1)
 class Hello:
     house: str
     name: kinds.Name
@@ -30,7 +32,7 @@
     known: list
 
 
-@_message(2)
+@message(2)
 class Campaign:
     gen: kinds.Generation
     seat: kinds.Seat
@@ -38,7 +40,7 @@
     addr: str
 
 
-@_message(3)
+@message(3)
 class Promise:
     gen: kinds.Generation
     seat: kinds.Seat
@@ -50,20 +52,20 @@
     me: dict
 
 
-@_message(4)
+@message(4)
 class Fetch:
     gen: kinds.Generation
     seat: kinds.Seat
 
 
-@_message(5)
+@message(5)
 class Copy:
     gen: kinds.Generation
     seat: kinds.Seat
     copy: dict
 
 
-@_message(6)
+@message(6)
 class Beat:
     gen: kinds.Generation
     seat: kinds.Seat
@@ -80,7 +82,7 @@
     echo: int
 
 
-@_message(7)
+@message(7)
 class Ack:
     gen: kinds.Generation
     seat: kinds.Seat
@@ -94,7 +96,7 @@
     need: bool
 
 
-@_message(8)
+@message(8)
 class Forward:
     call: str
     addr: str
@@ -102,14 +104,14 @@
     body: dict
 
 
-@_message(9)
+@message(9)
 class Reply:
     call: str
     status: int
     body: dict
 
 
-@_message(10)
+@message(10)
 class Pulse:
     """Heartbeat to a watcher that the ring names."""
 
@@ -117,13 +119,13 @@
     n: int
 
 
-@_message(11)
+@message(11)
 class Suspect:
     seat: kinds.Seat
     of: kinds.Seat
 
 
-@_message(12)
+@message(12)
 class CellNews:
     """Changed rows of a cell, or with `ranges` whole ranges of it, and digests of all its rows."""
 
@@ -137,7 +139,7 @@
     ranges: str
 
 
-@_message(13)
+@message(13)
 class Want:
     """A rostrum asks the steward of a zone for an item; `wake` orders the load."""
 
@@ -149,7 +151,7 @@
     pool: str
 
 
-@_message(14)
+@message(14)
 class Facts:
     ask: int
     zone: kinds.Zone
@@ -165,7 +167,7 @@
     reason: str
 
 
-@_message(15)
+@message(15)
 class Need:
     """A rostrum's slots: what it holds, uses and wants, replica by replica."""
 
@@ -177,7 +179,7 @@
     rows: dict
 
 
-@_message(16)
+@message(16)
 class Grants:
     zone: kinds.Zone
     fence: kinds.Fence
@@ -186,7 +188,7 @@
     rows: dict
 
 
-@_message(17)
+@message(17)
 class PermitAsk:
     seat: kinds.Seat
     zone: kinds.Zone
@@ -196,7 +198,7 @@
     want: dict
 
 
-@_message(18)
+@message(18)
 class PermitGrant:
     zone: kinds.Zone
     fence: kinds.Fence
@@ -204,7 +206,7 @@
     granted: dict
 
 
-@_message(20)
+@message(20)
 class CellWant:
     zone: kinds.Zone
     fence: kinds.Fence
@@ -212,7 +214,7 @@
     ranges: str
 
 
-@_message(21)
+@message(21)
 class Yield:
     """The leader stops and names the ledger that may ask for promises at once."""
 
@@ -220,14 +222,14 @@
     to: kinds.Seat
 
 
-@_message(22)
+@message(22)
 class Leave:
     """A rostrum stops: it holds no lease and will take none."""
 
     seat: kinds.Seat
 
 
-@_message(23)
+@message(23)
 class Claim:
     """A query asks a keeper for its sender's key: `at` names the keepers it asks, `k` the try."""
 
@@ -239,7 +241,7 @@
     k: int
 
 
-@_message(24)
+@message(24)
 class Claimed:
     seat: kinds.Seat
     query: kinds.QueryId
@@ -251,7 +253,7 @@
     left: kinds.Millis
 
 
-@_message(25)
+@message(25)
 class Settle:
     """What came of a claim: free (never ran, never will), done or unknown."""
 
@@ -265,7 +267,7 @@
     reply: dict
 
 
-@_message(26)
+@message(26)
 class KeepWant:
     """A new keeper of a range asks one before it, of a stint, for what it holds."""
 
@@ -276,7 +278,7 @@
     digest: int
 
 
-@_message(27)
+@message(27)
 class KeepCopy:
     seat: kinds.Seat
     range: int
@@ -284,9 +286,27 @@
     rows: dict
 
 
-@_message(19)
+@message(19)
 class Leaving:
     """News ahead of the feed that a replica is leaving or a zone is emptied."""
 
     replica: str
     zone: str
+
+
+@message(28)
+class Canvass:
+    """Asks, before any promise is asked for, whether a seat hears a leader."""
+
+    name: kinds.Name
+    addr: str
+
+
+@message(29)
+class Canvassed:
+    """`ok`: this seat hears no leader."""
+
+    seat: kinds.Seat
+    name: kinds.Name
+    addr: str
+    ok: bool
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,174 @@
+"""The feed from the leading keeper to proxies: whole once, then what changed, never back, and kept unled."""
+
+import basaltport.consensus.book as book
+import basaltport.events as events
+import basaltport.fleet.messages as messages
+import basaltport.frames as frames
+import basaltport.kinds as kinds
+import tests.keepers as keepers
+
+
+def world(proxies=2, editions=1):
+    w = keepers.World(1, 3, packed=True)
+    assert w.until(lambda: w.settled("k1", "k2", "k3"), 3000) is not None
+    for e in range(1, editions + 1):
+        assert w.must(e, e - 1) is not None
+    ps = [w.proxy(f"p{i + 1}") for i in range(proxies)]
+    w.run(600)
+    return w, ps
+
+
+def lead(w):
+    return w.nodes[w.leader()].member
+
+
+def sent(w, cls):
+    """The messages of a class sent from now on."""
+    out, send = [], w.do_send
+
+    def look(n, e):
+        if isinstance(e.msg, cls):
+            out.append((w.now, e.msg))
+        send(n, e)
+
+    w.do_send = look
+    return out
+
+
+def edition(p):
+    return (p.book["manifest"] or {}).get("edition")
+
+
+def test_a_new_proxy_has_all_at_once_and_then_only_what_changed():
+    w, _ = world(0)
+    got = sent(w, messages.Update)
+    p = w.proxy("p1")
+    w.run(100)
+    assert edition(p) == 1 and set(p.rows) == {"r1"} and p.proxies == 1
+    assert [(m.full, bool(m.copy)) for _, m in got] == [(True, True)]
+    del got[:]
+    assert w.must(2, 1) is not None
+    w.run(30)
+    assert edition(p) == 2
+    lead(w).placement.put({"r1": {"id": "r1", "state": "draining"}, "r2": {"id": "r2"}})
+    w.run(100)
+    assert set(p.rows) == {"r1", "r2"} and p.changes[-1] == {"r1", "r2"}
+    lead(w).placement.put({"r2": {"id": "r2"}})
+    w.run(100)
+    assert set(p.rows) == {"r2"} and p.changes[-1] == {"r1"}
+    assert not any(m.copy or m.full for _, m in got)
+    assert [(sorted(m.rows), m.gone) for _, m in got if m.rows or m.gone] == [
+        (["r1", "r2"], []),
+        ([], ["r1"]),
+    ]
+    del got[:]
+    w.run(5000)
+    assert len(got) in (4, 5, 6) and all(len(frames.pack(m)) < 100 for _, m in got)
+
+
+def test_what_was_lost_on_the_way_is_asked_for():
+    w, (p, _) = world()
+    k = w.leader()
+    w.cut(k, "p1", both=False)
+    assert w.must(2, 1) is not None
+    lead(w).placement.put({"r9": {"id": "r9"}})
+    w.run(1000)
+    w.held = []
+    w.heal()
+    assert (edition(p), set(p.rows)) == (1, {"r1"})
+    w.run(900)
+    assert (edition(p), set(p.rows)) == (2, {"r9"})
+
+
+def test_what_does_not_join_on_is_left_and_asked_for_at_once():
+    w, (p, _) = world()
+    w.run(150)
+    k, s, n = lead(w), book.serial(p.book), p.feed_n
+    m = messages.Update(p.feed_gen, "", "", [], s, [], {}, False, n + 1, n + 2, {"x": {}}, [], 2)
+    out = p.step(events.Heard(w.now, "", m))
+    assert set(p.rows) == {"r1"} and p.feed_n == n
+    assert [(e.addr, e.msg.seen) for e in out] == [(k.me.addr, n)]
+
+
+def test_a_proxy_never_goes_back():
+    w, (p, _) = world(editions=3)
+    old = lead(w)
+    gen, at = p.feed_gen, book.serial(p.book)
+    stale = {**p.book, "serial": at - 1, "manifest": keepers.document(2)}
+    for g, n in ((kinds.Generation(gen.count - 1, "k9"), 99), (gen, 0)):
+        m = messages.Update(
+            g, old.me.name, old.me.addr, [], kinds.Serial(at - 1), [], stale, True, -1, n, {}, [], 9
+        )
+        p.step(events.Heard(w.now, "", m))
+        assert edition(p) == 3 and p.rows
+    assert p.proxies == 9
+    newer = kinds.Generation(gen.count + 1, "k2")
+    m = messages.Update(newer, "k2", "a:1", [], kinds.Serial(at - 1), [], stale, True, -1, 1, {}, [], 1)
+    p.step(events.Heard(w.now, "", m))
+    assert edition(p) == 3 and not p.rows
+
+
+def test_a_new_leader_is_found_and_unled_all_is_kept():
+    w, (p, q) = world()
+    w.kill(w.leader())
+    assert w.until(w.leader, 1500) is not None
+    took = w.until(lambda: p.feed_gen == lead(w).promised == q.feed_gen, 3000)
+    assert took is not None and took < 1500
+    assert set(p.rows) == {"r1"} and edition(p) == 1 and p.changes == [{"r1"}]
+    for n in list(w.keepers()):
+        w.kill(n.name)
+    w.run(10_000)
+    assert not p.led() and set(p.rows) == {"r1"} and edition(p) == 1
+
+
+def test_a_leader_that_stops_sends_proxies_on():
+    w, (p, _) = world()
+    w.stop(w.leader())
+    assert (
+        w.until(lambda: p.led() and p.feed_gen == lead(w).promised if w.leader() else False, 600) is not None
+    )
+
+
+def test_rows_stay_until_a_new_leader_has_read_the_list():
+    w, (p, _) = world()
+    w.do_list = lambda n, e: w.later(2000, w.list, n, n.life)
+    w.listing = [{"id": "r2"}]
+    w.kill(w.leader())
+    w.until(lambda: w.leader() and p.feed_gen == lead(w).promised, 4000)
+    w.run(300)
+    assert set(p.rows) == {"r1"}
+    w.run(3000)
+    assert set(p.rows) == {"r2"}
+
+
+def test_a_frozen_leader_s_word_comes_too_late():
+    w, (p, _) = world()
+    old = w.leader()
+    w.freeze(old)
+    w.run(4000)
+    assert w.must(2, 1) is not None
+    got = sent(w, messages.Update)
+    w.freeze(old, False)
+    w.run(1000)
+    assert edition(p) == 2 and {m.gen for _, m in got} == {lead(w).promised}
+
+
+def test_live_proxies_are_counted_and_silent_ones_forgotten():
+    w, (p, _) = world()
+    w.run(1500)
+    assert p.proxies == 2
+    w.nodes["p2"].member, w.nodes["p2"].life = None, 99
+    w.run(4500)
+    assert p.proxies == 1 and set(lead(w).proxies) == {"p1"}
+
+
+def test_wants_use_and_facts_pass_between_proxy_and_placement():
+    w, (p, _) = world()
+    p.out = []
+    p.want({"m": 2})
+    for e in p.out:
+        w.do_send(w.nodes["p1"], e)
+    w.run(500)
+    told = lead(w).placement.told
+    assert ("wanted", "z-p1", {"m": 2}) in told and ("used", "z-p1", {"m": 1}, {}) in told
+    assert p.heard_facts["m"]["state"] == "loading"
