Routes: requests relayed byte for byte, with queue, budget, health and resumed streams

Cause: the product took JSON queries only; the platform wants HTTP requests passed on unaltered to replicas that hold many models. New package relay: a reducer (routes compiled to programs, readiness by ADR 0041, picks by zone and load, one node's share of the retry budget and of a cold replica's limit) and a shell (aiohttp on both sides).

--- /dev/null
+++ b/basaltport/relay/events.py
@@ -0,0 +1,101 @@
+"""Events and effects of the relay, beside those of `basaltport.events`."""
+
+import dataclasses
+
+import basaltport.kinds as kinds
+
+_d = dataclasses.dataclass(slots=True)
+
+
+@_d
+class Arrived:
+    """A client's request, read and whole. `deadline`: ms that the client waits, or -1."""
+
+    now: kinds.Millis
+    request: int
+    host: str
+    path: str
+    item: kinds.Item
+    deadline: int
+    tokens: int = 0
+    prefix: str = ""
+
+
+@_d
+class Left:
+    """The client went away."""
+
+    now: kinds.Millis
+    request: int
+
+
+@_d
+class Progress:
+    """First bytes, or more of them, came from a replica for an attempt."""
+
+    now: kinds.Millis
+    attempt: int
+
+
+@_d
+class Ended:
+    """An attempt ended.
+
+    done: the whole answer went to the client. refused: the replica says that it never ran. absent: so, as
+    it does not hold the item. moved: another replica has the address. unsent: no byte of it went out.
+    failed: a whole answer of failure, kept by the shell, not passed on. broken: lost after it was sent,
+    nothing passed on. cut: lost after a part was passed on; `resumes`: whether it can be taken up. late: the
+    time is over. gone: the client takes no more.
+    """
+
+    now: kinds.Millis
+    attempt: int
+    outcome: str
+    status: int = 0
+    detail: str = ""
+    resumes: bool = False
+
+
+@_d
+class Attempt:
+    """Send a request to a replica. `left`: ms until the client gives up."""
+
+    request: int
+    attempt: int
+    replica: kinds.ReplicaId
+    address: str
+    left: int
+    priority: int
+    repeatable: bool
+
+
+@_d
+class Close:
+    """The final word of our own: nothing else goes to this client. `ran`: it may have run."""
+
+    request: int
+    status: int
+    detail: str
+    retry_after: int = 0
+
+
+@_d
+class Pass:
+    """Pass on the kept answer of failure of an attempt as it is."""
+
+    request: int
+    attempt: int
+
+
+@_d
+class Cut:
+    """End the client's connection: a part of an answer is out and cannot be completed."""
+
+    request: int
+
+
+@_d
+class Abort:
+    """Stop an attempt; its end is still told."""
+
+    attempt: int
--- /dev/null
+++ b/basaltport/relay/shell.py
@@ -0,0 +1,241 @@
+"""The shell round the relay's reducer: clients' HTTP, readiness, attempts at replicas, the feed."""
+
+import asyncio
+import gc
+import os
+import random
+import signal
+
+import aiohttp.web
+
+import basaltport.events as base
+import basaltport.kinds as kinds
+import basaltport.logs as logs
+import basaltport.member as member
+import basaltport.relay.answer as answer
+import basaltport.relay.events as events
+import basaltport.relay.role as role
+import basaltport.relay.upstream as upstream
+import basaltport.wires as wires
+
+TICK = 0.05
+NOTICED = 2.6
+LAST = 0.8
+BODY = 4 << 20
+IDLE = 75
+STALE = 2.0
+
+
+def number(raw, top=10**8):
+    """A whole number of a header, or -1."""
+    return min(int(raw), top) if raw and raw.isascii() and raw.isdigit() and len(raw) < 12 else -1
+
+
+class RelayShell:
+    """`reload`: called on SIGHUP and when no keeper was heard of for a while; gives the seeds, or None."""
+
+    def __init__(self, settings, words, reload=None):
+        self.settings = s = settings
+        self.words = words
+        self.reload = reload
+        self.stopping = False
+        self.n = 0
+        self.sinks = {}
+        self.tasks = {}
+        me = member.Me(
+            s["house"],
+            s["name"],
+            f"{s['name']}-{os.urandom(4).hex()}",
+            "proxy",
+            s["zone"],
+            s["address"],
+            "",
+            s["seeds"],
+            0,
+        )
+        seed = random.SystemRandom().getrandbits(64)
+        zones = len(s.get("zones") or ()) or 1
+        self.member = role.Relay(me, seed, kinds.steady(), s.get("timings"), zones)
+        self.upstream = upstream.Upstream(words)
+        self.wires = wires.Wires(
+            s["address"], self.heard, lambda peer, why: logs.note(33, {"peer": peer, "why": why})
+        )
+
+    def reseed(self, seeds):
+        self.member.me.seeds = list(seeds)
+
+    async def run(self):
+        loop = asyncio.get_running_loop()
+        logs.open_log("-")
+        self.end = asyncio.Event()
+        for s in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(s, self.end.set)
+        loop.add_signal_handler(signal.SIGHUP, self.hup)
+        await self.upstream.start()
+        await self.wires.start()
+        self.server = aiohttp.web.Server(
+            self.serve,
+            request_factory=self.request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE,
+            max_line_size=16_384,
+            max_field_size=32_768,
+            auto_decompress=False,
+            lingering_time=2.0,
+        )
+        self.probe = aiohttp.web.Server(self.readiness, access_log=None)
+        host, port = self.settings["listen"].rsplit(":", 1)
+        self.listener = await loop.create_server(self.server, host, int(port), backlog=1024)
+        host, port = self.settings["ready"].rsplit(":", 1)
+        self.prober = await loop.create_server(self.probe, host, int(port), backlog=128)
+        logs.note(1, self.member.me.row())
+        gc.collect()
+        gc.freeze()
+        ticker = loop.create_task(self.tick())
+        await self.end.wait()
+        await self.finish()
+        ticker.cancel()
+
+    def hup(self):
+        seeds = self.reload() if self.reload else None
+        if seeds:
+            self.reseed(seeds)
+
+    async def finish(self):
+        """Not ready at once; what still comes is served; once no new clients come, what runs is finished."""
+        logs.note(2, {"name": self.member.me.name})
+        self.stopping = True
+        self.step(base.Stop(kinds.steady()))
+        grace = self.member.timings["grace_s"]
+        await asyncio.sleep(min(NOTICED, grace / 2))
+        self.listener.close()
+        until = kinds.steady() + 1000 * (grace - min(NOTICED, grace / 2) - LAST)
+        while self.close_idle() and kinds.steady() < until:
+            await asyncio.sleep(TICK)
+        await self.wires.stop()
+        await self.upstream.stop()
+
+    def close_idle(self):
+        """Ends connections that no request is on; gives how many are left. The library's own way stops the
+        tasks of idle ones and leaves them open, so that what is sent on them is read and never answered."""
+        busy = 0
+        for c in self.server.connections:
+            if c._current_request is not None or c._messages:
+                c.close()
+                busy += 1
+                continue
+            c.force_close()
+        return busy or len(self.sinks)
+
+    async def tick(self):
+        asked = kinds.steady()
+        while True:
+            now = kinds.steady()
+            try:
+                self.step(base.Tick(now))
+            except Exception as e:
+                logs.note(81, {"why": f"{type(e).__name__}: {e}"})
+            if now - asked > 1000 * STALE and now - self.member.led_at > 1000 * STALE:
+                asked = now
+                self.hup()
+            await asyncio.sleep(TICK)
+
+    def heard(self, src, msg):
+        self.step(base.Heard(kinds.steady(), src, msg))
+
+    # clients
+
+    def request(self, message, payload, protocol, writer, task):
+        loop = asyncio.get_running_loop()
+        size = self.member.table.limits.get("body_bytes") or BODY
+        return aiohttp.web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=size)
+
+    async def readiness(self, request):
+        ok = request.path == self.words.ready_path and self.member.ready() and not self.stopping
+        return aiohttp.web.Response(status=200 if ok else 503)
+
+    async def serve(self, request):
+        try:
+            body = await request.read()
+        except aiohttp.web.HTTPRequestEntityTooLarge:
+            return aiohttp.web.Response(status=413)
+        w, h = self.words, request.headers
+        self.n += 1
+        n = self.n
+        sink = self.sinks[n] = answer.Sink(request, body, w, lambda: self.stopping)
+        path = request.raw_path
+        if not path.startswith("/"):
+            del self.sinks[n]
+            return aiohttp.web.Response(status=400)
+        tokens = h.get(w.tokens, "").partition(",")[0]
+        ev = events.Arrived(
+            kinds.steady(),
+            n,
+            h.get("Host", ""),
+            path.partition("?")[0],
+            kinds.Item(h.get(w.model, "")),
+            number(h.get(w.deadline)),
+            number(tokens, 10**7),
+            h.get(w.prefix, "").rpartition(",")[0],
+        )
+        try:
+            self.step(ev)
+            return await sink.done
+        except asyncio.CancelledError:
+            self.step(events.Left(kinds.steady(), n))
+            raise
+        finally:
+            self.sinks.pop(n, None)
+
+    # effects
+
+    def step(self, ev):
+        for e in self.member.step(ev):
+            getattr(self, "do_" + type(e).__name__.lower())(e)
+
+    def do_send(self, e):
+        self.wires.send(e.addr, e.msg)
+
+    def do_note(self, e):
+        logs.note(e.number, e.fields)
+
+    def do_close(self, e):
+        s = self.sinks.get(e.request)
+        if s:
+            s.close(e.status, e.detail, e.retry_after)
+
+    def do_pass(self, e):
+        s = self.sinks.get(e.request)
+        if s:
+            s.give(e.attempt)
+
+    def do_cut(self, e):
+        s = self.sinks.get(e.request)
+        if s:
+            s.cut()
+
+    def do_abort(self, e):
+        t = self.tasks.get(e.attempt)
+        if t:
+            t.cancel()
+
+    def do_attempt(self, e):
+        s = self.sinks.get(e.request)
+        if s is None:
+            return
+        q = self.member.requests.get(e.request)
+        if s.pieces is None:
+            s.route(q.route)
+        self.tasks[e.attempt] = asyncio.get_running_loop().create_task(self.attempt(e, s))
+
+    async def attempt(self, e, sink):
+        got = ("broken", 0, "fault", False)
+        try:
+            got = await self.upstream.run(e, sink, lambda: self.progress(e.attempt))
+        finally:
+            self.tasks.pop(e.attempt, None)
+            self.step(events.Ended(kinds.steady(), e.attempt, *got))
+
+    def progress(self, attempt):
+        self.step(events.Progress(kinds.steady(), attempt))
--- /dev/null
+++ b/basaltport/relay/upstream.py
@@ -0,0 +1,181 @@
+"""Sends attempts to replicas and tells what is proven of each."""
+
+import asyncio
+
+import aiohttp
+import multidict
+import yarl
+
+import basaltport.relay.connections as connections
+
+HOP = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+}
+SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+WHOLE = 16 << 20
+CONNECT = 0.4
+
+
+def end_to_end(headers):
+    """Headers but those of a single connection."""
+    drop = set(HOP)
+    for v in headers.getall("Connection", ()):
+        drop.update(x.strip().lower() for x in v.split(","))
+    return multidict.CIMultiDict((k, v) for k, v in headers.items() if k.lower() not in drop)
+
+
+class Foreign(Exception):
+    """The bytes are not the answer to what was sent."""
+
+
+class Departed(Exception):
+    """The client takes no more."""
+
+
+class Upstream:
+    def __init__(self, words):
+        self.words = words
+        self.session = None
+        self.written = set()
+
+    async def start(self):
+        self.connector = connections.Connector(self.got)
+        self.session = connections.once_session(
+            connector=self.connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT),
+            skip_auto_headers=SKIP,
+            max_line_size=16_384,
+            max_field_size=32_768,
+        )
+
+    async def stop(self):
+        await self.session.close()
+
+    def got(self, req):
+        a = getattr(req, "headers", {}).get(MARK)
+        if a is not None:
+            del req.headers[MARK]
+            self.written.add(int(a))
+
+    def heads(self, e, sink, left):
+        w = self.words
+        h = multidict.CIMultiDict(sink.heads)
+        h[w.deadline] = str(max(1, left))
+        h[w.expect_replica] = e.replica
+        h[w.priority] = str(e.priority)
+        h[MARK] = str(e.attempt)
+        last = sink.resume()
+        if last:
+            h[w.resume] = last
+        return h
+
+    async def run(self, e, sink, progress):
+        """(outcome, status, detail, resumes) of an attempt, see `relay.events.Ended`."""
+        try:
+            async with asyncio.timeout(e.left / 1000):
+                return await self.once(e, sink, progress)
+        except TimeoutError:
+            return self.lost(e, sink, "late", "the time is over")
+        except asyncio.CancelledError:
+            asyncio.current_task().uncancel()
+            return self.lost(e, sink, "broken", "stopped")
+        except Departed as x:
+            return "gone", 0, str(x), False
+        except Foreign as x:
+            return self.lost(e, sink, "broken", str(x))
+        except aiohttp.ClientConnectorError as x:
+            return "unsent", 0, type(x).__name__, False
+        except (aiohttp.ClientError, OSError, ValueError) as x:
+            return self.lost(e, sink, "broken", type(x).__name__)
+        finally:
+            self.written.discard(e.attempt)
+
+    def lost(self, e, sink, outcome, why):
+        if e.attempt not in self.written:
+            return "unsent", 0, why, False
+        if sink.begun:
+            return "cut", 0, why, sink.can_resume() and outcome != "late"
+        return outcome, 0, why, False
+
+    async def once(self, e, sink, progress):
+        url = yarl.URL(f"http://{e.address}{sink.path}", encoded=True)
+        heads = self.heads(e, sink, e.left)
+        async with self.session.request(
+            sink.method, url, headers=heads, data=sink.body or None, allow_redirects=False
+        ) as r:
+            progress()
+            self.kept(r)
+            return await self.answer(e, sink, r, progress)
+
+    def kept(self, r):
+        p = r.connection.protocol if r.connection else None
+        if p is not None:
+            s = connections.seconds(r.headers.get("Keep-Alive"))
+            if s is not None:
+                p.keep_s = s
+
+    async def answer(self, e, sink, r, progress):
+        w, h = self.words, r.headers
+        if h.get(w.request_id) != sink.request_id:
+            r.close()
+            raise Foreign("the answer is of another request")
+        if r.status == 421:
+            await self.whole(r)
+            return ("absent" if h.get(w.replica) == e.replica else "moved"), 421, "", False
+        if w.not_run in h:
+            await self.whole(r)
+            return "refused", r.status, f"refused by the replica: {r.status}", False
+        if h.get("Content-Encoding", "identity").lower() != "identity":
+            r.close()
+            raise Foreign("the answer is encoded")
+        if 200 <= r.status < 300 and w.stamp not in h:
+            r.close()
+            raise Foreign("the answer has no stamp")
+        if 200 <= r.status < 300 and sink.streams:
+            return await self.stream(e, sink, r, progress)
+        raw = await self.whole(r)
+        if r.status >= 500:
+            sink.keep(e.attempt, r.status, end_to_end(h), raw)
+            return "failed", r.status, "", False
+        if sink.begun:
+            return "failed", r.status, "a run that should go on does not", False
+        await sink.whole(r.status, end_to_end(h), raw)
+        return "done", r.status, "", False
+
+    async def whole(self, r):
+        """The whole body, or an error if it ends early; what is over WHOLE is no answer."""
+        raw = bytearray()
+        async for c in r.content.iter_any():
+            raw += c
+            if len(raw) > WHOLE:
+                r.close()
+                raise Foreign("the answer is too long")
+        return bytes(raw)
+
+    async def stream(self, e, sink, r, progress):
+        if (
+            "Content-Length" not in r.headers
+            and "chunked" not in r.headers.get("Transfer-Encoding", "").lower()
+        ):
+            r.close()
+            raise Foreign("a stream without an end")
+        async for c in r.content.iter_any():
+            progress()
+            await sink.part(r.status, r.headers, c)
+        await sink.end(r.status, r.headers)
+        return "done", r.status, "", False
+
+
+MARK = "X-Basaltport-Attempt"
--- /dev/null
+++ b/basaltport/relay/words.py
@@ -0,0 +1,21 @@
+"""Header names of relayed requests: the product's own, or those of the platform that it runs on."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Words:
+    """`resume` and `prefix` as in docs/relay.md; `not_run` on an answer promises that nothing ran."""
+
+    request_id: str = "Basaltport-Request"
+    deadline: str = "Basaltport-Deadline-Ms"
+    expect_replica: str = "Basaltport-Expect-Replica"
+    stamp: str = "Basaltport-Stamp"
+    not_run: str = "Basaltport-Not-Run"
+    model: str = "Basaltport-Model"
+    tokens: str = "Basaltport-Tokens"
+    prefix: str = "Basaltport-Prompt-Prefix"
+    resume: str = "Last-Event-Id"
+    priority: str = "Basaltport-Priority"
+    replica: str = "Basaltport-Replica"
+    ready_path: str = "/ready"
--- /dev/null
+++ b/tests/relay_stand.py
@@ -0,0 +1,219 @@
+"""A stand-in replica that answers as a script says, byte for byte, and a relay in front of it."""
+
+import asyncio
+
+import basaltport.kinds as kinds
+import basaltport.relay.shell as shell
+import basaltport.relay.words as words
+
+W = words.Words()
+BOUND = 20
+
+
+def head(request, status="200 OK", stamp=True, **more):
+    h = {W.request_id: request.get(W.request_id.lower(), ""), **more}
+    if stamp:
+        h[W.stamp] = "s1"
+    lines = [f"HTTP/1.1 {status}"] + [f"{k}: {v}" for k, v in h.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def whole(request, body=b"ok", status="200 OK", **more):
+    return head(request, status, **{"Content-Length": len(body), **more}) + body
+
+
+def chunk(raw):
+    return b"%x\r\n%s\r\n" % (len(raw), raw)
+
+
+def event(i):
+    return b"id: %d\ndata: piece %d\n\n" % (i, i)
+
+
+class Replica:
+    """`script`: async (replica, request headers, writer) for each request. `seen`: (line, headers, body)."""
+
+    def __init__(self, id, script, zone="z1", **row):
+        self.id = id
+        self.script = script
+        self.zone = zone
+        self.row_more = row
+        self.seen = []
+        self.connections = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def row(self):
+        row = {
+            "id": self.id,
+            "service": "write",
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "slots": 8,
+            "state": "ready",
+            "leaves_in_ms": None,
+            "cold_ms": 0,
+            "models": {"birch": []},
+            "loading": [],
+        }
+        return {**row, **self.row_more}
+
+    async def accept(self, r, w):
+        self.connections += 1
+        try:
+            while True:
+                raw = (await r.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                h = {k.lower(): v for k, _, v in (x.partition(": ") for x in raw[1:] if x)}
+                body = await r.readexactly(int(h.get("content-length", 0)))
+                self.seen.append((raw[0], h, body))
+                await self.script(self, h, w)
+                await w.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            w.close()
+
+
+def document(**more):
+    route = {
+        "host": "desk.example",
+        "kind": "safe",
+        "deadline_ms": 3000,
+        "target_ms": 500,
+        "urgency": 0,
+        "service": "write",
+        "attempts": 2,
+        "pinned": True,
+        "resumable": False,
+        "gap_target_ms": 600,
+    }
+    kinds_ = {
+        "safe": {},
+        "once": {"kind": "unsafe", "attempts": 1},
+        "stream": {"kind": "stream", "resumable": True},
+        "single": {"kind": "stream", "attempts": 1},
+    }
+    return {
+        "edition": 1,
+        "routes": [{**route, "name": k, "prefix": f"/{k}/", **v, **more} for k, v in kinds_.items()],
+        "services": [
+            {
+                "name": "write",
+                "connections": 50,
+                "cold_s": 3,
+                "cold_rate_s": 10,
+                "engine": {
+                    "slots": 8,
+                    "models": [
+                        {"name": "birch", "load_s": 0.5, "adapters": 2, "adapter_mb": 1, "weights_mb": 9}
+                    ],
+                    "weights_mb": 20,
+                    "adapter_slots": 2,
+                    "loads_per_s": 2,
+                },
+            }
+        ],
+        "limits": {"body_bytes": 1000},
+    }
+
+
+def fill(m, rows, doc):
+    """Put a reducer where the feed would have it."""
+    m.book = {**m.book, "manifest": doc, "mserial": 1, "serial": 1}
+    m.rows = {r["id"]: r for r in rows}
+    m.proxies = 1
+    m.followed()
+    m.rows_changed(list(m.rows))
+
+
+class Front:
+    """A relay's shell on 127.0.0.1, told its replicas and configuration directly; no keeper."""
+
+    def __init__(self, replicas, doc=None, timings=None):
+        self.replicas = replicas
+        self.doc = doc or document()
+        self.timings = timings or {"retry_slack": 100, "grace_s": 0.2}
+
+    async def __aenter__(self):
+        for r in self.replicas:
+            await r.start()
+        s = {
+            "house": "h",
+            "name": "p1",
+            "zone": "z1",
+            "zones": ["z1", "z2"],
+            "address": "127.0.0.1:0",
+            "seeds": [],
+            "listen": "127.0.0.1:0",
+            "ready": "127.0.0.1:0",
+            "timings": self.timings,
+        }
+        self.shell = shell.RelayShell(s, W)
+        self.task = asyncio.get_running_loop().create_task(self.shell.run())
+        async with asyncio.timeout(BOUND):
+            while not hasattr(self.shell, "prober"):
+                await asyncio.sleep(0)
+        self.port = self.shell.listener.sockets[0].getsockname()[1]
+        self.member = self.shell.member
+        self.member.born = kinds.Millis(-60_000)
+        fill(self.member, [r.row() for r in self.replicas], self.doc)
+        return self
+
+    async def __aexit__(self, *exc):
+        self.shell.end.set()
+        await asyncio.wait_for(self.task, BOUND)
+        for r in self.replicas:
+            r.server.close()
+
+    async def open(self):
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    def text(self, path, body=b"hello", host="desk.example", **more):
+        h = {
+            "Host": host,
+            W.request_id: "q1",
+            W.model: "birch",
+            W.deadline: "2000",
+            "Content-Length": str(len(body)),
+            **more,
+        }
+        lines = [f"POST {path} HTTP/1.1"] + [f"{k}: {v}" for k, v in h.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    async def raw(self, data):
+        """Everything that comes back on a connection of its own, until it ends."""
+        r, w = await self.open()
+        w.write(data)
+        try:
+            async with asyncio.timeout(BOUND):
+                return await r.read()
+        except ConnectionResetError:
+            return None
+        finally:
+            w.close()
+
+    async def ask(self, path, **more):
+        """(status, headers, body) of one request; body None where the answer is not whole."""
+        got = await self.raw(self.text(path, **{"Connection": "close", **more}))
+        if not got:
+            return None, {}, None
+        top, _, body = got.partition(b"\r\n\r\n")
+        lines = top.decode("latin-1").split("\r\n")
+        h = {k.lower(): v for k, _, v in (x.partition(": ") for x in lines[1:])}
+        return int(lines[0].split()[1]), h, dechunk(body) if h.get("transfer-encoding") else body
+
+
+def dechunk(raw):
+    """The body of whole chunks, or None where the last one is missing."""
+    out = b""
+    while True:
+        n, sep, raw = raw.partition(b"\r\n")
+        if not sep:
+            return None
+        n = int(n, 16)
+        if n == 0:
+            return out
+        out, raw = out + raw[:n], raw[n + 2 :]
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,243 @@
+"""The relay's reducer on virtual time: what goes where, what goes again, what is refused and when."""
+
+import basaltport.events as base
+import basaltport.kinds as kinds
+import basaltport.member as member
+import basaltport.relay.budget as budget
+import basaltport.relay.events as events
+import basaltport.relay.pieces as pieces
+import basaltport.relay.role as role
+import basaltport.relay.table as table
+import tests.relay_stand as stand
+
+
+class Sim:
+    """Drives a Relay; `out` collects its effects but for messages and notes."""
+
+    def __init__(self, rows, doc=None, timings=None, proxies=1):
+        me = member.Me("h", "p1", "p1-s", "proxy", "z1", "127.0.0.1:1", "", [], 0)
+        self.now = 100_000
+        self.m = role.Relay(me, 7, self.now, timings, 2)
+        self.m.born = kinds.Millis(0)
+        self.out = []
+        self.n = 0
+        self.m.out = []
+        stand.fill(self.m, rows, doc or stand.document())
+        self.m.proxies = proxies
+        self.wants = []
+        self.m.want = self.wants.append
+
+    def step(self, ev):
+        got = [e for e in self.m.step(ev) if not isinstance(e, (base.Note, base.Send))]
+        self.out += got
+        return got
+
+    def ask(self, route="safe", item="birch", deadline=2000, **kw):
+        self.n += 1
+        ev = events.Arrived(self.now, self.n, "desk.example", f"/{route}/x", kinds.Item(item), deadline, **kw)
+        return self.step(ev)
+
+    def end(self, attempt, outcome, **kw):
+        return self.step(events.Ended(self.now, attempt, outcome, **kw))
+
+    def wait(self, ms):
+        got = []
+        for _ in range(0, ms, 50):
+            self.now += 50
+            got += self.step(base.Tick(self.now))
+        return got
+
+    def rows(self, *rows):
+        self.m.rows = {r["id"]: r for r in rows}
+        self.m.out = []
+        self.m.rows_changed(list(self.m.rows))
+        return [e for e in self.m.out if isinstance(e, events.Attempt)]
+
+
+def row(id, zone="z1", models=("birch",), **kw):
+    r = stand.Replica(id, None, zone)
+    r.port = 1
+    return {**r.row(), "models": {m: [] for m in models}, **kw}
+
+
+def test_the_near_replica_is_taken_and_the_far_one_once_it_is_full():
+    s = Sim([row("near"), row("far", "z2")])
+    got = [s.ask()[0].replica for _ in range(14)]
+    assert got[:4] == ["near"] * 4
+    assert "far" in got
+
+
+def test_nothing_goes_to_what_drains_or_lies_in_an_emptied_zone():
+    s = Sim([row("a", state="draining"), row("b", "z2")])
+    assert s.ask()[0].replica == "b"
+    s.m.book = {**s.m.book, "drains": {"z2": 5}}
+    assert s.ask() == []
+    assert s.wants[-1] == {"birch": 1}
+
+
+def test_a_request_waits_for_a_load_and_goes_when_it_is_told_of():
+    s = Sim([row("a", models=())])
+    assert s.ask("once") == []
+    assert s.ask("once") == []
+    assert s.wants == [{"birch": 1}], "one wait is shared"
+    got = s.rows(row("a"))
+    assert [e.replica for e in got] == ["a", "a"]
+
+
+def test_the_keeper_is_asked_at_its_own_spacing_and_never_more_than_ten_times_a_second():
+    s = Sim([row("a", models=())])
+    s.ask("once", deadline=3000)
+    s.m.on_facts({"birch": {"state": "loading", "retry_after_ms": 10, "expected_ms": 500}})
+    s.wait(500)
+    assert 4 <= len(s.wants) <= 6
+
+
+def test_any_state_but_loaded_or_loading_ends_the_wait_at_once():
+    s = Sim([row("a", models=())])
+    s.ask("once")
+    s.m.out = []
+    s.m.on_facts({"birch": {"state": "unavailable", "retry_after_ms": 700}})
+    c = s.m.out[0]
+    assert (type(c), c.status, c.retry_after) == (events.Close, 503, 700)
+
+
+def test_a_request_whose_time_does_not_cover_the_load_is_refused_before_it_waits():
+    s = Sim([row("a", models=())])
+    c = s.ask("once", deadline=400)[0]
+    assert (type(c), c.status) == (events.Close, 503)
+    assert s.ask("once", deadline=600) == []
+
+
+def test_what_waits_is_refused_as_soon_as_it_is_too_late_not_at_the_deadline():
+    s = Sim([row("a", models=())])
+    s.m.first["write"] = 400
+    s.ask("once", deadline=2000)
+    got = s.wait(2000)
+    assert [type(e) for e in got] == [events.Close]
+    assert got[0].status == 503 and got[0].retry_after > 0
+    assert s.now - 100_000 == 2000 and not s.m.requests
+
+
+def test_the_more_urgent_goes_first_and_then_the_older():
+    doc = stand.document()
+    doc["routes"][1]["urgency"] = 2
+    s = Sim([row("a", models=())], doc)
+    s.ask("once")
+    s.ask("safe")
+    s.ask("safe")
+    assert [e.request for e in s.rows(row("a"))] == [2, 3, 1]
+
+
+def test_once_only_goes_again_only_where_no_byte_of_it_went_out():
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("once")[0]
+    b = s.end(a.attempt, "unsent")[0]
+    assert b.replica == "b"
+    for outcome, status in (("broken", 502), ("late", 504), ("refused", 503), ("moved", 503)):
+        s = Sim([row("a"), row("b", "z2")])
+        c = s.end(s.ask("once")[0].attempt, outcome)[0]
+        assert (type(c), c.status) == (events.Close, status)
+
+
+def test_a_repeatable_that_may_have_run_is_never_promised_that_it_did_not():
+    s = Sim([row("a")])
+    a = s.ask("safe")[0]
+    s.rows(row("a", state="draining"))
+    assert s.end(a.attempt, "broken") == []
+    c = s.wait(2000)[0]
+    assert (type(c), c.status) == (events.Close, 504)
+
+
+def test_further_attempts_keep_within_this_node_s_share_of_the_budget():
+    s = Sim([row("a"), row("b", "z2")], timings={"retry_ratio": 0.2, "retry_slack": 40}, proxies=4)
+    again = 0
+    for _ in range(100):
+        a = s.ask("safe")[0]
+        got = s.end(a.attempt, "failed", status=500)
+        if got and isinstance(got[0], events.Attempt):
+            again += 1
+            s.end(got[0].attempt, "done", status=200)
+        s.m.health.clear()
+    assert 0 < again <= 0.2 * 100 + 40 / 4
+
+
+def test_the_slack_is_not_used_anew_after_a_start():
+    w = budget.Retries(0, 0.2, 10_000, 40)
+    assert not w.room(5000, 1)
+    assert w.room(10_000, 1)
+
+
+def test_a_cold_replica_gets_no_more_than_a_share_in_any_second():
+    s = Sim([row("a", cold_ms=5000)], timings={"cold_excess": 1.5, "cold_slack": 5}, proxies=2)
+    sent = [e.attempt for _ in range(40) for e in s.ask() if isinstance(e, events.Attempt)]
+    for a in sent:
+        s.end(a, "done", status=200)
+    assert 0 < len(s.out) and len(s.m.runs) == 0
+    n = sum(isinstance(e, events.Attempt) for e in s.out)
+    assert n <= (10 * 1.5 + 5) / 2
+
+
+def test_shares_of_a_cold_replica_s_limit_stay_under_it_at_any_size():
+    for nodes in (1, 3, 9, 40, 85, 340):
+        names = [f"p{i}" for i in range(nodes)]
+        for r in range(30):
+            assert sum(budget.Cold.share(51, nodes, n, f"r{r}") for n in names) <= 51
+
+
+def test_a_silent_replica_is_left_and_what_may_be_repeated_goes_elsewhere():
+    s = Sim([row("a"), row("b", "z2")])
+    a, b = s.ask("stream")[0], s.ask("once")[0]
+    assert (a.replica, b.replica) == ("a", "a")
+    got = s.wait(850)
+    assert [type(e) for e in got] == [events.Abort] and got[0].attempt == a.attempt
+    again = s.end(a.attempt, "broken")
+    assert again[0].replica == "b"
+    assert s.ask("once")[0].replica == "b", "nothing new goes to the silent one"
+
+
+def test_a_replica_that_answers_others_is_not_taken_for_silent():
+    s = Sim([row("a"), row("b", "z2")])
+    a, b = s.ask("stream")[0], s.ask("stream")[0]
+    for _ in range(20):
+        s.now += 50
+        s.step(events.Progress(s.now, b.attempt))
+        assert s.step(base.Tick(s.now)) == []
+    assert a.attempt in s.m.runs
+
+
+def test_what_a_client_leaves_is_stopped():
+    s = Sim([row("a")])
+    a = s.ask("once")[0]
+    assert [type(e) for e in s.step(events.Left(s.now, 1))] == [events.Abort]
+    assert s.end(a.attempt, "broken") == [] and not s.m.requests
+    assert not s.m.health["a"].fails, "the replica is not blamed"
+
+
+def test_weights_split_and_longest_prefix_wins():
+    doc = stand.document()
+    doc["routes"].append({**doc["routes"][0], "name": "deep", "prefix": "/safe/deep/"})
+    del doc["routes"][0]["service"]
+    doc["routes"][0]["shares"] = [{"service": "a", "weight": 0}, {"service": "b", "weight": 1}]
+    t = table.Table(doc)
+    assert t.match("desk.example", "/safe/deep/x").name == "deep"
+    assert t.match("DESK.example:80", "/safe/x").name == "safe"
+    assert t.match("desk.example", "/safe") is None and t.match("else", "/safe/x") is None
+    assert {t.match("desk.example", "/safe/x").service(i / 100) for i in range(100)} == {"b"}
+
+
+def test_events_are_passed_on_whole_however_bytes_come():
+    raw = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n"
+    for n in range(1, len(raw)):
+        p = pieces.Pieces()
+        out = b"".join(p.take(raw[i : i + n]) for i in range(0, len(raw), n))
+        assert out + p.rest == raw and p.last == "3", n
+
+
+def test_rows_and_configuration_that_come_at_once_are_taken_together():
+    s = Sim([row("a", models=())])
+    s.ask("once")
+    s.ask("once")
+    s.m.rows = {"b": row("b")}
+    s.m.out = []
+    s.m.followed()
+    assert [e.replica for e in s.m.out if isinstance(e, events.Attempt)] == ["b", "b"]
--- /dev/null
+++ b/tests/test_relay_wire.py
@@ -0,0 +1,318 @@
+"""Whole exchanges through a relay: what the replica saw, what the client got."""
+
+import asyncio
+
+import pytest
+
+import tests.relay_stand as stand
+
+W = stand.W
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+async def ok(replica, h, w):
+    w.write(stand.whole(h, b"written"))
+
+
+async def refuse(replica, h, w):
+    w.write(stand.whole(h, b"", "503 Full", **{W.not_run: "1"}))
+
+
+async def absent(replica, h, w):
+    w.write(stand.whole(h, b"", "421 Misdirected", **{W.replica: replica.id}))
+
+
+async def moved(replica, h, w):
+    w.write(stand.whole(h, b"", "421 Misdirected", **{W.replica: "another"}))
+
+
+async def fail(replica, h, w):
+    w.write(stand.whole(h, b"sick", "500 Sick"))
+
+
+async def close(replica, h, w):
+    w.close()
+
+
+async def garble(replica, h, w):
+    w.write(b"\x00\x01 what\r\n\r\n")
+    w.close()
+
+
+async def short(replica, h, w):
+    w.write(stand.head(h, **{"Content-Length": 100}) + b"half")
+    await w.drain()
+    w.close()
+
+
+async def foreign(replica, h, w):
+    w.write(stand.whole({W.request_id.lower(): "another"}, b"not yours"))
+
+
+async def unstamped(replica, h, w):
+    w.write(stand.head(h, stamp=False, **{"Content-Length": 2}) + b"no")
+
+
+async def encoded(replica, h, w):
+    w.write(stand.whole(h, b"zip", **{"Content-Encoding": "gzip"}))
+
+
+async def twice(replica, h, w):
+    w.write(stand.whole(h, b"written") + stand.whole(h, b"more"))
+
+
+def stream(upto, end=True, first=1):
+    async def script(replica, h, w):
+        at = int(h.get("last-event-id", first - 1)) + 1
+        w.write(stand.head(h, **{"Transfer-Encoding": "chunked", "Content-Type": "text/event-stream"}))
+        for i in range(at, upto + 1):
+            w.write(stand.chunk(stand.event(i)))
+        await w.drain()
+        if end:
+            w.write(b"0\r\n\r\n")
+        else:
+            w.write(b"40\r\nid: 99\ndata: torn")
+            await w.drain()
+            w.close()
+
+    return script
+
+
+async def skipping(replica, h, w):
+    """Goes on one event too late."""
+    at = int(h["last-event-id"]) + 2 if "last-event-id" in h else 1
+    w.write(stand.head(h, **{"Transfer-Encoding": "chunked"}))
+    for i in range(at, 6):
+        w.write(stand.chunk(stand.event(i)))
+    w.write(b"0\r\n\r\n")
+
+
+def events(a, b):
+    return b"".join(stand.event(i) for i in range(a, b + 1))
+
+
+def test_method_path_query_body_and_headers_reach_the_replica_unaltered():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", ok)]) as f:
+            s, h, b = await f.ask("/safe/a%2Fb/../c?x=%20y&&z", body=b"\x00\xffraw", **{"X-Else": "kept"})
+            line, seen, body = f.replicas[0].seen[0]
+            return s, h, b, line, seen, body
+
+    s, h, b, line, seen, body = run(go())
+    assert (s, b, h[W.stamp.lower()], h[W.request_id.lower()]) == (200, b"written", "s1", "q1")
+    assert line == "POST /safe/a%2Fb/../c?x=%20y&&z HTTP/1.1"
+    assert body == b"\x00\xffraw"
+    assert seen["x-else"] == "kept" and seen["host"] == "desk.example"
+    assert seen[W.expect_replica.lower()] == "i-1"
+    assert 0 < int(seen[W.deadline.lower()]) <= 2000
+    assert not {"accept", "accept-encoding", "user-agent", "connection", "x-basaltport-attempt"} & seen.keys()
+
+
+BAD = [refuse, absent, moved, fail, close, garble, short, foreign, unstamped, encoded]
+
+
+@pytest.mark.parametrize("bad", BAD, ids=lambda f: f.__name__)
+def test_what_may_run_twice_is_answered_by_another_replica(bad):
+    async def go():
+        async with stand.Front([stand.Replica("i-1", bad), stand.Replica("i-2", ok, zone="z2")]) as f:
+            got = await f.ask("/safe/x")
+            return got, [len(r.seen) for r in f.replicas]
+
+    (s, _, b), seen = run(go())
+    assert (s, b) == (200, b"written")
+    assert seen == [1, 1]
+
+
+@pytest.mark.parametrize(
+    "bad, status, body",
+    [
+        (refuse, 503, None),
+        (absent, 503, None),
+        (moved, 503, None),
+        (fail, 500, b"sick"),
+        (close, 502, None),
+        (garble, 502, None),
+        (short, 502, None),
+        (foreign, 502, None),
+        (unstamped, 502, None),
+        (encoded, 502, None),
+    ],
+    ids=lambda f: getattr(f, "__name__", ""),
+)
+def test_what_must_run_once_is_sent_once_and_promised_only_what_is_proven(bad, status, body):
+    async def go():
+        async with stand.Front([stand.Replica("i-1", bad), stand.Replica("i-2", ok, zone="z2")]) as f:
+            got = await f.ask("/once/x")
+            return got, [len(r.seen) for r in f.replicas]
+
+    (s, h, b), seen = run(go())
+    assert s == status
+    assert ("retry-after" in h) == (status == 503)
+    assert body is None or b == body
+    assert seen == [1, 0]
+
+
+def test_bytes_after_an_answer_never_answer_the_next_request():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", twice)]) as f:
+            one = await f.ask("/safe/x")
+            two = await f.ask("/safe/y", **{W.request_id: "q2"})
+            return one, two, f.replicas[0].connections
+
+    one, two, n = run(go())
+    assert one[2] == two[2] == b"written"
+    assert two[1][W.request_id.lower()] == "q2"
+    assert n == 2
+
+
+def test_a_kept_connection_serves_many_requests():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", ok)]) as f:
+            for _ in range(5):
+                await f.ask("/safe/x")
+            return f.replicas[0].connections
+
+    assert run(go()) == 1
+
+
+def test_a_stream_is_passed_on_whole():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", stream(4))]) as f:
+            return await f.ask("/single/x"), await f.ask("/stream/x")
+
+    for s, h, b in run(go()):
+        assert (s, b, h["content-type"]) == (200, events(1, 4), "text/event-stream")
+
+
+def test_a_torn_stream_goes_on_at_another_replica_where_it_may():
+    async def go():
+        rs = [stand.Replica("i-1", stream(2, end=False)), stand.Replica("i-2", stream(5), zone="z2")]
+        async with stand.Front(rs) as f:
+            got = await f.ask("/stream/x")
+            return got, rs[1].seen[0][1].get("last-event-id")
+
+    (s, _, b), last = run(go())
+    assert (s, b, last) == (200, events(1, 5), "2")
+
+
+def test_a_torn_stream_that_may_not_go_on_never_looks_whole():
+    async def go():
+        rs = [stand.Replica("i-1", stream(2, end=False)), stand.Replica("i-2", stream(5), zone="z2")]
+        async with stand.Front(rs) as f:
+            got = await f.ask("/single/x")
+            return got, len(rs[1].seen)
+
+    (s, _, b), n = run(go())
+    assert b is None and n == 0
+
+
+def test_a_run_that_goes_on_elsewhere_than_it_should_is_not_joined():
+    async def go():
+        rs = [stand.Replica("i-1", stream(2, end=False)), stand.Replica("i-2", skipping, zone="z2")]
+        async with stand.Front(rs) as f:
+            return await f.ask("/stream/x")
+
+    s, _, b = run(go())
+    assert b is None
+
+
+def test_a_client_s_own_place_in_a_stream_is_passed_on():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", stream(5))]) as f:
+            got = await f.ask("/stream/x", **{W.resume: "3"})
+            return got, f.replicas[0].seen[0][1]["last-event-id"]
+
+    (s, _, b), last = run(go())
+    assert (b, last) == (events(4, 5), "3")
+
+
+def test_own_words_are_at_once_and_say_when_to_come_back():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", ok, models={})]) as f:
+            return (
+                await f.ask("/none/x"),
+                await f.ask("/once/x", **{W.model: "unknown"}),
+                await f.ask("/once/x", **{W.deadline: "100"}),
+                await f.ask("/once/x", body=b"x" * 2000),
+                len(f.replicas[0].seen),
+            )
+
+    none, unknown, short_, large, n = run(go())
+    assert (none[0], unknown[0], short_[0], large[0], n) == (404, 503, 503, 413, 0)
+    assert "retry-after" in unknown[1] and "retry-after" in short_[1]
+
+
+SMUGGLED = [
+    b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"0\r\n\r\nGET /safe/y HTTP/1.1\r\nHost: desk.example\r\n\r\n",
+    b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+    b"POST /safe/x HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
+    b"POST /safe/x HTTP/1.1\r\nHost : desk.example\r\n\r\n",
+    b"\x16\x03\x01 nothing\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("raw", SMUGGLED)
+def test_what_is_no_request_runs_nothing(raw):
+    async def go():
+        async with stand.Front([stand.Replica("i-1", ok)]) as f:
+            got = await f.raw(raw)
+            return got, len(f.replicas[0].seen)
+
+    got, n = run(go())
+    assert n == 0
+    assert got.split(b" ")[1][:1] == b"4"
+
+
+def test_on_stop_what_runs_is_finished_and_connections_are_told_to_close():
+    async def go():
+        gate = asyncio.Event()
+
+        async def slow(replica, h, w):
+            await gate.wait()
+            w.write(stand.whole(h, b"written"))
+
+        async with stand.Front([stand.Replica("i-1", slow)], timings={"grace_s": 4}) as f:
+            one = asyncio.create_task(f.ask("/once/x"))
+            while not f.replicas[0].seen:
+                await asyncio.sleep(0)
+            f.shell.end.set()
+            while not f.shell.stopping:
+                await asyncio.sleep(0)
+            two = asyncio.create_task(f.ask("/once/y", **{"Connection": "keep-alive"}))
+            while len(f.replicas[0].seen) < 2:
+                await asyncio.sleep(0)
+            gate.set()
+            return await one, await two, f.shell.member.ready()
+
+    one, two, ready = run(go())
+    assert one[2] == two[2] == b"written"
+    assert two[1]["connection"] == "close"
+    assert not ready
+
+
+def test_after_a_stop_no_idle_connection_stays_open_to_swallow_a_request():
+    async def go():
+        gate = asyncio.Event()
+
+        async def slow(replica, h, w):
+            await gate.wait()
+            w.write(stand.whole(h, b"written"))
+
+        async with stand.Front([stand.Replica("i-1", slow)], timings={"grace_s": 2}) as f:
+            idle_r, idle_w = await f.open()
+            one = asyncio.create_task(f.ask("/once/x"))
+            while not f.replicas[0].seen:
+                await asyncio.sleep(0)
+            f.shell.end.set()
+            end = await idle_r.read()
+            gate.set()
+            idle_w.close()
+            return end, await one
+
+    end, one = run(go())
+    assert end == b""
+    assert one[2] == b"written"
