--- a/basaltport/logs.py
+++ b/basaltport/logs.py
@@ -45,6 +45,8 @@
     65: ("order-failed", "An order was refused or its outcome is unknown."),
     66: ("store-duty-taken", "This node grants the weight store's permits."),
     70: ("keys-whole", "This node is whole as a keeper of a range of senders' keys."),
+    80: ("port-call-failed", "A call of this keeper to its platform broke; the reason is given."),
+    81: ("step-failed", "A step of this process broke; the reason is given. It goes on."),
 }
 
 
@@ -54,7 +56,9 @@
 
 
 def open_log(path):
-    """JSON lines to a file, or to standard error."""
+    """JSON lines to a file, to standard output ("-"), or plain ones to standard error."""
+    if path == "-":
+        return eliot.to_file(sys.stdout)
     if path:
         return eliot.to_file(open(path, "a", buffering=1))
     return eliot.add_destinations(_human)
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,286 @@
+"""Operators' calls as transcripts, and the port to replicas and the list, over sockets on 127.0.0.1."""
+
+import asyncio
+import importlib
+import json
+import pathlib
+import sys
+import types
+
+import aiohttp.web
+import pytest
+
+import basaltport.placement.effects as effects
+import tests.live as live
+
+sys.path.append(str(pathlib.Path(__file__).parent.parent / "platform"))
+names = importlib.import_module("names")
+operators = importlib.import_module("operators")
+replicas = importlib.import_module("replicas")
+
+
+class Stub:
+    """A shell whose answers are set beforehand."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def ask(self, verb, body):
+        self.asked.append((verb, body))
+        return self.answers.pop(0)
+
+
+async def call(address, raw):
+    r, w = await asyncio.open_connection(*address)
+    w.write(raw)
+    async with asyncio.timeout(live.BOUND):
+        got = await r.read()
+    w.close()
+    return got
+
+
+async def served(shell, requests, memory_mb=None):
+    o = operators.Operators(shell, lambda: ("barn-a",), memory_mb)
+    await o.start("127.0.0.1:0")
+    try:
+        return [await call(o.runner.addresses[0], raw) for raw in requests]
+    finally:
+        await o.stop()
+
+
+def request(method, path, body="", match=None):
+    heads = [] if match is None else [f"If-Match: {match}"]
+    return live._request(method, path, body.encode(), None, heads)
+
+
+DOC = (
+    '{"edition":7,"x":{"z":1.50,"a":1},"lanes":[{"pathPrefix":"/a/","weight":65099.99999999999}],"depots":[]}'
+)
+SAME = DOC.replace("1.50", "1.5")
+WRONG = {
+    "findings": [{"place": "routes.0.deadline_ms", "finding": "not a number over 0"}],
+    "error": "invalid",
+}
+CONFIG = "/v1/config"
+CALLS = [
+    ("taken", (200, {}), request("PUT", CONFIG, DOC, 5)),
+    ("the same again", (200, {}), request("PUT", CONFIG, DOC, 5)),
+    ("another edition is current", (412, {"error": "stale", "edition": 8}), request("PUT", CONFIG, DOC, 5)),
+    ("invalid", (400, WRONG), request("PUT", CONFIG, DOC, 5)),
+    ("not decided", (503, {"error": "no-leader"}), request("PUT", CONFIG, DOC, 5)),
+    ("unknown", (504, {"error": "unknown"}), request("PUT", CONFIG, DOC, 5)),
+    ("not JSON", None, request("PUT", CONFIG, DOC[:-1], 5)),
+    ("a name twice", None, request("PUT", CONFIG, '{"edition":7,"edition":8}', 5)),
+    ("a number too large", None, request("PUT", CONFIG, '{"edition":1e999}', 5)),
+    ("no base", None, request("PUT", CONFIG, DOC)),
+    ("a change", (200, {}), request("PATCH", CONFIG, '{"edition":9,"putItems":{"lanes":[]}}', '"7"')),
+    ("an invalid change", (400, {"findings": [{"place": "put.routes"}]}), request("PATCH", CONFIG, "[]", 7)),
+    ("read back", (200, {"document": names.document(json.loads(DOC))}), request("GET", CONFIG)),
+    ("nothing to read yet", (200, {"document": None}), request("GET", CONFIG)),
+    ("not confirmed", (503, {}), request("GET", CONFIG)),
+    ("evacuate", (200, {}), request("POST", "/v1/evacuation/barn-a")),
+    ("take back", (200, {}), request("DELETE", "/v1/evacuation/barn-a")),
+    ("an unknown zone", None, request("POST", "/v1/evacuation/barn-x")),
+    ("no such path", None, request("GET", "/v1/other")),
+]
+
+
+def test_operators_calls():
+    async def run():
+        shell = Stub(*[a for _, a, _ in CALLS if a])
+        got = await served(shell, [r for _, _, r in CALLS])
+        text = "\n\n".join(f"## {t}\n{live.tidy(g)}" for (t, _, _), g in zip(CALLS, got, strict=True))
+        live.approve("platform", text + "\n")
+        assert got[12].endswith(SAME.encode())
+        return shell.asked
+
+    asked = asyncio.run(run())
+    puts = [b for v, b in asked if v == "configure"]
+    assert len({b["change"] for b in puts}) == 1
+    assert puts[0]["base"] == 5 and puts[0]["document"]["routes"] == [
+        {"prefix": "/a/", "weight": 65099.99999999999}
+    ]
+    assert asked[6] == (
+        "reconfigure",
+        {"change": asked[6][1]["change"], "base": 7, "patch": asked[6][1]["patch"]},
+    )
+    assert asked[6][1]["patch"] == {"edition": 9, "put": {"routes": []}}
+    assert [v for v, _ in asked[-2:]] == ["evacuate", "readmit"] and asked[-1][1]["zone"] == "barn-a"
+
+
+def test_calls_that_differ_have_other_digests():
+    parts = ["PUT", "/v1/config", "5", b"x"]
+    seen = {operators.digest(*parts)}
+    for n, v in enumerate(["PATCH", "/v1/other", "6", b"y"]):
+        seen.add(operators.digest(*[v if k == n else p for k, p in enumerate(parts)]))
+    assert len(seen) == 5 and operators.digest("a", "bc") != operators.digest("ab", "c")
+
+
+def test_an_evacuation_after_a_return_is_a_new_one():
+    async def run():
+        shell = Stub((200, {}), (200, {}))
+        await served(shell, [request("POST", "/v1/evacuation/barn-a")] * 2)
+        return shell.asked
+
+    (_, a), (_, b) = asyncio.run(run())
+    assert a["change"] != b["change"]
+
+
+def test_a_body_too_large_for_the_machine_is_not_read():
+    got = asyncio.run(served(Stub(), [request("PUT", CONFIG, DOC, 5)], memory_mb=0.001))
+    assert b" 413 " in got[0].split(b"\r\n")[0]
+
+
+# the port
+
+ROW = {"depot": "h", "address": "10.0.0.9:80", "zone": "z", "berths": 2, "state": "ready", "models": []}
+
+
+class Other:
+    """A replica and the platform's list in one; answers are set beforehand, None closes the connection."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.heard = []
+
+    async def __aenter__(self):
+        self.runner = aiohttp.web.ServerRunner(
+            aiohttp.web.Server(self.serve, access_log=None), shutdown_timeout=0.1
+        )
+        await self.runner.setup()
+        await aiohttp.web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.address = "127.0.0.1:%d" % self.runner.addresses[0][1]
+        listing = {"address": self.address, "rate_s": 1000.0}
+        limits = {"memory_mb": 300}
+        settings = {"listing": listing, "operators": "127.0.0.1:0", "zones": {}, "limits": limits}
+        watch = types.SimpleNamespace(settings=settings, start=lambda s: None, stop=lambda: None)
+        self.port = replicas.Port(watch)
+        await self.port.start(None)
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.port.stop()
+        await self.runner.cleanup()
+
+    async def serve(self, r):
+        body = await r.json() if r.can_read_body else None
+        self.heard.append((r.method, r.path_qs, r.headers.get("Expect-Replica"), body))
+        got = self.answers.pop(0)
+        if got is None:
+            r.transport.abort()
+            got = (200, {})
+        status, doc, *heads = got
+        return aiohttp.web.json_response(doc, status=status, headers=dict(heads))
+
+    def order(self, **kw):
+        e = {
+            "order": 1,
+            "replica": "i-7",
+            "address": self.address,
+            "kind": "load",
+            "model": "m",
+            "adapter": None,
+        }
+        return effects.Order(**{**e, "holder": "k1", "fence": 41, "expected": 2, **kw})
+
+
+@pytest.mark.parametrize(
+    "answer, outcome",
+    [
+        ((202, {}), "accepted"),
+        ((200, {}), "done"),
+        ((409, {}), "busy"),
+        ((412, {}), "fenced"),
+        ((421, {}, ("Replica", "i-8")), "moved"),
+        ((400, {}), "failed"),
+        ((503, {}, ("Not-Delivered", "1")), "failed"),
+        ((503, {}), "unknown"),
+        (None, "unknown"),
+    ],
+)
+def test_an_order_s_outcome_and_that_it_is_sent_once(answer, outcome):
+    async def run():
+        async with Other((202, {}), answer) as o:
+            assert await o.port.order(o.order(adapter="a3", expected=None)) == "accepted"
+            assert await o.port.order(o.order(expected=0)) == outcome
+            return o.heard
+
+    first, second = asyncio.run(run())
+    assert first[3] == {"orderKind": "load", "model": "m", "adapter": "a3", "holder": "k1", "fenceNo": 41}
+    body = {"orderKind": "load", "model": "m", "expectedCount": 0, "holder": "k1", "fenceNo": 41}
+    assert second == ("POST", "/v1/order", "i-7", body)
+
+
+def test_an_order_without_an_answer_in_time_is_unknown_and_without_a_connection_failed(monkeypatch):
+    async def run():
+        async with Other() as o:
+            o.serve_ = asyncio.Event()
+            o.runner.server.request_handler = lambda r: o.serve_.wait()
+            monkeypatch.setattr(replicas, "CALL_S", 0.05)
+            async with asyncio.timeout(live.BOUND / 10):
+                late = await o.port.order(o.order())
+            address = o.address
+            o.serve_.set()
+            await o.runner.cleanup()
+            return late, await o.port.order(o.order(address=address))
+
+    assert asyncio.run(run()) == ("unknown", "failed")
+
+
+def test_a_report():
+    good = {"models": [{"name": "m", "adapters": []}], "busy": False, "callSeq": 2}
+
+    async def run():
+        async with Other((200, good), (200, good, ("Replica", "i-8")), (421, {}), (200, []), None) as o:
+            e = effects.Report("i-7", o.address)
+            return [await o.port.report(e) for _ in range(5)], o.heard[0]
+
+    got, heard = asyncio.run(run())
+    assert got[0]["models"] == {"m": []} and got[0]["orders"] == 2 and got[0]["busy"] is False
+    assert got[1:] == [None] * 4
+    assert heard[:3] == ("GET", "/v1/report", "i-7")
+
+
+def page(token, *ids):
+    return 200, {"replicas": [{**ROW, "replicaId": i} for i in ids], "nextToken": token}
+
+
+@pytest.mark.parametrize(
+    "answers, rows",
+    [
+        ([page("p 1", "a", "b"), (429, {}), page(None, "c")], ["a", "b", "c"]),
+        ([page("p 1", "a"), (500, {})], None),
+        ([page("p 1", "a"), None], None),
+        ([page("p 1", "a"), page("p 1", "b")], None),
+        ([(200, {"replicas": [{**ROW, "replicaId": "a"}, {"replicaId": "b"}]})], ["a"]),
+        ([(200, [])], None),
+    ],
+)
+def test_the_list_comes_whole_or_not_at_all(monkeypatch, answers, rows):
+    monkeypatch.setattr(replicas, "AGAIN_S", 0)
+
+    async def run():
+        async with Other(*answers) as o:
+            got = await o.port.list()
+            return got and [r["id"] for r in got], [h[1] for h in o.heard]
+
+    got, heard = asyncio.run(run())
+    assert got == rows and len(heard) == len(answers)
+    assert heard[0] == "/replicas" and set(heard[1:]) <= {"/replicas?pageToken=p+1"}
+
+
+def test_calls_keep_within_the_rate(monkeypatch):
+    slept = []
+
+    async def sleep(s):
+        slept.extend([s] if s else [])
+
+    async def run():
+        async with Other(page("p", "a"), page("q", "b"), page(None, "c")) as o:
+            o.port.watch.settings["listing"]["rate_s"] = 0.5
+            monkeypatch.setattr(replicas.asyncio, "sleep", sleep)
+            return await o.port.list()
+
+    assert len(asyncio.run(run())) == 3
+    assert len(slept) == 2 and 1 < slept[0] <= 2 and 3 < slept[1] <= 4
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -4,7 +4,8 @@
 import pathlib
 
 ROOT = pathlib.Path(__file__).parent.parent
-FILES = sorted(ROOT.glob("basaltport/**/*.py")) + sorted(ROOT.glob("tests/*.py"))
+GLOBS = ("basaltport/**/*.py", "platform/*.py", "tests/*.py")
+FILES = [f for g in GLOBS for f in sorted(ROOT.glob(g))]
 
 
 def test_no_file_is_over_400_lines():
