Placement: which replica holds which models, ordered by one holder under a fence

Loads by what waits and by demand, one order at a time on a replica, room counted with all that may have been taken, the store's rate as a bucket that a new holder starts empty.

--- /dev/null
+++ b/basaltport/placement/effects.py
@@ -0,0 +1,30 @@
+"""What Placement asks of its shell. Every one is answered by a call: `listed` or `list_failed`, `ordered`,
+`reported`."""
+
+import typing
+
+import basaltport.kinds as kinds
+
+
+class List(typing.NamedTuple):
+    pass
+
+
+class Order(typing.NamedTuple):
+    """`order` numbers it; `kind` is load or unload; `adapter` is None for a model; `expected` is the count of
+    orders the replica should have taken so far, None where that is not known."""
+
+    order: int
+    replica: kinds.ReplicaId
+    address: str
+    kind: str
+    model: str
+    adapter: str | None
+    holder: str
+    fence: kinds.Fence
+    expected: int | None = None
+
+
+class Report(typing.NamedTuple):
+    replica: kinds.ReplicaId
+    address: str
--- /dev/null
+++ b/basaltport/placement/machine.py
@@ -0,0 +1,275 @@
+"""Which replica holds which models: a state machine owned by the keeper that leads."""
+
+import basaltport.placement.catalog as catalog
+import basaltport.placement.choose as choose
+import basaltport.placement.demand as demand
+import basaltport.placement.facts as facts
+import basaltport.placement.listing as listing
+import basaltport.placement.orders as orders
+import basaltport.placement.replica as replica
+import basaltport.placement.store as store
+
+HOLD = 3700
+WANTED = 1500
+AGAIN = 800
+SILENT = 600
+COPY_EVERY = 200
+ADOPT = 5000
+NEVER = -(10**9)
+
+
+class Want:
+    """Requests that wait for an item, by zone, since `first`, as last told at `last`."""
+
+    __slots__ = ("first", "last", "zones", "extra", "again")
+
+    def __init__(self, now):
+        self.first = self.last = self.extra = now
+        self.zones = {}
+        self.again = AGAIN
+
+    def another(self, now):
+        """Whether it is still asked for though it is held: its holders may be out of reach."""
+        return now - self.extra > self.again
+
+    def more(self, now):
+        self.extra, self.again = now, self.again * 2
+
+    def rank(self, now):
+        return (now - self.first + 50) * min(16, sum(n for n, _ in self.zones.values())) ** 0.5
+
+
+class Placement(
+    orders.OrdersMixin, listing.ListingMixin, choose.ChooseMixin, demand.DemandMixin, facts.FactsMixin
+):
+    """Every call gives a list of effects (`effects`). `rows` by replica id; `changed` ids since it was last
+    emptied by the owner. Times in ms; `hold_ms` after `start` nothing is ordered, `list_ms` between lists."""
+
+    def __init__(self, rng, hold_ms=HOLD, list_ms=listing.EVERY):
+        self.rng = rng
+        self.hold_ms = hold_ms
+        self.every = list_ms
+        self.cat = catalog.Catalog()
+        self.drains = set()
+        self.took = {}
+        self.order_n = 0
+        self.now = 0
+        self.rows, self.changed = {}, set()
+        self.clear()
+
+    def clear(self):
+        self.on = self.deposed = False
+        self.out = []
+        self.reps, self.holders, self.coming = {}, {}, {}
+        self.active, self.orders, self.gone = {}, {}, {}
+        self.wants, self.wanted_models, self.chore_rate = {}, (), {}
+        self.zones, self.seen, self.orphans = set(), set(), {}
+        self.list_out, self.list_at = False, NEVER
+        self.known = self.dirty = False
+        self.changed |= set(self.rows)
+        self.rows = {}
+        self.buckets, self.permits, self.disks = {}, {}, {}
+        self.ready_at = 0
+        self.demand_start()
+
+    def start(self, now, fence, holder, hold_ms=None):
+        self.clear()
+        self.now, self.on = now, True
+        self.fence, self.holder = fence, holder
+        self.ready_at = now + (self.hold_ms if hold_ms is None else hold_ms)
+        self.fill_buckets()
+        self.ask_list()
+        return self.out
+
+    def stop(self):
+        self.on = False
+        self.out = []
+        return []
+
+    def configure(self, now, document, drains):
+        self.now, self.out = now, []
+        self.cat, self.drains = catalog.Catalog(document), set(drains)
+        self.fill_buckets()
+        for p in self.reps.values():
+            p.engine = p.service in self.cat.services
+            self.show(p)
+        self.zones = {p.zone for p in self.reps.values() if self.may_serve(p)}
+        self.dirty = True
+        if self.on:
+            self.place()
+        return self.out
+
+    def fill_buckets(self):
+        for s in self.cat.services.values():
+            if s.name not in self.buckets:
+                self.buckets[s.name] = store.Bucket(s.rate, max(self.now, self.ready_at))
+            self.buckets[s.name].change(s.rate, self.now)
+
+    def count_permits(self):
+        """How many loads from each store may be begun now, beside those already planned."""
+        self.permits = {n: b.fill(self.now) for n, b in self.buckets.items()}
+        for p in self.active.values():
+            if any(s.store and s.paid is None for s in p.plan.steps):
+                self.permits[p.service] -= 1
+
+    def tick(self, now):
+        self.now, self.out = now, []
+        if not self.on:
+            return []
+        self.ask_list()
+        self.ask_reports()
+        self.check()
+        if now - self.copies_at >= COPY_EVERY:
+            self.copies_at = now
+            self.look()
+            self.place()
+            self.copy()
+        elif self.wants or self.dirty:
+            self.place()
+        return self.out
+
+    def due(self):
+        """When the next tick has something to do, in ms; orders are sent again at their times only if the
+        owner ticks then."""
+        at = [s.at for p in self.active.values() for s in p.plan.steps[:1] if not s.order]
+        at += [p.ask_at for p in self.reps.values() if p.engine and not p.synced and p.asked is None]
+        at.append(self.list_at + (listing.PATIENCE if self.list_out else self.every))
+        if self.wants and self.free():
+            at += [t for t in (b.ready(self.now) for b in self.buckets.values()) if t and t > self.now]
+        return min(at) if self.now >= self.ready_at else min(at[-1], self.ready_at)
+
+    # wants
+
+    def wanted(self, now, zone, items):
+        self.now, self.out = now, []
+        if not self.on:
+            return []
+        for i, n in items.items():
+            if n <= 0 or not self.cat.knows(i):
+                continue
+            w = self.wants.get(i)
+            if w is None:
+                w = self.wants[i] = Want(now)
+            w.last = now
+            w.zones[zone] = (n, now)
+        self.place()
+        return self.out
+
+    def prune(self):
+        for i, w in list(self.wants.items()):
+            if self.now - w.last > WANTED:
+                del self.wants[i]
+                continue
+            if len(w.zones) > 1:
+                w.zones = {z: v for z, v in w.zones.items() if self.now - v[1] <= WANTED}
+            on = self.copies(i)
+            if not on:
+                w.extra = self.now
+            elif w.another(self.now) and w.last > w.extra:
+                continue
+            elif w.last <= max(self.since(p, i) for p in on):
+                del self.wants[i]
+        self.wanted_models = {i.partition("/")[0] for i in self.wants}
+
+    def place(self):
+        """Begins plans for what is wanted: adapters first, since they take ms, then models by rank."""
+        self.dirty = False
+        if self.now < self.ready_at:
+            return
+        if not self.wants:
+            self.wanted_models = ()
+            return
+        self.prune()
+        free = self.free()
+        if not free:
+            return
+        self.count_permits()
+        models = {}
+        for i, w in sorted(self.wants.items(), key=lambda x: -x[1].rank(self.now)):
+            held = self.held(i)
+            if held and not w.another(self.now) or self.underway(i):
+                continue
+            zones = {z: v[0] for z, v in w.zones.items()}
+            model = i.partition("/")[0]
+            if model != i and self.held(model):
+                got = self.pick_adapter(i, zones, free)
+                if got:
+                    w.more(self.now)
+                    self.chore_rate.setdefault(model, demand.Rate(self.now)).add(1, self.now)
+                    free.remove(got[1])
+                    self.begin(got[1], i, [*got[2], self.load(got[1], i)], True)
+                continue
+            if held:
+                w.more(self.now)
+            by = models.setdefault(model, {})
+            for z, n in zones.items():
+                by[z] = by.get(z, 0) + n
+        for m, zones in models.items():
+            if not free:
+                return
+            if not self.underway(m):
+                self.place_model(m, zones, free, True)
+
+    def underway(self, item):
+        return any(self.answers(self.reps[r]) for r in self.coming.get(item, ()))
+
+    def answers(self, p):
+        s = p.plan.steps[0]
+        return p.dark == 0 and self.usable(p) and not (s.order and self.now - s.out > SILENT)
+
+    def load(self, p, item):
+        model, _, adapter = item.partition("/")
+        return replica.Step(replica.LOAD, model, adapter, model in p.disk)
+
+    def place_model(self, model, zones, free, asked, soft=False):
+        got = self.pick(model, zones, free, soft)
+        if got is None:
+            return False
+        _, p, out = got
+        free.remove(p)
+        last = self.load(p, model)
+        self.permits[p.service] -= last.store
+        self.begin(p, model, [*(replica.Step(replica.UNLOAD, m) for m in out), last], asked)
+        return True
+
+    # copies
+
+    def copy(self):
+        """Copies of hot models where their demand is, taken from what few ask for."""
+        if self.now < self.ready_at or not (self.hot or self.orphans):
+            return
+        self.count_permits()
+        waiting = any(not self.held(i) and not self.underway(i) for i in self.wants)
+        free = self.free()
+        most = max(1, len(self.reps) // 6)
+        n = sum(1 for p in self.active.values() if not p.plan.asked)
+        for m, (zones, due, _) in sorted(self.hot.items(), key=lambda x: -x[1][2]):
+            on = [p for p in self.copies(m)]
+            to = [self.reps[r] for r in self.coming.get(m, ())]
+            have = {p.zone for p in on + to}
+            if waiting and on or n >= most or not free:
+                continue
+            lack = [z for z in zones if z not in have]
+            if not lack and len(on) + len(to) >= due:
+                continue
+            where = self.spread(m, lack, have, free, len(on) + len(to))
+            weights = {z: r.read(self.now) for z, r in self.rates.get(m, {}).items() if r.read(self.now) > 0}
+            n += self.place_model(m, weights, where, False, True)
+            free = [p for p in free if p.plan is None]
+
+        self.adopt(free)
+
+    def adopt(self, free):
+        """Models in use whose only copy was lost come back before they are asked for."""
+        for m, t in list(self.orphans.items()):
+            if self.now - t > ADOPT or self.held(m) or self.underway(m):
+                del self.orphans[m]
+            elif free and self.place_model(m, {}, free, False, True):
+                del self.orphans[m]
+
+    def spread(self, m, lack, have, free, n):
+        if lack:
+            return [p for p in free if p.zone in lack]
+        if n < demand.LEAST:
+            return [p for p in free if p.zone not in have] or free
+        return free
--- /dev/null
+++ b/basaltport/placement/store.py
@@ -0,0 +1,39 @@
+"""The ceiling of the store of weights: a bucket of permits to load, empty for a new holder."""
+
+BURST = 2.0
+
+
+class Bucket:
+    """`rate` in loads a second; times in ms. In any span no more than rate x span + BURST are taken."""
+
+    __slots__ = ("rate", "level", "at")
+
+    def __init__(self, rate, now):
+        self.rate = rate
+        self.level = 0.0
+        self.at = now
+
+    def fill(self, now):
+        if now > self.at:
+            self.level = min(BURST, self.level + self.rate * (now - self.at) / 1000)
+            self.at = now
+        return self.level
+
+    def change(self, rate, now):
+        self.fill(now)
+        self.rate = rate
+
+    def take(self, now):
+        if self.fill(now) < 1:
+            return False
+        self.level -= 1
+        return True
+
+    def ready(self, now, n=1.0):
+        """When `n` permits will be there; None if never."""
+        lack = n - self.fill(now)
+        if lack <= 0:
+            return now
+        if self.rate <= 0:
+            return None
+        return now + int(lack * 1000 / self.rate) + 1
--- /dev/null
+++ b/tests/placement_fleet.py
@@ -0,0 +1,312 @@
+"""A simulated fleet of replicas for placement, on virtual time; replicas assert LIMIT."""
+
+import collections
+import heapq
+import random
+
+import basaltport.placement.effects as effects
+import basaltport.placement.machine as machine
+
+ZONES = ("x", "y", "z")
+
+
+class Sim:
+    """A replica that does what it is ordered, with durations, and falls over when told to hold too much."""
+
+    def __init__(self, fleet, rid, zone, held=()):
+        self.fleet, self.id, self.zone = fleet, rid, zone
+        self.models = {m: set() for m in held}
+        self.disk = set(held)
+        self.job = None
+        self.runs = collections.Counter()
+        self.fence = self.taken = 0
+        self.state, self.leaves, self.dark = "ready", None, False
+        self.began = []
+
+    def size(self):
+        f = self.fleet
+        return sum(f.mb[m] + len(a) * f.adapter_mb for m, a in self.models.items())
+
+    def settle(self):
+        if self.job is None:
+            return
+        kind, m, a, end = self.job
+        if kind == "unload" and not a and self.runs[m] > 0 or self.fleet.now < end:
+            return
+        self.job = None
+        if kind == "load":
+            self.disk.add(m)
+            held = self.models.setdefault(m, set())
+            if a:
+                held.add(a)
+        elif a:
+            self.models.get(m, set()).discard(a)
+        else:
+            self.models.pop(m, None)
+
+    def order(self, e):
+        f = self.fleet
+        self.settle()
+        if e.fence < self.fence:
+            return "fenced"
+        self.fence = e.fence
+        if self.job and self.job[:3] == (e.kind, e.model, e.adapter):
+            return "accepted"
+        if self.job:
+            return "busy"
+        there = e.model in self.models and (not e.adapter or e.adapter in self.models[e.model])
+        if there == (e.kind == "load"):
+            return "done"
+        if e.kind == "load" and e.adapter and e.model not in self.models:
+            return "moved"
+        self.taken += 1
+        if e.kind == "load":
+            size = f.adapter_mb if e.adapter else f.mb[e.model]
+            assert self.size() + size <= f.room, "LIMIT weights"
+            assert not e.adapter or sum(map(len, self.models.values())) < f.places, "LIMIT adapters"
+        self.job = (e.kind, e.model, e.adapter, f.now + self.lasts(e))
+        return "accepted"
+
+    def lasts(self, e):
+        f = self.fleet
+        if e.kind == "unload" or e.adapter:
+            return 2 if e.kind == "unload" else 8
+        if e.model in self.disk:
+            f.loads["disk"] += 1
+            return f.disk_ms
+        f.loads["store"] += 1
+        f.store.append(f.now)
+        f.under = [t for t in f.under if t > f.now]
+        ms = int(f.load_ms * max(1, (len(f.under) + 1) / f.at_once))
+        f.under.append(f.now + ms)
+        return ms
+
+
+class Fleet:
+    """Replicas, a list that lags, proxies that wait and report, and the machine; no sleeping, all in ms."""
+
+    def __init__(self, n=9, models=56, load_ms=600, disk_ms=380, rate=11.0, held=(), adapters=0, **kw):
+        self.rng = random.Random(kw.get("seed", 1))
+        self.now = 0
+        self.mb = {f"m{i}": 72700.0 if i % 3 else 65100.0 for i in range(models)}
+        self.adapter_mb, self.room, self.places = 66.0, 220_000.0, 8
+        self.load_ms, self.disk_ms, self.rate = load_ms, disk_ms, rate
+        self.at_once = kw.get("at_once", 7)
+        self.net = 1
+        self.loads, self.store, self.under = collections.Counter(), [], []
+        self.heap, self.k = [], 0
+        self.sims = {}
+        for i in range(n):
+            s = Sim(self, f"r{i}", ZONES[i % 3], held[i] if i < len(held) else ())
+            self.sims[s.id] = s
+        ms = [
+            {"name": m, "weights_mb": mb, "load_s": load_ms / 1000, "adapters": adapters if m == "m0" else 0}
+            | {"adapter_mb": self.adapter_mb}
+            for m, mb in self.mb.items()
+        ]
+        self.engine = {"slots": 32, "models": ms, "weights_mb": self.room, "adapter_slots": self.places}
+        self.engine["loads_per_s"] = rate
+        self.doc = {"services": [{"name": "s", "engine": self.engine}, {"name": "plain"}]}
+        self.p = machine.Placement(random.Random(2), hold_ms=kw.get("hold", 0))
+        self.past = []
+        self.waits, self.waiting = [], collections.defaultdict(list)
+        self.counts = collections.defaultdict(collections.Counter)
+        self.orders = collections.Counter()
+        self.unserved = 0
+        self.exact = kw.get("exact", True)
+        self.lossy, self.omit = 0.0, None
+        self.fence, self.drains, self.list_fails = 5, set(), False
+        self.first_order = None
+        self.after(0, self.begin)
+
+    def begin(self):
+        self.p.configure(self.now, self.doc, self.drains)
+        self.do(self.p.start(self.now, self.fence, "k1"))
+        self.beat()
+        self.reports()
+
+    def lead(self, hold=3700):
+        """Another keeper leads: it knows nothing but the configuration."""
+        self.p.stop()
+        self.p = machine.Placement(random.Random(3), hold_ms=hold)
+        self.fence += 1
+        self.due_at = None
+        self.first_order = None
+        self.p.configure(self.now, self.doc, self.drains)
+        self.do(self.p.start(self.now, self.fence, f"k{self.fence}"))
+
+    def drain(self, zones):
+        self.drains = set(zones)
+        self.do(self.p.configure(self.now, self.doc, self.drains))
+
+    def replace(self, rid):
+        """A replica falls and comes back as another, empty one."""
+        old = self.sims.pop(rid)
+        new = Sim(self, f"{rid}'", old.zone)
+        self.sims[new.id] = new
+
+    def of(self, p, f):
+        """An answer for a keeper that may lead no longer."""
+        if p is self.p:
+            self.do(f(p))
+
+    def after(self, ms, f, *args):
+        self.k += 1
+        heapq.heappush(self.heap, (self.now + ms, self.k, f, args))
+
+    def run(self, until):
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, f, args = heapq.heappop(self.heap)
+            f(*args)
+        self.now = until
+
+    def beat(self):
+        self.snap()
+        self.do(self.p.tick(self.now))
+        self.after(50, self.beat)
+
+    def snap(self):
+        rows = []
+        for s in self.sims.values():
+            s.settle()
+            held = {m: sorted(a) for m, a in s.models.items()}
+            rows.append(
+                {"id": s.id, "service": "s", "address": s.id, "zone": s.zone, "slots": 32, "state": s.state}
+                | {"leaves_in_ms": s.leaves, "cold_ms": 0, "models": held, "busy": s.job is not None}
+            )
+        self.past = [x for x in self.past if x[0] > self.now - 900] + [(self.now, rows)]
+
+    def due(self, at):
+        if at == self.due_at:
+            self.due_at = None
+            self.do(self.p.tick(self.now))
+
+    due_at = None
+
+    def do(self, out):
+        for e in out:
+            if isinstance(e, effects.List):
+                if not self.past:
+                    self.snap()
+                rows = [r for r in self.past[0][1] if r["id"] != self.omit]
+                p = self.p
+                if self.list_fails:
+                    self.after(3, self.of, p, lambda p: p.list_failed(self.now))
+                else:
+                    self.after(3, self.of, p, lambda p, rows=rows: p.listed(self.now, rows))
+            elif isinstance(e, effects.Report):
+                self.after(2, self.report, e, self.p)
+            else:
+                self.first_order = self.first_order or self.now
+                self.orders[e.kind + ("/" if e.adapter else "")] += 1
+                self.after(self.net, self.arrive, e, self.p)
+        if self.p.changed:
+            self.p.changed.clear()
+            self.after(3, self.release)
+        if self.exact and self.p.on:
+            at = max(self.now + 1, self.p.due())
+            if at < self.now + 50 and (self.due_at is None or at < self.due_at):
+                self.due_at = at
+                self.after(at - self.now, self.due, at)
+
+    def report(self, e, p):
+        s = self.sims.get(e.replica)
+        if s is None or s.dark:
+            return self.of(p, lambda p: p.reported(self.now, e.replica, False, None))
+        was = next((x for at, x in self.past if at >= self.now - 250), self.past[-1][1])
+        was = next((row for row in was if row["id"] == s.id), None)
+        if was is None:
+            return self.of(p, lambda p: p.reported(self.now, e.replica, False, None))
+        body = {"models": was["models"], "busy": was["busy"]}
+        self.of(p, lambda p: p.reported(self.now, e.replica, True, body | {"orders": s.taken}))
+
+    def arrive(self, e, p):
+        s = self.sims.get(e.replica)
+        lost = self.rng.random() < self.lossy
+        if s is None or s.dark or lost and self.rng.random() < 0.5:
+            said = "unknown"
+        else:
+            said = s.order(e)
+            said = "unknown" if lost else said
+        self.after(self.net, self.of, p, lambda p: p.ordered(self.now, e.order, said, 2))
+
+    # requests
+
+    def ask(self, zone, item):
+        r = self.where(zone, item)
+        if r:
+            return self.serve(zone, item, r, self.now)
+        self.waiting[zone, item].append(self.now)
+        if len(self.waiting[zone, item]) == 1:
+            self.after(1, self.want, zone, {item: 1})
+
+    def want(self, zone, items):
+        self.do(self.p.wanted(self.now, zone, items))
+
+    def where(self, zone, item):
+        m, _, a = item.partition("/")
+        on = [r for r, row in self.p.rows.items() if m in row["models"]]
+        on = [r for r in on if not a or a in self.p.rows[r]["models"][m]]
+        on = [r for r in on if r in self.sims and not self.sims[r].dark]
+        near = [r for r in on if self.sims[r].zone == zone]
+        return self.rng.choice(near or on) if on else None
+
+    def serve(self, zone, item, r, since):
+        m, _, a = item.partition("/")
+        s = self.sims[r]
+        s.settle()
+        if m not in s.models or a and a not in s.models[m]:
+            self.unserved += 1
+            return
+        self.waits.append((since, item, self.now - since))
+        self.counts[zone][item] += 1
+        s.runs[m] += 1
+        self.after(300, self.ran, s, m)
+
+    def ran(self, s, m):
+        s.settle()
+        s.runs[m] -= 1
+
+    def release(self):
+        for (z, i), ats in list(self.waiting.items()):
+            r = self.where(z, i)
+            if r:
+                del self.waiting[z, i]
+                for t in ats:
+                    self.serve(z, i, r, t)
+
+    def reports(self):
+        for z in ZONES:
+            items = {i: len(a) for (y, i), a in self.waiting.items() if y == z}
+            if items:
+                self.want(z, items)
+            n, self.counts[z] = dict(self.counts[z]), collections.Counter()
+            running = {s.id: sum(s.runs.values()) for s in self.sims.values() if s.zone == z}
+            self.do(self.p.used(self.now, z, n, running))
+        self.after(400, self.reports)
+
+    def traffic(self, start, end, per_s, items):
+        t = start
+        while t < end:
+            t += self.rng.expovariate(per_s / 1000)
+            self.after(int(t) - self.now, self.ask, self.rng.choice(ZONES), self.rng.choice(items))
+
+    def ceiling(self, span=5000, excess=1.1):
+        most = self.rate * span / 1000 * excess + 3
+        for i, t in enumerate(self.store):
+            assert sum(1 for u in self.store[i:] if u - t < span) <= most, "CEILING"
+
+    def figures(self, since=0, cold=True):
+        w = sorted(ms for t, _, ms in self.waits if t >= since and (ms > 0 or not cold))
+        left = sum(len(a) for a in self.waiting.values())
+        return w[len(w) // 2], w[int(len(w) * 0.95)], len(w), left
+
+
+def busy_fleet(**kw):
+    """9 replicas of 3 models, 4 hot copies of two models, the rest idle ones."""
+    cold = iter(f"m{i}" for i in range(5, 56))
+    held = [["m0" if i % 2 else "m1", next(cold), next(cold)] for i in range(9)]
+    return Fleet(held=held, **kw)
+
+
+COLD = [f"m{i}" for i in range(5, 56)]
