--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -121,11 +121,11 @@
         tasks of idle ones and leaves them open, so that what is sent on them is read and never answered."""
         busy = 0
         for c in self.server.connections:
-            if c._current_request is not None or c._messages:
-                c.close()
-                busy += 1
+            if c._waiter is not None and not c._waiter.done() and not c._messages:
+                c.force_close()
                 continue
-            c.force_close()
+            c.close()
+            busy += 1
         return busy or len(self.sinks)
 
     async def tick(self):
