Hot models that lack copies go before cold ones, and keep what they are due

Copies due were counted against 60 % of the slots (38 of 64), where a replica slows far earlier. Change: hot models short of copies are fed first and never give a due copy away; due are so many that each copy runs 10 or fewer, within 60 % of all room; a zone's own copy from 3 requests a second (before 0.6).

--- a/basaltport/placement/choose.py
+++ b/basaltport/placement/choose.py
@@ -12,6 +12,7 @@
 KEPT = 3000
 WAITED = 6000
 SOFT = 1200
+HUNGRY = 5900
 OTHERS = 0.3
 
 
@@ -34,9 +35,9 @@
     def copies(self, item):
         return [self.reps[r] for r in self.holders.get(item, ()) if self.usable(self.reps[r])]
 
-    def pick(self, model, zones, free, soft=False):
-        """(cost, replica, models to unload) or None; `zones`: {zone: waiting}; `soft`: take from no one who
-        needs it."""
+    def pick(self, model, zones, free, most=None):
+        """(cost, replica, models to unload) or None; `zones`: {zone: waiting}; `most`: what costs as much or
+        more is not taken from anyone."""
         best, n, on = None, sum(zones.values()), self.disks.get(model, ())
         for p in free:
             disk = p.id in on
@@ -50,7 +51,7 @@
             cost += 100 * p.running / p.slots + self.chores(p) + self.rng.random()
             if best and cost - ROOMY >= best[0]:
                 continue
-            got = self.make_room(p, m.mb, SOFT if soft else None)
+            got = self.make_room(p, m.mb, most)
             if got is None:
                 continue
             cost += got[0] if got[1] else -ROOMY
@@ -67,7 +68,7 @@
         room = self.cat.services[p.service].room - p.used(self.cat)
         if room >= mb:
             return 0.0, []
-        costs, fresh = [], FRESH if most is None else COPY_FRESH
+        costs, fresh = [], COPY_FRESH if most == SOFT else FRESH
         for m, h in p.held.items():
             c = None if h.leaving or m == keep or self.now - h.since < fresh else self.loss(p, m)
             if c is not None and (most is None or c < most):
@@ -84,7 +85,7 @@
         return None
 
     def loss(self, p, model):
-        """What it costs to take a model from a replica."""
+        """What it costs to take a model from a replica; None where a hot one would have too few copies."""
         others = len(self.holders.get(model, ())) - (p.id in self.holders.get(model, ()))
         ms = self.load_ms(p.service, model, True)
         c = ms * min(1.0, 3 * self.rate(model)) + 100 / (1 + self.idle(model) / 1000)
@@ -93,7 +94,9 @@
         if self.in_use(model):
             c += IN_USE
         hot = self.hot.get(model)
-        if hot and (others < hot[1] or self.alone(p, model, hot[0])):
+        if hot and others < hot[1]:
+            return None
+        if hot and self.alone(p, model, hot[0]):
             c += KEPT + 10 * hot[2]
         if model in self.wanted_models and not others:
             c += WAITED
--- a/basaltport/placement/demand.py
+++ b/basaltport/placement/demand.py
@@ -7,10 +7,12 @@
 LATEST = 3000
 PERIOD = 400
 RUNS = 1000
-HOT = 0.6
-COOL = 0.3
-FULL = 0.6
+HOT = 3.0
+COOL = 1.5
+KNEE = 10
 LEAST = 2
+LONGEST = 1000
+PLACES = 0.6
 SERVICE = 600
 
 
@@ -113,7 +115,20 @@
             if zones or all_ > (2 * COOL if was else 2 * HOT):
                 hot[item] = (zones, self.due_copies(item, zones, all_), all_)
         self.learn_service()
-        self.hot = hot
+        self.hot = self.within(hot)
+
+    def within(self, hot):
+        """No more than PLACES of what fits everywhere is due to hot models, the hottest first."""
+        room = sum(
+            self.cat.services[p.service].room for p in self.reps.values() if p.engine and self.usable(p)
+        )
+        out, left = {}, PLACES * room
+        for m, (zones, due, rate) in sorted(hot.items(), key=lambda x: -x[1][2]):
+            mb = max((s.models[m].mb for s in self.cat.homes.get(m, ())), default=1)
+            due = max(1, min(due, int(left // mb)))
+            left = max(0, left - due * mb)
+            out[m] = (zones, due, rate)
+        return out
 
     def learn_service(self):
         """How long a request runs, in ms: runs seen over requests begun, each report standing for PERIOD."""
@@ -123,6 +138,8 @@
         self.begun, self.ran, self.service_at = self.begun * f, self.ran * f, self.now
 
     def due_copies(self, item, zones, rate):
+        """One in each zone that asks much, and so many that each copy runs KNEE or fewer: far below its slots,
+        since what runs together slows all of it."""
         slots = min((s.slots for s in self.cat.homes.get(item, ())), default=1)
-        runs = math.ceil(rate * self.service_ms / 1000 / (FULL * slots))
+        runs = math.ceil(rate * min(LONGEST, self.service_ms) / 1000 / min(KNEE, slots))
         return max(LEAST, len(zones), runs)
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -122,6 +122,7 @@
         if now - self.copies_at >= COPY_EVERY:
             self.copies_at = now
             self.look()
+            self.feed()
             self.place()
             self.copy()
         elif self.wants or self.dirty:
@@ -221,8 +222,8 @@
         model, _, adapter = item.partition("/")
         return replica.Step(replica.LOAD, model, adapter, model in p.disk)
 
-    def place_model(self, model, zones, free, asked, soft=False):
-        got = self.pick(model, zones, free, soft)
+    def place_model(self, model, zones, free, asked, most=None):
+        got = self.pick(model, zones, free, most)
         if got is None:
             return False
         _, p, out = got
@@ -234,6 +235,30 @@
 
     # copies
 
+    def feed(self):
+        """Hot models with too few copies go before what is cold: many wait for each of them."""
+        if self.now < self.ready_at or not self.hot:
+            return
+        short = []
+        for m, (_, due, rate) in self.hot.items():
+            n = len(self.copies(m)) + sum(1 for r in self.coming.get(m, ()) if self.answers(self.reps[r]))
+            if n < due:
+                short.append((rate / (n + 0.1), m, n))
+        if not short:
+            return
+        self.count_permits()
+        free = self.free()
+        left = max(1, len(self.reps) // 3) - sum(1 for p in self.active.values() if not p.plan.asked)
+        for _, m, n in sorted(short, reverse=True):
+            if left < 1 or not free:
+                return
+            zones = self.hot[m][0]
+            have = {p.zone for p in self.copies(m)}
+            where = self.spread(m, [z for z in zones if z not in have], have, free, n) or free
+            weights = {z: r.read(self.now) for z, r in self.rates.get(m, {}).items() if r.read(self.now) > 0}
+            left -= self.place_model(m, weights, where, False, choose.HUNGRY)
+            free = [p for p in free if p.plan is None]
+
     def copy(self):
         """Copies of hot models where their demand is, taken from what few ask for."""
         if self.now < self.ready_at or not (self.hot or self.orphans):
@@ -254,7 +279,7 @@
                 continue
             where = self.spread(m, lack, have, free, len(on) + len(to))
             weights = {z: r.read(self.now) for z, r in self.rates.get(m, {}).items() if r.read(self.now) > 0}
-            n += self.place_model(m, weights, where, False, True)
+            n += self.place_model(m, weights, where, False, choose.SOFT)
             free = [p for p in free if p.plan is None]
 
         self.adopt(free)
@@ -264,7 +289,7 @@
         for m, t in list(self.orphans.items()):
             if self.now - t > ADOPT or self.held(m) or self.underway(m):
                 del self.orphans[m]
-            elif free and self.place_model(m, {}, free, False, True):
+            elif free and self.place_model(m, {}, free, False, choose.SOFT):
                 del self.orphans[m]
 
     def spread(self, m, lack, have, free, n):
