Picks look at how long a replica takes to its first bytes, and leave the zone sooner

Cause: a replica counted as little used until its zone's nodes ran 70 % of its slots on it (45 of 64), by when first bytes took a second. Now a share of 16 slots counts as full, the smoothed time to first bytes over the route's target is added, and another zone costs 0.3 (before 0.7).

--- a/basaltport/relay/pick.py
+++ b/basaltport/relay/pick.py
@@ -4,7 +4,8 @@
 import basaltport.relay.budget as budget
 import basaltport.relay.health as health
 
-FAR = 0.7
+FAR = 0.3
+KNEE = 16
 FAILED = 0.5
 SLOW = 0.3
 LEAN = 0.12
@@ -110,8 +111,8 @@
 
     def score(self, q, r):
         row, h = self.rows[r], self.health_of(r)
-        share = max(1.0, self.slots_of(row) * self.zones / self.peers())
-        s = h.running / share
+        share = max(1.0, min(KNEE, self.slots_of(row)) * self.zones / self.peers())
+        s = h.running / share + min(2.0, h.first / max(1, q.route.target))
         if row["zone"] != self.me.zone:
             s += FAR
         if r in q.avoid:
