Operators' pages of keepers and proxies, fleet verbs, metrics

status, placement, configuration, members, explain and metrics at every keeper and proxy (GET only, read off the reducers by pure functions; explain runs the route's real program on a copy); fleet-status, fleet-placement, fleet-explain and fleet-config on the command line.

--- a/basaltport/keeper/shell.py
+++ b/basaltport/keeper/shell.py
@@ -64,6 +64,7 @@
         self.period = TICK
         self.stopping = False
         self.n = 0
+        self.listed_at = None
         self.calls = {}
         self.tasks = set()
         self.open()
@@ -89,7 +90,7 @@
             "ledger",
             s["zone"],
             s["address"],
-            "",
+            s.get("operators", ""),
             s["seeds"],
             0,
             voters="ledgers",
@@ -186,6 +187,7 @@
 
     async def list(self):
         rows = await self.called(self.port.list())
+        self.listed_at = self.listed_at if rows is None else kinds.steady()
         self.step(events.Listed(kinds.steady(), rows is not None, rows or []))
 
     def do_order(self, e):
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -9,6 +9,7 @@
 import aiohttp.web
 
 import basaltport.events as base
+import basaltport.keeper.pages as pages
 import basaltport.kinds as kinds
 import basaltport.logs as logs
 import basaltport.member as member
@@ -56,6 +57,7 @@
         seed = random.SystemRandom().getrandbits(64)
         zones = len(s.get("zones") or ()) or 1
         self.member = role.Relay(me, seed, kinds.steady(), s.get("timings"), zones)
+        self.pages = pages.Pages(self, "proxy")
         self.upstream = upstream.Upstream(words)
         self.wires = wires.Wires(
             s["address"], self.heard, lambda peer, why: logs.note(33, {"peer": peer, "why": why})
@@ -152,6 +154,8 @@
         return aiohttp.web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=size)
 
     async def readiness(self, request):
+        if request.path.startswith(pages.PREFIX):
+            return await self.pages.serve(request)
         ok = request.path == self.words.ready_path and self.member.ready() and not self.stopping
         return aiohttp.web.Response(status=200 if ok else 503)
 
--- /dev/null
+++ b/tests/test_fleet_cli.py
@@ -0,0 +1,271 @@
+"""What operators of a fleet see: keepers and a proxy in a known state, asked over HTTP on 127.0.0.1."""
+
+import asyncio
+import copy
+import importlib
+import json
+import pathlib
+import pickle
+import re
+import subprocess
+import sys
+import urllib.error
+import urllib.request
+
+import pytest
+
+import basaltport.keeper.admin as admin
+import basaltport.keeper.view as view
+import basaltport.kinds as kinds
+import basaltport.main as main
+import basaltport.relay.events as events
+import basaltport.relay.view as relay_view
+import tests.fleet_stand as fleet_stand
+import tests.live as live
+import tests.relay_stand as stand
+
+ROOT = pathlib.Path(__file__).parent.parent
+sys.path.append(str(ROOT / "platform"))
+operators = importlib.import_module("operators")
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with fleet_stand.Fleet() as f:
+        yield f
+
+
+def call(capsys, *argv):
+    with pytest.raises(SystemExit) as e:
+        main.run(["basaltport", *map(str, argv)])
+    got = capsys.readouterr()
+    return e.value.code, got.out, got.err
+
+
+def tidy(text):
+    text = re.sub(r"127\.0\.0\.1:\d+", "IP:PORT", text)
+    return "\n".join(re.sub(r"  +", "  ", x).rstrip() for x in text.split("\n"))
+
+
+def test_every_keeper_gives_the_leader_s_answer(capsys, fleet):
+    for page in ("status", "placement"):
+        got = {call(capsys, f"fleet-{page}", f"--node={fleet.served.address(n)}") for n in fleet.names}
+        assert len(got) == 1
+        code, out, err = got.pop()
+        assert (code, err) == (0, "")
+        live.approve(f"fleet_{page}", tidy(out))
+
+
+def get(address, page, body=None):
+    """(status, text) as it is answered, without going on to where it points."""
+
+    class Stay(urllib.request.HTTPRedirectHandler):
+        def redirect_request(self, *a):
+            return None
+
+    try:
+        with urllib.request.build_opener(Stay).open(
+            f"http://{address}/basaltport/{page}", body, timeout=live.BOUND
+        ) as r:
+            return r.status, r.read().decode()
+    except urllib.error.HTTPError as e:
+        with e:
+            return e.code, e.read().decode()
+
+
+def test_a_keeper_s_own_word_its_metrics_and_what_is_not_there(fleet):
+    at = fleet.served.address(fleet.other)
+    assert get(at, "status")[0] == 307
+    own = json.loads(get(at, "status?own=1")[1])
+    assert (own["name"], own["leads"], own["leader"]) == (fleet.other, False, fleet.leader)
+    text = get(fleet.served.address(fleet.leader), "metrics")[1]
+    for line in ("basaltport_holds 1.0", "basaltport_wants 1.0", "basaltport_list_age_seconds 0.3"):
+        assert f"\n{line}\n" in text
+    assert "\nbasaltport_leads 0.0\n" in get(at, "metrics")[1]
+    assert get(at, "journal")[0] == 404 and get(at, "status?own=1", b"x")[0] == 405
+    counts = json.loads(get(fleet.served.address(fleet.leader), "configuration")[1])
+    counts.pop("serial")
+    assert counts == {"edition": 1, "routes": 4, "hosts": 1, "services": 1, "models": 2}
+    names = [m["name"] for m in json.loads(get(fleet.served.address(fleet.leader), "members")[1])["members"]]
+    assert names == ["k1", "k2", "k3", "p1"]
+
+
+def test_what_is_shown_changes_nothing_and_trouble_is_named(fleet):
+    m, now = fleet.w.nodes[fleet.leader].member, fleet.w.now
+    was = pickle.dumps(m.placement)
+    for t in (now, now + 500):
+        json.dumps([view.status(m, t, t), view.placement(m, t), view.configuration(m, t), view.members(m, t)])
+        list(view.samples(m, t, t))
+    assert pickle.dumps(m.placement) == was
+    words = " ".join(view.unsettled(m, now + 4000, now - 10))
+    for told in ("not vouched", "keeper k2 is silent", "last read 4010 ms ago"):
+        assert told in words
+    assert view.unsettled(m, now, now) == []
+    assert view.unsettled(m, now, None) == ["the list of replicas was not read yet"]
+
+
+def test_without_a_leader_there_is_still_a_word(capsys, fleet):
+    w = fleet_stand.World(2)
+    assert w.until(lambda: w.settled("k1", "k2", "k3"), 3000) is not None
+    for n in ("k1", "k2"):
+        w.kill(n)
+    w.run(7000)
+    with fleet_stand.Thread({"k3": admin.of_keeper(fleet_stand.Shell(w, "k3"), lambda: w.now)}) as t:
+        code, out, err = call(capsys, "fleet-status", f"--node={t.address('k3')}")
+        assert code == 1 and err == "no leader\n"
+        assert "leader none" in out and "no leader is heard" in out
+        code, out, err = call(capsys, "fleet-placement", "--json", f"--node={t.address('k3')}")
+        assert code == 1 and json.loads(out)["leader"] is None
+        nodes = f"{t.address('k3')},{fleet.served.address(fleet.other)}"
+        assert call(capsys, "fleet-status", f"--node={nodes}")[0] == 0
+
+
+def test_keepers_answer_beside_the_platform_s_calls(fleet):
+    async def run():
+        o = operators.Operators(fleet_stand.Shell(fleet.w, fleet.leader), lambda: ())
+        await o.start("127.0.0.1:0")
+        try:
+            r, w = await asyncio.open_connection(*o.runner.addresses[0])
+            w.write(live.get("/basaltport/configuration"))
+            async with asyncio.timeout(live.BOUND):
+                got = await r.read()
+            w.close()
+            return got
+        finally:
+            await o.stop()
+
+    assert b'"edition": 1' in asyncio.run(run())
+
+
+# proxies
+
+
+@pytest.fixture
+def proxy():
+    m, now = fleet_stand.relay()
+    a = admin.of_proxy(type("Shell", (), {"member": m})(), lambda: now)
+    with fleet_stand.Thread({"p1": a}) as t:
+        yield m, now, t.address("p1")
+
+
+def test_a_proxy_s_status_and_what_would_become_of_requests(capsys, proxy):
+    m, now, at = proxy
+    out = [call(capsys, "fleet-status", f"--node={at}")]
+    for path, item in [("/safe/x", "birch"), ("/once/", "alder"), ("/safe/", "cedar"), ("/none/", "birch")]:
+        out.append(
+            call(
+                capsys,
+                "fleet-explain",
+                f"--node={at}",
+                "--host=desk.example",
+                f"--path={path}",
+                f"--item={item}",
+            )
+        )
+    assert [x[0] for x in out] == [0] * 5
+    live.approve("fleet_proxy", tidy("\n".join(x[1] for x in out)))
+
+
+def test_an_explanation_is_what_happens_and_leaves_no_trace():
+    m, now = fleet_stand.relay()
+    was = copy.deepcopy({k: v for k, v in vars(m).items() if k not in ("rng", "table")})
+    chance = m.rng.getstate()
+    got = relay_view.explain(m, now, "desk.example", "/safe/x", "birch")
+    relay_view.status(m, now)
+    list(relay_view.samples(m, now))
+    assert m.rng.getstate() == chance
+    assert pickle.dumps(was) == pickle.dumps({k: vars(m)[k] for k in was})
+    ev = events.Arrived(now, 1, "desk.example", "/safe/x", kinds.Item("birch"), -1, 0, "")
+    sent = [e.replica for e in m.step(ev) if isinstance(e, events.Attempt)]
+    assert sent == [o["replica"] for o in got["outcomes"]] == ["r6"]
+
+
+def test_a_proxy_s_pages_stand_beside_its_readiness():
+    async def run():
+        async with stand.Front([]) as f:
+            address = f.shell.prober.sockets[0].getsockname()
+            out = []
+            for path in ("/basaltport/status", "/ready", "/basaltport/metrics", "/basaltport/explain?path=x"):
+                r, w = await asyncio.open_connection(*address)
+                w.write(live.get(path))
+                async with asyncio.timeout(live.BOUND):
+                    out.append((await r.read()).decode())
+                w.close()
+            return out
+
+    status, ready, metrics, bad = asyncio.run(run())
+    assert " 200 OK" in status and '"role": "proxy"' in status
+    assert " 503 " in ready and " 400 " in bad
+    assert "\nbasaltport_ready 0.0\n" in metrics and "\nprocess_resident_memory_bytes " in metrics
+
+
+def test_metrics_where_a_process_runs_without_ssl():
+    code = (
+        "import sys; sys.modules['ssl'] = None; import basaltport.keeper.admin as a;"
+        "assert 'prometheus_client' not in sys.modules;"
+        "r = a.library(); print(r.generate_latest(r.CollectorRegistry()), sys.modules['ssl'])"
+    )
+    got = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert got.stdout.strip() == "b'' None", got.stderr
+
+
+# the command line
+
+
+@pytest.mark.parametrize(
+    "argv, code, text",
+    [
+        (["fleet-status"], 2, "--node: missing"),
+        (["fleet-status", "--node=k1:80"], 2, "--node: 'k1:80' is not an address"),
+        (["fleet-placement", "--node=127.0.0.1:1", "--own"], 2, "Unknown command line flag 'own'"),
+        (["fleet-explain", "--node=x", "--path=a"], 2, "--host: missing\n--path: does not begin"),
+        (["fleet-config"], 2, "needs check FILE"),
+        (["fleet-config", "check", "{bad}"], 2, "not JSON"),
+        (["fleet-config", "check", "--words=nowhere.py", "{bad}"], 2, "--words: nowhere.py"),
+        (["fleet-config", "diff", "{bad}"], 2, "diff: needs 2 files"),
+        (["fleet-status", "--node=127.0.0.1:1"], 1, "nobody answered; 127.0.0.1:1"),
+    ],
+)
+def test_bad_input_is_2_with_findings_and_nobody_there_1_with_a_line(capsys, tmp_path, argv, code, text):
+    bad = tmp_path / "bad.json"
+    bad.write_text("{")
+    got = call(capsys, *[a.replace("{bad}", str(bad)) for a in argv])
+    assert got[0] == code and got[1] == "" and text in got[2]
+    assert code == 2 or got[2].count("\n") == 1
+
+
+def test_another_node_is_asked_where_one_is_not_there(capsys, fleet):
+    nodes = f"127.0.0.1:1,{fleet.served.address(fleet.other)}"
+    code, out, _ = call(capsys, "fleet-status", f"--node={nodes}", "--json")
+    assert code == 0 and json.loads(out)["name"] == fleet.leader
+
+
+def test_configurations_in_files(capsys, tmp_path):
+    def file(name, doc):
+        (tmp_path / name).write_text(json.dumps(doc))
+        return tmp_path / name
+
+    old, new = fleet_stand.document(), copy.deepcopy(fleet_stand.document())
+    new["edition"] = 2
+    new["routes"][0]["deadline_ms"] = 4000
+    del new["routes"][1]
+    new["services"][0]["engine"]["models"].append({"name": "cedar"})
+    a, b = file("a", old), file("b", new)
+    assert call(capsys, "fleet-config", "check", a)[:2] == (0, "no findings\n")
+    assert call(capsys, "fleet-config", "diff", a, a)[:2] == (0, "the same\n")
+    code, out, _ = call(capsys, "fleet-config", "diff", a, b)
+    assert code == 1 and out.split("\n")[:-1] == [
+        "changed  edition: 1 -> 2",
+        "changed  routes.safe.deadline_ms: 3000 -> 4000",
+        "removed  routes.once",
+        "added    services.write.engine.models.cedar",
+        "4 changes",
+    ]
+    new["routes"][0]["deadline_ms"] = -1
+    b = file("b", new)
+    code, out, _ = call(capsys, "fleet-config", "check", b)
+    assert code == 2 and out.startswith("routes.0.deadline_ms: not a number over 0\n")
+    names = ROOT / "platform" / "names.py"
+    lanes = file("c", {"edition": 1, "lanes": [{"name": "x"}], "depots": []})
+    code, out, _ = call(capsys, "fleet-config", "check", f"--words={names}", lanes)
+    assert code == 2 and "lanes.0.pathPrefix: is required\n" in out
