--- a/basaltport/main.py
+++ b/basaltport/main.py
@@ -4,17 +4,21 @@
 import sys
 
 import basaltport.clerk.cli as cli
+import basaltport.clerk.fleet_cli as fleet_cli
 import basaltport.daemon as daemon
 import basaltport.paddle.cli as paddle
 import basaltport.rehearsal.cli as rehearsal
 import basaltport.rehearsal.drill as drill
 import basaltport.rehearsal.planner as planner
 import basaltport.rehearsal.play as play
+import basaltport.scale.cli as scale
 
 GROUPS = [
     ("Roles", daemon.VERBS),
     ("Operators' verbs, at any node", cli.VERBS),
+    ("Of a fleet behind routes", fleet_cli.VERBS),
     ("Tools", {**paddle.VERBS, **rehearsal.VERBS, **play.VERBS, **planner.VERBS, **drill.VERBS}),
+    ("Scale runs", scale.VERBS),
 ]
 
 
@@ -22,7 +26,7 @@
     out = ["usage: basaltport VERB [--flag=value ...] [argument ...]", ""]
     for title, verbs in GROUPS:
         out.append(title + ":")
-        out += [f"  {k:<12} {v.help}" for k, v in verbs.items()]
+        out += [f"  {k:<15} {v.help}" for k, v in verbs.items()]
         out.append("")
     out += [
         "`basaltport VERB --help` tells a verb's flags.",
