After a start requests are held for the feed, and dead addresses are tried anew sooner

Now connections between processes get 350 ms, a node that never had the feed asks every 100 ms and holds what comes for at most two thirds of its time.

--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -6,6 +6,7 @@
 
 FOLLOW = 400
 SEEK = 300
+FIRST = 100
 UNLED = 1200
 AT_ONCE = 100
 
@@ -46,7 +47,8 @@
     # asking
 
     def tick_follow(self):
-        if self.now - self.follow_at >= (FOLLOW if self.led() else SEEK):
+        every = FOLLOW if self.led() else SEEK if self.feed_n >= 0 else FIRST
+        if self.now - self.follow_at >= every:
             self.follow()
 
     def addresses(self):
--- a/basaltport/relay/pick.py
+++ b/basaltport/relay/pick.py
@@ -31,6 +31,7 @@
             if row and r in self.health:
                 h = self.health[r]
                 h.absent = {i: t for i, t in h.absent.items() if t > self.now}
+        self.unpark()
         self.pump()
 
     def holders(self, service, item):
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -19,7 +19,8 @@
     "drain_ms": 3000,
     "grace_s": 8,
 }
-STARTING = 500
+STARTING = 1500
+PARKED = 4000
 COME_BACK = 1000
 BOUND = 2000
 ASSUMED = 16
@@ -43,6 +44,7 @@
         self.table_of = None
         self.requests = {}
         self.waiting = {}
+        self.parked = {}
         self.tally = {}
         self.used = {}
         self.stopped = False
@@ -65,6 +67,7 @@
             self.table_of = m
             self.table = table.Table(m)
             self.note(42, serial=int(self.book["mserial"]), lines=sum(map(len, self.table.hosts.values())))
+        self.unpark()
         self.pump()
 
     def usage(self):
@@ -75,11 +78,11 @@
     # requests
 
     def on_arrived(self, ev):
+        if self.table.empty or not self.rows:
+            self.park(ev)
+            return
         route = self.table.match(ev.host, ev.path)
         if route is None:
-            if self.table.empty:
-                self.emit(events.Close(ev.request, 503, "no configuration yet", STARTING))
-                return
             self.emit(events.Close(ev.request, 404, "no route"))
             return
         q = request.Request(ev.request, route, ev)
@@ -91,9 +94,33 @@
                 return
         self.pump()
 
+    # a node that just started
+
+    def park(self, ev):
+        """What comes before the feed did is held for a part of its time: a start takes a second or two."""
+        if len(self.parked) >= BOUND:
+            self.emit(events.Close(ev.request, 503, "no configuration yet", STARTING))
+            return
+        left = PARKED if ev.deadline < 0 else min(PARKED, ev.deadline * 2 // 3)
+        self.parked[ev.request] = (self.now + left, ev)
+
+    def unpark(self):
+        if not self.parked or self.table.empty or not self.rows:
+            return
+        evs, self.parked = self.parked, {}
+        for _, ev in evs.values():
+            self.on_arrived(ev)
+
+    def expire_parked(self):
+        for n, (until, _) in list(self.parked.items()):
+            if self.now >= until:
+                del self.parked[n]
+                self.emit(events.Close(n, 503, "no configuration yet", STARTING))
+
     def do_deadline(self, q, ev):
         left = q.route.deadline if ev.deadline < 0 else min(ev.deadline, q.route.deadline)
-        q.until = self.now + left
+        q.until = ev.now + left
+        left = q.until - self.now
         if left <= 0:
             return "no time is left", COME_BACK
 
@@ -158,6 +185,7 @@
         self.drop(q)
 
     def on_left(self, ev):
+        self.parked.pop(ev.request, None)
         q = self.requests.get(ev.request)
         if q is None:
             return
@@ -168,6 +196,7 @@
 
     def on_tick(self, ev):
         self.tick_follow()
+        self.expire_parked()
         self.expire()
         self.watch()
         if self.waiting:
--- a/basaltport/wires.py
+++ b/basaltport/wires.py
@@ -7,7 +7,8 @@
 import basaltport.sockets as sockets
 
 BOUND = 2000
-RETRY = 0.2
+RETRY = 0.1
+CONNECT = 0.35
 SILENT = 15
 BODY = 5
 RATE = 1 << 20
@@ -45,7 +46,7 @@
         while True:
             await ev.wait()
             try:
-                _, w = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+                _, w = await asyncio.wait_for(asyncio.open_connection(host, int(port)), CONNECT)
                 sockets.bound(w.get_extra_info("socket"))
             except (OSError, TimeoutError):
                 q.clear()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -241,3 +241,18 @@
     s.m.out = []
     s.m.followed()
     assert [e.replica for e in s.m.out if isinstance(e, events.Attempt)] == ["b", "b"]
+
+
+def test_what_comes_before_the_feed_is_held_and_then_routed_or_refused_in_time():
+    s = Sim([row("a")])
+    doc, rows = s.m.book["manifest"], s.m.rows
+    fresh = Sim([], {"edition": 1, "routes": [], "services": []})
+    fresh.m.table = table.Table(None)
+    assert fresh.ask("safe", deadline=3000) == [] and fresh.ask("once", deadline=900) == []
+    got = fresh.wait(600)
+    assert [(type(e), e.request, e.status) for e in got] == [(events.Close, 2, 503)]
+    assert got[0].retry_after > 0
+    fresh.m.out = []
+    stand.fill(fresh.m, rows.values(), doc)
+    sent = [e for e in fresh.m.out if isinstance(e, events.Attempt)]
+    assert [(e.request, e.left) for e in sent] == [(1, 2400)]
