--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -14,6 +14,7 @@
 AGAIN = 800
 SILENT = 600
 COPY_EVERY = 200
+MOST = 100
 ADOPT = 5000
 NEVER = -(10**9)
 
@@ -36,7 +37,7 @@
         self.extra, self.again = now, self.again * 2
 
     def rank(self, now):
-        return (now - self.first + 50) * min(16, sum(n for n, _ in self.zones.values())) ** 0.5
+        return (now - self.first + 200) * min(MOST, sum(n for n, _ in self.zones.values()))
 
 
 class Placement(
@@ -122,7 +123,6 @@
         if now - self.copies_at >= COPY_EVERY:
             self.copies_at = now
             self.look()
-            self.feed()
             self.place()
             self.copy()
         elif self.wants or self.dirty:
@@ -177,6 +177,7 @@
         self.dirty = False
         if self.now < self.ready_at:
             return
+        self.feed()
         if not self.wants:
             self.wanted_models = ()
             return
--- a/basaltport/relay/readiness.py
+++ b/basaltport/relay/readiness.py
@@ -3,12 +3,13 @@
 import basaltport.readiness.limits as limits
 
 AGAIN = 250
+WEIGHT = 4
 
 
 class Fact:
     """What the keeper last said of an item; `asked`: when it was last asked; `next`: when it may be again."""
 
-    __slots__ = ("state", "expected", "retry", "asked", "next", "served", "kept", "window", "serving_since")
+    __slots__ = "state expected retry asked next served kept window serving_since told".split()
 
     def __init__(self):
         self.state = ""
@@ -20,6 +21,7 @@
         self.kept = False
         self.window = 0
         self.serving_since = None
+        self.told = 0
 
 
 class ReadinessMixin:
@@ -51,20 +53,25 @@
         return min(q.until, q.born + limits.limit(0, self.expected(q)))
 
     def ask_missing(self):
-        """Ask the keeper, which also orders loads, for all items that requests wait for and nobody holds."""
+        """Ask the keeper, which also orders loads, for all items that requests wait for and nobody holds.
+        What waits is told by weight: one urgent request counts as several that can wait."""
         missing = {}
         for q in self.waiting.values():
             if q.item and not self.held(q):
-                missing[q.item] = missing.get(q.item, 0) + 1
-        due = {i: n for i, n in missing.items() if self.now >= self.fact(i).next}
+                missing[q.item] = missing.get(q.item, 0) + max(1, WEIGHT - q.route.urgency)
+        due = {i: n for i, n in missing.items() if self.due(self.fact(i), n)}
         if not due:
             return
-        for i in due:
+        for i, n in due.items():
             f = self.fact(i)
-            f.asked = self.now
+            f.asked, f.told = self.now, n
             f.next = self.now + max(limits.POLL, f.retry)
         self.want(due)
 
+    def due(self, f, n):
+        """At the keeper's spacing; sooner where far more wait than it was told."""
+        return self.now >= f.next or n >= 2 * f.told and self.now - f.asked >= limits.POLL
+
     def on_facts(self, items):
         for i, d in items.items():
             f = self.fact(i)
