A proxy that starts anew or lost an update is sent what it lacks though rows change

Now a proxy that has nothing of this leader is sent all at once, and one that says for 300 ms that it has less than it was sent is sent that again. Two tests, red before.

--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -7,23 +7,34 @@
 FORGET = 3000
 RESEND = 300
 ROWS = 40
-RATE = 2000
 GONE = 5000
 SMALL = 2000
 COPIED = ("serial", "gen", "mserial", "manifest", "drains", "roster", "voters")
 
 
 class Proxy:
-    """A follower: what it has or was sent, and until when that may be under way."""
+    """A follower: what it has or was sent, and of what it says it has: how much, since when no more."""
 
-    __slots__ = ("zone", "address", "at", "serial", "seen", "told", "sent_at", "until")
+    __slots__ = ("zone", "address", "at", "serial", "seen", "told", "sent_at", "reset_at", "said")
 
     def __init__(self):
         self.serial = 0
         self.seen = -1
         self.told = None
         self.sent_at = -(10**9)
-        self.until = -(10**9)
+        self.reset_at = -(10**9)
+        self.said = {}
+
+    def lost(self, what, has, now):
+        """Whether it has said for RESEND that it has this much and no more, and was sent more."""
+        was = self.said.get(what)
+        if has >= getattr(self, what) or was is None or was[0] != has:
+            self.said[what] = (has, now)
+            return False
+        if now - was[1] < RESEND:
+            return False
+        self.said[what] = (has, now)
+        return True
 
 
 class PublishMixin:
@@ -69,14 +80,23 @@
         if p is None:
             p = self.proxies[m.name] = Proxy()
         p.zone, p.address, p.at = m.zone, m.address, self.now
-        if m.gen != self.promised:
-            p.told = None
-        if self.now >= p.until:
-            p.serial, p.seen = m.serial, m.seen if m.gen == self.promised else -1
+        self.hear_state(p, m)
         if m.use or m.load:
             self.heard_use(m.zone, m.use, m.load)
         self.published = None
 
+    def hear_state(self, p, m):
+        """One that has nothing of this leader, new or started anew, is sent all; one that stays behind what
+        it was sent lost something, however much else went out to it meanwhile."""
+        if m.gen != self.promised:
+            if self.now - p.reset_at >= RESEND:
+                p.serial, p.seen, p.told, p.reset_at = m.serial, -1, None, self.now
+            return
+        if p.lost("serial", m.serial, self.now):
+            p.serial = m.serial
+        if p.lost("seen", m.seen, self.now):
+            p.seen = m.seen
+
     def tell_facts(self, address, facts):
         self.send(address, messages.Facts(facts))
 
@@ -97,7 +117,7 @@
         rows = self.rows_known and self.now - self.rows_sent >= ROWS
         for p in self.proxies.values():
             lacks = p.serial < state[0] or rows and p.seen < self.feed_n
-            if lacks and self.now >= p.until - RESEND or self.now - p.sent_at >= IDLE:
+            if lacks or self.now - p.sent_at >= IDLE:
                 self.update(p)
         if rows or not self.rows_known:
             self.rows_sent, self.published = self.now, state
@@ -132,9 +152,7 @@
             gone,
             len(self.proxies),
         )
-        size = text.size(copy) + text.size(entries) + 300 * len(rows)
         p.serial, p.seen, p.told, p.sent_at = self.book["serial"], n, keepers, self.now
-        p.until = self.now + RESEND + size // RATE
         self.send(p.address, m)
 
     def book_for(self, serial):
--- a/basaltport/placement/demand.py
+++ b/basaltport/placement/demand.py
@@ -138,8 +138,8 @@
         self.begun, self.ran, self.service_at = self.begun * f, self.ran * f, self.now
 
     def due_copies(self, item, zones, rate):
-        """One in each zone that asks much, and so many that each copy runs KNEE or fewer: far below its slots,
-        since what runs together slows all of it."""
+        """One in each zone that asks much, and so many that each copy runs KNEE or fewer: far below its
+        slots, since what runs together slows all of it."""
         slots = min((s.slots for s in self.cat.homes.get(item, ())), default=1)
         runs = math.ceil(rate * min(LONGEST, self.service_ms) / 1000 / min(KNEE, slots))
         return max(LEAST, len(zones), runs)
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -106,6 +106,8 @@
     def kill(self, name, power=False, disk=False):
         n = self.nodes[name]
         n.member, n.life = None, n.life + 1
+        if n.disk is None:
+            return
         if disk:
             n.disk, n.seat, n.founders = simdisk.SimDisk(random.Random(self.rng.random())), "", None
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -172,3 +172,38 @@
     told = lead(w).placement.told
     assert ("wanted", "z-p1", {"m": 2}) in told and ("used", "z-p1", {"m": 1}, {}) in told
     assert p.heard_facts["m"]["state"] == "loading"
+
+
+def busy(w, ms):
+    """Rows that change all the time, for as long as that."""
+    for i in range(ms // 50):
+        lead(w).placement.put({"r1": {"id": "r1", "n": int(w.now)}})
+        w.run(50)
+
+
+def test_a_proxy_that_starts_anew_has_all_soon_though_rows_change_all_the_time():
+    w, ps = world(1)
+    busy(w, 1000)
+    w.kill("p1")
+    busy(w, 300)
+    w.boot("p1")
+    p = w.nodes["p1"].member
+    busy(w, 800)
+    assert edition(p) == 1 and set(p.rows) == {"r1"}
+
+
+def test_an_entry_that_was_lost_comes_again_though_rows_change_all_the_time():
+    w, ps = world(1)
+    send, lost = w.do_send, []
+
+    def lose(n, e):
+        if isinstance(e.msg, messages.Update) and (e.msg.entries or e.msg.copy) and not lost:
+            lost.append(e.msg)
+            return
+        send(n, e)
+
+    w.do_send = lose
+    busy(w, 200)
+    assert w.must(2, 1) is not None
+    busy(w, 1500)
+    assert lost and edition(ps[0]) == 2
