What a replica refused is offered to it again where the route allows no other

Now the replica that refused may be asked again, within the budget and at most five times; no other may where the attempts are used up.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -5,6 +5,7 @@
 import basaltport.relay.request as request
 
 UNSENT = 6
+ARRIVALS = 4
 SOON = 150
 ABSENT = 1000
 REFUSED = 60
@@ -69,14 +70,18 @@
             q = None
         if q is not None and ev.outcome != "unsent":
             q.arrivals += 1
+            q.sent_to.add(run.replica)
             q.ran = q.ran or ev.outcome in ("failed", "broken", "cut", "late")
         self.tally[ev.outcome] = self.tally.get(ev.outcome, 0) + 1
         getattr(self, "was_" + ev.outcome)(q, run, h, ev)
         self.pump()
 
     def again(self, q, run, ev, free=False):
-        """Back into the queue, if it may go again; False if not."""
-        if q.arrivals >= q.route.attempts or q.unsent > UNSENT or q.until - self.now < LEAST:
+        """Back into the queue, if it may go again; False if not. A route's attempts bound how many replicas
+        it goes to; one that only refused it may be asked again."""
+        if q.unsent > UNSENT or q.arrivals > ARRIVALS or q.until - self.now < LEAST:
+            return False
+        if not q.spare() and ev.outcome != "refused":
             return False
         if not free and not self.retry_of(q.service).room(self.now, self.peers()):
             return False
@@ -181,7 +186,7 @@
                 continue
             if self.now >= h.down:
                 h.bad(self.now)
-            if not q.route.repeatable() or q.arrivals + 1 >= q.route.attempts:
+            if not q.route.repeatable() or len(q.sent_to | {run.replica}) >= q.route.attempts:
                 continue
             if q.until - self.now < 2 * LEAST or not self.retry_of(q.service).room(self.now, self.peers()):
                 continue
--- a/basaltport/relay/pick.py
+++ b/basaltport/relay/pick.py
@@ -93,7 +93,7 @@
 
     def fits(self, q, r):
         row = self.rows[r]
-        if not self.open(r, row):
+        if not self.open(r, row) or r not in q.sent_to and not q.spare():
             return False
         h = self.health_of(r)
         if self.now < h.down or h.lacks(q.item, self.now) or h.running >= self.cap(row):
--- a/basaltport/relay/request.py
+++ b/basaltport/relay/request.py
@@ -21,6 +21,7 @@
         "arrivals",
         "unsent",
         "avoid",
+        "sent_to",
         "begun",
         "ran",
         "key",
@@ -40,10 +41,15 @@
         self.arrivals = 0
         self.unsent = 0
         self.avoid = set()
+        self.sent_to = set()
         self.begun = False
         self.ran = False
         self.key = (self.route.urgency, self.born, id)
 
+    def spare(self):
+        """Whether it may go to a replica that it was not sent to."""
+        return len(self.sent_to) < self.route.attempts
+
 
 class Run:
     """An attempt under way."""
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -161,7 +161,8 @@
                 continue
             r = self.pick(q)
             if r is None:
-                full.add(k)
+                if not q.avoid:
+                    full.add(k)
                 continue
             del self.waiting[q.id]
             self.launch(q, r)
