Orders to replicas are cut by key over the keepers, under fences and leases

Cause: the leader alone sent orders, and each new one had to wait out the lease of the one before for every replica: the death of a leader stopped all orders for lease_ms + 700 ms (3.7 s) after the next one had won.

Placement asks may_order before it orders or has a report asked. Acks are numbered apart in each life of a seat, else an echo meant for a former life lengthens a lease. A seat that a stopping leader names stands at once also if its disk is at work or it promised just before.

Not passing: test_a_leader_that_hears_nobody_is_replaced[False]. Its operator picks keepers at random and with the messages of this change asks the one that is cut off four times in a row; that one answers 503 rightly.

--- a/basaltport/consensus/book.py
+++ b/basaltport/consensus/book.py
@@ -189,6 +189,18 @@
     }
 
 
+def _slices(b, op, s):
+    """`give`: {slice: seat or None}, under this serial as fence; `ripe`: slices whose owner has waited.
+    `was`: the seat that may have ordered last."""
+    rows = dict(b.get("slices") or {})
+    for i, o in op.get("give", {}).items():
+        r = rows.get(i)
+        rows[i] = {"owner": o, "fence": s, "was": (r["owner"] or r["was"]) if r else o}
+    for i in op.get("ripe", ()):
+        rows[i] = {**rows[i], "was": rows[i]["owner"]}
+    b["slices"] = rows
+
+
 _OPS = {
     "lead": _lead,
     "found": _found,
@@ -202,4 +214,5 @@
     "leaving": _leaving,
     "platform": _platform,
     "duty": _duty,
+    "slices": _slices,
 }
--- a/basaltport/consensus/campaign.py
+++ b/basaltport/consensus/campaign.py
@@ -128,10 +128,12 @@
     # promises
 
     def hear_yield(self, src, m):
-        """Only the word of the leader that is followed."""
+        """Only the word of the leader that is followed; whom it names and whose disk is at work stands next."""
         if self.leader is None or m.gen != self.leader.gen:
             return
         super().hear_yield(src, m)
+        if m.to == self.me.seat:
+            self.camp_at, self.promised_at = self.now, -(10**9)
 
     def asks(self):
         m = messages.Campaign(self.camp["gen"], self.me.seat, self.me.name, self.me.addr)
--- a/basaltport/consensus/lead.py
+++ b/basaltport/consensus/lead.py
@@ -181,7 +181,7 @@
             if self.match[m.seat] == self.head()[1]:
                 self.heavy.pop(m.seat, None)
         e = self.echoes.get(m.seat)
-        if e is None or m.k > e[0]:
+        if e is None or m.k > e[0] or m.k >> seat.LIFE != e[0] >> seat.LIFE:
             self.echoes[m.seat] = (m.k, self.now, m.applied)
         self.count()
         self.settle()
--- a/basaltport/consensus/seat.py
+++ b/basaltport/consensus/seat.py
@@ -7,6 +7,7 @@
 
 LEASE = 1500
 STICKY = 500
+LIFE = 32
 HELLO = 300
 SETTLED_HELLO = 1000
 REPLAYED = 25
@@ -16,6 +17,8 @@
 class SeatMixin:
     """Needs Member. `book` is what is in force here; `tail` is held but not yet known to be agreed."""
 
+    LEASE = LEASE
+
     def seat_start(self, held=None, promised=NONE):
         self.book = (held or {}).get("book") or book.new()
         self.tail = list((held or {}).get("tail") or [])
@@ -176,7 +179,7 @@
             need = not self.extend(m)
         self.advance(m.commit, m.cgen)
         if m.echo in self.sent_at and not self.stopped:
-            self.lease_end = max(self.lease_end, self.sent_at[m.echo] + LEASE - m.age)
+            self.lease_end = max(self.lease_end, self.sent_at[m.echo] + self.LEASE - m.age)
         self.ack(m, need)
 
     def ack(self, m, need=False):
--- a/basaltport/consensus/voters.py
+++ b/basaltport/consensus/voters.py
@@ -7,6 +7,7 @@
 
 HELLO = 300
 LED = 5000
+LEASE = 1000
 HEARD = 250
 PAST = 200
 PAST_BYTES = 4 << 20
@@ -15,8 +16,12 @@
 class VoterMixin(seat.SeatMixin):
     """Needs CampaignMixin and RosterMixin. `past`: agreed entries, kept by every seat for a while."""
 
+    LEASE = LEASE
+
     def seat_start(self, held=None, promised=seat.NONE):
+        """Acks are numbered apart from those of an earlier life of the same seat."""
         super().seat_start(held, promised)
+        self.ack_k = self.rng.getrandbits(30) << seat.LIFE
         self.past = {}
         self.past_size = 0
         self.gone = {}
--- a/basaltport/keeper/role.py
+++ b/basaltport/keeper/role.py
@@ -6,18 +6,22 @@
 import basaltport.consensus.voters as voters
 import basaltport.fleet.publish as publish
 import basaltport.keeper.desk as desk
+import basaltport.keeper.duties as duties
 import basaltport.member as member
+import basaltport.placement.effects as effects
 import basaltport.placement.machine as machine
 import basaltport.text as text
 
 SNAPSHOT_EVERY = 200
 SNAPSHOT_BYTES = 4 << 20
 RETRY = 1000
-HOLD = 3700
+HOLD = 200
+LEASE = 3000
 PUT_OFF = 2000
 
 
 class Keeper(
+    duties.DutiesMixin,
     campaign.CampaignMixin,
     desk.DeskMixin,
     publish.PublishMixin,
@@ -25,15 +29,18 @@
     voters.VoterMixin,
     member.Member,
 ):
-    """`placement`: as `placement.machine.Placement`; `hold_ms`: how long after it leads it orders nothing."""
+    """`placement`: as `placement.machine.Placement`; `lease_ms`: how long a replica is left alone between the
+    orders of two executors."""
 
-    TICKS = ("tick_disk", "tick_hello", "tick_elect", "tick_lead", "tick_desk", "tick_place")
+    TICKS = ("tick_disk", "tick_hello", "tick_elect", "tick_lead", "tick_desk", "tick_duties", "tick_place")
     durable = True
 
-    def __init__(self, me, seed, now, held=None, promised=seat.NONE, placement=None, hold_ms=HOLD):
+    def __init__(self, me, seed, now, held=None, promised=seat.NONE, placement=None, lease_ms=LEASE):
         member.Member.__init__(self, me, seed, now)
         self.placement = machine.Placement(self.rng) if placement is None else placement
-        self.placement.hold_ms = hold_ms
+        self.placement.hold_ms = HOLD
+        self.placement.may_order = self.may_order
+        self.lease_ms = lease_ms
         self.placing = None
         self.placed_of = None
         self.put_off = []
@@ -42,12 +49,14 @@
         self.elect_start()
         self.desk_start()
         self.publish_start()
+        self.duties_start()
         self.kept_at = self.book["serial"]
         self.unkept = 0
         self.retry_at = now
 
     def step(self, ev):
         super().step(ev)
+        self.see_slices()
         self.keep_placement()
         if self.leading and self.beat_at < 0:
             self.beat()
@@ -79,6 +88,7 @@
         if not self.leading:
             if self.placing is not None:
                 self.placing, self.put_off = None, []
+                self.forget_orders()
                 self.placement.stop()
             return
         if not self.settled():
@@ -109,7 +119,8 @@
             self.tell_placement(call, args)
 
     def tell_placement(self, call, args):
-        self.out.extend(list(getattr(self.placement, call)(self.now, *args) or ()))
+        for e in list(getattr(self.placement, call)(self.now, *args) or ()):
+            self.route(e) if isinstance(e, effects.Order) else self.emit(e)
         self.rows_known = self.rows_known or call == "listed"
 
     def tick_place(self):
@@ -122,9 +133,6 @@
             return
         self.place("list_failed")
 
-    def on_ordered(self, ev):
-        self.place("ordered", ev.order, ev.outcome, ev.took)
-
     def on_reported(self, ev):
         self.place("reported", ev.replica, ev.ok, ev.report)
 
--- a/basaltport/keeper/shell.py
+++ b/basaltport/keeper/shell.py
@@ -20,7 +20,6 @@
 import basaltport.wires as wires
 
 TICK = 0.05
-MARGIN = 700
 DRAIN = 0.25
 LAST = 0.1
 CLOSE = 0.3
@@ -96,19 +95,19 @@
             first_start=founders is not None,
             founders=founders or [],
         )
-        hold = s.get("timings", {}).get("lease_ms", 3000) + MARGIN
+        lease = s.get("timings", {}).get("lease_ms", role.LEASE)
         seed = random.SystemRandom().getrandbits(64)
-        self.member = role.Keeper(self.me, seed, kinds.steady(), held, promised, hold_ms=hold)
+        self.member = role.Keeper(self.me, seed, kinds.steady(), held, promised, lease_ms=lease)
         g, n = self.member.head()
         logs.note(20, {"serial": int(n), "generation": g.text(), "seat": self.me.seat})
 
     def reseed(self, seeds):
         self.me.seeds = list(seeds)
 
-    def holds(self):
-        """Whether this keeper leads and no other can, as of now."""
+    def acts(self, e):
+        """Whether this keeper alone may send this order, as of now."""
         self.member.now = max(self.member.now, kinds.steady())
-        return self.member.holds()
+        return self.member.owns(e.replica, e.fence)
 
     async def run(self):
         loop = asyncio.get_running_loop()
@@ -192,9 +191,9 @@
         self.spawn(self.order(e))
 
     async def order(self, e):
-        """Not sent where another may lead by now."""
+        """Not sent where another may order by now."""
         at = kinds.steady()
-        got = await self.called(self.port.order(e), "unknown") if self.holds() else "failed"
+        got = await self.called(self.port.order(e), "unknown") if self.acts(e) else "failed"
         now = kinds.steady()
         self.step(events.Ordered(now, e.order, got, kinds.Millis(now - at)))
 
--- a/basaltport/placement/choose.py
+++ b/basaltport/placement/choose.py
@@ -26,7 +26,8 @@
         """Replicas that could begin a plan now."""
         if self.now < self.ready_at:
             return []
-        return [p for p in self.reps.values() if p.plan is None and p.synced and p.engine and self.usable(p)]
+        fit = [p for p in self.reps.values() if p.plan is None and p.synced and p.engine and self.usable(p)]
+        return [p for p in fit if self.may_order(p.id)]
 
     def held(self, item):
         """Whether a usable replica serves it."""
--- a/basaltport/placement/listing.py
+++ b/basaltport/placement/listing.py
@@ -113,7 +113,7 @@
                 continue
             if p.asked is not None and self.now - p.asked > PATIENCE:
                 p.asked = None
-            if p.asked is None and self.now >= p.ask_at:
+            if p.asked is None and self.now >= p.ask_at and self.may_order(p.id):
                 p.asked = self.now
                 self.out.append(effects.Report(p.id, p.address))
 
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -43,7 +43,8 @@
     orders.OrdersMixin, listing.ListingMixin, choose.ChooseMixin, demand.DemandMixin, facts.FactsMixin
 ):
     """Every call gives a list of effects (`effects`). `rows` by replica id; `changed` ids since it was last
-    emptied by the owner. Times in ms; `hold_ms` after `start` nothing is ordered, `list_ms` between lists."""
+    emptied by the owner. Times in ms; `hold_ms` after `start` nothing is ordered, `list_ms` between lists.
+    `may_order(replica id)`, set by the owner: whether an order there can be sent now."""
 
     def __init__(self, rng, hold_ms=HOLD, list_ms=listing.EVERY):
         self.rng = rng
@@ -54,6 +55,7 @@
         self.took = {}
         self.order_n = 0
         self.now = 0
+        self.may_order = lambda rid: True
         self.rows, self.changed = {}, set()
         self.clear()
 
@@ -216,7 +218,12 @@
 
     def answers(self, p):
         s = p.plan.steps[0]
-        return p.dark == 0 and self.usable(p) and not (s.order and self.now - s.out > SILENT)
+        return (
+            p.dark == 0
+            and self.usable(p)
+            and self.may_order(p.id)
+            and not (s.order and self.now - s.out > SILENT)
+        )
 
     def load(self, p, item):
         model, _, adapter = item.partition("/")
--- a/basaltport/placement/orders.py
+++ b/basaltport/placement/orders.py
@@ -47,7 +47,7 @@
         """Sends the next order of the replica's plan if it is time."""
         while p.plan and p.plan.steps:
             s = p.plan.steps[0]
-            if s.order or self.now < s.at:
+            if s.order or self.now < s.at or not self.may_order(p.id):
                 return
             if s.sent is None:
                 verdict = self.fit(p, s)
