The slices of orders go with copies of the book; a link that its peer ended is made anew

And a link's own side did not look whether the peer had ended it: the next frames were lost. Test: every kind of entry on a copy, red before. World.must asks keepers in turn now rather than by lot, so a cut-off one cannot be asked four times running: stricter, since each is asked.

--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -9,7 +9,7 @@
 ROWS = 40
 GONE = 5000
 SMALL = 2000
-COPIED = ("serial", "gen", "mserial", "manifest", "drains", "roster", "voters")
+COPIED = ("serial", "gen", "mserial", "manifest", "drains", "roster", "voters", "slices")
 
 
 class Proxy:
--- a/basaltport/wires.py
+++ b/basaltport/wires.py
@@ -46,7 +46,7 @@
         while True:
             await ev.wait()
             try:
-                _, w = await asyncio.wait_for(asyncio.open_connection(host, int(port)), CONNECT)
+                r, w = await asyncio.wait_for(asyncio.open_connection(host, int(port)), CONNECT)
                 sockets.bound(w.get_extra_info("socket"))
             except (OSError, TimeoutError):
                 q.clear()
@@ -61,7 +61,7 @@
                             await w.drain()
                     ev.clear()
                     await ev.wait()
-                    if w.transport.is_closing():
+                    if w.transport.is_closing() or r.at_eof():
                         break
             except (OSError, TimeoutError):
                 pass
--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -297,11 +297,11 @@
 
     def must(self, edition, base, ms=4000):
         """Ms until an operator who asks one keeper after another has its acknowledgement."""
-        start, end = self.now, self.now + ms
+        start, end, k = self.now, self.now + ms, self.rng.randrange(10)
         while self.now < end:
-            up = [n.name for n in self.up()]
+            up, k = [n.name for n in self.up()], k + 1
             c = up and self.ask(
-                self.rng.choice(up), "configure", change=f"e{edition}", base=base, document=document(edition)
+                up[k % len(up)], "configure", change=f"e{edition}", base=base, document=document(edition)
             )
             if c and self.until(lambda c=c: self.answers[c], 1000) is not None and self.answers[c][0] == 200:
                 return self.now - start
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import basaltport.consensus.book as book
 import basaltport.events as events
 import basaltport.fleet.messages as messages
+import basaltport.fleet.publish as publish
 import basaltport.frames as frames
 import basaltport.kinds as kinds
 import tests.keepers as keepers
@@ -207,3 +208,15 @@
     assert w.must(2, 1) is not None
     busy(w, 1500)
     assert lost and edition(ps[0]) == 2
+
+
+def test_a_book_that_began_as_a_copy_takes_every_kind_of_entry():
+    w, ps = world(1)
+    whole = lead(w).book
+    copy = {**book.new(), **{k: whole[k] for k in publish.COPIED if k in whole}}
+    ripe = {"op": "slices", "ripe": sorted(whole["slices"])}
+    give = {"op": "slices", "give": {k: r["owner"] for k, r in whole["slices"].items()}}
+    for op in (ripe, give, {"op": "drain", "zone": "z"}, {"op": "undrain", "zone": "z"}):
+        e = book.entry(whole["serial"] + 1, kinds.Generation(*whole["gen"]), op)
+        a, b = book.apply(whole, e), book.apply(copy, e)
+        assert {k: a[k] for k in publish.COPIED if k in a} == {k: b[k] for k in publish.COPIED if k in a}
