--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -14,6 +14,7 @@
 AGAIN = 800
 SILENT = 600
 COPY_EVERY = 200
+MOST = 100
 ADOPT = 5000
 NEVER = -(10**9)
 
@@ -36,14 +37,15 @@
         self.extra, self.again = now, self.again * 2
 
     def rank(self, now):
-        return (now - self.first + 50) * min(16, sum(n for n, _ in self.zones.values())) ** 0.5
+        return (now - self.first + 200) * min(MOST, sum(n for n, _ in self.zones.values()))
 
 
 class Placement(
     orders.OrdersMixin, listing.ListingMixin, choose.ChooseMixin, demand.DemandMixin, facts.FactsMixin
 ):
     """Every call gives a list of effects (`effects`). `rows` by replica id; `changed` ids since it was last
-    emptied by the owner. Times in ms; `hold_ms` after `start` nothing is ordered, `list_ms` between lists."""
+    emptied by the owner. Times in ms; `hold_ms` after `start` nothing is ordered, `list_ms` between lists.
+    `may_order(replica id)`, set by the owner: whether an order there can be sent now."""
 
     def __init__(self, rng, hold_ms=HOLD, list_ms=listing.EVERY):
         self.rng = rng
@@ -54,6 +56,7 @@
         self.took = {}
         self.order_n = 0
         self.now = 0
+        self.may_order = lambda rid: True
         self.rows, self.changed = {}, set()
         self.clear()
 
@@ -122,7 +125,6 @@
         if now - self.copies_at >= COPY_EVERY:
             self.copies_at = now
             self.look()
-            self.feed()
             self.place()
             self.copy()
         elif self.wants or self.dirty:
@@ -177,6 +179,7 @@
         self.dirty = False
         if self.now < self.ready_at:
             return
+        self.feed()
         if not self.wants:
             self.wanted_models = ()
             return
@@ -216,7 +219,12 @@
 
     def answers(self, p):
         s = p.plan.steps[0]
-        return p.dark == 0 and self.usable(p) and not (s.order and self.now - s.out > SILENT)
+        return (
+            p.dark == 0
+            and self.usable(p)
+            and self.may_order(p.id)
+            and not (s.order and self.now - s.out > SILENT)
+        )
 
     def load(self, p, item):
         model, _, adapter = item.partition("/")
--- a/basaltport/rehearsal/routechecks.py
+++ b/basaltport/rehearsal/routechecks.py
@@ -227,7 +227,8 @@
 
 
 def holders(trace, about):
-    """One holder for a fence, fences that rise, and no turns within `lease_ms`."""
+    """On one replica: one holder for a fence, fences that rise, and no turns within `lease_ms`. An entry that
+    gives slices of replicas to several keepers gives them one fence, so holders are told apart by replica."""
     last, by, out, loose = {}, {}, [], {}
     healed = -(10**9)
     for r in trace:
@@ -239,8 +240,9 @@
             continue
         if r["t"] - max(healed, loose.get(r["holder"], -(10**9))) < about["thaw_slack_ms"]:
             continue
-        if by.setdefault(r["fence"], r["holder"]) != r["holder"]:
-            text = f"{by[r['fence']]} and {r['holder']} under fence {r['fence']}"
+        key = r["replica"], r["fence"]
+        if by.setdefault(key, r["holder"]) != r["holder"]:
+            text = f"{by[key]} and {r['holder']} under fence {r['fence']}"
             out.append(find("holders", r, text))
         was = last.get(r["replica"])
         if was and was["holder"] != r["holder"] and r["t"] - was["t"] < about["lease_ms"]:
--- a/basaltport/rehearsal/routereplicas.py
+++ b/basaltport/rehearsal/routereplicas.py
@@ -182,7 +182,7 @@
     def do_order(self, n, e):
         """Not sent where another may lead by now, as in the shell."""
         n.member.now = max(n.member.now, self.now)
-        if not n.member.holds():
+        if not n.member.owns(e.replica, e.fence):
             self.told(n, n.life, e, "failed", self.now)
             return
         at, life = self.now, n.life
--- a/basaltport/relay/pick.py
+++ b/basaltport/relay/pick.py
@@ -31,6 +31,7 @@
             if row and r in self.health:
                 h = self.health[r]
                 h.absent = {i: t for i, t in h.absent.items() if t > self.now}
+        self.unpark()
         self.pump()
 
     def holders(self, service, item):
@@ -92,7 +93,7 @@
 
     def fits(self, q, r):
         row = self.rows[r]
-        if not self.open(r, row):
+        if not self.open(r, row) or r not in q.sent_to and not q.spare():
             return False
         h = self.health_of(r)
         if self.now < h.down or h.lacks(q.item, self.now) or h.running >= self.cap(row):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -72,14 +72,14 @@
     assert s.ask()[0].replica == "b"
     s.m.book = {**s.m.book, "drains": {"z2": 5}}
     assert s.ask() == []
-    assert s.wants[-1] == {"birch": 1}
+    assert s.wants[-1] == {"birch": 4}
 
 
 def test_a_request_waits_for_a_load_and_goes_when_it_is_told_of():
     s = Sim([row("a", models=())])
     assert s.ask("once") == []
     assert s.ask("once") == []
-    assert s.wants == [{"birch": 1}], "one wait is shared"
+    assert s.wants == [{"birch": 4}], "one wait is shared"
     got = s.rows(row("a"))
     assert [e.replica for e in got] == ["a", "a"]
 
@@ -133,7 +133,7 @@
     a = s.ask("once")[0]
     b = s.end(a.attempt, "unsent")[0]
     assert b.replica == "b"
-    for outcome, status in (("broken", 502), ("late", 504), ("refused", 503), ("moved", 503)):
+    for outcome, status in (("broken", 502), ("late", 504), ("absent", 503), ("moved", 503)):
         s = Sim([row("a"), row("b", "z2")])
         c = s.end(s.ask("once")[0].attempt, outcome)[0]
         assert (type(c), c.status) == (events.Close, status)
@@ -188,7 +188,7 @@
     s = Sim([row("a"), row("b", "z2")])
     a, b = s.ask("stream")[0], s.ask("once")[0]
     assert (a.replica, b.replica) == ("a", "a")
-    got = s.wait(850)
+    got = s.wait(400)
     assert [type(e) for e in got] == [events.Abort] and got[0].attempt == a.attempt
     again = s.end(a.attempt, "broken")
     assert again[0].replica == "b"
@@ -241,3 +241,31 @@
     s.m.out = []
     s.m.followed()
     assert [e.replica for e in s.m.out if isinstance(e, events.Attempt)] == ["b", "b"]
+
+
+def test_what_comes_before_the_feed_is_held_and_then_routed_or_refused_in_time():
+    s = Sim([row("a")])
+    doc, rows = s.m.book["manifest"], s.m.rows
+    fresh = Sim([], {"edition": 1, "routes": [], "services": []})
+    fresh.m.table = table.Table(None)
+    assert fresh.ask("safe", deadline=3000) == [] and fresh.ask("once", deadline=900) == []
+    got = fresh.wait(600)
+    assert [(type(e), e.request, e.status) for e in got] == [(events.Close, 2, 503)]
+    assert got[0].retry_after > 0
+    fresh.m.out = []
+    stand.fill(fresh.m, rows.values(), doc)
+    sent = [e for e in fresh.m.out if isinstance(e, events.Attempt)]
+    assert [(e.request, e.left) for e in sent] == [(1, 2400)]
+
+
+def test_a_refused_request_of_one_attempt_is_offered_again_to_that_replica_only():
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("once")[0]
+    s.end(a.attempt, "refused")
+    got = [e for e in s.wait(200) if isinstance(e, events.Attempt)]
+    assert [e.replica for e in got] == ["a"]
+    s = Sim([row("a"), row("b", "z2")])
+    s.end(s.ask("once")[0].attempt, "refused")
+    s.rows(row("b", "z2"))
+    got = s.wait(2000)
+    assert [(type(e), e.status) for e in got] == [(events.Close, 503)]
