Requests are given up 120 ms before their end, so that the word still reaches the client

The two open findings of the simulator run clean and are ordinary tests now; the mutation for holders follows the slices (two owners at once), seen to be found; duties' world takes held messages as the shared nodes keep them.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -11,7 +11,7 @@
 REFUSED = 60
 QUIET = 350
 STALL = 1500
-LEAST = 20
+LEAST = 120
 
 
 class AttemptMixin:
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -110,9 +110,9 @@
         """What a cut has held up for long comes all the same."""
         self.cuts = set()
         held, self.held = self.held, []
-        for at, a in held:
+        for at, f, a in held:
             if self.now - at < HELD:
-                self.later(1, self.arrive, *a)
+                self.later(1, f, *a)
 
     def owners(self):
         """Names by slice, as the leader has them in force."""
--- a/tests/test_route_scenarios.py
+++ b/tests/test_route_scenarios.py
@@ -5,6 +5,7 @@
 import basaltport.consensus.elect as elect
 import basaltport.fleet.follow as follow
 import basaltport.keeper.desk as desk
+import basaltport.keeper.duties as duties
 import basaltport.placement.choose as choose
 import basaltport.placement.machine as machine
 import basaltport.placement.orders as orders
@@ -30,9 +31,8 @@
     assert sum(r["k"] == "op-end" and r["outcome"] == "done" for r in p.w.trace) > 300
 
 
-@pytest.mark.xfail(strict=True, reason="open findings, see docs/rehearsal-routes.md")
 @pytest.mark.parametrize("name, seed", [("proxy-killed-while-models-move", 2), ("leader-disk-stalled", 1)])
-def test_open_findings(name, seed):
+def test_findings_that_were_mended_stay_mended(name, seed):
     assert routescenes.Play(name, seed).play().findings() == []
 
 
@@ -45,7 +45,7 @@
 # mutations
 
 _refuse, _judged = relay.Relay.refuse, desk.DeskMixin.judged
-_wanted, _start = machine.Placement.wanted, machine.Placement.start
+_wanted = machine.Placement.wanted
 
 
 def _all_may_go_again(self, q, run, h, ev):
@@ -127,10 +127,6 @@
     return self.level
 
 
-def _at_once(self, now, fence, holder, hold_ms=None):
-    return _start(self, now, fence, holder, 0)
-
-
 def _only_founding(self, got):
     return not self.tip()["roster"]
 
@@ -164,7 +160,6 @@
         "rare-models-at-once",
         [(choose.ChooseMixin, "make_room", _no_room_needed), (orders.OrdersMixin, "fit", _go)],
     ),
-    ("holders", "leader-frozen", [(machine.Placement, "start", _at_once)]),
     ("starved", "rare-models-at-once", [(machine.Placement, "wanted", _not_m20)]),
     ("back", "all-killed", [(elect.ElectMixin, "quorum", _only_founding)]),
     ("final-word", "replicas-refuse", [(relay.Relay, "refuse", _now)]),
@@ -182,3 +177,9 @@
     for cls, attr, broken in breaks:
         monkeypatch.setattr(cls, attr, broken)
     assert rule in {f["rule"] for f in routescenes.Play(name, 1).play().findings()}
+
+
+def test_two_holders_within_the_lease_are_found(monkeypatch):
+    monkeypatch.setattr(duties.DutiesMixin, "ripe", lambda self, i: True)
+    monkeypatch.setattr(duties.DutiesMixin, "duty_leased", lambda self: True)
+    assert {f["rule"] for f in routescenes.Play("core-cut", 3).play().findings()} == {"holders"}
