A request that may go only where its item is no more is refused at once

Change: such a request is refused as soon as the rows tell. Test: refused at the next tick, red before (at the end of its time).

--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -207,10 +207,17 @@
         """What can no longer be answered in time is refused as soon as that is known."""
         for q in list(self.waiting.values()):
             least = max(attempts.LEAST, self.typical(q.service) // 2)
-            late = self.now >= self.limit(q) - least
-            if late:
+            if self.stranded(q):
+                self.refuse(q, "refused by the replica that it may go to", self.come_back(q))
+            elif self.now >= self.limit(q) - least:
                 self.refuse(q, "it could not be answered in time", self.come_back(q))
 
+    def stranded(self, q):
+        """Whether it may go only to replicas that hold its item no more, or take nothing new."""
+        if q.spare():
+            return False
+        return not any(r in q.sent_to and self.open(r, self.rows[r]) for r in self.holders(q.service, q.item))
+
     def come_back(self, q):
         return max(attempts.SOON, self.fact(q.item).retry if q.item else 0)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -266,6 +266,6 @@
     assert [e.replica for e in got] == ["a"]
     s = Sim([row("a"), row("b", "z2")])
     s.end(s.ask("once")[0].attempt, "refused")
-    s.rows(row("b", "z2"))
-    got = s.wait(2000)
-    assert [(type(e), e.status) for e in got] == [(events.Close, 503)]
+    s.rows(row("a", models=()), row("b", "z2"))
+    got = s.wait(50)
+    assert [(type(e), e.status) for e in got] == [(events.Close, 503)], "at once, since nobody else may"
