One piece of test code strikes a keeper in both random schedules

Cuts, replacements and lossy links stood twice, line for line, in the schedules of test_duties and test_keepers_troubles. They are World.strike now, drawn in the same order; assertions are as they were. 57 tests of the two files and of style pass.

--- a/tests/keepers.py
+++ b/tests/keepers.py
@@ -31,6 +31,27 @@
     def configure(self, name, edition, base, ms=4000):
         return self.asked(name, "configure", ms, change=f"e{edition}", base=base, document=document(edition))
 
+    def strike(self, what, k, after, fresh):
+        """A keeper cut off from most others, replaced by an empty one, or links that lose; `fresh` counts
+        those that came new."""
+        if what in ("cut", "oneway"):
+            for n in self.nodes:
+                if n != k and self.rng.random() < 0.8:
+                    self.cut(k, n, what == "cut")
+            self.later(after, self.heal)
+            return fresh
+        if what == "replace":
+            self.kill(k)
+            del self.nodes[k]
+            fresh += 1
+            self.seeds = [n.addr for n in self.keepers()][:3]
+            self.add(f"n{fresh}")
+            self.later(after // 4, self.boot, f"n{fresh}")
+            return fresh
+        self.lossy = 0.2
+        self.later(after, setattr, self, "lossy", 0.0)
+        return fresh
+
     def must(self, edition, base, ms=4000):
         """Ms until an operator who asks one keeper after another has its acknowledgement."""
         start, end, k = self.now, self.now + ms, self.rng.randrange(10)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -266,21 +266,8 @@
             elif what == "freeze":
                 w.freeze(k)
                 w.later(after, thaw, w, k)
-            elif what in ("cut", "oneway"):
-                for n in w.nodes:
-                    if n != k and w.rng.random() < 0.8:
-                        w.cut(k, n, what == "cut")
-                w.later(after, w.heal)
-            elif what == "replace":
-                w.kill(k)
-                del w.nodes[k]
-                fresh += 1
-                w.seeds = [n.addr for n in w.keepers()][:3]
-                w.add(f"n{fresh}")
-                w.later(after // 4, w.boot, f"n{fresh}")
             else:
-                w.lossy = 0.2
-                w.later(after, setattr, w, "lossy", 0.0)
+                fresh = w.strike(what, k, after, fresh)
             w.run(w.rng.randrange(0, 1500))
         w.run(w.rng.randrange(0, 7000))
     return w
--- a/tests/test_keepers_troubles.py
+++ b/tests/test_keepers_troubles.py
@@ -122,21 +122,8 @@
         elif what == "stall":
             w.stall(k)
             w.later(after, w.stall, k, False)
-        elif what in ("cut", "oneway"):
-            for n in w.nodes:
-                if n != k and w.rng.random() < 0.8:
-                    w.cut(k, n, what == "cut")
-            w.later(after, w.heal)
-        elif what == "replace":
-            w.kill(k)
-            del w.nodes[k]
-            fresh += 1
-            w.seeds = [n.addr for n in w.keepers()][:3]
-            w.add(f"n{fresh}")
-            w.later(after // 4, w.boot, f"n{fresh}")
         else:
-            w.lossy = 0.2
-            w.later(after, setattr, w, "lossy", 0.0)
+            fresh = w.strike(what, k, after, fresh)
         w.run(w.rng.randrange(0, 400))
         ms = w.must(edition + 1, edition, 8000)
         assert ms is not None, (what, k)
