--- a/basaltport/clerk/fleet_cli.py
+++ b/basaltport/admin/fleet_cli.py
@@ -9,9 +9,9 @@
 import absl.flags as flags
 import aiohttp
 
-import basaltport.clerk.cli as cli
+import basaltport.admin.cli as cli
 import basaltport.configuration.routes as routes
-import basaltport.consign.adapter as adapter
+import basaltport.replica_client.adapter as adapter
 import basaltport.verbs as verbs
 
 ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}").fullmatch
--- a/basaltport/clerk/http.py
+++ b/basaltport/admin/http.py
@@ -6,7 +6,7 @@
 
 import aiohttp.web
 
-import basaltport.clerk.desk as desk
+import basaltport.admin.desk as desk
 import basaltport.configuration.read as read
 import basaltport.events as events
 import basaltport.kinds as kinds
--- a/basaltport/tally/keep.py
+++ b/basaltport/anti_entropy/keep.py
@@ -3,7 +3,7 @@
 
 import basaltport.kinds as kinds
 import basaltport.messages as messages
-import basaltport.tally.ranges as ranges
+import basaltport.anti_entropy.ranges as ranges
 
 COPY = 200
 LAPSE = 2000
--- a/basaltport/saleroom/cell.py
+++ b/basaltport/cell/cell.py
@@ -2,7 +2,7 @@
 
 import basaltport.kinds as kinds
 import basaltport.messages as messages
-import basaltport.tally.ranges as ranges
+import basaltport.anti_entropy.ranges as ranges
 
 ASK = 100
 BLANK = {"fence": 0, "version": 0, "rows": {}, "whole": False}
--- a/basaltport/consensus/book.py
+++ b/basaltport/consensus/book.py
@@ -3,11 +3,11 @@
 import hashlib
 import json
 
-import basaltport.bellman.ring as ring
+import basaltport.failure_detection.ring as ring
 import basaltport.configuration.patch as patch
 import basaltport.configuration.routes as routes
 import basaltport.kinds as kinds
-import basaltport.tally.ranges as ranges
+import basaltport.anti_entropy.ranges as ranges
 
 KEEP = 200
 COPIES = 5
--- a/basaltport/host.py
+++ b/basaltport/host.py
@@ -8,16 +8,16 @@
 
 import aiohttp.web
 
-import basaltport.clerk.http as http
-import basaltport.consign.adapter as adapter
+import basaltport.admin.http as http
+import basaltport.replica_client.adapter as adapter
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.consensus.journal as journal
 import basaltport.consensus.role as ledger
 import basaltport.logs as logs
 import basaltport.member as member
-import basaltport.rostrum.front as front
-import basaltport.rostrum.role as rostrum
+import basaltport.query_proxy.front as front
+import basaltport.query_proxy.role as rostrum
 import basaltport.shell as shell
 import basaltport.wires as wires
 
--- a/basaltport/keeper/desk.py
+++ b/basaltport/keeper/desk.py
@@ -1,6 +1,6 @@
 """Operators' asks at any keeper. What a leader left open is asked again of the next; every call ends."""
 
-import basaltport.clerk.desk as desk
+import basaltport.admin.desk as desk
 import basaltport.configuration.routes as routes
 import basaltport.messages as messages
 
--- a/basaltport/paddle/cli.py
+++ b/basaltport/load_generator/cli.py
@@ -8,11 +8,11 @@
 import absl.flags as flags
 import aiohttp
 
-import basaltport.clerk.cli as clerk
-import basaltport.paddle.plan as plan
-import basaltport.paddle.shoot as shoot
-import basaltport.paddle.verdict as verdict
-import basaltport.rehearsal.stage as stage
+import basaltport.admin.cli as clerk
+import basaltport.load_generator.plan as plan
+import basaltport.load_generator.shoot as shoot
+import basaltport.load_generator.verdict as verdict
+import basaltport.simulation.world.stage as stage
 import basaltport.verbs as verbs
 
 PRESETS = ["furrow", "thin", "tsehay"]
--- a/basaltport/paddle/shoot.py
+++ b/basaltport/load_generator/shoot.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-import basaltport.consign.adapter as adapter
+import basaltport.replica_client.adapter as adapter
 
 
 class Shot:
--- a/basaltport/main.py
+++ b/basaltport/main.py
@@ -3,14 +3,14 @@
 import os
 import sys
 
-import basaltport.clerk.cli as cli
-import basaltport.clerk.fleet_cli as fleet_cli
+import basaltport.admin.cli as cli
+import basaltport.admin.fleet_cli as fleet_cli
 import basaltport.daemon as daemon
-import basaltport.paddle.cli as paddle
-import basaltport.rehearsal.cli as rehearsal
-import basaltport.rehearsal.drill as drill
-import basaltport.rehearsal.planner as planner
-import basaltport.rehearsal.play as play
+import basaltport.load_generator.cli as paddle
+import basaltport.simulation.cli as rehearsal
+import basaltport.simulation.drills.drill as drill
+import basaltport.simulation.planner as planner
+import basaltport.simulation.play as play
 import basaltport.scale.cli as scale
 
 GROUPS = [
--- a/basaltport/rostrum/dispatch.py
+++ b/basaltport/query_proxy/dispatch.py
@@ -3,8 +3,8 @@
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.messages as messages
-import basaltport.rostrum.credits as credits
-import basaltport.rostrum.query as query
+import basaltport.query_proxy.credits as credits
+import basaltport.query_proxy.query as query
 
 NEED = 100
 IDLE_NEED = 400
--- a/basaltport/rostrum/front.py
+++ b/basaltport/query_proxy/front.py
@@ -6,7 +6,7 @@
 
 import aiohttp.web
 
-import basaltport.consign.adapter as adapter
+import basaltport.replica_client.adapter as adapter
 import basaltport.events as events
 import basaltport.kinds as kinds
 
--- a/basaltport/rostrum/interp.py
+++ b/basaltport/query_proxy/interp.py
@@ -2,8 +2,8 @@
 
 import basaltport.events as events
 import basaltport.kinds as kinds
-import basaltport.rostrum.credits as credits
-import basaltport.rostrum.query as query
+import basaltport.query_proxy.credits as credits
+import basaltport.query_proxy.query as query
 
 
 FIRST = 30_000
--- a/basaltport/rostrum/role.py
+++ b/basaltport/query_proxy/role.py
@@ -1,21 +1,21 @@
 """The data node: all its mixins in one reducer."""
 
-import basaltport.bellman.ring as ring
-import basaltport.clerk.desk as desk
+import basaltport.failure_detection.ring as ring
+import basaltport.admin.desk as desk
 import basaltport.configuration.rules as rules
 import basaltport.consensus.seat as seat
 import basaltport.member as member
 import basaltport.messages as messages
 import basaltport.readiness.routine as routine
-import basaltport.rostrum.claims as claims
-import basaltport.rostrum.comeback as comeback
-import basaltport.rostrum.dispatch as dispatch
-import basaltport.rostrum.interp as interp
-import basaltport.rostrum.lines as lines
-import basaltport.saleroom.cell as cell
-import basaltport.steward.store as store
-import basaltport.steward.zone as zone
-import basaltport.tally.keep as keep
+import basaltport.query_proxy.claims as claims
+import basaltport.query_proxy.comeback as comeback
+import basaltport.query_proxy.dispatch as dispatch
+import basaltport.query_proxy.interp as interp
+import basaltport.query_proxy.lines as lines
+import basaltport.cell.cell as cell
+import basaltport.zone_controller.store as store
+import basaltport.zone_controller.zone as zone
+import basaltport.anti_entropy.keep as keep
 
 
 HINT = 8000
--- a/basaltport/readiness/routine.py
+++ b/basaltport/readiness/routine.py
@@ -1,10 +1,10 @@
 """ADR 0041 in a router node: the cache, the shared wait, the error phases, one resend after readiness."""
 
-import basaltport.bellman.duties as duties
+import basaltport.failure_detection.duties as duties
 import basaltport.messages as messages
 import basaltport.readiness.limits as limits
-import basaltport.rostrum.interp as interp
-import basaltport.rostrum.query as query
+import basaltport.query_proxy.interp as interp
+import basaltport.query_proxy.query as query
 
 ASK_LAPSE = 400
 CLASSIFY = 400
--- a/basaltport/relay/budget.py
+++ b/basaltport/relay/budget.py
@@ -2,7 +2,7 @@
 
 import collections
 
-import basaltport.bellman.duties as duties
+import basaltport.failure_detection.duties as duties
 
 STEP = 250
 
--- a/basaltport/relay/pick.py
+++ b/basaltport/relay/pick.py
@@ -1,6 +1,6 @@
 """Which replica a request goes to: usable ones that hold its item, the near and little used first."""
 
-import basaltport.bellman.duties as duties
+import basaltport.failure_detection.duties as duties
 import basaltport.relay.budget as budget
 import basaltport.relay.health as health
 
--- a/basaltport/consign/adapter.py
+++ b/basaltport/replica_client/adapter.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-import basaltport.consign.pieces as pieces
+import basaltport.replica_client.pieces as pieces
 import basaltport.sockets as sockets
 
 DISPATCH = "Basaltport-Dispatch"
--- a/basaltport/rehearsal/cli.py
+++ b/basaltport/simulation/cli.py
@@ -8,11 +8,11 @@
 
 import absl.flags as flags
 
-import basaltport.rehearsal.fleet as fleet
-import basaltport.rehearsal.presets as presets
-import basaltport.rehearsal.routeplay as routeplay
-import basaltport.rehearsal.stage as stage
-import basaltport.rehearsal.standin as standin
+import basaltport.simulation.drills.fleet as fleet
+import basaltport.simulation.world.presets as presets
+import basaltport.simulation.routes.play as routeplay
+import basaltport.simulation.world.stage as stage
+import basaltport.simulation.standins.standin as standin
 import basaltport.verbs as verbs
 
 
--- a/basaltport/rehearsal/drill.py
+++ b/basaltport/simulation/drills/drill.py
@@ -10,13 +10,13 @@
 import absl.flags as flags
 import aiohttp
 
-import basaltport.paddle.cli as paddle
-import basaltport.paddle.plan as plan
-import basaltport.paddle.shoot as shoot
-import basaltport.paddle.verdict as verdict
-import basaltport.rehearsal.fleet as fleet
-import basaltport.rehearsal.presets as presets
-import basaltport.rehearsal.stage as stage
+import basaltport.load_generator.cli as paddle
+import basaltport.load_generator.plan as plan
+import basaltport.load_generator.shoot as shoot
+import basaltport.load_generator.verdict as verdict
+import basaltport.simulation.drills.fleet as fleet
+import basaltport.simulation.world.presets as presets
+import basaltport.simulation.world.stage as stage
 import basaltport.verbs as verbs
 
 
--- a/basaltport/rehearsal/fleet.py
+++ b/basaltport/simulation/drills/fleet.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-import basaltport.rehearsal.presets as presets
+import basaltport.simulation.world.presets as presets
 
 IP = "127.0.0.1"
 
--- a/basaltport/rehearsal/notice.py
+++ b/basaltport/simulation/drills/notice.py
@@ -1,6 +1,6 @@
 """Named scenarios of machines taken one by one, zones lost whole, and one last fault on top."""
 
-import basaltport.rehearsal.acts as acts
+import basaltport.simulation.world.acts as acts
 
 scenario = acts.scenario
 
--- a/basaltport/rehearsal/planner.py
+++ b/basaltport/simulation/planner.py
@@ -5,11 +5,11 @@
 
 import absl.flags as flags
 
-import basaltport.clerk.cli as clerk
+import basaltport.admin.cli as clerk
 import basaltport.configuration.check as check
 import basaltport.events as events
 import basaltport.kinds as kinds
-import basaltport.rehearsal.world as world
+import basaltport.simulation.world.world as world
 import basaltport.verbs as verbs
 
 SETTLE = 3000
--- a/basaltport/rehearsal/play.py
+++ b/basaltport/simulation/play.py
@@ -6,9 +6,9 @@
 
 import absl.flags as flags
 
-import basaltport.clerk.cli as clerk
-import basaltport.rehearsal.presets as presets
-import basaltport.rehearsal.scenarios as scenarios
+import basaltport.admin.cli as clerk
+import basaltport.simulation.world.presets as presets
+import basaltport.simulation.scenarios.scenarios as scenarios
 import basaltport.verbs as verbs
 
 FORMAT = 1
--- a/basaltport/rehearsal/routemayhem.py
+++ b/basaltport/simulation/routes/mayhem.py
@@ -2,7 +2,7 @@
 
 import random
 
-import basaltport.rehearsal.routescenes as routescenes
+import basaltport.simulation.routes.scenes as routescenes
 
 FAULTS = 10
 
--- a/basaltport/rehearsal/routenodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -8,7 +8,7 @@
 import basaltport.keeper.role as role
 import basaltport.kinds as kinds
 import basaltport.member as member
-import basaltport.rehearsal.simdisk as simdisk
+import basaltport.simulation.world.virtual_disk as simdisk
 
 TICK = 50
 HELD = 1500
--- a/basaltport/rehearsal/routeplay.py
+++ b/basaltport/simulation/routes/play.py
@@ -6,9 +6,9 @@
 
 import absl.flags as flags
 
-import basaltport.rehearsal.fleetworld as fleetworld
-import basaltport.rehearsal.routemayhem as routemayhem
-import basaltport.rehearsal.routescenes as routescenes
+import basaltport.simulation.world.fleetworld as fleetworld
+import basaltport.simulation.routes.mayhem as routemayhem
+import basaltport.simulation.routes.scenes as routescenes
 import basaltport.verbs as verbs
 
 
--- a/basaltport/rehearsal/routereplicas.py
+++ b/basaltport/simulation/routes/replicas.py
@@ -5,7 +5,7 @@
 import zlib
 
 import basaltport.keeper.events as keeper_events
-import basaltport.rehearsal.routeengine as routeengine
+import basaltport.simulation.routes.engine as routeengine
 
 QUEUE = 8
 CALL = 1000
--- a/basaltport/rehearsal/routescenes.py
+++ b/basaltport/simulation/routes/scenes.py
@@ -1,7 +1,7 @@
 """Scenarios on the path of routes: a ready fleet under traffic, a fault, and what must hold all along."""
 
-import basaltport.rehearsal.fleetworld as fleetworld
-import basaltport.rehearsal.routechecks as routechecks
+import basaltport.simulation.world.fleetworld as fleetworld
+import basaltport.simulation.routes.checks as routechecks
 
 SCENARIOS = {}
 
--- a/basaltport/rehearsal/mayhem.py
+++ b/basaltport/simulation/scenarios/mayhem.py
@@ -2,7 +2,7 @@
 
 import random
 
-import basaltport.rehearsal.acts as acts
+import basaltport.simulation.world.acts as acts
 
 FAULTS = 12
 
--- a/basaltport/rehearsal/scenes.py
+++ b/basaltport/simulation/scenarios/scenes.py
@@ -1,7 +1,7 @@
 """Named scenarios of the replicas and zones: crashes, darkness, notice, crowds of cold models."""
 
-import basaltport.rehearsal.acts as acts
-import basaltport.rehearsal.stage as stage
+import basaltport.simulation.world.acts as acts
+import basaltport.simulation.world.stage as stage
 
 scenario = acts.scenario
 
--- a/basaltport/rehearsal/backend.py
+++ b/basaltport/simulation/standins/backend.py
@@ -1,8 +1,8 @@
 """The simulator's other parties: replicas, weight store, platform."""
 
-import basaltport.consign.pieces as pieces
+import basaltport.replica_client.pieces as pieces
 import basaltport.events as events
-import basaltport.rehearsal.replica as replica
+import basaltport.simulation.standins.replica as replica
 import basaltport.sockets as sockets
 
 
--- a/basaltport/rehearsal/standin.py
+++ b/basaltport/simulation/standins/standin.py
@@ -9,9 +9,9 @@
 import aiohttp
 import aiohttp.web
 
-import basaltport.consign.adapter as adapter
+import basaltport.replica_client.adapter as adapter
 import basaltport.kinds as kinds
-import basaltport.rehearsal.replica as replica
+import basaltport.simulation.standins.replica as replica
 
 
 FAULTS = ("dark", "crash", "hold", "cut")
--- a/basaltport/rehearsal/fleetworld.py
+++ b/basaltport/simulation/world/fleetworld.py
@@ -3,11 +3,11 @@
 import random
 
 import basaltport.placement.machine as machine
-import basaltport.rehearsal.routeattempts as routeattempts
-import basaltport.rehearsal.routeclients as routeclients
-import basaltport.rehearsal.routenodes as routenodes
-import basaltport.rehearsal.routeoperator as routeoperator
-import basaltport.rehearsal.routereplicas as routereplicas
+import basaltport.simulation.routes.attempts as routeattempts
+import basaltport.simulation.routes.clients as routeclients
+import basaltport.simulation.routes.nodes as routenodes
+import basaltport.simulation.routes.operator as routeoperator
+import basaltport.simulation.routes.replicas as routereplicas
 import basaltport.relay.role as relay
 
 LOOK = 50
--- a/basaltport/rehearsal/world.py
+++ b/basaltport/simulation/world/world.py
@@ -8,10 +8,10 @@
 import basaltport.kinds as kinds
 import basaltport.consensus.role as ledger
 import basaltport.member as member
-import basaltport.rehearsal.backend as backend
-import basaltport.rehearsal.senders as senders
-import basaltport.rehearsal.simdisk as simdisk
-import basaltport.rostrum.role as rostrum
+import basaltport.simulation.standins.backend as backend
+import basaltport.simulation.world.senders as senders
+import basaltport.simulation.world.virtual_disk as simdisk
+import basaltport.query_proxy.role as rostrum
 
 TICK = 25
 
--- a/basaltport/steward/homes.py
+++ b/basaltport/zone_controller/homes.py
@@ -1,7 +1,7 @@
 """Which zones keep a kept item: those that hold it first, then by weight, never one that is lost or full."""
 
-import basaltport.bellman.duties as duties
-import basaltport.saleroom.cell as cell
+import basaltport.failure_detection.duties as duties
+import basaltport.cell.cell as cell
 
 LOST = 4000
 
--- a/basaltport/steward/store.py
+++ b/basaltport/zone_controller/store.py
@@ -1,9 +1,9 @@
 """The duty over the weight store: permits for loads, so that all zones together keep its limit."""
 
-import basaltport.bellman.duties as duties
+import basaltport.failure_detection.duties as duties
 import basaltport.kinds as kinds
 import basaltport.messages as messages
-import basaltport.steward.zone as zone
+import basaltport.zone_controller.zone as zone
 
 ASK = 200
 DARK_LOAD = 60_000
--- a/basaltport/steward/zone.py
+++ b/basaltport/zone_controller/zone.py
@@ -4,9 +4,9 @@
 import basaltport.kinds as kinds
 import basaltport.messages as messages
 import basaltport.readiness.limits as limits
-import basaltport.steward.homes as homes
-import basaltport.steward.news as news
-import basaltport.steward.slots as slots
+import basaltport.zone_controller.homes as homes
+import basaltport.zone_controller.news as news
+import basaltport.zone_controller.slots as slots
 
 POLL = 250
 DARK = 1500
--- a/tests/live.py
+++ b/tests/live.py
@@ -7,10 +7,10 @@
 import re
 
 import basaltport.host as host
-import basaltport.rehearsal.fleet as fleet
-import basaltport.rehearsal.presets as presets
-import basaltport.rehearsal.stage as stage
-import basaltport.rehearsal.standin as standin
+import basaltport.simulation.drills.fleet as fleet
+import basaltport.simulation.world.presets as presets
+import basaltport.simulation.world.stage as stage
+import basaltport.simulation.standins.standin as standin
 import basaltport.settings as settings
 
 BOUND = 30
--- a/tests/node.py
+++ b/tests/node.py
@@ -7,8 +7,8 @@
 import basaltport.consensus.book as book
 import basaltport.member as member
 import basaltport.messages as messages
-import basaltport.rostrum.role as role
-import basaltport.tally.ranges as ranges
+import basaltport.query_proxy.role as role
+import basaltport.anti_entropy.ranges as ranges
 
 Z = kinds.Zone("z1")
 FENCE = kinds.Fence(5)
--- a/tests/placement_fleet.py
+++ b/tests/placement_fleet.py
@@ -6,7 +6,7 @@
 
 import basaltport.placement.effects as effects
 import basaltport.placement.machine as machine
-import basaltport.rehearsal.routeengine as engine
+import basaltport.simulation.routes.engine as engine
 
 ZONES = ("x", "y", "z")
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -10,10 +10,10 @@
 import basaltport.consensus.book as book
 import basaltport.member as member
 import basaltport.messages as messages
-import basaltport.rostrum.claims as claims
-import basaltport.rostrum.comeback as comeback
-import basaltport.rostrum.query as query
-import basaltport.tally.keep as keep
+import basaltport.query_proxy.claims as claims
+import basaltport.query_proxy.comeback as comeback
+import basaltport.query_proxy.query as query
+import basaltport.anti_entropy.keep as keep
 
 KEEP = 60_000
 LEASE = 1650
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -10,7 +10,7 @@
 import basaltport.consensus.journal as journal
 import basaltport.kinds as kinds
 import basaltport.messages as messages
-import basaltport.rehearsal.stage as stage
+import basaltport.simulation.world.stage as stage
 import basaltport.text as text
 
 DOC = st.recursive(
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -6,10 +6,10 @@
 import hypothesis.stateful as sf
 import hypothesis.strategies as st
 
-import basaltport.rehearsal.stage as stage
-import basaltport.rostrum.credits as credits
-import basaltport.rostrum.lines as lines
-import basaltport.rostrum.query as query
+import basaltport.simulation.world.stage as stage
+import basaltport.query_proxy.credits as credits
+import basaltport.query_proxy.lines as lines
+import basaltport.query_proxy.query as query
 
 
 class Agreement(sf.RuleBasedStateMachine):
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -2,24 +2,24 @@
 
 import pytest
 
-import basaltport.clerk.desk as desk
-import basaltport.consign.pieces as pieces
+import basaltport.admin.desk as desk
+import basaltport.replica_client.pieces as pieces
 import basaltport.events as events
 import basaltport.consensus.elect as elect
 import basaltport.consensus.feed as feed
 import basaltport.consensus.lead as lead
 import basaltport.consensus.seat as seat
 import basaltport.readiness.routine as routine
-import basaltport.rehearsal.backend as backend
-import basaltport.rehearsal.scenarios as scenarios
-import basaltport.rostrum.claims as claims
-import basaltport.rostrum.comeback as comeback
-import basaltport.rostrum.dispatch as dispatch
-import basaltport.rostrum.interp as interp
-import basaltport.saleroom.cell as cell
-import basaltport.steward.slots as slots
-import basaltport.steward.store as store
-import basaltport.steward.zone as zone
+import basaltport.simulation.standins.backend as backend
+import basaltport.simulation.scenarios.scenarios as scenarios
+import basaltport.query_proxy.claims as claims
+import basaltport.query_proxy.comeback as comeback
+import basaltport.query_proxy.dispatch as dispatch
+import basaltport.query_proxy.interp as interp
+import basaltport.cell.cell as cell
+import basaltport.zone_controller.slots as slots
+import basaltport.zone_controller.store as store
+import basaltport.zone_controller.zone as zone
 
 
 def _resend_all(self, q, why):
--- a/tests/test_route_scenarios.py
+++ b/tests/test_route_scenarios.py
@@ -10,9 +10,9 @@
 import basaltport.placement.machine as machine
 import basaltport.placement.orders as orders
 import basaltport.placement.store as store
-import basaltport.rehearsal.routemayhem as routemayhem
-import basaltport.rehearsal.routescenes as routescenes
-import basaltport.rehearsal.simdisk as simdisk
+import basaltport.simulation.routes.mayhem as routemayhem
+import basaltport.simulation.routes.scenes as routescenes
+import basaltport.simulation.world.virtual_disk as simdisk
 import basaltport.relay.attempts as attempts
 import basaltport.relay.budget as budget
 import basaltport.relay.events as relay_events
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -7,8 +7,8 @@
 
 import basaltport.logs as logs
 import basaltport.main as main
-import basaltport.rehearsal.planner as planner
-import basaltport.rehearsal.stage as stage
+import basaltport.simulation.planner as planner
+import basaltport.simulation.world.stage as stage
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "basaltport" / "examples"
 
--- a/tests/test_wires.py
+++ b/tests/test_wires.py
@@ -7,12 +7,12 @@
 import aiohttp
 import pytest
 
-import basaltport.consign.adapter as adapter
+import basaltport.replica_client.adapter as adapter
 import basaltport.events as events
 import basaltport.frames as frames
 import basaltport.wires as wires
 import basaltport.sockets as sockets
-import basaltport.rehearsal.fleet as fleet
+import basaltport.simulation.drills.fleet as fleet
 import basaltport.messages as messages
 import basaltport.kinds as kinds
 import basaltport.logs as logs
