Relay: an attempt's end is an enum and a frozen result, not strings and getattr

Cause: outcomes were strings, dispatched by getattr(self, "was_" + outcome); a typing error showed only when it happened, and a refused connect was told from an exception's type. Change: outcomes.Outcome and outcomes.Result; the reducer matches on the enum, whole by assert_never. Whether an attempt was sent is asked in one place, Upstream.sent: it has taken a connection, or no byte left.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -1,9 +1,13 @@
 """Attempts at replicas: launched, watched, and what became of each."""
 
+import typing
+
 import basaltport.relay.budget as budget
 import basaltport.relay.events as events
+import basaltport.relay.outcomes as outcomes
 import basaltport.relay.request as request
 
+Outcome = outcomes.Outcome
 UNSENT = 6
 ARRIVALS = 4
 SOON = 150
@@ -68,20 +72,48 @@
         q = self.requests.get(run.request)
         if q is not None and q.run is not run:
             q = None
-        if q is not None and ev.outcome != "unsent":
+        result = ev.result
+        if q is not None and result.outcome is not Outcome.UNSENT:
             q.arrivals += 1
             q.sent_to.add(run.replica)
-            q.ran = q.ran or ev.outcome in ("failed", "broken", "cut", "late")
-        self.tally[ev.outcome] = self.tally.get(ev.outcome, 0) + 1
-        getattr(self, "was_" + ev.outcome)(q, run, h, ev)
+            q.ran = q.ran or result.outcome.may_have_run
+        label = result.outcome.value
+        self.tally[label] = self.tally.get(label, 0) + 1
+        self.ended(q, run, h, result)
         self.pump()
 
-    def again(self, q, run, ev, free=False):
+    def ended(self, q, run, h, result):
+        """`q`: the request, or None where it is answered or its client has left."""
+        match result.outcome:
+            case Outcome.DONE:
+                self.was_done(q, run, h, result)
+            case Outcome.REFUSED:
+                self.was_refused(q, run, h, result)
+            case Outcome.ABSENT:
+                self.was_absent(q, run, h, result)
+            case Outcome.MOVED:
+                self.was_moved(q, run, h, result)
+            case Outcome.UNSENT:
+                self.was_unsent(q, run, h, result)
+            case Outcome.FAILED:
+                self.was_failed(q, run, h, result)
+            case Outcome.BROKEN:
+                self.was_broken(q, run, h, result)
+            case Outcome.CUT:
+                self.was_cut(q, run, h, result)
+            case Outcome.LATE:
+                self.was_late(q, run, h, result)
+            case Outcome.GONE:
+                self.was_gone(q, run, h, result)
+            case _:
+                typing.assert_never(result.outcome)
+
+    def again(self, q, run, result, free=False):
         """Back into the queue, if it may go again; False if not. A route's attempts bound how many replicas
         it goes to; one that only refused it may be asked again."""
         if q.unsent > UNSENT or q.arrivals > ARRIVALS or q.until - self.now < LEAST:
             return False
-        if not q.spare() and ev.outcome != "refused":
+        if not q.spare() and result.outcome is not Outcome.REFUSED:
             return False
         if not free and not self.retry_of(q.service).room(self.now, self.peers()):
             return False
@@ -91,44 +123,44 @@
         self.waiting[q.id] = q
         return True
 
-    def was_done(self, q, run, h, ev):
+    def was_done(self, q, run, h, result):
         h.good(self.now)
         self.fact(run.item).served = self.now
         if q is not None:
             self.finish(q)
 
-    def was_refused(self, q, run, h, ev):
+    def was_refused(self, q, run, h, result):
         """The replica says that it never ran: it is full, or loads what is asked for."""
         h.absent[run.item] = self.now + REFUSED
-        if q is not None and not self.again(q, run, ev):
-            self.refuse(q, ev.detail or "refused by the replica", SOON)
+        if q is not None and not self.again(q, run, result):
+            self.refuse(q, result.detail or "refused by the replica", SOON)
 
-    def was_absent(self, q, run, h, ev):
+    def was_absent(self, q, run, h, result):
         h.absent[run.item] = self.now + ABSENT
         self.fact(run.item).served = None
-        if q is not None and not self.again(q, run, ev):
+        if q is not None and not self.again(q, run, result):
             self.refuse(q, "not held", SOON)
 
-    def was_moved(self, q, run, h, ev):
+    def was_moved(self, q, run, h, result):
         h.dead = True
-        if q is not None and not self.again(q, run, ev):
+        if q is not None and not self.again(q, run, result):
             self.refuse(q, "the replica is gone", SOON)
 
-    def was_unsent(self, q, run, h, ev):
+    def was_unsent(self, q, run, h, result):
         h.bad(self.now)
         if q is None:
             return
         q.unsent += 1
-        if not self.again(q, run, ev, free=q.arrivals == 0):
+        if not self.again(q, run, result, free=q.arrivals == 0):
             self.refuse(q, "no connection", SOON)
 
-    def was_failed(self, q, run, h, ev):
+    def was_failed(self, q, run, h, result):
         """A whole answer of failure: it counts as run."""
-        if ev.status >= 500:
+        if result.status >= 500:
             h.bad(self.now)
         if q is None:
             return
-        if ev.status >= 500 and q.route.repeatable() and not q.begun and self.again(q, run, ev):
+        if result.status >= 500 and q.route.repeatable() and not q.begun and self.again(q, run, result):
             return
         self.drop(q)
         if q.begun:
@@ -136,32 +168,32 @@
             return
         self.emit(events.Pass(q.id, run.id))
 
-    def was_broken(self, q, run, h, ev):
+    def was_broken(self, q, run, h, result):
         if run.aborted != "gone":
             h.bad(self.now)
             self.after_timeout(run)
-        if q is None or q.route.repeatable() and self.again(q, run, ev):
+        if q is None or q.route.repeatable() and self.again(q, run, result):
             return
-        self.fail(q, 502, ev.detail or "the connection to the replica broke")
+        self.fail(q, 502, result.detail or "the connection to the replica broke")
 
-    def was_cut(self, q, run, h, ev):
+    def was_cut(self, q, run, h, result):
         if run.aborted != "gone":
             h.bad(self.now)
         if q is None:
             return
         q.begun = True
-        if ev.resumes and q.route.resumable and self.again(q, run, ev):
+        if result.resumes and q.route.resumable and self.again(q, run, result):
             return
         self.drop(q)
         self.emit(events.Cut(q.id))
 
-    def was_gone(self, q, run, h, ev):
+    def was_gone(self, q, run, h, result):
         """The client takes no more: nothing is known of the replica."""
         if q is not None:
             self.drop(q)
             self.emit(events.Cut(q.id))
 
-    def was_late(self, q, run, h, ev):
+    def was_late(self, q, run, h, result):
         self.after_timeout(run)
         if q is not None:
             self.fail(q, 504, "the time is over")
--- a/basaltport/relay/events.py
+++ b/basaltport/relay/events.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import basaltport.kinds as kinds
+import basaltport.relay.outcomes as outcomes
 
 _d = dataclasses.dataclass(slots=True)
 
@@ -39,21 +40,11 @@
 
 @_d
 class Ended:
-    """An attempt ended.
-
-    done: the whole answer went to the client. refused: the replica says that it never ran. absent: so, as
-    it does not hold the item. moved: another replica has the address. unsent: no byte of it went out.
-    failed: a whole answer of failure, kept by the shell, not passed on. broken: lost after it was sent,
-    nothing passed on. cut: lost after a part was passed on; `resumes`: whether it can be taken up. late: the
-    time is over. gone: the client takes no more.
-    """
+    """An attempt ended; see `outcomes.Result` for what is told of it."""
 
     now: kinds.Millis
     attempt: int
-    outcome: str
-    status: int = 0
-    detail: str = ""
-    resumes: bool = False
+    result: outcomes.Result
 
 
 @_d
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -15,6 +15,7 @@
 import basaltport.member as member
 import basaltport.relay.answer as answer
 import basaltport.relay.events as events
+import basaltport.relay.outcomes as outcomes
 import basaltport.relay.role as role
 import basaltport.relay.upstream as upstream
 import basaltport.wires as wires
@@ -234,12 +235,12 @@
         self.tasks[e.attempt] = asyncio.get_running_loop().create_task(self.attempt(e, s))
 
     async def attempt(self, e, sink):
-        got = ("broken", 0, "fault", False)
+        result = outcomes.Result(outcomes.Outcome.BROKEN, 0, "fault")
         try:
-            got = await self.upstream.run(e, sink, lambda: self.progress(e.attempt))
+            result = await self.upstream.run(e, sink, lambda: self.progress(e.attempt))
         finally:
             self.tasks.pop(e.attempt, None)
-            self.step(events.Ended(kinds.steady(), e.attempt, *got))
+            self.step(events.Ended(kinds.steady(), e.attempt, result))
 
     def progress(self, attempt):
         self.step(events.Progress(kinds.steady(), attempt))
--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -7,6 +7,10 @@
 import yarl
 
 import basaltport.relay.connections as connections
+import basaltport.relay.outcomes as outcomes
+
+Outcome = outcomes.Outcome
+Result = outcomes.Result
 
 HOP = {
     "connection",
@@ -82,32 +86,36 @@
         return h
 
     async def run(self, e, sink, progress):
-        """(outcome, status, detail, resumes) of an attempt, see `relay.events.Ended`."""
+        """The `outcomes.Result` of an attempt."""
         try:
             async with asyncio.timeout(e.left / 1000):
                 return await self.once(e, sink, progress)
         except TimeoutError:
-            return self.lost(e, sink, "late", "the time is over")
+            return self.lost(e, sink, Outcome.LATE, "the time is over")
         except asyncio.CancelledError:
             asyncio.current_task().uncancel()
-            return self.lost(e, sink, "broken", "stopped")
+            return self.lost(e, sink, Outcome.BROKEN, "stopped")
         except Departed as x:
-            return "gone", 0, str(x), False
+            return Result(Outcome.GONE, 0, str(x))
         except Foreign as x:
-            return self.lost(e, sink, "broken", str(x))
-        except aiohttp.ClientConnectorError as x:
-            return "unsent", 0, type(x).__name__, False
+            return self.lost(e, sink, Outcome.BROKEN, str(x))
         except (aiohttp.ClientError, OSError, ValueError) as x:
-            return self.lost(e, sink, "broken", type(x).__name__)
+            return self.lost(e, sink, Outcome.BROKEN, type(x).__name__)
         finally:
             self.written.discard(e.attempt)
 
+    def sent(self, attempt):
+        """Whether a byte of an attempt may have left: so from the step in which it took its connection. The
+        library writes without telling, so what it has a connection for counts as sent, whatever it raises."""
+        return attempt in self.written
+
     def lost(self, e, sink, outcome, why):
-        if e.attempt not in self.written:
-            return "unsent", 0, why, False
+        """The end of an attempt that has no whole answer."""
+        if not self.sent(e.attempt):
+            return Result(Outcome.UNSENT, 0, why)
         if sink.begun:
-            return "cut", 0, why, sink.can_resume() and outcome != "late"
-        return outcome, 0, why, False
+            return Result(Outcome.CUT, 0, why, sink.can_resume() and outcome is not Outcome.LATE)
+        return Result(outcome, 0, why)
 
     async def once(self, e, sink, progress):
         url = yarl.URL(f"http://{e.address}{sink.path}", encoded=True)
@@ -133,10 +141,10 @@
             raise Foreign("the answer is of another request")
         if r.status == 421:
             await self.whole(r)
-            return ("absent" if h.get(w.replica) == e.replica else "moved"), 421, "", False
+            return Result(Outcome.ABSENT if h.get(w.replica) == e.replica else Outcome.MOVED, 421)
         if w.not_run in h:
             await self.whole(r)
-            return "refused", r.status, f"refused by the replica: {r.status}", False
+            return Result(Outcome.REFUSED, r.status, f"refused by the replica: {r.status}")
         if h.get("Content-Encoding", "identity").lower() != "identity":
             r.close()
             raise Foreign("the answer is encoded")
@@ -148,11 +156,11 @@
         raw = await self.whole(r)
         if r.status >= 500:
             sink.keep(e.attempt, r.status, end_to_end(h), raw)
-            return "failed", r.status, "", False
+            return Result(Outcome.FAILED, r.status)
         if sink.begun:
-            return "failed", r.status, "a run that should go on does not", False
+            return Result(Outcome.FAILED, r.status, "a run that should go on does not")
         await sink.whole(r.status, end_to_end(h), raw)
-        return "done", r.status, "", False
+        return Result(Outcome.DONE, r.status)
 
     async def whole(self, r):
         """The whole body, or an error if it ends early; what is over WHOLE is no answer."""
@@ -175,7 +183,7 @@
             progress()
             await sink.part(r.status, r.headers, c)
         await sink.end(r.status, r.headers)
-        return "done", r.status, "", False
+        return Result(Outcome.DONE, r.status)
 
 
 MARK = "X-Basaltport-Attempt"
--- a/basaltport/simulation/routes/attempts.py
+++ b/basaltport/simulation/routes/attempts.py
@@ -1,7 +1,9 @@
 """Attempts of proxies at replicas: what is sent, what is passed on, what is proven when one is lost."""
 
 import basaltport.relay.events as relay_events
+import basaltport.relay.outcomes as outcomes
 
+Outcome = outcomes.Outcome
 CONNECT = 400
 PIECES = 4
 
@@ -78,7 +80,7 @@
             r.queue.append(go)
             return
         go.on = None
-        self.tell(go, got, 421 if got in ("absent", "moved") else 503)
+        self.tell(go, Outcome(got), 421 if got in ("absent", "moved") else 503)
 
     def begin(self, go, r):
         r.works[id(go)] = go
@@ -117,7 +119,7 @@
             return
         self.free(go, r)
         if self.rng.random() < 0.5:
-            self.tell(go, "failed", 500)
+            self.tell(go, Outcome.FAILED, 500)
             return
         self.lose(go, "torn")
 
@@ -135,7 +137,7 @@
                 self.begin(nxt, r)
             elif got:
                 nxt.on = None
-                self.tell(nxt, "absent" if got == "absent" else "refused", 503)
+                self.tell(nxt, Outcome.ABSENT if got == "absent" else Outcome.REFUSED, 503)
 
     def passed(self, go, part, last):
         """Bytes reach the proxy, and through it the client."""
@@ -151,7 +153,8 @@
         if last and not go.over:
             go.over, go.ended = True, self.now
             self.client_done(go.t)
-            self.give(go.n, go.life, relay_events.Ended(self.now, go.e.attempt, "done", 200))
+            result = outcomes.Result(Outcome.DONE, 200)
+            self.give(go.n, go.life, relay_events.Ended(self.now, go.e.attempt, result))
 
     def tell(self, go, outcome, status):
         self.later(self.rng.randrange(1, 6), self.over, go, outcome, status)
@@ -163,19 +166,19 @@
         go.over, go.ended = True, self.now
         if go.on is not None:
             self.later(1, self.free, go, go.on)
-        ev = relay_events.Ended(self.now, go.e.attempt, outcome, status, detail, resumes)
+        ev = relay_events.Ended(self.now, go.e.attempt, outcomes.Result(outcome, status, detail, resumes))
         self.give(go.n, go.life, ev)
 
     def lose(self, go, why, late=False):
         """As the relay's shell tells what is proven of a connection that is lost."""
         if not go.written:
-            self.over(go, "unsent", 0, why)
+            self.over(go, Outcome.UNSENT, 0, why)
             return
         stream = go.t.op.kind in ("stream", "resume")
         if go.begun and stream:
-            self.over(go, "cut", 0, why, go.t.op.kind == "resume" and not late)
+            self.over(go, Outcome.CUT, 0, why, go.t.op.kind == "resume" and not late)
             return
-        self.over(go, "late" if late else "broken", 0, why)
+        self.over(go, Outcome.LATE if late else Outcome.BROKEN, 0, why)
 
     def late(self, go):
         if not go.over and go.n.life == go.life:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 import basaltport.member as member
 import basaltport.relay.budget as budget
 import basaltport.relay.events as events
+import basaltport.relay.outcomes as outcomes
 import basaltport.relay.pieces as pieces
 import basaltport.relay.role as role
 import basaltport.relay.table as table
@@ -38,7 +39,7 @@
         return self.step(ev)
 
     def end(self, attempt, outcome, **kw):
-        return self.step(events.Ended(self.now, attempt, outcome, **kw))
+        return self.step(events.Ended(self.now, attempt, outcomes.Result(outcomes.Outcome(outcome), **kw)))
 
     def wait(self, ms):
         got = []
