Relay: what becomes of a request is one pure decision, with a table over all its inputs

Cause: repeat, resume, refuse, fail, pass and cut were decided in nine methods and in again(), so that no test could state a rule over all of them. Change: decision.decide(Known) -> Move; the reducer gathers what is known and carries the move out. What an attempt's end tells of its replica is apart (learn). Relay.finish was Relay.drop under another name and is gone. The mutations that struck was_broken strike decision.proven_safe and give_up instead: the same two faults, as strict. Difference to before: a replica's own 503 for a request that must not run again, without the word that it never ran, is no longer passed on (it would promise what is not so) but ended with 502.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -1,8 +1,7 @@
 """Attempts at replicas: launched, watched, and what became of each."""
 
-import typing
-
 import basaltport.relay.budget as budget
+import basaltport.relay.decision as decision
 import basaltport.relay.events as events
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.request as request
@@ -16,6 +15,16 @@
 QUIET = 350
 STALL = 1500
 LEAST = 120
+SERVER_ERROR = 500
+WHY = {
+    Outcome.REFUSED: "refused by the replica",
+    Outcome.ABSENT: "not held",
+    Outcome.MOVED: "the replica is gone",
+    Outcome.UNSENT: "no connection",
+    Outcome.FAILED: "the replica's failure can't be passed on",
+    Outcome.BROKEN: "the connection to the replica broke",
+    Outcome.LATE: "the time is over",
+}
 
 
 class AttemptMixin:
@@ -69,134 +78,89 @@
             return
         h = self.health_of(run.replica)
         h.running = max(0, h.running - 1)
-        q = self.requests.get(run.request)
-        if q is not None and q.run is not run:
-            q = None
         result = ev.result
-        if q is not None and result.outcome is not Outcome.UNSENT:
-            q.arrivals += 1
-            q.sent_to.add(run.replica)
-            q.ran = q.ran or result.outcome.may_have_run
         label = result.outcome.value
         self.tally[label] = self.tally.get(label, 0) + 1
-        self.ended(q, run, h, result)
+        self.learn(run, h, result)
+        q = self.requests.get(run.request)
+        if q is not None and q.run is run:
+            self.settle(q, run, result)
         self.pump()
 
-    def ended(self, q, run, h, result):
-        """`q`: the request, or None where it is answered or its client has left."""
+    def learn(self, run, h, result):
+        """What an attempt's end tells of its replica, whether or not its request is still here."""
+        left = run.aborted is request.Aborted.CLIENT_LEFT
         match result.outcome:
             case Outcome.DONE:
-                self.was_done(q, run, h, result)
+                h.good(self.now)
             case Outcome.REFUSED:
-                self.was_refused(q, run, h, result)
+                h.absent[run.item] = self.now + REFUSED
             case Outcome.ABSENT:
-                self.was_absent(q, run, h, result)
+                h.absent[run.item] = self.now + ABSENT
             case Outcome.MOVED:
-                self.was_moved(q, run, h, result)
+                h.dead = True
             case Outcome.UNSENT:
-                self.was_unsent(q, run, h, result)
-            case Outcome.FAILED:
-                self.was_failed(q, run, h, result)
-            case Outcome.BROKEN:
-                self.was_broken(q, run, h, result)
-            case Outcome.CUT:
-                self.was_cut(q, run, h, result)
+                h.bad(self.now)
+            case Outcome.CUT if not left:
+                h.bad(self.now)
+            case Outcome.FAILED if result.status >= SERVER_ERROR:
+                h.bad(self.now)
+            case Outcome.BROKEN if not left:
+                h.bad(self.now)
+                self.after_timeout(run)
             case Outcome.LATE:
-                self.was_late(q, run, h, result)
-            case Outcome.GONE:
-                self.was_gone(q, run, h, result)
-            case _:
-                typing.assert_never(result.outcome)
-
-    def again(self, q, run, result, free=False):
-        """Back into the queue, if it may go again; False if not. A route's attempts bound how many replicas
-        it goes to; one that only refused it may be asked again."""
-        if q.unsent > UNSENT or q.arrivals > ARRIVALS or q.until - self.now < LEAST:
-            return False
-        if not q.spare() and result.outcome is not Outcome.REFUSED:
-            return False
-        if not free and not self.retry_of(q.service).room(self.now, self.peers()):
-            return False
+                self.after_timeout(run)
+
+    def settle(self, q, run, result):
+        """What becomes of a request whose attempt ended."""
+        if result.outcome is Outcome.UNSENT:
+            q.unsent += 1
+        else:
+            q.arrivals += 1
+            q.sent_to.add(run.replica)
+        if result.outcome is Outcome.DONE:
+            self.drop(q)
+            return
+        q.ran = q.ran or result.outcome.may_have_run
+        q.begun = q.begun or result.outcome is Outcome.CUT
+        self.carry_out(decision.decide(self.known(q, result)), q, run, result)
+
+    def known(self, q, result):
+        return decision.Known(
+            outcome=result.outcome,
+            repeats=q.route.repeats,
+            status=result.status,
+            joins=result.resumes,
+            begun=q.begun,
+            ran=q.ran,
+            arrived=q.arrivals > 0,
+            budget=self.retry_of(q.service).room(self.now, self.peers()),
+            replicas=q.spare(),
+            sends=q.unsent <= UNSENT and q.arrivals <= ARRIVALS,
+            time=q.until - self.now >= LEAST,
+        )
+
+    def carry_out(self, move, q, run, result):
+        match move:
+            case decision.Move.REPEAT | decision.Move.RESUME:
+                self.requeue(q, run)
+            case decision.Move.PASS:
+                self.drop(q)
+                self.emit(events.Pass(q.id, run.id))
+            case decision.Move.REFUSE:
+                self.refuse(q, result.detail or WHY[result.outcome], SOON)
+            case decision.Move.FAIL:
+                broken = result.outcome in (Outcome.BROKEN, Outcome.FAILED)
+                self.fail(q, 502 if broken else 504, result.detail or WHY[result.outcome])
+            case decision.Move.CUT:
+                self.drop(q)
+                self.emit(events.Cut(q.id))
+
+    def requeue(self, q, run):
         q.avoid.add(run.replica)
         q.run = None
         q.state = request.WAIT
         self.waiting[q.id] = q
-        return True
-
-    def was_done(self, q, run, h, result):
-        h.good(self.now)
-        self.fact(run.item).served = self.now
-        if q is not None:
-            self.finish(q)
-
-    def was_refused(self, q, run, h, result):
-        """The replica says that it never ran: it is full, or loads what is asked for."""
-        h.absent[run.item] = self.now + REFUSED
-        if q is not None and not self.again(q, run, result):
-            self.refuse(q, result.detail or "refused by the replica", SOON)
-
-    def was_absent(self, q, run, h, result):
-        h.absent[run.item] = self.now + ABSENT
-        self.fact(run.item).served = None
-        if q is not None and not self.again(q, run, result):
-            self.refuse(q, "not held", SOON)
-
-    def was_moved(self, q, run, h, result):
-        h.dead = True
-        if q is not None and not self.again(q, run, result):
-            self.refuse(q, "the replica is gone", SOON)
-
-    def was_unsent(self, q, run, h, result):
-        h.bad(self.now)
-        if q is None:
-            return
-        q.unsent += 1
-        if not self.again(q, run, result, free=q.arrivals == 0):
-            self.refuse(q, "no connection", SOON)
-
-    def was_failed(self, q, run, h, result):
-        """A whole answer of failure: it counts as run."""
-        if result.status >= 500:
-            h.bad(self.now)
-        if q is None:
-            return
-        if result.status >= 500 and q.route.repeatable() and not q.begun and self.again(q, run, result):
-            return
-        self.drop(q)
-        if q.begun:
-            self.emit(events.Cut(q.id))
-            return
-        self.emit(events.Pass(q.id, run.id))
-
-    def was_broken(self, q, run, h, result):
-        if run.aborted != "gone":
-            h.bad(self.now)
-            self.after_timeout(run)
-        if q is None or q.route.repeatable() and self.again(q, run, result):
-            return
-        self.fail(q, 502, result.detail or "the connection to the replica broke")
-
-    def was_cut(self, q, run, h, result):
-        if run.aborted != "gone":
-            h.bad(self.now)
-        if q is None:
-            return
-        q.begun = True
-        if result.resumes and q.route.resumable and self.again(q, run, result):
-            return
-        self.drop(q)
-        self.emit(events.Cut(q.id))
-
-    def was_gone(self, q, run, h, result):
-        """The client takes no more: nothing is known of the replica."""
-        if q is not None:
-            self.drop(q)
-            self.emit(events.Cut(q.id))
-
-    def was_late(self, q, run, h, result):
-        self.after_timeout(run)
-        if q is not None:
-            self.fail(q, 504, "the time is over")
 
     def fail(self, q, status, detail):
         """The end of a request that may have run."""
@@ -224,7 +188,7 @@
                 continue
             if not any(x != run.replica for x in self.usable(q)):
                 continue
-            run.aborted = "silent"
+            run.aborted = request.Aborted.SILENT
             self.emit(events.Abort(run.id))
 
     def patience(self, q, run):
--- a/basaltport/relay/request.py
+++ b/basaltport/relay/request.py
@@ -1,5 +1,7 @@
 """A request in this node, from its arrival to its one end."""
 
+import enum
+
 import basaltport.kinds as kinds
 
 WAIT = "wait"
@@ -51,6 +53,13 @@
         return len(self.sent_to) < self.route.attempts
 
 
+class Aborted(enum.Enum):
+    """Why an attempt was stopped from here."""
+
+    SILENT = "silent"
+    CLIENT_LEFT = "client left"
+
+
 class Run:
     """An attempt under way."""
 
@@ -66,4 +75,4 @@
         self.until = q.until
         self.heard = 0
         self.last = now
-        self.aborted = ""
+        self.aborted = None
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -4,6 +4,7 @@
 import basaltport.kinds as kinds
 import basaltport.member as member
 import basaltport.relay.attempts as attempts
+import basaltport.relay.decision as decision
 import basaltport.relay.events as events
 import basaltport.relay.pick as pick
 import basaltport.relay.readiness as readiness
@@ -171,7 +172,7 @@
 
     def refuse(self, q, why, retry_after):
         """Given up: a promise where it never ran; else no more than its end."""
-        if q.ran:
+        if decision.give_up(q.begun, q.ran) is not decision.Move.REFUSE:
             self.fail(q, 504, why)
             return
         self.drop(q)
@@ -182,9 +183,6 @@
         self.requests.pop(q.id, None)
         self.waiting.pop(q.id, None)
 
-    def finish(self, q):
-        self.drop(q)
-
     def on_left(self, ev):
         self.parked.pop(ev.request, None)
         q = self.requests.get(ev.request)
@@ -192,7 +190,7 @@
             return
         self.drop(q)
         if q.run and q.run.id in self.runs:
-            q.run.aborted = "gone"
+            q.run.aborted = request.Aborted.CLIENT_LEFT
             self.emit(events.Abort(q.run.id))
 
     def on_tick(self, ev):
--- a/basaltport/relay/table.py
+++ b/basaltport/relay/table.py
@@ -5,6 +5,7 @@
 import itertools
 
 import basaltport.kinds as kinds
+import basaltport.relay.decision as decision
 
 
 class Route:
@@ -20,6 +21,7 @@
         "attempts",
         "pinned",
         "resumable",
+        "repeats",
         "gap",
         "program",
     )
@@ -36,11 +38,18 @@
         self.attempts = max(1, int(r.get("attempts", 1)))
         self.pinned = bool(r.get("pinned"))
         self.resumable = self.kind == "stream" and bool(r.get("resumable"))
+        self.repeats = self._repeats()
         self.gap = kinds.Millis(r.get("gap_target_ms") or 0)
         self.program = ("deadline", "share", "item", "time", "queue") if self.pinned else PLAIN
 
     def repeatable(self):
-        return self.kind == "safe" or self.resumable
+        """Whether a request may run more than once."""
+        return self.repeats is not decision.Repeats.NEVER
+
+    def _repeats(self):
+        if self.resumable:
+            return decision.Repeats.RESUMED
+        return decision.Repeats.ALWAYS if self.kind == "safe" else decision.Repeats.NEVER
 
     def service(self, draw):
         """The service for a draw in [0, 1), by weight."""
--- a/tests/test_route_scenarios.py
+++ b/tests/test_route_scenarios.py
@@ -13,9 +13,8 @@
 import basaltport.simulation.routes.mayhem as routemayhem
 import basaltport.simulation.routes.scenes as routescenes
 import basaltport.simulation.world.virtual_disk as simdisk
-import basaltport.relay.attempts as attempts
 import basaltport.relay.budget as budget
-import basaltport.relay.events as relay_events
+import basaltport.relay.decision as decision
 import basaltport.relay.pick as pick
 import basaltport.relay.role as relay
 import basaltport.relay.table as table
@@ -48,15 +47,12 @@
 _wanted = machine.Placement.wanted
 
 
-def _all_may_go_again(self, q, run, h, ev):
-    if q is not None and not self.again(q, run, ev):
-        self.refuse(q, "broken", 100)
+def _all_may_go_again(known):
+    return True
 
 
-def _late_is_refused(self, q, run, h, ev):
-    if q is not None:
-        self.drop(q)
-        self.emit(relay_events.Close(q.id, 503, "late", 100))
+def _all_is_refused(begun, ran):
+    return decision.Move.REFUSE
 
 
 def _any_state(self, r, row):
@@ -135,14 +131,13 @@
     return "go"
 
 
-BROKEN = (attempts.AttemptMixin, "was_broken")
 CASES = [
     (
         "once-only",
         "replicas-ill",
-        [(*BROKEN, _all_may_go_again), (table.Route, "repeatable", lambda self: True)],
+        [(decision, "proven_safe", _all_may_go_again), (table.Route, "repeatable", lambda self: True)],
     ),
-    ("promise", "replicas-ill", [(*BROKEN, _late_is_refused)]),
+    ("promise", "replicas-ill", [(decision, "give_up", _all_is_refused)]),
     ("draining", "released-one-by-one", [(pick.PickMixin, "open", _any_state)]),
     ("evacuated", "evacuation-while-a-keeper-dies", [(pick.PickMixin, "open", _any_zone)]),
     ("in-force", "quiet", [(follow.FollowMixin, "take_book", _book_once)]),
