A replica's 408 or 429 without its word is no promise for what must not run again

Cause: only answers of 500 and above went through the decision; a 408 or 429 that did not say that the request never ran was passed on as it came, also on routes whose requests run once, and promised there what is not proven. Change: statuses that promise are kept like failures and decided on; where a request runs once, it ends with 502.

--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -7,6 +7,7 @@
 import yarl
 
 import basaltport.relay.connections as connections
+import basaltport.relay.decision as decision
 import basaltport.relay.outcomes as outcomes
 
 Outcome = outcomes.Outcome
@@ -154,7 +155,7 @@
         if 200 <= r.status < 300 and sink.streams:
             return await self.stream(e, sink, r, progress)
         raw = await self.whole(r)
-        if r.status >= 500:
+        if r.status >= 500 or r.status in decision.PROMISES:
             sink.keep(e.attempt, r.status, end_to_end(h), raw)
             return Result(Outcome.FAILED, r.status)
         if sink.begun:
--- /dev/null
+++ b/tests/test_relay_promises.py
@@ -0,0 +1,60 @@
+"""What a client is told of a request: a promise only where it is proven, a replica's failure only as it came."""
+
+import asyncio
+
+import pytest
+
+import tests.relay_stand as stand
+
+W = stand.W
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+def failing(status):
+    async def script(replica, h, w):
+        w.write(stand.whole(h, b"its own", f"{status} Own"))
+
+    return script
+
+
+async def ask(path, *scripts):
+    """(status, headers, body) and how many requests each replica saw."""
+    replicas = [stand.Replica(f"i-{n}", s, zone=f"z{n}") for n, s in enumerate(scripts, 1)]
+    async with stand.Front(replicas) as f:
+        got = await f.ask(path)
+        return got, [len(r.seen) for r in replicas]
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_replica_s_own_promise_without_its_word_is_no_promise_for_what_must_not_run_again(status):
+    (got, heads, body), seen = run(ask("/once/x", failing(status)))
+    assert (got, seen) == (502, [1])
+    assert W.stamp.lower() not in heads and "retry-after" not in heads and body != b"its own"
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/single/x"])
+@pytest.mark.parametrize("status", [400, 404, 409, 500, 501, 504])
+def test_a_replica_s_failure_is_passed_on_with_its_status_stamp_and_body(path, status):
+    (got, heads, body), seen = run(ask(path, failing(status), failing(status)))
+    assert (got, heads[W.stamp.lower()], body) == (status, "s1", b"its own")
+    assert sum(seen) == (2 if status >= 500 and path in ("/safe/x", "/stream/x") else 1)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_what_may_run_again_is_given_a_replica_s_own_promise_as_it_came(status):
+    (got, heads, body), _ = run(ask("/safe/x", failing(status), failing(status)))
+    assert (got, heads[W.stamp.lower()], body) == (status, "s1", b"its own")
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/single/x"])
+@pytest.mark.parametrize("status", [429, 503, 400])
+def test_a_refusal_s_stamp_never_comes_with_a_status_of_our_own(path, status):
+    async def refuse(replica, h, w):
+        w.write(stand.whole(h, b"", f"{status} Full", **{W.not_run: "1"}))
+
+    (got, heads, _), _ = run(ask(path, refuse))
+    assert got == 503
+    assert W.stamp.lower() not in heads and "retry-after" in heads
