A replica is not blamed for a client that left while it was connected to

Cause: an unsent attempt always counted against its replica, also one stopped because the client had left; lost and cut ones did not. Test: red before (one failure counted, the replica out of use for 250 ms).

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -99,9 +99,7 @@
                 h.absent[run.item] = self.now + ABSENT
             case Outcome.MOVED:
                 h.dead = True
-            case Outcome.UNSENT:
-                h.bad(self.now)
-            case Outcome.CUT if not left:
+            case Outcome.UNSENT | Outcome.CUT if not left:
                 h.bad(self.now)
             case Outcome.FAILED if result.status >= SERVER_ERROR:
                 h.bad(self.now)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -214,6 +214,14 @@
     assert not s.m.health["a"].fails, "the replica is not blamed"
 
 
+def test_a_replica_is_not_blamed_for_a_client_that_left_while_it_was_connected_to():
+    s = Sim([row("a")])
+    a = s.ask("once")[0]
+    s.step(events.Left(s.now, 1))
+    s.end(a.attempt, "unsent")
+    assert not s.m.health["a"].fails and not s.m.runs
+
+
 def test_weights_split_and_longest_prefix_wins():
     doc = stand.document()
     doc["routes"].append({**doc["routes"][0], "name": "deep", "prefix": "/safe/deep/"})
--- a/tests/test_relay_promises.py
+++ b/tests/test_relay_promises.py
@@ -1,4 +1,4 @@
-"""What a client is told of a request: a promise only where it is proven, a replica's failure only as it came."""
+"""What a client is told of a request: a promise only where proven, a replica's failure only as it came."""
 
 import asyncio
 
