An attempt stopped before it began is ended; a fault of ours never begins a second answer

Causes: (1) a task that is cancelled before its first step runs none of its code, its finally neither, so the attempt's end was never told: the replica's count of running attempts stayed one too high for the life of the process, and with a few such it got nothing more from this proxy. It happens when a client's leaving and the launch of its request fall in one turn of the loop. (2) An exception that Upstream.run does not know was told as broken also where a part of the answer was out; the request was then answered with 502 in the middle of the first answer's body. Change: Abort of a task that has not begun tells its end (unsent); a fault of our own is a cut once the answer is begun; Sink.close and give cut what is begun. Such faults are logged (81). Tests: tests/test_relay_faults.py, both red before: (1, 1, 0, 1) == (0, 0, 0, 0) and two HTTP/1.1 heads in one answer.

--- a/basaltport/relay/answer.py
+++ b/basaltport/relay/answer.py
@@ -42,6 +42,10 @@
         return r
 
     def close(self, status, detail, retry_after):
+        """An answer of our own; what is begun to be answered is cut instead."""
+        if self.begun:
+            self.cut()
+            return
         h = {"Content-Type": "application/json"}
         if self.request_id:
             h[self.words.request_id] = self.request_id
@@ -53,7 +57,10 @@
         self.kept[attempt] = (status, heads, raw)
 
     def give(self, attempt):
-        """Pass on a kept answer of failure."""
+        """Pass on a kept answer of failure; what is begun to be answered is cut instead."""
+        if self.begun:
+            self.cut()
+            return
         self.set(self.made(*self.kept[attempt]))
 
     async def whole(self, status, heads, raw):
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import inspect
 import os
 import random
 import signal
@@ -221,13 +222,24 @@
             s.cut()
 
     def do_abort(self, e):
-        t = self.tasks.get(e.attempt)
-        if t:
-            t.cancel()
+        task = self.tasks.get(e.attempt)
+        if task is None:
+            return
+        task.cancel()
+        if inspect.getcoroutinestate(task.get_coro()) == inspect.CORO_CREATED:
+            self.never_begun(e.attempt)
+
+    def never_begun(self, attempt):
+        """Tells the end of an attempt none of which ran: a task that is stopped before its first step runs
+        nothing, its `finally` neither."""
+        self.tasks.pop(attempt, None)
+        result = outcomes.Result(outcomes.Outcome.UNSENT, 0, "stopped")
+        asyncio.get_running_loop().call_soon(self.step, events.Ended(kinds.steady(), attempt, result))
 
     def do_attempt(self, e):
         s = self.sinks.get(e.request)
         if s is None:
+            self.never_begun(e.attempt)
             return
         q = self.member.requests.get(e.request)
         if s.pieces is None:
@@ -235,10 +247,15 @@
         self.tasks[e.attempt] = asyncio.get_running_loop().create_task(self.attempt(e, s))
 
     async def attempt(self, e, sink):
-        result = outcomes.Result(outcomes.Outcome.BROKEN, 0, "fault")
+        result = None
         try:
             result = await self.upstream.run(e, sink, lambda: self.progress(e.attempt))
+        except Exception as error:
+            logs.note(81, {"why": f"{type(error).__name__}: {error}"})
         finally:
+            if result is None:
+                outcome = outcomes.Outcome.CUT if sink.begun else outcomes.Outcome.BROKEN
+                result = outcomes.Result(outcome, 0, "fault")
             self.tasks.pop(e.attempt, None)
             self.step(events.Ended(kinds.steady(), e.attempt, result))
 
--- /dev/null
+++ b/tests/test_relay_faults.py
@@ -0,0 +1,51 @@
+"""Attempts that end as they begin, and faults of our own: nothing leaks, nothing is answered twice."""
+
+import asyncio
+import types
+
+import pytest
+
+import basaltport.kinds as kinds
+import basaltport.relay.answer as answer
+import basaltport.relay.events as events
+import tests.relay_stand as stand
+import tests.test_relay_wire as wire
+
+W = stand.W
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+def test_an_attempt_that_is_stopped_before_it_began_leaves_nothing_behind():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", wire.ok)]) as f:
+            shell = f.shell
+            shell.sinks[99] = types.SimpleNamespace(pieces=True)
+            now = kinds.steady()
+            shell.step(events.Arrived(now, 99, "desk.example", "/once/x", kinds.Item("birch"), 2000))
+            assert len(f.member.runs) == 1
+            shell.step(events.Left(now, 99))
+            for _ in range(5):
+                await asyncio.sleep(0)
+            health = f.member.health["i-1"]
+            return len(f.member.runs), health.running, health.fails, len(shell.tasks)
+
+    assert run(go()) == (0, 0, 0, 0)
+
+
+@pytest.mark.parametrize("path", ["/single/x", "/stream/x"])
+def test_a_fault_of_our_own_in_an_answer_that_is_begun_ends_it_and_never_begins_another(monkeypatch, path):
+    async def fault(self, status, heads):
+        raise KeyError("fault")
+
+    monkeypatch.setattr(answer.Sink, "end", fault)
+
+    async def go():
+        async with stand.Front([stand.Replica("i-1", wire.stream(2))]) as f:
+            f.member.timings["retry_slack"] = 0
+            return await f.raw(f.text(path, Connection="close"))
+
+    raw = run(go())
+    assert raw.count(b"HTTP/1.1") == 1 and not raw.endswith(b"0\r\n\r\n")
