Clients' connections rest as long as any configuration let them; what has just come is no rest

Causes: (1) the idle limit was a fixed 75 s of the library, whatever idleCloseMs the configuration gave, and fixed for each connection when it was accepted. (2) On SIGTERM, connections counted as idle were ended although a request lay unread on them (reset). (3) On SIGTERM, the library's close() was called on busy connections; it stops reading, so that a body on its way was never read and its request never answered. Change: the library's limit is out of reach; relay/clients.py ends what has rested for 75 s or the longest limit that a configuration of this life gave and 1 s, and only where nothing is unread on the socket. close() is no longer called: answers already say Connection: close, and what is at rest after them is ended at the next tick. Tests: tests/test_relay_clients.py, red before: ConnectionResetError, a request without an answer, 75 s.

--- /dev/null
+++ b/basaltport/relay/clients.py
@@ -0,0 +1,35 @@
+"""Connections of clients at rest: which they are, and when they may be ended.
+
+The library's own limit is set for each connection when it is accepted, and takes what is not parsed yet for
+rest. So it is set out of reach, and connections at rest are ended from here, by the limit now in force.
+"""
+
+import basaltport.relay.connections as connections
+
+LIBRARY_LIMIT_S = 24 * 3600
+AT_LEAST_S = 75
+MARGIN_S = 1
+
+
+def at_rest(connection):
+    """Whether no request is on a connection, nor any byte of one unread."""
+    if connection._waiter is None or connection._waiter.done() or connection._messages:
+        return False
+    return connection.transport is not None and not connections.unread(connection.transport)
+
+
+def rested_s(connection, now):
+    """How long ago a connection was accepted, or its last answer ended."""
+    return now - (connection._next_keepalive_close_time - LIBRARY_LIMIT_S)
+
+
+class RestLimit:
+    """How long connections may rest: never less than any configuration of this process's life let them."""
+
+    def __init__(self):
+        self.promised_s = 0.0
+
+    def seconds(self, limits):
+        """The limit under a configuration's `limits`."""
+        self.promised_s = max(self.promised_s, limits.get("idle_close_ms", 0) / 1000)
+        return max(AT_LEAST_S, self.promised_s + MARGIN_S)
--- a/basaltport/relay/connections.py
+++ b/basaltport/relay/connections.py
@@ -1,11 +1,14 @@
 """Connections to replicas: kept for as long as the replica says, never one with bytes nobody asked for."""
 
+import select
+
 import aiohttp
 
 import basaltport.sockets as sockets
 
 UNSTATED = 4.0
 MARGIN = 0.35
+READABLE = select.POLLIN | select.POLLPRI | select.POLLRDHUP
 
 
 def once_session(**kw):
@@ -24,6 +27,13 @@
     return int(value) if value and value.strip().isdigit() else None
 
 
+def unread(transport):
+    """Whether bytes, an end or an error wait to be read from a transport's socket."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), READABLE)
+    return bool(poll.poll(0))
+
+
 class Connector(aiohttp.TCPConnector):
     """`got(req)` is called once a connection is there, before a byte goes out."""
 
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -15,6 +15,7 @@
 import basaltport.logs as logs
 import basaltport.member as member
 import basaltport.relay.answer as answer
+import basaltport.relay.clients as clients
 import basaltport.relay.events as events
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.role as role
@@ -25,7 +26,7 @@
 NOTICED = 2.6
 LAST = 0.8
 BODY = 4 << 20
-IDLE = 75
+SWEEP = 5.0
 STALE = 2.0
 
 
@@ -45,6 +46,7 @@
         self.n = 0
         self.sinks = {}
         self.tasks = {}
+        self.rest_limit = clients.RestLimit()
         me = member.Me(
             s["house"],
             s["name"],
@@ -82,7 +84,7 @@
             request_factory=self.request,
             handler_cancellation=True,
             access_log=None,
-            keepalive_timeout=IDLE,
+            keepalive_timeout=clients.LIBRARY_LIMIT_S,
             max_line_size=16_384,
             max_field_size=32_768,
             auto_decompress=False,
@@ -121,19 +123,29 @@
         await self.upstream.stop()
 
     def close_idle(self):
-        """Ends connections that no request is on; gives how many are left. The library's own way stops the
-        tasks of idle ones and leaves them open, so that what is sent on them is read and never answered."""
+        """Ends connections that no request is on; gives how many are left.
+
+        Others end with their answer, which says so. The library's own close() is not used: it leaves idle
+        ones open and reads no more of a body on its way, so that what is sent is never answered.
+        """
         busy = 0
-        for c in self.server.connections:
-            if c._waiter is not None and not c._waiter.done() and not c._messages:
-                c.force_close()
-                continue
-            c.close()
-            busy += 1
+        for connection in self.server.connections:
+            if clients.at_rest(connection):
+                connection.force_close()
+            else:
+                busy += 1
         return busy or len(self.sinks)
 
+    def end_rested(self):
+        """Ends connections that have rested for longer than clients may."""
+        limit = self.rest_limit.seconds(self.member.table.limits)
+        now = asyncio.get_running_loop().time()
+        for connection in self.server.connections:
+            if clients.rested_s(connection, now) >= limit and clients.at_rest(connection):
+                connection.force_close()
+
     async def tick(self):
-        asked = kinds.steady()
+        asked = swept = kinds.steady()
         while True:
             now = kinds.steady()
             try:
@@ -143,6 +155,9 @@
             if now - asked > 1000 * STALE and now - self.member.led_at > 1000 * STALE:
                 asked = now
                 self.hup()
+            if now - swept > 1000 * SWEEP:
+                swept = now
+                self.end_rested()
             await asyncio.sleep(TICK)
 
     def heard(self, src, msg):
