Connections to replicas are proven quiet before reuse, and surely alive for what runs once

Causes: (1) Keep-Alive was read from the answer's connection, which is gone once an answer has come whole with its head, the usual case: so the replica's word was not heard and every connection was used for 4 s. (2) An end or bytes that lay unread on a kept connection were not seen: a request went out on it and counted as run. (3) A second attempt at one request could take the first one's connection, where an answer more than expected bears the same id: a late second refusal was taken for the second attempt's answer, and a request that runs once ran twice. Change: the word is kept by attempt; before reuse the socket is polled in the step that takes the connection (0.7 us); a connection never carries the same request id twice in a row; what runs once goes only on a connection that rested for less than the replica's word, or than 0.65 s where it gave none, and takes the one that rested least.

--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -51,10 +51,11 @@
     def __init__(self, words):
         self.words = words
         self.session = None
+        self.needs = {}
         self.written = set()
 
     async def start(self):
-        self.connector = connections.Connector(self.got)
+        self.connector = connections.Connector(self.got, self.need_of)
         self.session = connections.once_session(
             connector=self.connector,
             auto_decompress=False,
@@ -68,11 +69,11 @@
     async def stop(self):
         await self.session.close()
 
+    def need_of(self, req):
+        return self.needs[int(req.headers[MARK])]
+
     def got(self, req):
-        a = getattr(req, "headers", {}).get(MARK)
-        if a is not None:
-            del req.headers[MARK]
-            self.written.add(int(a))
+        self.written.add(int(req.headers.pop(MARK)))
 
     def heads(self, e, sink, left):
         w = self.words
@@ -88,6 +89,7 @@
 
     async def run(self, e, sink, progress):
         """The `outcomes.Result` of an attempt."""
+        self.needs[e.attempt] = connections.Need(sink.request_id, not e.repeatable)
         try:
             async with asyncio.timeout(e.left / 1000):
                 return await self.once(e, sink, progress)
@@ -103,6 +105,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as x:
             return self.lost(e, sink, Outcome.BROKEN, type(x).__name__)
         finally:
+            del self.needs[e.attempt]
             self.written.discard(e.attempt)
 
     def sent(self, attempt):
@@ -125,15 +128,15 @@
             sink.method, url, headers=heads, data=sink.body or None, allow_redirects=False
         ) as r:
             progress()
-            self.kept(r)
+            self.hear_limit(e.attempt, r)
             return await self.answer(e, sink, r, progress)
 
-    def kept(self, r):
-        p = r.connection.protocol if r.connection else None
-        if p is not None:
-            s = connections.seconds(r.headers.get("Keep-Alive"))
-            if s is not None:
-                p.keep_s = s
+    def hear_limit(self, attempt, r):
+        """The replica's word on how long it keeps the connection. An answer that came whole with its head has
+        given its connection back by now, so it is asked of the attempt."""
+        stated = connections.seconds(r.headers.get("Keep-Alive"))
+        if stated is not None:
+            self.needs[attempt].protocol.keep_s = stated
 
     async def answer(self, e, sink, r, progress):
         w, h = self.words, r.headers
--- /dev/null
+++ b/tests/test_relay_connections.py
@@ -0,0 +1,181 @@
+"""Kept connections to replicas: proven quiet before another use, and surely alive for what runs once."""
+
+import asyncio
+import socket
+
+import pytest
+
+import basaltport.relay.events as events
+import basaltport.relay.outcomes as outcomes
+import basaltport.relay.upstream as upstream
+import tests.relay_stand as stand
+
+W = stand.W
+Outcome = outcomes.Outcome
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+class Sink:
+    """What an attempt needs of a request."""
+
+    method, path, body = "POST", "/once/x", b"hello"
+    streams = begun = False
+
+    def __init__(self, request_id):
+        self.request_id = request_id
+        self.heads = {W.request_id: request_id} if request_id else {}
+
+    def resume(self):
+        return ""
+
+    def keep(self, attempt, status, heads, raw):
+        pass
+
+    async def whole(self, status, heads, raw):
+        self.got = raw
+
+
+class Direct:
+    """Attempts at one replica, without a proxy round them. `writers`: of the replica's connections."""
+
+    def __init__(self, **heads):
+        self.heads = heads
+        self.writers = []
+        self.n = 0
+
+    async def answer(self, replica, h, w):
+        if w not in self.writers:
+            self.writers.append(w)
+        w.write(stand.whole(h, b"written", **self.heads))
+
+    async def __aenter__(self):
+        self.replica = await stand.Replica("i-1", self.answer).start()
+        self.upstream = upstream.Upstream(W)
+        await self.upstream.start()
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.upstream.stop()
+        self.replica.server.close()
+
+    async def go(self, repeatable=False, request_id=None):
+        """The outcome of one attempt and how many connections there were by then."""
+        self.n += 1
+        address = f"127.0.0.1:{self.replica.port}"
+        attempt = events.Attempt(self.n, self.n, "i-1", address, 2000, 0, repeatable)
+        sink = Sink(request_id or f"q{self.n}")
+        result = await self.upstream.run(attempt, sink, lambda: None)
+        return result.outcome, self.replica.connections
+
+    def age(self, seconds):
+        """As if all kept connections had been released so long ago."""
+        for kept in self.upstream.connector._conns.values():
+            for protocol, _ in kept:
+                protocol.released -= seconds
+
+    def socket(self):
+        return self.writers[-1].transport.get_extra_info("socket")
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_a_connection_that_its_replica_has_just_closed_is_not_used(repeatable):
+    async def go():
+        async with Direct() as d:
+            await d.go()
+            d.socket().shutdown(socket.SHUT_WR)
+            return await d.go(repeatable)
+
+    assert run(go()) == (Outcome.DONE, 2)
+
+
+@pytest.mark.parametrize("extra", [b"x", stand.whole({W.request_id.lower(): "q2"}, b"not asked for")])
+def test_a_connection_with_bytes_nobody_asked_for_is_not_used(extra):
+    async def go():
+        async with Direct() as d:
+            await d.go()
+            socket.socket.send(d.socket()._sock, extra)
+            return await d.go()
+
+    assert run(go()) == (Outcome.DONE, 2)
+
+
+def test_a_second_attempt_never_takes_the_connection_of_the_first():
+    """An answer more than expected bears the same id there, and would be taken for the second attempt's."""
+
+    async def go():
+        async with Direct() as d:
+            one = await d.go(request_id="same")
+            two = await d.go(request_id="same")
+            return one, two, await d.go(request_id="other")
+
+    assert run(go()) == ((Outcome.DONE, 1), (Outcome.DONE, 2), (Outcome.DONE, 2))
+
+
+def test_a_late_refusal_is_not_taken_for_the_answer_of_a_second_attempt():
+    ran = []
+
+    async def script(replica, h, w):
+        refusal = stand.whole(h, b"", "503 Full", **{W.not_run: "1"})
+        if len(replica.seen) == 1:
+            w.refused = True
+            w.write(refusal)
+            return
+        ran.append(h[W.request_id.lower()])
+        w.write((refusal if hasattr(w, "refused") else b"") + stand.whole(h, b"written"))
+
+    async def go():
+        async with stand.Front([stand.Replica("i-1", script)]) as f:
+            return await f.ask("/once/x")
+
+    status, _, body = run(go())
+    assert (status, body, ran) == (200, b"written", ["q1"])
+
+
+@pytest.mark.parametrize(
+    "heads, seconds, repeatable, made",
+    [
+        ({}, 0.5, False, 1),
+        ({}, 0.8, False, 2),
+        ({}, 0.8, True, 1),
+        ({}, 4.1, True, 2),
+        ({"Keep-Alive": "timeout=5"}, 4.5, False, 1),
+        ({"Keep-Alive": "timeout=5"}, 4.8, False, 2),
+        ({"Keep-Alive": "timeout=5"}, 4.8, True, 2),
+        ({"Keep-Alive": "timeout=0"}, 0, False, 2),
+        ({"Connection": "close"}, 0, True, 2),
+    ],
+)
+def test_what_runs_once_goes_only_on_a_connection_that_is_surely_alive(heads, seconds, repeatable, made):
+    async def go():
+        async with Direct(**heads) as d:
+            await d.go()
+            d.age(seconds)
+            return await d.go(repeatable)
+
+    assert run(go()) == (Outcome.DONE, made)
+
+
+def test_what_runs_once_leaves_connections_that_are_not_sure_to_others():
+    async def go():
+        async with Direct() as d:
+            await d.go()
+            d.age(1)
+            return [await d.go(False), await d.go(True), await d.go(True)]
+
+    assert [n for _, n in run(go())] == [2, 2, 2]
+
+
+def test_what_runs_once_takes_the_connection_that_rested_least():
+    async def go():
+        async with Direct() as d:
+            await asyncio.gather(d.go(), d.go())
+            (kept,) = d.upstream.connector._conns.values()
+            kept[0][0].released -= 3
+            newest = kept[1][0]
+            await d.go(False)
+            return kept[-1][0] is newest, d.replica.connections
+
+    assert run(go()) == (True, 2)
