--- a/basaltport/relay/connections.py
+++ b/basaltport/relay/connections.py
@@ -13,13 +13,6 @@
 READABLE = select.POLLIN | select.POLLPRI | select.POLLRDHUP
 
 
-def once_session(**kw):
-    """A session that never sends a request twice by itself."""
-    s = aiohttp.ClientSession(**kw)
-    s._retry_connection = False
-    return s
-
-
 def seconds(value):
     """Seconds of a Keep-Alive header, or None."""
     for part in (value or "").split(","):
--- a/basaltport/relay/readiness.py
+++ b/basaltport/relay/readiness.py
@@ -9,7 +9,7 @@
 class Fact:
     """What the keeper last said of an item; `asked`: when it was last asked; `next`: when it may be again."""
 
-    __slots__ = "state expected retry asked next served kept window serving_since told".split()
+    __slots__ = ("state", "expected", "retry", "asked", "next", "told")
 
     def __init__(self):
         self.state = ""
@@ -17,10 +17,6 @@
         self.retry = AGAIN
         self.asked = -(10**9)
         self.next = 0
-        self.served = None
-        self.kept = False
-        self.window = 0
-        self.serving_since = None
         self.told = 0
 
 
@@ -79,9 +75,6 @@
             f.expected = d.get("expected_ms", 0)
             f.retry = max(limits.POLL, d.get("retry_after_ms", AGAIN))
             f.next = max(f.next, f.asked + f.retry)
-            f.kept = d.get("kept", False)
-            f.window = d.get("idle_window_ms", 0)
-            f.serving_since = self.now - d["serving_for_ms"] if d.get("serving_for_ms") else None
             if f.state in ("loaded", "loading"):
                 continue
             for q in [q for q in self.waiting.values() if q.item == i and not self.held(q)]:
@@ -89,11 +82,9 @@
         self.pump()
 
     def after_timeout(self, run):
-        """The warm mark goes and the keeper is asked once; what it says names the phase."""
-        f = self.fact(run.item)
-        f.served = None
-        f.next = 0
+        """The keeper is asked once of the item, without waiting for its spacing."""
         if run.item:
+            self.fact(run.item).next = 0
             self.want({run.item: 0})
 
     def typical(self, service):
--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -9,6 +9,7 @@
 import basaltport.relay.connections as connections
 import basaltport.relay.decision as decision
 import basaltport.relay.outcomes as outcomes
+import basaltport.replica_client.adapter as adapter
 
 Outcome = outcomes.Outcome
 Result = outcomes.Result
@@ -56,7 +57,7 @@
 
     async def start(self):
         self.connector = connections.Connector(self.got, self.need_of)
-        self.session = connections.once_session(
+        self.session = adapter.once_session(
             connector=self.connector,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
