An answer whose end only its connection tells is never passed on as whole

Cause: a body without a length or chunks was read to the end of the connection, so one that was cut at any byte came to the client as a complete 200. Change: such an answer counts as broken, as a stream without an end already did. Test: test_request_bytes_faults, red before ((200, [1, 0]) in place of (502, [1, 0])); wire and promise tests of the relay pass (79 passed).

--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -29,6 +29,8 @@
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 WHOLE = 16 << 20
 CONNECT = 0.4
+BODILESS = (204, 304)
+"""Statuses whose answers have no body."""
 
 
 def end_to_end(headers):
@@ -39,6 +41,14 @@
     return multidict.CIMultiDict((k, v) for k, v in headers.items() if k.lower() not in drop)
 
 
+def states_its_end(r: aiohttp.ClientResponse) -> bool:
+    """Whether a head tells where its body ends. Where only the end of the connection does, a body that
+    was cut can't be told from a whole one."""
+    if r.method == "HEAD" or r.status in BODILESS:
+        return True
+    return "Content-Length" in r.headers or "chunked" in r.headers.get("Transfer-Encoding", "").lower()
+
+
 class Foreign(Exception):
     """The bytes are not the answer to what was sent."""
 
@@ -154,6 +164,9 @@
             raise Foreign("the answer has no stamp")
         if 200 <= r.status < 300 and sink.streams:
             return await self.stream(e, sink, r, progress)
+        if not states_its_end(r):
+            r.close()
+            raise Foreign("an answer without an end")
         raw = await self.whole(r)
         if r.status >= 500 or r.status in decision.PROMISES:
             sink.keep(e.attempt, r.status, end_to_end(h), raw)
@@ -174,10 +187,7 @@
         return bytes(raw)
 
     async def stream(self, e, sink, r, progress):
-        if (
-            "Content-Length" not in r.headers
-            and "chunked" not in r.headers.get("Transfer-Encoding", "").lower()
-        ):
+        if not states_its_end(r):
             r.close()
             raise Foreign("a stream without an end")
         async for c in r.content.iter_any():
--- /dev/null
+++ b/tests/test_request_bytes_faults.py
@@ -0,0 +1,39 @@
+"""Faults that the sweep of `test_request_bytes` found, each by itself."""
+
+import asyncio
+
+import pytest
+
+import tests.relay_stand as stand
+
+W = stand.W
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+async def ask(path, *scripts):
+    """(status, headers, body) and how many requests each replica saw."""
+    replicas = [stand.Replica(f"i-{n}", s, zone=f"z{n}") for n, s in enumerate(scripts, 1)]
+    async with stand.Front(replicas) as f:
+        got = await f.ask(path)
+        return got, [len(r.seen) for r in replicas]
+
+
+async def good(replica, h, w):
+    w.write(stand.whole(h, b"written"))
+
+
+async def endless(replica, h, w):
+    """A body that only the end of the connection ends, and it ends early."""
+    w.write(stand.head(h) + b"wri")
+    await w.drain()
+    w.close()
+
+
+def test_a_body_that_only_its_connection_ends_is_never_taken_for_whole():
+    once, seen = run(ask("/once/x", endless, good))
+    assert (once[0], seen) == (502, [1, 0])
+    safe, seen = run(ask("/safe/x", endless, good))
+    assert (safe[0], safe[2], seen) == (200, b"written", [1, 1])
