A replica's 101 is never passed on

Cause: 101 was handled as any other status, so a client was told that its connection speaks another protocol, and the request behind it was answered in the old one, or never. Change: a 101 is no answer to what was sent. Test: red before ((101, [1, 0]) in place of (502, [1, 0])); 80 passed in the relay's wire tests.

--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -29,6 +29,7 @@
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 WHOLE = 16 << 20
 CONNECT = 0.4
+SWITCHING = 101
 BODILESS = (204, 304)
 """Statuses whose answers have no body."""
 
@@ -150,6 +151,9 @@
         if h.get(w.request_id) != sink.request_id:
             r.close()
             raise Foreign("the answer is of another request")
+        if r.status == SWITCHING:
+            r.close()
+            raise Foreign("nobody asked for another protocol")
         if r.status == 421:
             await self.whole(r)
             return Result(Outcome.ABSENT if h.get(w.replica) == e.replica else Outcome.MOVED, 421)
--- a/tests/test_request_bytes_faults.py
+++ b/tests/test_request_bytes_faults.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import pytest
 
 import tests.relay_stand as stand
 
@@ -37,3 +36,15 @@
     assert (once[0], seen) == (502, [1, 0])
     safe, seen = run(ask("/safe/x", endless, good))
     assert (safe[0], safe[2], seen) == (200, b"written", [1, 1])
+
+
+async def switching(replica, h, w):
+    upgrade = {"Connection": "upgrade", "Upgrade": "chat", "Content-Length": "0"}
+    w.write(stand.head(h, "101 Switching Protocols", **upgrade))
+
+
+def test_no_client_is_told_that_its_connection_speaks_another_protocol():
+    once, seen = run(ask("/once/x", switching, good))
+    assert (once[0], seen) == (502, [1, 0])
+    safe, seen = run(ask("/safe/x", switching, good))
+    assert (safe[0], safe[2], seen) == (200, b"written", [1, 1])
