A stream cut in its first event leaves no byte of it in the run that follows

Cause: what was not yet a whole event was dropped only once a part of the answer was out. A run cut before the end of its first event left that part, and the next run's first event was joined to it: 'data: piece 1id: 1'. Change: it is dropped before each run. Test: red before (AssertionError on the joined bytes); 81 passed in the relay's wire tests.

--- a/basaltport/relay/answer.py
+++ b/basaltport/relay/answer.py
@@ -63,7 +63,8 @@
         return self.resumable and self.reply is not None and bool(self.pieces.last)
 
     def resume(self):
-        return self.pieces.resume() if self.begun else ""
+        """The id that the next run goes on from; what the last run left of an event is dropped."""
+        return self.pieces.resume()
 
     async def part(self, status, heads, raw):
         out = self.pieces.take(raw)
--- a/tests/test_request_bytes_faults.py
+++ b/tests/test_request_bytes_faults.py
@@ -48,3 +48,21 @@
     assert (once[0], seen) == (502, [1, 0])
     safe, seen = run(ask("/safe/x", switching, good))
     assert (safe[0], safe[2], seen) == (200, b"written", [1, 1])
+
+
+EVENTS = b"".join(stand.event(i) for i in range(1, 4))
+
+
+async def torn_in_its_first_event(replica, h, w):
+    w.write(stand.head(h, **{"Transfer-Encoding": "chunked"}) + stand.chunk(stand.event(1)[:-2]))
+    await w.drain()
+    w.close()
+
+
+async def three_events(replica, h, w):
+    w.write(stand.head(h, **{"Transfer-Encoding": "chunked"}) + stand.chunk(EVENTS) + b"0\r\n\r\n")
+
+
+def test_a_run_that_was_cut_in_its_first_event_leaves_no_byte_in_the_next_one():
+    got, seen = run(ask("/stream/x", torn_in_its_first_event, three_events))
+    assert (got[0], got[2], seen) == (200, EVENTS, [1, 1])
