--- /dev/null
+++ b/tests/jumping_loop.py
@@ -0,0 +1,56 @@
+"""An event loop on virtual time with real sockets: while none has anything, time jumps to the next timer."""
+
+import asyncio
+import collections.abc
+import selectors
+import typing
+
+import basaltport.kinds as kinds
+
+QUIET_S = 0.003
+START_S = 1000.0
+BOUND_S = 120.0
+"""How much virtual time one run may take."""
+
+
+class JumpingSelector:
+    """Waits for sockets for QUIET_S of real time only; then the loop's clock moves by what was asked for."""
+
+    def __init__(self, loop: "JumpingLoop") -> None:
+        self.loop = loop
+        self.inner = selectors.DefaultSelector()
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self.inner, name)
+
+    def select(self, timeout: float | None = None) -> list[typing.Any]:
+        if timeout is not None and timeout <= 0:
+            return self.inner.select(0)
+        ready = self.inner.select(QUIET_S if timeout is not None else 1.0)
+        if not ready and timeout is not None:
+            self.loop.virtual_s += timeout
+        return ready
+
+
+class JumpingLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.virtual_s = START_S
+        super().__init__(typing.cast(selectors.BaseSelector, JumpingSelector(self)))
+
+    def time(self) -> float:
+        return self.virtual_s
+
+
+T = typing.TypeVar("T")
+
+
+def run(job: collections.abc.Callable[[], collections.abc.Coroutine[typing.Any, typing.Any, T]]) -> T:
+    """The result of a coroutine on a fresh loop; the product's own clock is the loop's for as long."""
+    loop = JumpingLoop()
+    real = kinds.steady
+    kinds.steady = lambda: kinds.Millis(int(loop.time() * 1000))
+    try:
+        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+            return runner.run(asyncio.wait_for(job(), BOUND_S))
+    finally:
+        kinds.steady = real
--- /dev/null
+++ b/tests/request_cases.py
@@ -0,0 +1,211 @@
+"""Many small cases at once: each a route, a service of two replicas and a client of its own, one relay."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import enum
+import socket
+
+import tests.jumping_loop as jumping_loop
+import tests.relay_stand as stand
+import tests.request_stand as request_stand
+
+W = stand.W
+DEADLINE_MS = 1000
+AFTER_MS = 600
+TRIES = 2
+RETRY_RATIO = 0.2
+RETRY_SLACK = 4
+BODY = b"hello"
+ROUTES = {
+    "safe": {"kind": "safe"},
+    "once": {"kind": "unsafe"},
+    "stream": {"kind": "stream", "resumable": True},
+    "single": {"kind": "stream"},
+}
+REPEATABLE = ("safe", "stream")
+
+
+class Leave(enum.Enum):
+    """How a client ends before it has its answer."""
+
+    CLOSE = "closes"
+    RESET = "resets"
+    HALF_CLOSE = "sends no more"
+    SILENT = "stays and sends no more"
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """`sent`: bytes of the requests that the client sends (None: all); `read`: bytes of answers it takes;
+    `pause_ms`: sends each further request only that long after the answer before it (None: all at once)."""
+
+    name: str
+    route: str
+    near: tuple[request_stand.Behaviour, ...] = (request_stand.GOOD,)
+    far: tuple[request_stand.Behaviour, ...] = (request_stand.GOOD,)
+    requests: int = 1
+    sent: int | None = None
+    read: int | None = None
+    leave: Leave = Leave.CLOSE
+    body: bytes = BODY
+    pause_ms: int | None = None
+
+
+@dataclasses.dataclass
+class Played:
+    case: Case
+    ids: list[str]
+    log: list[request_stand.Arrival]
+    sent_ms: float = 0.0
+    pieces: list[tuple[float, bytes]] = dataclasses.field(default_factory=list)
+    ended_ms: float | None = None
+
+    def raw(self) -> bytes:
+        return b"".join(p for _, p in self.pieces)
+
+    def came_ms(self, size: int) -> float:
+        """When the first `size` bytes were there."""
+        total = 0
+        for at, piece in self.pieces:
+            total += len(piece)
+            if total >= size:
+                return at
+        raise ValueError("so much never came")
+
+
+def document(cases: collections.abc.Sequence[Case], shared: bool) -> dict[str, object]:
+    routes = [
+        {
+            "name": f"r{n}",
+            "host": f"c{n:04}.example",
+            "prefix": "/",
+            "deadline_ms": DEADLINE_MS,
+            "target_ms": 500,
+            "urgency": 0,
+            "service": service_of(n, shared),
+            "attempts": TRIES,
+            "pinned": False,
+            "gap_target_ms": 200,
+            **ROUTES[c.route],
+        }
+        for n, c in enumerate(cases)
+    ]
+    services = sorted({service_of(n, shared) for n in range(len(cases))})
+    return {
+        "edition": 1,
+        "routes": routes,
+        "services": [{"name": s, "connections": 50} for s in services],
+        "limits": {"body_bytes": 1 << 20},
+    }
+
+
+def service_of(n: int, shared: bool) -> str:
+    return "s" if shared else f"s{n}"
+
+
+def request_bytes(n: int, request_id: str, body: bytes) -> bytes:
+    heads = {
+        "Host": f"c{n:04}.example",
+        W.request_id: request_id,
+        W.deadline: str(DEADLINE_MS + 500),
+        "Content-Length": str(len(body)),
+    }
+    lines = [f"POST /{request_id} HTTP/1.1", *(f"{k}: {v}" for k, v in heads.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def replicas_of(n: int, case: Case, played: Played, shared: bool) -> list[request_stand.Replica]:
+    service = service_of(n, shared)
+    near = request_stand.Replica(f"n{n:04}", service, list(case.near), played.log)
+    far = request_stand.Replica(f"f{n:04}", service, list(case.far), played.log)
+    far.zone = "z2"
+    near.events = far.events = ROUTES[case.route]["kind"] == "stream"
+    return [near, far]
+
+
+async def client(port: int, n: int, played: Played) -> None:
+    case = played.case
+    loop = asyncio.get_running_loop()
+    raw = b"".join(request_bytes(n, i, case.body) for i in played.ids)
+    if case.pause_ms is not None:
+        raw = request_bytes(n, played.ids[0], case.body)
+    sock = socket.socket()
+    sock.setblocking(False)
+    try:
+        await loop.sock_connect(sock, ("127.0.0.1", port))
+        played.sent_ms = loop.time() * 1000
+        await loop.sock_sendall(sock, raw[: case.sent])
+        if case.sent is not None and leave(sock, case.leave):
+            return
+        if case.pause_ms is not None:
+            await one_by_one(sock, n, played)
+        await receive(sock, played)
+        if case.read is not None:
+            leave(sock, case.leave)
+    finally:
+        sock.close()
+
+
+async def one_by_one(sock: socket.socket, n: int, played: Played) -> None:
+    """Sends each further request a while after the first bytes of the answer before it."""
+    loop = asyncio.get_running_loop()
+    for request_id in played.ids[1:]:
+        try:
+            async with asyncio.timeout((DEADLINE_MS + AFTER_MS) / 1000):
+                piece = await loop.sock_recv(sock, 65536)
+        except (OSError, TimeoutError):
+            return
+        played.pieces.append((loop.time() * 1000, piece))
+        await asyncio.sleep((played.case.pause_ms or 0) / 1000)
+        await loop.sock_sendall(sock, request_bytes(n, request_id, played.case.body))
+
+
+def leave(sock: socket.socket, how: Leave) -> bool:
+    """Whether the client is gone."""
+    if how is Leave.RESET:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, request_stand.LINGER_RESET)
+    if how is Leave.HALF_CLOSE:
+        sock.shutdown(socket.SHUT_WR)
+    return how in (Leave.RESET, Leave.CLOSE)
+
+
+async def receive(sock: socket.socket, played: Played) -> None:
+    """Everything that comes until the end, or until far later than the last deadline."""
+    loop = asyncio.get_running_loop()
+    case = played.case
+    until = loop.time() + (DEADLINE_MS * case.requests + AFTER_MS) / 1000
+    left = 1 << 30 if case.read is None else case.read
+    try:
+        async with asyncio.timeout_at(until):
+            while left > 0:
+                piece = await loop.sock_recv(sock, min(left, 65536))
+                if not piece:
+                    break
+                played.pieces.append((loop.time() * 1000, piece))
+                left -= len(piece)
+    except TimeoutError:
+        return
+    except OSError:
+        pass
+    played.ended_ms = loop.time() * 1000
+
+
+async def play_all(cases: collections.abc.Sequence[Case], shared: bool) -> list[Played]:
+    out = [Played(c, [f"q{n:04}x{k}" for k in range(c.requests)], []) for n, c in enumerate(cases)]
+    replicas = [r for n, p in enumerate(out) for r in replicas_of(n, p.case, p, shared)]
+    timings = {
+        "retry_ratio": RETRY_RATIO,
+        "retry_slack": RETRY_SLACK,
+        "retry_window_s": 10,
+        "grace_s": 0.2,
+    }
+    async with stand.Front(replicas, document(cases, shared), timings) as front:
+        await asyncio.gather(*(client(front.port, n, p) for n, p in enumerate(out)))
+        await asyncio.sleep(AFTER_MS / 1000)
+    return out
+
+
+def play(cases: collections.abc.Sequence[Case], shared: bool = False) -> list[Played]:
+    """What became of each case; `shared`: all replicas are of one service."""
+    return jumping_loop.run(lambda: play_all(cases, shared))
--- /dev/null
+++ b/tests/request_stand.py
@@ -0,0 +1,365 @@
+"""Replicas on 127.0.0.1 that do one thing at one byte of a request or answer, and clients that note all."""
+
+import asyncio
+import dataclasses
+import enum
+import os
+import socket
+import struct
+
+import tests.relay_stand as stand
+
+W = stand.W
+LATE_MS = 60
+HOST = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 250}.1"
+"""An address of this process alone: what others send to ports that were theirs is no part of a case."""
+LINGER_RESET = struct.pack("ii", 1, 0)
+EVENTS = 4
+
+
+class Kind(enum.Enum):
+    """What a replica answers."""
+
+    OK = "ok"
+    CHUNKED = "chunked, with extensions and a trailer"
+    ERROR = "500"
+    REFUSED = "503 that proves that nothing ran"
+    BARE_503 = "503 without that proof"
+    REFUSED_429 = "429 with proof"
+    BARE_429 = "429 without"
+    BARE_408 = "408 without"
+    MISDIRECTED = "421 of this replica"
+    MOVED = "421 of another replica"
+    NO_ID = "200 without an id"
+    FOREIGN_ID = "200 with the id of another request"
+    NO_STAMP = "200 without a stamp"
+    ENCODED = "200 with a content encoding"
+    EXTRA = "200, and at once one more answer"
+    LATE_EXTRA = "200, and one more answer a while later"
+    EXTRA_FIRST = "one more answer to the request before, then the answer"
+    TOO_LONG = "200, with bytes beyond its length"
+    GARBAGE = "bytes that are no HTTP"
+    CONTINUE = "100, then 200"
+    UPGRADE = "101"
+    BOTH_LENGTHS = "a length and chunks"
+    TWO_LENGTHS = "two lengths that differ"
+    NO_LENGTH = "200 that ends with the connection"
+    CLOSING = "200 with Connection: close"
+    STREAM = "a stream of events"
+
+
+PROOFS = {Kind.REFUSED, Kind.REFUSED_429, Kind.MISDIRECTED, Kind.MOVED}
+STATUS = {
+    Kind.ERROR: "500 Sick",
+    Kind.REFUSED: "503 Full",
+    Kind.BARE_503: "503 Full",
+    Kind.REFUSED_429: "429 Slower",
+    Kind.BARE_429: "429 Slower",
+    Kind.BARE_408: "408 Late",
+    Kind.MISDIRECTED: "421 Elsewhere",
+    Kind.MOVED: "421 Elsewhere",
+    Kind.UPGRADE: "101 Switching Protocols",
+}
+
+
+class End(enum.Enum):
+    """What a replica does with the connection once the bytes of a behaviour are out."""
+
+    KEEP = "serves on"
+    SILENT = "keeps it and says nothing more"
+    CLOSE = "closes it"
+    RESET = "resets it"
+    HALF_CLOSE = "sends no more, and keeps reading"
+    GARBAGE = "sends bytes that are no HTTP and closes"
+    STRAY = "sends a whole answer that nobody asked for, and serves on"
+    REST_CLOSE = "closes it a while later"
+    REST_RESET = "resets it a while later"
+    REST_STRAY = "sends a while later an answer that nobody asked for, and serves on"
+
+
+AT_REST = {End.REST_CLOSE: End.CLOSE, End.REST_RESET: End.RESET, End.REST_STRAY: End.STRAY}
+
+
+@dataclasses.dataclass(frozen=True)
+class Behaviour:
+    """`read`: bytes of the request taken before anything is done; `upto`: of the answer sent; None: all."""
+
+    kind: Kind = Kind.OK
+    read: int | None = None
+    upto: int | None = None
+    end: End = End.KEEP
+
+
+GOOD = Behaviour()
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request of which at least a byte came to a replica. `proven`: a whole head said that it never ran."""
+
+    replica: str
+    number: int
+    at_ms: float
+    request_id: str = ""
+    line: str = ""
+    body: bytes | None = None
+    status: int = 0
+    stamp: str = ""
+    answer_body: bytes = b""
+    proven: bool = False
+
+
+class Replica:
+    """Takes a behaviour for each request, the last one for all further ones. `log` is shared by a case."""
+
+    def __init__(self, name: str, service: str, behaviours: list[Behaviour], log: list[Arrival]) -> None:
+        self.id = name
+        self.service = service
+        self.behaviours = behaviours
+        self.log = log
+        self.zone = "z1"
+        self.events = False
+        self.taken = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> "Replica":
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind((HOST, 0))
+        self.listener.listen(64)
+        self.port = self.listener.getsockname()[1]
+        self.loop = asyncio.get_running_loop()
+        self.server = self
+        self.accepting = self.loop.create_task(self.accept())
+        return self
+
+    def close(self) -> None:
+        self.accepting.cancel()
+        for t in self.tasks:
+            t.cancel()
+        self.listener.close()
+
+    def row(self) -> dict[str, object]:
+        return {
+            "id": self.id,
+            "service": self.service,
+            "address": f"{HOST}:{self.port}",
+            "zone": self.zone,
+            "slots": 8,
+            "state": "ready",
+            "leaves_in_ms": None,
+            "cold_ms": 0,
+            "models": {},
+            "loading": [],
+        }
+
+    async def accept(self) -> None:
+        while True:
+            sock, _ = await self.loop.sock_accept(self.listener)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = self.loop.create_task(self.serve(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, sock: socket.socket) -> None:
+        try:
+            while await self.one(sock):
+                pass
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def behaviour(self) -> Behaviour:
+        self.taken += 1
+        return self.behaviours[min(self.taken, len(self.behaviours)) - 1]
+
+    async def one(self, sock: socket.socket) -> bool:
+        """Serves one request; whether the connection goes on."""
+        seen = await self.peek(sock)
+        if not seen:
+            return False
+        act = self.behaviour()
+        arrival = Arrival(self.id, self.taken, self.loop.time() * 1000)
+        self.log.append(arrival)
+        heads = head_of(seen)
+        arrival.request_id = heads.get(W.request_id.lower(), "")
+        arrival.line = seen.partition(b"\r\n")[0].decode("latin-1")
+        size = size_of(seen)
+        left = size if act.read is None else min(act.read, size)
+        raw = await self.exactly(sock, left)
+        if left == size:
+            arrival.body = raw.partition(b"\r\n\r\n")[2]
+        await self.answer(sock, act, arrival, heads)
+        if act.end is not End.KEEP:
+            return await self.finish(sock, act.end)
+        await self.exactly(sock, size - left)
+        return True
+
+    async def peek(self, sock: socket.socket) -> bytes:
+        """What has come, left where it is; waits for a whole head, which the relay sends at once."""
+        seen = b""
+        while True:
+            await readable(sock)
+            now = sock.recv(65536, socket.MSG_PEEK)
+            if b"\r\n\r\n" in now or now == seen:
+                return now
+            seen = now
+
+    async def exactly(self, sock: socket.socket, size: int) -> bytes:
+        raw = b""
+        while len(raw) < size:
+            part = await self.loop.sock_recv(sock, size - len(raw))
+            if not part:
+                raise ConnectionResetError("the relay sent no more")
+            raw += part
+        return raw
+
+    async def answer(
+        self, sock: socket.socket, act: Behaviour, arrival: Arrival, heads: dict[str, str]
+    ) -> None:
+        raw = answer_bytes(act.kind, arrival, heads, self.events)
+        out = raw if act.upto is None else raw[: act.upto]
+        top = raw.find(b"\r\n\r\n") + 4
+        arrival.proven = act.kind in PROOFS and len(out) >= top
+        if out:
+            await self.loop.sock_sendall(sock, out)
+        if act.kind is Kind.LATE_EXTRA and act.upto is None:
+            await asyncio.sleep(LATE_MS / 1000)
+            await self.loop.sock_sendall(sock, plain(arrival, b"late"))
+
+    async def finish(self, sock: socket.socket, end: End) -> bool:
+        if end in AT_REST:
+            await asyncio.sleep(LATE_MS / 1000)
+            end = AT_REST[end]
+        if end is End.RESET:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            return False
+        if end is End.GARBAGE:
+            await self.loop.sock_sendall(sock, b"\x00\x01\r\n\xff: what\r\n\r\n")
+            return False
+        if end is End.STRAY:
+            await self.loop.sock_sendall(sock, b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+            return True
+        if end is End.HALF_CLOSE:
+            sock.shutdown(socket.SHUT_WR)
+        if end in (End.SILENT, End.HALF_CLOSE):
+            while await self.loop.sock_recv(sock, 65536):
+                pass
+        return False
+
+
+async def readable(sock: socket.socket) -> None:
+    loop = asyncio.get_running_loop()
+    ready = loop.create_future()
+    loop.add_reader(sock, lambda: ready.done() or ready.set_result(None))
+    try:
+        await ready
+    finally:
+        loop.remove_reader(sock)
+
+
+def head_of(raw: bytes) -> dict[str, str]:
+    lines = raw.partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")
+    return {k.lower(): v for k, _, v in (line.partition(": ") for line in lines[1:])}
+
+
+def size_of(raw: bytes) -> int:
+    """Bytes of a whole request, by its head."""
+    top = raw.partition(b"\r\n\r\n")[0]
+    return len(top) + 4 + int(head_of(raw).get("content-length", 0))
+
+
+def plain(arrival: Arrival, body: bytes, status: str = "200 OK", **more: str) -> bytes:
+    """An answer with a length, an id and a stamp."""
+    heads = {
+        "Content-Length": str(len(body)),
+        W.request_id: arrival.request_id,
+        W.stamp: f"{arrival.replica}.{arrival.number}",
+        **more,
+    }
+    lines = [f"HTTP/1.1 {status}", *(f"{k}: {v}" for k, v in heads.items() if v)]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def answer_bytes(kind: Kind, arrival: Arrival, heads: dict[str, str], events: bool) -> bytes:
+    """The bytes of an answer; notes in `arrival` what an honest proxy may make of them. `events`: a success
+    has a stream's body, also where it is of another kind."""
+    stamp = f"{arrival.replica}.{arrival.number}"
+    body = f"{arrival.request_id}@{stamp}".encode()
+    if events and kind not in STATUS:
+        body = b"".join(events_of(arrival, heads))
+    arrival.stamp, arrival.answer_body = stamp, body
+    arrival.status = int(STATUS.get(kind, "200 OK").split()[0])
+    if kind is Kind.STREAM:
+        return stream_bytes(arrival, heads)
+    if kind in STATUS:
+        return refusal_bytes(kind, arrival, body)
+    return success_bytes(kind, arrival, body)
+
+
+def refusal_bytes(kind: Kind, arrival: Arrival, body: bytes) -> bytes:
+    more: dict[str, str] = {}
+    if kind in (Kind.REFUSED, Kind.REFUSED_429):
+        more[W.not_run] = "1"
+    if kind in (Kind.MISDIRECTED, Kind.MOVED):
+        more[W.replica] = arrival.replica if kind is Kind.MISDIRECTED else "another"
+    if kind is Kind.UPGRADE:
+        more |= {"Connection": "upgrade", "Upgrade": "chat", "Content-Length": ""}
+        arrival.status, body = 0, b""
+    return plain(arrival, body, STATUS[kind], **more)
+
+
+def success_bytes(kind: Kind, arrival: Arrival, body: bytes) -> bytes:
+    chunks = b"4;why=x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (body[:4], len(body) - 4, body[4:])
+    chunked = {"Content-Length": "", "Transfer-Encoding": "chunked"}
+    other = dataclasses.replace(arrival, request_id="another")
+    if kind is Kind.CHUNKED:
+        return plain(arrival, b"", **chunked) + chunks
+    if kind is Kind.BOTH_LENGTHS:
+        return plain(arrival, body, **{"Transfer-Encoding": "chunked"}).removesuffix(body) + chunks
+    if kind is Kind.TWO_LENGTHS:
+        return plain(arrival, body, **{"content-length": str(len(body) - 2)})
+    if kind is Kind.NO_LENGTH:
+        return plain(arrival, body, **{"Content-Length": "", "Connection": "close"})
+    if kind is Kind.CLOSING:
+        return plain(arrival, body, Connection="close")
+    if kind is Kind.CONTINUE:
+        return b"HTTP/1.1 100 Continue\r\n\r\n" + plain(arrival, body)
+    if kind is Kind.EXTRA:
+        return plain(arrival, body) + plain(arrival, b"extra")
+    if kind is Kind.EXTRA_FIRST:
+        return plain(other, b"of another") + plain(arrival, body)
+    if kind is Kind.TOO_LONG:
+        return plain(arrival, body) + b"and more"
+    if kind is Kind.GARBAGE:
+        return b"\x16\x03\x01 nothing of the kind\r\n\r\n"
+    return odd_bytes(kind, arrival, other, body)
+
+
+def odd_bytes(kind: Kind, arrival: Arrival, other: Arrival, body: bytes) -> bytes:
+    if kind is Kind.FOREIGN_ID:
+        return plain(other, body)
+    if kind is Kind.NO_ID:
+        return plain(arrival, body, **{W.request_id: ""})
+    if kind is Kind.NO_STAMP:
+        return plain(arrival, body, **{W.stamp: ""})
+    if kind is Kind.ENCODED:
+        return plain(arrival, body, **{"Content-Encoding": "gzip"})
+    return plain(arrival, body)
+
+
+def event(arrival: Arrival, i: int) -> bytes:
+    return f"id: {i}\ndata: {arrival.request_id} {arrival.replica}.{arrival.number}\n\n".encode()
+
+
+def events_of(arrival: Arrival, heads: dict[str, str]) -> list[bytes]:
+    first = int(heads.get(W.resume.lower(), 0)) + 1
+    return [event(arrival, i) for i in range(first, EVENTS + 1)]
+
+
+def stream_bytes(arrival: Arrival, heads: dict[str, str]) -> bytes:
+    more = {"Content-Length": "", "Transfer-Encoding": "chunked", "Content-Type": "text/event-stream"}
+    parts = [stand.chunk(e) for e in events_of(arrival, heads)]
+    return plain(arrival, b"", **more) + b"".join(parts) + b"0\r\n\r\n"
--- /dev/null
+++ b/tests/request_sweeps.py
@@ -0,0 +1,146 @@
+"""The sweeps: every event at every byte boundary, as lists of cases."""
+
+import collections.abc
+import dataclasses
+
+import tests.request_cases as request_cases
+import tests.request_stand as request_stand
+
+Behaviour = request_stand.Behaviour
+Case = request_cases.Case
+End = request_stand.End
+Kind = request_stand.Kind
+Leave = request_cases.Leave
+
+ANY_ID = "q0000x0"
+ANY_NAME = "n0000"
+BREAKS = (End.CLOSE, End.RESET, End.SILENT, End.HALF_CLOSE)
+STREAMS = ("stream", "single")
+EARLY_ENDS = (End.KEEP, End.CLOSE, End.RESET)
+
+
+def proper(route: str) -> Kind:
+    """What a replica in good health answers on a route."""
+    return Kind.STREAM if route in STREAMS else Kind.OK
+
+
+def good(route: str) -> tuple[Behaviour, ...]:
+    return (Behaviour(proper(route)),)
+
+
+def answer_sizes(kind: Kind) -> tuple[int, int]:
+    """Bytes of the head and of all of an answer of a kind; all names and ids are of one length."""
+    arrival = request_stand.Arrival(ANY_NAME, 1, 0.0, ANY_ID)
+    raw = request_stand.answer_bytes(kind, arrival, {}, False)
+    return raw.find(b"\r\n\r\n") + 4, len(raw)
+
+
+def request_size(requests: int = 1) -> int:
+    """Bytes of so many requests as a client sends them."""
+    return requests * len(request_cases.request_bytes(0, ANY_ID, request_cases.BODY))
+
+
+def relayed_size() -> int:
+    """No fewer bytes than a request has as the relay sends it on."""
+    return request_size() + 100
+
+
+def kinds(route: str) -> list[Case]:
+    """Each kind of answer, first and second on its connection, to one request and to two."""
+    out = []
+    for kind in Kind:
+        if kind is Kind.STREAM and route not in STREAMS:
+            continue
+        bad = Behaviour(kind)
+        for name, near in (("first", (bad, *good(route))), ("second", (*good(route), bad, *good(route)))):
+            for requests in (1, 2, 3):
+                out.append(
+                    Case(f"{route} {kind.name} {name} x{requests}", route, near, good(route), requests)
+                )
+        out.append(Case(f"{route} {kind.name} always", route, (bad,), (bad,), 2))
+    return out
+
+
+def answers(route: str, kind: Kind, end: End) -> list[Case]:
+    """An answer that ends at each byte."""
+    head, size = answer_sizes(kind)
+    if end is End.GARBAGE:
+        size = head - 1
+    return [
+        Case(f"{route} {kind.name} {end.name} at {k}", route, (Behaviour(kind, None, k, end),), good(route))
+        for k in range(size + 1)
+    ]
+
+
+def requests(route: str, kind: Kind, end: End, sent: int | None) -> list[Case]:
+    """A replica that reads a request up to each byte and then answers, or not (`sent` 0), and ends."""
+    return [
+        Case(
+            f"{route} {kind.name} {end.name} after reading {k}",
+            route,
+            (Behaviour(kind, k, sent, end), *good(route)),
+            good(route),
+        )
+        for k in range(relayed_size())
+    ]
+
+
+def pipelined(route: str, kind: Kind, end: End, second: bool) -> list[Case]:
+    """Two requests after one another, an event at each byte of the first answer or of the second."""
+    _, size = answer_sizes(kind)
+    out = []
+    for k in range(size + 1):
+        bad = Behaviour(kind, None, k, end)
+        near = (*good(route), bad, *good(route)) if second else (bad, *good(route))
+        name = f"{route} {kind.name} {end.name} at {k} of the {'second' if second else 'first'}"
+        out.append(Case(name, route, near, good(route), 2))
+    return out
+
+
+def early_pipelined(route: str, kind: Kind, end: End) -> list[Case]:
+    """As `requests`, with a second request behind it."""
+    return [
+        dataclasses.replace(c, requests=2, name=f"{c.name} of two") for c in requests(route, kind, end, None)
+    ]
+
+
+def at_rest(route: str) -> list[Case]:
+    """A connection that ends, or bears strange bytes, before, just when and after the next request comes."""
+    out = []
+    for end in (End.REST_CLOSE, End.REST_RESET, End.REST_STRAY):
+        for pause in range(request_stand.LATE_MS - 5, request_stand.LATE_MS + 6):
+            near = (dataclasses.replace(good(route)[0], end=end), *good(route))
+            name = f"{route} {end.name} and the next after {pause}"
+            out.append(Case(name, route, near, good(route), 2, pause_ms=pause))
+    return out
+
+
+def resumed(end: End, other: collections.abc.Callable[[int], Behaviour]) -> list[Case]:
+    """A stream cut at each byte, and what the next replica does then."""
+    _, size = answer_sizes(Kind.STREAM)
+    return [
+        Case(
+            f"stream {end.name} at {k}, then {other(k)}",
+            "stream",
+            (Behaviour(Kind.STREAM, None, k, end), *good("stream")),
+            (other(k),),
+        )
+        for k in range(size + 1)
+    ]
+
+
+def clients_sending(route: str, how: Leave) -> list[Case]:
+    """A client that ends at each byte of two requests."""
+    return [
+        Case(f"{route} client {how.name} at {k}", route, good(route), good(route), 2, sent=k, leave=how)
+        for k in range(request_size(2))
+    ]
+
+
+def clients_reading(route: str, how: Leave) -> list[Case]:
+    """A client that ends after each byte of two answers."""
+    _, size = answer_sizes(proper(route))
+    return [
+        Case(f"{route} client {how.name} after {k}", route, good(route), good(route), 2, read=k, leave=how)
+        for k in range(2 * size + 200)
+    ]
--- /dev/null
+++ b/tests/test_request_bytes.py
@@ -0,0 +1,113 @@
+"""Every event at every byte boundary of a request and its answer: see docs/request-sweep.md."""
+
+import pytest
+
+import tests.request_cases as request_cases
+import tests.request_checks as request_checks
+import tests.request_stand as request_stand
+import tests.request_sweeps as request_sweeps
+
+End = request_stand.End
+Kind = request_stand.Kind
+Leave = request_cases.Leave
+ROUTES = list(request_cases.ROUTES)
+PLAIN = ("safe", "once")
+BROKEN_KINDS = (Kind.OK, Kind.CHUNKED, Kind.ERROR, Kind.REFUSED, Kind.NO_LENGTH)
+EARLY_KINDS = (Kind.OK, Kind.ERROR, Kind.REFUSED, Kind.BARE_503, Kind.MISDIRECTED)
+
+
+def hold(cases, *statuses):
+    """Nothing is found in the cases, and each of these outcomes was seen among them."""
+    played = request_cases.play(cases)
+    findings = request_checks.judge(played)
+    assert findings == []
+    seen = request_checks.outcomes(played)
+    assert all(seen[s] for s in statuses), seen
+    print(f"{len(cases)} cases: {dict(seen)}")
+
+
+@pytest.mark.parametrize("route", ROUTES)
+def test_each_kind_of_answer_first_second_and_always_on_a_connection(route):
+    hold(request_sweeps.kinds(route), "200", "500", "502")
+
+
+@pytest.mark.parametrize("end", [*request_sweeps.BREAKS, End.GARBAGE])
+@pytest.mark.parametrize("route", PLAIN)
+def test_an_answer_that_ends_at_each_byte(route, end):
+    for kind in BROKEN_KINDS:
+        hold(request_sweeps.answers(route, kind, end))
+
+
+@pytest.mark.parametrize("end", [*request_sweeps.BREAKS, End.GARBAGE])
+@pytest.mark.parametrize("route", request_sweeps.STREAMS)
+def test_a_stream_that_ends_at_each_byte(route, end):
+    hold(request_sweeps.answers(route, Kind.STREAM, end))
+
+
+@pytest.mark.parametrize("end", request_sweeps.BREAKS)
+@pytest.mark.parametrize("route", ROUTES)
+def test_a_replica_that_reads_up_to_each_byte_and_says_nothing(route, end):
+    hold(request_sweeps.requests(route, Kind.OK, end, 0))
+
+
+@pytest.mark.parametrize("end", request_sweeps.EARLY_ENDS)
+@pytest.mark.parametrize("route", ROUTES)
+def test_a_replica_that_answers_before_it_has_read_all(route, end):
+    for kind in EARLY_KINDS:
+        hold(request_sweeps.requests(route, kind, end, None))
+
+
+@pytest.mark.parametrize("end", request_sweeps.BREAKS)
+@pytest.mark.parametrize("route", ROUTES)
+def test_two_requests_and_an_event_at_each_byte_of_an_answer(route, end):
+    for second in (False, True):
+        hold(request_sweeps.pipelined(route, request_sweeps.proper(route), end, second), "200")
+
+
+@pytest.mark.parametrize("end", request_sweeps.EARLY_ENDS)
+@pytest.mark.parametrize("route", ROUTES)
+def test_two_requests_and_an_answer_to_the_first_at_each_byte_of_it(route, end):
+    hold(request_sweeps.early_pipelined(route, request_sweeps.proper(route), end), "200")
+
+
+@pytest.mark.parametrize("route", ROUTES)
+def test_a_connection_that_ends_at_rest_just_as_the_next_request_comes(route):
+    hold(request_sweeps.at_rest(route), "200")
+
+
+@pytest.mark.parametrize("end", request_sweeps.BREAKS)
+def test_a_stream_cut_at_each_byte_that_another_replica_takes_up(end):
+    hold(request_sweeps.resumed(end, lambda k: request_stand.Behaviour(Kind.STREAM)), "200")
+    for kind in (Kind.REFUSED, Kind.ERROR, Kind.BARE_503, Kind.EXTRA_FIRST):
+        hold(request_sweeps.resumed(end, lambda k, kind=kind: request_stand.Behaviour(kind)), "cut")
+
+
+@pytest.mark.parametrize("other", request_sweeps.BREAKS)
+@pytest.mark.parametrize("end", request_sweeps.BREAKS)
+def test_a_stream_cut_at_each_byte_and_cut_again_by_the_next(end, other):
+    _, size = request_sweeps.answer_sizes(Kind.STREAM)
+    hold(
+        request_sweeps.resumed(end, lambda k: request_stand.Behaviour(Kind.STREAM, None, k * 7 % size, other))
+    )
+
+
+@pytest.mark.parametrize("how", Leave)
+@pytest.mark.parametrize("route", ROUTES)
+def test_a_client_that_ends_at_each_byte_of_two_requests(route, how):
+    hold(request_sweeps.clients_sending(route, how))
+
+
+@pytest.mark.parametrize("how", [Leave.CLOSE, Leave.RESET])
+@pytest.mark.parametrize("route", ROUTES)
+def test_a_client_that_ends_at_each_byte_of_two_answers(route, how):
+    hold(request_sweeps.clients_reading(route, how))
+
+
+def test_further_arrivals_of_many_requests_stay_within_the_budget_of_their_service():
+    for kind in (Kind.ERROR, Kind.REFUSED, Kind.NO_ID, Kind.MISDIRECTED):
+        bad = (request_stand.Behaviour(kind),)
+        cases = [request_cases.Case(f"{kind.name} {n}", "safe", bad, bad) for n in range(120)]
+        played = request_cases.play(cases, shared=True)
+        further = sum(max(0, len(p.log) - 1) for p in played)
+        most = request_cases.RETRY_RATIO * len(cases) + request_cases.RETRY_SLACK
+        assert 0 < further <= most, kind
