--- a/tests/request_cases.py
+++ b/tests/request_cases.py
@@ -37,13 +37,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Case:
-    """`sent`: bytes of the requests that the client sends (None: all); `read`: bytes of answers it takes;
+    """`third`: a replica beyond those that the route's tries let it go to, if any;
+    `sent`: bytes of the requests that the client sends (None: all); `read`: bytes of answers it takes;
     `pause_ms`: sends each further request only that long after the answer before it (None: all at once)."""
 
     name: str
     route: str
     near: tuple[request_stand.Behaviour, ...] = (request_stand.GOOD,)
     far: tuple[request_stand.Behaviour, ...] = (request_stand.GOOD,)
+    third: tuple[request_stand.Behaviour, ...] = ()
     requests: int = 1
     sent: int | None = None
     read: int | None = None
@@ -116,12 +118,16 @@
 
 
 def replicas_of(n: int, case: Case, played: Played, shared: bool) -> list[request_stand.Replica]:
-    service = service_of(n, shared)
-    near = request_stand.Replica(f"n{n:04}", service, list(case.near), played.log)
-    far = request_stand.Replica(f"f{n:04}", service, list(case.far), played.log)
-    far.zone = "z2"
-    near.events = far.events = ROUTES[case.route]["kind"] == "stream"
-    return [near, far]
+    out = []
+    for letter, zone, behaviours in (("n", "z1", case.near), ("f", "z2", case.far), ("t", "z3", case.third)):
+        if not behaviours:
+            continue
+        name = f"{letter}{n:04}"
+        replica = request_stand.Replica(name, service_of(n, shared), list(behaviours), played.log)
+        replica.zone = zone
+        replica.events = ROUTES[case.route]["kind"] == "stream"
+        out.append(replica)
+    return out
 
 
 async def client(port: int, n: int, played: Played) -> None:
@@ -203,9 +209,21 @@
     async with stand.Front(replicas, document(cases, shared), timings) as front:
         await asyncio.gather(*(client(front.port, n, p) for n, p in enumerate(out)))
         await asyncio.sleep(AFTER_MS / 1000)
+    if shared:
+        sort_arrivals(out)
     return out
 
 
+def sort_arrivals(played: list[Played]) -> None:
+    """Gives each case the arrivals of its own requests; those of no request go to the first one."""
+    arrivals = [a for p in played for a in p.log]
+    of = {i: p for p in played for i in p.ids}
+    for p in played:
+        p.log = []
+    for a in arrivals:
+        of.get(a.request_id, played[0]).log.append(a)
+
+
 def play(cases: collections.abc.Sequence[Case], shared: bool = False) -> list[Played]:
     """What became of each case; `shared`: all replicas are of one service."""
     return jumping_loop.run(lambda: play_all(cases, shared))
--- a/tests/request_checks.py
+++ b/tests/request_checks.py
@@ -107,7 +107,6 @@
             self.own(request_id, answer)
         for request_id in self.played.ids:
             self.runs(request_id)
-        self.budget()
         self.asked()
         self.held()
         return self.findings
@@ -163,12 +162,6 @@
         if len({a.replica for a in arrivals}) > request_cases.TRIES:
             self.found(Check.TRIES, f"{request_id} went to {[a.replica for a in arrivals]}")
 
-    def budget(self) -> None:
-        further = sum(max(0, len(a) - 1) for a in self.arrivals.values())
-        most = request_cases.RETRY_RATIO * len(self.arrivals) + request_cases.RETRY_SLACK
-        if further > most:
-            self.found(Check.BUDGET, f"{further} further arrivals, {most} may be")
-
     def asked(self) -> None:
         for a in self.played.log:
             if a.request_id not in self.played.ids:
@@ -196,8 +189,23 @@
             start = end
 
 
-def judge(played: collections.abc.Iterable[request_cases.Played]) -> list[Finding]:
-    return [f for p in played for f in Judge(p).judge()]
+def judge(played: collections.abc.Sequence[request_cases.Played], shared: bool = False) -> list[Finding]:
+    """What is wrong with the cases; `shared`: all of one service."""
+    out = [f for p in played for f in Judge(p).judge()]
+    for group in [played] if shared else [[p] for p in played]:
+        out += budget(group)
+    return out
+
+
+def budget(played: collections.abc.Sequence[request_cases.Played]) -> list[Finding]:
+    """Of all requests to a service."""
+    judges = [Judge(p) for p in played]
+    arrivals = [a for j in judges for a in j.arrivals.values()]
+    further = sum(max(0, len(a) - 1) for a in arrivals)
+    most = request_cases.RETRY_RATIO * len(arrivals) + request_cases.RETRY_SLACK
+    if further <= most:
+        return []
+    return [Finding(Check.BUDGET, played[0].case.name, f"{further} further arrivals, {most} may be")]
 
 
 def outcomes(played: collections.abc.Iterable[request_cases.Played]) -> collections.Counter[str]:
--- a/tests/request_sweeps.py
+++ b/tests/request_sweeps.py
@@ -54,10 +54,9 @@
         bad = Behaviour(kind)
         for name, near in (("first", (bad, *good(route))), ("second", (*good(route), bad, *good(route)))):
             for requests in (1, 2, 3):
-                out.append(
-                    Case(f"{route} {kind.name} {name} x{requests}", route, near, good(route), requests)
-                )
-        out.append(Case(f"{route} {kind.name} always", route, (bad,), (bad,), 2))
+                title = f"{route} {kind.name} {name} x{requests}"
+                out.append(Case(title, route, near, good(route), requests=requests))
+        out.append(Case(f"{route} {kind.name} always", route, (bad,), (bad,), (bad,), requests=2))
     return out
 
 
@@ -93,7 +92,7 @@
         bad = Behaviour(kind, None, k, end)
         near = (*good(route), bad, *good(route)) if second else (bad, *good(route))
         name = f"{route} {kind.name} {end.name} at {k} of the {'second' if second else 'first'}"
-        out.append(Case(name, route, near, good(route), 2))
+        out.append(Case(name, route, near, good(route), requests=2))
     return out
 
 
@@ -111,10 +110,21 @@
         for pause in range(request_stand.LATE_MS - 5, request_stand.LATE_MS + 6):
             near = (dataclasses.replace(good(route)[0], end=end), *good(route))
             name = f"{route} {end.name} and the next after {pause}"
-            out.append(Case(name, route, near, good(route), 2, pause_ms=pause))
+            out.append(Case(name, route, near, good(route), requests=2, pause_ms=pause))
     return out
 
 
+def late_extras() -> list[Case]:
+    """One more answer to the first request comes at rest, well before the second request."""
+    pause = 2 * request_stand.LATE_MS
+    return [
+        Case(
+            f"{r} late extra", r, (Behaviour(Kind.LATE_EXTRA), *good(r)), good(r), requests=2, pause_ms=pause
+        )
+        for r in ("safe", "once")
+    ]
+
+
 def resumed(end: End, other: collections.abc.Callable[[int], Behaviour]) -> list[Case]:
     """A stream cut at each byte, and what the next replica does then."""
     _, size = answer_sizes(Kind.STREAM)
@@ -132,7 +142,15 @@
 def clients_sending(route: str, how: Leave) -> list[Case]:
     """A client that ends at each byte of two requests."""
     return [
-        Case(f"{route} client {how.name} at {k}", route, good(route), good(route), 2, sent=k, leave=how)
+        Case(
+            f"{route} client {how.name} at {k}",
+            route,
+            good(route),
+            good(route),
+            requests=2,
+            sent=k,
+            leave=how,
+        )
         for k in range(request_size(2))
     ]
 
@@ -141,6 +159,20 @@
     """A client that ends after each byte of two answers."""
     _, size = answer_sizes(proper(route))
     return [
-        Case(f"{route} client {how.name} after {k}", route, good(route), good(route), 2, read=k, leave=how)
+        Case(
+            f"{route} client {how.name} after {k}",
+            route,
+            good(route),
+            good(route),
+            requests=2,
+            read=k,
+            leave=how,
+        )
         for k in range(2 * size + 200)
     ]
+
+
+def one_service(kind: Kind) -> list[Case]:
+    """Many requests of one service that fail wherever they go."""
+    bad = (Behaviour(kind),)
+    return [Case(f"{kind.name} {n}", "safe", bad, bad) for n in range(120)]
--- a/tests/test_request_bytes.py
+++ b/tests/test_request_bytes.py
@@ -103,11 +103,8 @@
     hold(request_sweeps.clients_reading(route, how))
 
 
-def test_further_arrivals_of_many_requests_stay_within_the_budget_of_their_service():
-    for kind in (Kind.ERROR, Kind.REFUSED, Kind.NO_ID, Kind.MISDIRECTED):
-        bad = (request_stand.Behaviour(kind),)
-        cases = [request_cases.Case(f"{kind.name} {n}", "safe", bad, bad) for n in range(120)]
-        played = request_cases.play(cases, shared=True)
-        further = sum(max(0, len(p.log) - 1) for p in played)
-        most = request_cases.RETRY_RATIO * len(cases) + request_cases.RETRY_SLACK
-        assert 0 < further <= most, kind
+@pytest.mark.parametrize("kind", [Kind.ERROR, Kind.REFUSED, Kind.NO_ID, Kind.MISDIRECTED])
+def test_further_arrivals_of_many_requests_stay_within_the_budget_of_their_service(kind):
+    played = request_cases.play(request_sweeps.one_service(kind), shared=True)
+    assert request_checks.judge(played, shared=True) == []
+    assert sum(len(p.log) for p in played) > len(played), "some went again"
--- /dev/null
+++ b/tests/test_request_bytes_mutations.py
@@ -0,0 +1,145 @@
+"""Each check of the byte sweep is seen to fail: a rule of the relay is broken, and its check must say so."""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+import pytest
+
+import basaltport.relay.answer as answer
+import basaltport.relay.budget as budget
+import basaltport.relay.connections as connections
+import basaltport.relay.decision as decision
+import basaltport.relay.outcomes as outcomes
+import basaltport.relay.request as request
+import basaltport.relay.upstream as upstream
+import tests.request_cases as request_cases
+import tests.request_checks as request_checks
+import tests.request_stand as request_stand
+import tests.request_sweeps as request_sweeps
+
+Check = request_checks.Check
+End = request_stand.End
+Kind = request_stand.Kind
+
+_answer = upstream.Upstream.answer
+_run = upstream.Upstream.run
+_stream = upstream.Upstream.stream
+_init = answer.Sink.__init__
+_whole = answer.Sink.whole
+
+
+async def _trust_any_id(self, e, sink, r, progress):
+    sink.request_id = r.headers.get(self.words.request_id)
+    return await _answer(self, e, sink, r, progress)
+
+
+async def _complete_what_was_cut(self, r):
+    raw = bytearray()
+    try:
+        async for c in r.content.iter_any():
+            raw += c
+    except aiohttp.ClientError:
+        pass
+    return bytes(raw)
+
+
+async def _end_what_was_cut(self, e, sink, r, progress):
+    try:
+        return await _stream(self, e, sink, r, progress)
+    except aiohttp.ClientError:
+        await sink.end(r.status, r.headers)
+        return outcomes.Result(outcomes.Outcome.DONE, r.status)
+
+
+def _always_refuse(begun, ran):
+    return decision.Move.CUT if begun else decision.Move.REFUSE
+
+
+async def _ten_times_the_time(self, e, sink, progress):
+    return await _run(self, dataclasses.replace(e, left=10 * e.left), sink, progress)
+
+
+def _give_as_our_own(self, attempt):
+    _, heads, raw = self.kept[attempt]
+    self.set(self.made(502, heads, raw))
+
+
+def _shorten_bodies(self, request, body, *rest):
+    _init(self, request, body[:-1], *rest)
+
+
+async def _late_bytes(self, status, heads, raw):
+    await _whole(self, status, heads, raw)
+    asyncio.get_running_loop().call_later(0.1, self.request.transport.write, b"HTTP/1.1 200 OK\r\n")
+
+
+def _keep_the_rest(self):
+    return self.pieces.resume() if self.begun else ""
+
+
+def _resume_one_too_late(self):
+    self.pieces.resume()
+    self.pieces.expect = None
+    return str(int(self.pieces.last) + 1) if self.pieces.last else ""
+
+
+UPSTREAM = upstream.Upstream
+SINK = answer.Sink
+SWEEPS = {
+    "kinds of answers": lambda: request_sweeps.kinds("safe"),
+    "kinds of answers, once": lambda: request_sweeps.kinds("once"),
+    "answers cut": lambda: request_sweeps.answers("once", Kind.OK, End.CLOSE),
+    "answers reset": lambda: request_sweeps.answers("once", Kind.OK, End.RESET),
+    "silence": lambda: request_sweeps.answers("once", Kind.OK, End.SILENT),
+    "streams cut": lambda: request_sweeps.answers("single", Kind.STREAM, End.CLOSE),
+    "streams resumed": lambda: request_sweeps.resumed(
+        End.CLOSE, lambda k: request_stand.Behaviour(Kind.STREAM)
+    ),
+    "at rest": lambda: request_sweeps.at_rest("safe"),
+}
+CASES = [
+    (Check.OWN, "kinds of answers", [(UPSTREAM, "answer", _trust_any_id)]),
+    (Check.OWN, "answers cut", [(UPSTREAM, "whole", _complete_what_was_cut)]),
+    (Check.ORDER, "streams cut", [(UPSTREAM, "stream", _end_what_was_cut)]),
+    (Check.ORDER, "streams resumed", [(SINK, "resume", _keep_the_rest)]),
+    (Check.ORDER, "streams resumed", [(SINK, "resume", _resume_one_too_late)]),
+    (Check.ONCE, "answers reset", [(UPSTREAM, "sent", lambda self, attempt: False)]),
+    (Check.ONCE, "kinds of answers, once", [(decision, "proven_safe", lambda known: True)]),
+    (Check.PROMISE, "answers cut", [(decision, "give_up", _always_refuse)]),
+    (Check.PROMISE, "kinds of answers, once", [(decision, "passable", lambda known: True)]),
+    (Check.STAMP, "kinds of answers, once", [(SINK, "give", _give_as_our_own)]),
+    (Check.TRIES, "kinds of answers", [(request.Request, "spare", lambda self: True)]),
+    (Check.HELD, "silence", [(UPSTREAM, "run", _ten_times_the_time)]),
+    (Check.UNASKED, "kinds of answers", [(SINK, "__init__", _shorten_bodies)]),
+    (Check.STRAY, "kinds of answers", [(SINK, "whole", _late_bytes)]),
+]
+
+
+@pytest.mark.parametrize(
+    "check, sweep, breaks", CASES, ids=lambda x: x.name if isinstance(x, Check) else None
+)
+def test_a_broken_rule_is_found(monkeypatch, check, sweep, breaks):
+    for owner, name, broken in breaks:
+        monkeypatch.setattr(owner, name, broken)
+    played = request_cases.play(SWEEPS[sweep]())
+    assert check in {f.check for f in request_checks.judge(played)}
+
+
+def test_a_budget_that_is_not_kept_is_found(monkeypatch):
+    monkeypatch.setattr(budget.Retries, "room", lambda self, now, nodes: True)
+    played = request_cases.play(request_sweeps.one_service(Kind.ERROR), shared=True)
+    assert Check.BUDGET in {f.check for f in request_checks.judge(played, shared=True)}
+
+
+def test_reuse_without_a_look_at_what_came_at_rest_is_found(monkeypatch):
+    """The ids would hide it, so they are trusted here; alone that does no harm."""
+    cases = request_sweeps.late_extras()
+    monkeypatch.setattr(UPSTREAM, "answer", _trust_any_id)
+    assert request_checks.judge(request_cases.play(cases)) == []
+    monkeypatch.setattr(connections.Connector, "_get", aiohttp.TCPConnector._get)
+    assert Check.OWN in {f.check for f in request_checks.judge(request_cases.play(cases))}
+
+
+def test_every_check_has_its_mutation():
+    assert {c for c, _, _ in CASES} | {Check.BUDGET} == set(Check)
