Joint consensus for replacements, a lease shorter than vote refusal, leavers vote on

A member under the name of a living one took its place in one entry (out and in), on its name alone: {leader, former} and {other, new} don't meet. Now a replacement is a joint change: until it is final, a majority of the former and one of the next roster decide. A campaign counts a disk as lost only for a new seat at the very address of the former one. 2. Now whoever will be removed goes on voting until it is (4 s at most), says again that it leaves, and lost seats are dropped whenever more losses are borne after that. 3. All constants stand in consensus/timing.py, a test holds their order. 4. `install` of a copy with an older book set back what was in force; now it keeps it by construction. 5. A read counted as confirmed by a heartbeat of the same millisecond, sent before it; now by number.

--- a/basaltport/admin/desk.py
+++ b/basaltport/admin/desk.py
@@ -139,7 +139,7 @@
             super().serve(src, call, verb, body)
             return
         if verb in READS:
-            self.reads.append({"at": self.now, "src": src, "call": call, "verb": verb, "body": body})
+            self.reads.append({"n": self.n, "src": src, "call": call, "verb": verb, "body": body})
             self.beat_at = -(10**9)
             return
         self.change(src, call, verb, body)
--- a/basaltport/consensus/book.py
+++ b/basaltport/consensus/book.py
@@ -138,6 +138,20 @@
     b["keepers"] = out
 
 
+def _joint(b, op, s):
+    """A member takes another's place: until `final`, a majority of the former roster and one of the next
+    are needed for whatever is decided."""
+    b["former"] = dict(b["roster"])
+    r = {k: v for k, v in b["roster"].items() if k not in op["drops"]}
+    r.update({row["seat"]: row for row in op["adds"]})
+    b["roster"], b["ledgers"] = r, sorted(r)
+
+
+def _final(b, op, s):
+    """The former roster counts no more."""
+    b.pop("former", None)
+
+
 def _ledgers(b, op, s):
     b["ledgers"] = list(op["ledgers"])
 
@@ -205,6 +219,8 @@
     "lead": _lead,
     "found": _found,
     "roster": _roster,
+    "joint": _joint,
+    "final": _final,
     "ledgers": _ledgers,
     "manifest": _manifest,
     "patch": _patch,
--- a/basaltport/consensus/campaign.py
+++ b/basaltport/consensus/campaign.py
@@ -1,18 +1,12 @@
 """The way to lead where those with disks alone vote: promises are asked for only once most hear no leader."""
 
 import basaltport.consensus.elect as elect
+import basaltport.consensus.quorum as quorum
+import basaltport.consensus.timing as timing
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.messages as messages
 
-PATIENCE = 600
-RANK = 100
-FOUNDER_RANK = 350
-ROUND = 600
-AGAIN = 150
-FETCH = 500
-ALL_FOUNDERS = 400
-ATTESTED = 1000
 CHANGES = 2000
 
 
@@ -34,11 +28,11 @@
         if self.head()[1] == 0:
             a = self.me.addr
             rank = self.me.founders.index(a) if a in self.me.founders else 0
-            return rank * FOUNDER_RANK + self.rng.randrange(0, 40)
+            return rank * timing.FOUNDER_STEP + self.rng.randrange(0, 40)
         last = self.leader.seat if self.leader else None
         seats = sorted(s for s in self.tip()["roster"] if s != last)
         rank = seats.index(self.me.seat) if self.me.seat in seats else len(seats)
-        return rank * RANK + self.rng.randrange(0, 40)
+        return rank * timing.RANK_STEP + self.rng.randrange(0, 40)
 
     def may_stand(self):
         if self.head()[1] == 0:
@@ -46,37 +40,37 @@
         return self.me.seat in self.tip()["roster"]
 
     def tick_elect(self):
-        slept = self.now - self.elect_at > PATIENCE - RANK
+        slept = self.now - self.elect_at > timing.VOTE_REFUSAL
         self.elect_at = self.now
         if self.leading or self.stopped:
             return
-        if self.now - self.heard_at < PATIENCE:
+        if self.now - self.heard_at < timing.ELECTION_TIMEOUT:
             self.camp = self.camp_since = None
-            self.camp_at = self.heard_at + PATIENCE + self.jitter()
+            self.camp_at = self.heard_at + timing.ELECTION_TIMEOUT + self.jitter()
             return
         if slept:
-            self.camp_at = max(self.camp_at, self.now + RANK)
+            self.camp_at = max(self.camp_at, self.now + timing.RANK_STEP)
         if self.camp:
             self.go_on()
             return
-        if self.now < self.camp_at or self.now - self.promised_at < ROUND:
+        if self.now < self.camp_at or self.now - self.promised_at < timing.CAMPAIGN:
             return
-        if self.stalled or self.bad or not self.may_stand():
+        if self.stalled or self.bad or not self.may_stand() or not self.may_vote():
             return
-        if self.now - self.canvass_at >= AGAIN:
+        if self.now - self.canvass_at >= timing.ASK_AGAIN:
             self.canvass()
 
     def go_on(self):
         """A campaign under way: those that have not answered are asked again, until its time is over."""
         c = self.camp
-        if self.promised != c["gen"] or self.now - c["at"] >= ROUND:
+        if self.promised != c["gen"] or self.now - c["at"] >= timing.CAMPAIGN:
             self.camp = None
             self.camp_at = self.now + self.jitter()
             return
         if self.dur_promised != c["gen"]:
             return
         self.weigh()
-        if self.camp is c and self.now - c["asked"] >= AGAIN:
+        if self.camp is c and self.now - c["asked"] >= timing.ASK_AGAIN:
             c["asked"] = self.now
             self.out.extend(self.asks())
 
@@ -84,14 +78,14 @@
 
     def hears_leader(self):
         if self.leading:
-            return self.now - self.vouched < elect.PATIENCE
-        return self.leader is not None and self.now - self.heard_at < PATIENCE - RANK
+            return self.now - self.vouched < timing.RESPONSIVE
+        return self.leader is not None and self.now - self.heard_at < timing.VOTE_REFUSAL
 
     def voices(self):
         addrs = {x["addr"] for x in self.members.values()} | set(self.me.seeds)
         if self.head()[1] == 0:
             addrs |= set(self.me.founders)
-        addrs |= {r["addr"] for r in self.tip()["roster"].values()}
+        addrs |= {r["addr"] for r in quorum.voters(self.tip()).values()}
         return sorted(addrs - {self.me.addr})
 
     def canvass(self):
@@ -107,7 +101,7 @@
 
     def hear_canvassed(self, src, m):
         self.free[m.name] = (self.now if m.ok else -(10**9), m.addr)
-        if m.ok and self.now - self.canvass_at < ROUND:
+        if m.ok and self.now - self.canvass_at < timing.CAMPAIGN:
             self.count_free()
 
     def count_free(self):
@@ -116,7 +110,7 @@
             return
         if not self.may_stand():
             return
-        fresh = {n: a for n, (at, a) in self.free.items() if self.now - at < ROUND}
+        fresh = {n: a for n, (at, a) in self.free.items() if self.now - at < timing.CAMPAIGN}
         fresh[self.me.name] = self.me.addr
         if self.head()[1] == 0:
             said, of = set(fresh.values()), set(self.me.founders)
@@ -141,7 +135,7 @@
         return [events.Send(a, m) for a in self.voices() if a not in heard]
 
     def campaign(self):
-        if not self.may_stand():
+        if self.stopped or not self.may_stand() or not self.may_vote():
             return
         self.free = {}
         if self.camp_since is None:
@@ -165,7 +159,7 @@
             self.weigh_founding()
             return
         if (best.hgen, best.serial) > self.head():
-            if self.now - c["fetched"] >= FETCH:
+            if self.now - c["fetched"] >= timing.FETCH_AGAIN:
                 c["fetched"] = self.now
                 self.send(best.me["addr"], messages.Fetch(c["gen"], self.me.seat))
             return
@@ -187,15 +181,20 @@
             super().hear_copy(src, m)
 
     def attested(self, got):
-        """A name that is there with another seat lost its disk: the seat before it is no more. With half of
-        the seats here and such word of others, nothing was agreed and nobody chosen without one of these."""
-        roster = self.tip()["roster"]
+        """Seats whose disks are proven lost, with the rows that take their places. Proof is a new seat at the
+        very address of the former one: no two processes hold one address, and a seat is kept on its disk. A
+        name alone proves nothing, since the former member may live. With half of the seats here and such
+        proof of others, nothing was agreed and nobody elected without one of these."""
+        t = self.tip()
+        if "former" in t:
+            return None
+        roster = t["roster"]
         kept = roster.keys() & got.keys()
-        fresh = {p.name: plain(p.me) for s, p in got.items() if s not in roster}
-        swap = [[s, fresh[r["name"]]] for s, r in roster.items() if s not in kept and r["name"] in fresh]
+        fresh = {p.me["addr"]: plain(p.me) for s, p in got.items() if s not in roster}
+        swap = [[s, fresh[r["addr"]]] for s, r in roster.items() if s not in kept and r["addr"] in fresh]
         if 2 * len(kept) < len(roster) or 2 * (len(kept) + len(swap)) <= len(roster):
             return None
-        return swap if self.now - self.camp_since >= ATTESTED else None
+        return swap if self.now - self.camp_since >= timing.ATTESTED else None
 
     def weigh_founding(self):
         c = self.camp
@@ -203,7 +202,7 @@
         ps = {p.me["addr"]: p for p in c["got"].values() if p.me.get("first") and p.me["addr"] in of}
         if not self.may_stand() or 2 * len(ps) <= len(of):
             return
-        if len(ps) < len(of) and self.now - c["at"] < ALL_FOUNDERS:
+        if len(ps) < len(of) and self.now - c["at"] < timing.ALL_FOUNDERS:
             return
         self.note(12, seats=len(ps), expected=len(of))
         roster = {p.seat: plain(p.me) for p in ps.values()}
--- a/basaltport/consensus/elect.py
+++ b/basaltport/consensus/elect.py
@@ -1,5 +1,6 @@
 """A ledger's way to lead: a new generation promised by seats, recovered from the highest serial held."""
 
+import basaltport.consensus.quorum as quorum
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.messages as messages
@@ -114,8 +115,8 @@
         self.weigh()
 
     def quorum(self, got):
-        roster = self.tip()["roster"]
-        return 2 * len(roster.keys() & got.keys()) > len(roster)
+        """Whether the votes of these seats elect."""
+        return quorum.has_majority(self.tip(), got.keys())
 
     def attested(self, got):
         """After a power cut: most ledger disks, and successors attesting the loss of seats they replace."""
--- a/basaltport/consensus/lead.py
+++ b/basaltport/consensus/lead.py
@@ -3,6 +3,7 @@
 import basaltport.kinds as kinds
 import basaltport.consensus.book as book
 import basaltport.consensus.feed as feed
+import basaltport.consensus.quorum as quorum
 import basaltport.consensus.seat as seat
 import basaltport.messages as messages
 
@@ -40,6 +41,7 @@
         self.patient = self.now
         self.beat_at = -(10**9)
         self.n = 0
+        self.vouched_n = 0
         self.vouched = self.now
         self.ledgers_at = self.now
         self.acked = self.head()[1]
@@ -187,11 +189,15 @@
         self.settle()
 
     def vouch(self):
-        roster = self.tip_book["roster"]
-        ns = sorted((self.n if s == self.me.seat else self.seen_n.get(s, 0) for s in roster), reverse=True)
-        n = ns[len(roster) // 2] if ns else 0
+        """Notes the newest heartbeat that a majority answered, and when it was sent."""
+        n = quorum.majority_value(self.tip_book, self.beat_seen)
+        self.vouched_n = max(self.vouched_n, n)
         self.vouched = max(self.vouched, self.beats.get(n, -1))
 
+    def beat_seen(self, s):
+        """The number of the newest heartbeat that a seat answered."""
+        return self.n if s == self.me.seat else self.seen_n.get(s, 0)
+
     # agreement
 
     def durable_head(self, head, promise):
@@ -209,9 +215,7 @@
             if book.gen_of(e) != self.promised:
                 break
             have = {s for s, m in self.match.items() if m >= e["s"]}
-            if 2 * len(have & set(t["roster"])) <= len(t["roster"]):
-                continue
-            if 2 * len(have & set(t["ledgers"])) <= len(t["ledgers"]):
+            if not quorum.has_majority(t, have) or not quorum.is_majority(have, set(t["ledgers"])):
                 continue
             for x in self.tail:
                 if x["s"] <= e["s"]:
@@ -244,7 +248,7 @@
             return
         rs, self.reads = self.reads, []
         for r in rs:
-            if r["at"] <= self.vouched:
+            if r["n"] < self.vouched_n:
                 self.serve_read(r)
                 continue
             self.reads.append(r)
--- a/basaltport/consensus/seat.py
+++ b/basaltport/consensus/seat.py
@@ -3,6 +3,7 @@
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.consensus.book as book
+import basaltport.consensus.quorum as quorum
 import basaltport.messages as messages
 
 LEASE = 1500
@@ -105,7 +106,7 @@
 
     def addr_of(self, seat):
         """Where a seat was last heard of, else where the roster has it."""
-        row = self.book["roster"].get(seat)
+        row = quorum.voters(self.book).get(seat)
         if row:
             m = self.members.get(row["name"])
             return m["addr"] if m and m["seat"] == seat else row["addr"]
@@ -197,15 +198,18 @@
         )
 
     def install(self, copy):
-        was = book.serial(self.book)
-        self.book = copy["book"]
-        self.tail = list(copy["tail"])
-        self.write([], whole=self.copy())
-        gens = {e["s"]: book.gen_of(e) for e in self.tail}
-        if was > book.serial(self.book) and was in gens:
-            self.advance(was, gens[was])
-        else:
+        """Takes a copy over; what is in force here stays so: of a copy whose book is older only the entries
+        behind what is in force are taken, and of one that does not reach it nothing."""
+        if copy["book"]["serial"] >= self.book["serial"]:
+            self.book, self.tail = copy["book"], list(copy["tail"])
+            self.write([], whole=self.copy())
             self.in_force()
+            return
+        at = book.serial(self.book)
+        if not any(e["s"] == at and book.gen_of(e) == book.gen(self.book) for e in copy["tail"]):
+            return
+        self.tail = [e for e in copy["tail"] if e["s"] > at]
+        self.write([], whole=self.copy())
 
     def extend(self, m):
         have = {book.serial(self.book): book.gen(self.book)}
--- a/basaltport/consensus/voters.py
+++ b/basaltport/consensus/voters.py
@@ -2,13 +2,12 @@
 takes no beat out of its order."""
 
 import basaltport.consensus.book as book
+import basaltport.consensus.quorum as quorum
 import basaltport.consensus.seat as seat
+import basaltport.consensus.timing as timing
 import basaltport.text as text
 
-HELLO = 300
-LED = 5000
-LEASE = 1000
-HEARD = 250
+LEASE = timing.EXECUTOR_LEASE
 PAST = 200
 PAST_BYTES = 4 << 20
 
@@ -19,24 +18,27 @@
     LEASE = LEASE
 
     def seat_start(self, held=None, promised=seat.NONE):
-        """Acks are numbered apart from those of an earlier life of the same seat."""
+        """Acks are numbered apart from those of an earlier life of the same seat. `vote_from`: when the lease
+        of a leader that was acknowledged in an earlier life is over."""
         super().seat_start(held, promised)
         self.ack_k = self.rng.getrandbits(30) << seat.LIFE
         self.past = {}
         self.past_size = 0
         self.gone = {}
+        self.leave_at = None
+        self.vote_from = -(10**9) if promised == seat.NONE else self.now + timing.VOTE_REFUSAL
 
     # discovery
 
     def led(self):
         """In the roster, and leading or led."""
-        if self.me.seat not in self.book["roster"]:
+        if self.me.seat not in quorum.voters(self.book):
             return False
         return self.leading or self.leader is not None and self.now - self.heard_at < seat.LEASE
 
     def tick_hello(self):
         """Seats that are led say it seldom, so that wires between them are open when they are needed."""
-        if self.stopped or self.now < self.hello_at + (LED if self.led() else HELLO):
+        if self.stopped or self.now < self.hello_at + (timing.HELLO_LED if self.led() else timing.HELLO):
             return
         self.hello_at = self.now
         known = [m for m in self.heard_within(10_000) if m["role"] == "ledger"][:20]
@@ -48,7 +50,7 @@
         if m.role != "ledger":
             return
         old = self.members.get(m.name)
-        new = old is None or old["seat"] != m.seat or self.now - old["at"] >= HEARD
+        new = old is None or old["seat"] != m.seat or self.now - old["at"] >= timing.HELLO_PASS_ON
         super().hear_hello(src, m)
         if m.house != self.me.house or m.name == self.me.name:
             return
@@ -57,7 +59,11 @@
         if new and not known and not self.leading and self.hears_leader():
             self.send(self.leader.addr, m)
 
-    # promises
+    # votes
+
+    def may_vote(self):
+        """A heartbeat acknowledged before a restart is forgotten: its leader's lease is waited out."""
+        return self.now >= self.vote_from
 
     def promise(self, gen, ok):
         p = super().promise(gen, ok)
@@ -69,7 +75,7 @@
             if not self.durable or self.dur_promised == self.promised:
                 self.send(m.addr, self.promise(m.gen, True))
             return
-        if m.gen > self.promised and self.hears_leader():
+        if m.gen > self.promised and (self.hears_leader() or not self.may_vote()):
             self.send(m.addr, self.promise(m.gen, False))
             return
         super().hear_campaign(src, m)
--- a/basaltport/keeper/desk.py
+++ b/basaltport/keeper/desk.py
@@ -125,8 +125,8 @@
         self.settle()
 
     def confirm(self, src, call, verb, body, at, got=None):
-        """Answered once most seats answer a beat sent from now on, and what the answer rests on is agreed."""
-        r = {"at": self.now, "src": src, "call": call, "verb": verb, "body": body, "asked": at}
+        """Answered once a majority answers a heartbeat sent after this, and what it rests on is agreed."""
+        r = {"n": self.n, "src": src, "call": call, "verb": verb, "body": body, "asked": at}
         self.reads.append({**r, "got": got, "serial": self.tip_book["serial"] if got else 0})
         self.beat_at = -(10**9)
 
--- a/basaltport/keeper/shell.py
+++ b/basaltport/keeper/shell.py
@@ -137,6 +137,7 @@
         await self.decided(DRAIN)
         self.step(base.Stop(kinds.steady()))
         await asyncio.sleep(LAST)
+        await self.released()
         await self.decided(DRAIN)
         self.ticker.cancel()
         for t in list(self.tasks):
@@ -151,6 +152,11 @@
         await self.wires.stop()
         self.writer.shutdown()
 
+    async def released(self):
+        """Waits until the others need this member's vote no more; the member bounds it."""
+        while not self.member.released():
+            await asyncio.sleep(TICK)
+
     async def decided(self, seconds):
         until = kinds.steady() + 1000 * seconds
         while self.calls and kinds.steady() < until:
--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 
+import basaltport.consensus.quorum as quorum
 import basaltport.events as events
 import basaltport.frames as frames
 import basaltport.keeper.role as role
@@ -12,6 +13,8 @@
 
 TICK = 50
 HELD = 1500
+LAST = 100
+STOPPED = 5000
 
 
 class Node:
@@ -124,9 +127,11 @@
             n.disk.done()
 
     def stop(self, name):
+        """The end that SIGTERM brings: the process goes once its member is released."""
         n = self.nodes[name]
         self.step(n, events.Stop(self.now))
-        self.run(100)
+        self.run(LAST)
+        self.until(lambda: n.member is None or n.member.released(), STOPPED)
         self.kill(name)
 
     def freeze(self, name, on=True):
@@ -189,7 +194,8 @@
         return max(ns)[1] if ns else None
 
     def roster(self):
-        return sorted(r["name"] for r in self.nodes[self.leader()].member.book["roster"].values())
+        """Names of all that vote, while a member takes another's place both."""
+        return sorted(r["name"] for r in quorum.voters(self.nodes[self.leader()].member.book).values())
 
     def settled(self, *names):
         """Whether there is a leader whose agreed roster is of these names, all of whose seats answer."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,189 @@
+"""Changes of the roster: members replaced while they live, losses beside a change, leases across restarts."""
+
+import pytest
+
+import basaltport.consensus.book as book
+import basaltport.consensus.quorum as quorum
+import basaltport.consensus.roster as roster
+import basaltport.events as events
+import basaltport.keeper.role as role
+import basaltport.kinds as kinds
+import basaltport.member as member
+import basaltport.messages as messages
+import tests.keepers as keepers
+
+others = keepers.others
+
+
+def world(seed, members):
+    """Founded, with one edition; orders to replicas are not looked at."""
+    w = keepers.founded(seed, members, editions=1)
+    w.do_order = lambda n, e: None
+    return w
+
+
+def boot_under_name(w, key, name):
+    """Starts the empty member `key` under the name of another one, at its own address."""
+    n = w.nodes[key]
+    n.seat = f"{name}-new"
+    me = member.Me(
+        "house", name, n.seat, "ledger", "z", n.addr, "", w.seeds, 0, voters="ledgers", founders=[]
+    )
+    n.member = role.Keeper(me, 7, w.now, None, kinds.Generation(), w.placement())
+    n.life += 1
+    w.tick(n, n.life)
+
+
+def different(edition):
+    return {**keepers.document(edition), "limits": {**keepers.LIMITS, "body_bytes": 1_000_000}}
+
+
+@pytest.mark.parametrize("cut_after", [0, 100, 200, 300, 400, 500, 700, 1000, 1500, 2500])
+@pytest.mark.parametrize("seed", range(3))
+def test_no_number_is_confirmed_twice_where_a_member_is_replaced_under_the_name_of_a_living_one(
+    seed, cut_after
+):
+    w = world(seed, 3)
+    leader = w.leader()
+    near, far = others(w)
+    w.add("x")
+    w.cut("x", near)
+    w.cut("x", far)
+    boot_under_name(w, "x", far)
+    w.run(cut_after)
+    w.cut(leader, near)
+    w.cut(leader, far)
+    w.run(4000)
+    calls = [w.ask(leader, "configure", change="left", base=1, document=keepers.document(2))]
+    for k in (near, far):
+        calls.append(w.ask(k, "configure", change="right", base=1, document=different(2)))
+    w.run(4500)
+    left, *right = [w.answers[c][0] == 200 for c in calls]
+    assert not (left and any(right))
+
+
+@pytest.mark.parametrize("after", range(0, 800, 80))
+@pytest.mark.parametrize("lost", ["leader", "other", "new"])
+@pytest.mark.parametrize("leaver", ["leader", "other"])
+@pytest.mark.parametrize("members", [3, 5])
+def test_a_loss_beside_a_planned_replacement_leaves_a_majority(members, leaver, lost, after):
+    w = world(after, members)
+    w.add("new")
+    w.boot("new")
+    w.run(6000)
+    old = w.leader() if leaver == "leader" else [k for k in others(w) if k != "new"][0]
+    stay = [k for k in w.nodes if k not in (old, "new")]
+    victim = "new" if lost == "new" else stay[0]
+    if lost == "leader" and leaver != "leader":
+        victim = w.leader()
+    w.later(after, w.kill, victim, True)
+    w.stop(old)
+    del w.nodes[old]
+    w.run(max(0, after - 100) + 50)
+    assert w.must(2, 1, 6000) is not None
+
+
+@pytest.mark.parametrize("members", [3, 5])
+@pytest.mark.parametrize("after", range(4000, 5000, 100))
+def test_an_unplanned_replacement_bears_one_more_loss_once_it_has_caught_up(members, after):
+    """The former member dies, another comes a second later; `after` its start one more is lost."""
+    w = world(after, members)
+    dead = w.leader() if after % 200 else others(w)[0]
+    w.kill(dead, power=True)
+    del w.nodes[dead]
+    w.run(1000)
+    w.add("new")
+    w.boot("new")
+    w.run(after)
+    w.kill(w.leader() or "new", power=True)
+    assert w.must(2, 1, 4000) is not None
+
+
+@pytest.mark.parametrize("members", [3, 5])
+@pytest.mark.parametrize("how", ["both", "in", "out", "late"])
+def test_no_two_members_hold_at_once_when_a_leader_is_cut_off(members, how):
+    for seed in range(4):
+        w = world(seed, members)
+        leader = w.leader()
+        w.run(w.rng.randrange(400))
+        for k in others(w):
+            if how == "both":
+                w.cut(leader, k)
+            elif how == "in":
+                w.cut(k, leader, False)
+            elif how == "out":
+                w.cut(leader, k, False)
+            else:
+                w.later(w.rng.randrange(200), w.cut, leader, k)
+        for _ in range(400):
+            w.run(5)
+            assert sum(n.member.holds_at(w.now) for n in w.up()) <= 1
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_member_that_starts_again_waits_out_the_lease_it_had_acknowledged(seed):
+    """The leader is heard by one follower alone, which restarts at once and is asked for its vote."""
+    w = world(seed, 3)
+    leader = w.leader()
+    follower, third = others(w)
+    w.cut(leader, third)
+    w.run(700)
+    w.cut(leader, follower)
+    w.kill(follower)
+    w.boot(follower)
+    for _ in range(300):
+        w.run(5)
+        assert sum(n.member.holds_at(w.now) for n in w.up()) <= 1
+    assert w.until(lambda: w.leader() not in (None, leader), 3000) is not None
+
+
+def test_a_copy_whose_book_is_older_takes_nothing_back_whatever_its_tail():
+    w = world(1, 3)
+    assert w.must(2, 1) is not None
+    w.run(300)
+    follower = w.nodes[others(w)[0]].member
+    newest = follower.book["serial"]
+    older = {**follower.book, "serial": newest - 1}
+    known = book.entry(newest, follower.book["gen"] and follower.head()[0], {"op": "final"})
+    behind = book.entry(newest + 1, follower.head()[0], {"op": "final"})
+    foreign = book.entry(newest, kinds.Generation(1, "nobody"), {"op": "final"})
+    for tail in ([], [known], [foreign], [known, behind]):
+        follower.install({"book": older, "tail": tail})
+        assert follower.book["serial"] == newest
+    assert [e["s"] for e in follower.tail] == [newest + 1]
+
+
+def test_a_read_is_answered_only_by_a_heartbeat_sent_after_it():
+    w = world(2, 3)
+    n = w.nodes[w.leader()]
+    n.member.beat()
+    beat = n.member.n
+    call = w.ask(n.name, "configuration")
+    for k in others(w):
+        ack = messages.Ack(
+            n.member.promised, w.nodes[k].seat, beat, 1, True, n.member.promised, *n.member.head(), 0, False
+        )
+        w.step(n, events.Heard(w.now, "", ack))
+    assert w.answers[call] is None
+    w.run(300)
+    assert w.answers[call][0] == 200
+
+
+@pytest.mark.parametrize("size", range(1, 9))
+def test_seats_are_dropped_only_where_more_losses_are_borne_then(size):
+    for live in range(size + 1):
+        best = max(
+            (roster.spare(left, live) for left in range(max(live, roster.LEAST), size)),
+            default=-size,
+        )
+        assert roster.worth_dropping(size, live) == (best > roster.spare(size, live))
+
+
+def test_while_one_takes_the_place_of_another_both_rosters_decide():
+    b = {"roster": {"a": {}, "b": {}, "c2": {}}, "former": {"a": {}, "b": {}, "c": {}}}
+    assert quorum.has_majority(b, {"a", "b"})
+    assert not quorum.has_majority(b, {"a", "c"})
+    assert not quorum.has_majority(b, {"b", "c2"})
+    assert quorum.has_majority(b, {"a", "c", "c2"})
+    del b["former"]
+    assert quorum.has_majority(b, {"b", "c2"})
--- /dev/null
+++ b/tests/test_timing.py
@@ -0,0 +1,35 @@
+"""The order of the time constants of agreement, on which leases and elections rest."""
+
+import basaltport.consensus.feed as feed
+import basaltport.consensus.timing as timing
+
+
+def test_a_leader_trusts_its_lease_for_less_than_others_refuse_their_votes():
+    assert timing.LEADER_LEASE * (1 + timing.CLOCK_DRIFT) < timing.VOTE_REFUSAL * (1 - timing.CLOCK_DRIFT)
+
+
+def test_a_lease_outlives_a_heartbeat_that_was_lost_or_late():
+    assert feed.BEAT == timing.HEARTBEAT
+    assert 2 * timing.HEARTBEAT < timing.LEADER_LEASE
+
+
+def test_nobody_stands_while_votes_are_still_refused():
+    assert timing.VOTE_REFUSAL < timing.ELECTION_TIMEOUT
+
+
+def test_a_leader_steps_down_after_its_lease_and_before_it_judges_others():
+    assert timing.LEADER_LEASE < timing.RESPONSIVE < timing.STEP_DOWN < timing.SILENT
+
+
+def test_an_executor_is_leased_for_longer_than_an_election_lasts():
+    assert timing.ELECTION_TIMEOUT + timing.RANK_STEP < timing.EXECUTOR_LEASE
+
+
+def test_a_campaign_asks_more_than_once_and_a_leaver_says_so_more_than_once():
+    assert 2 * timing.ASK_AGAIN < timing.CAMPAIGN
+    assert 2 * timing.LEAVE_AGAIN < timing.LEFT
+    assert timing.LEFT < timing.SILENT < timing.LEAVE_WAIT
+
+
+def test_a_pause_is_told_from_late_ticks_before_votes_are_given_again():
+    assert timing.PAUSED < timing.VOTE_REFUSAL
