--- a/basaltport/simulation/drills/fleet.py
+++ b/basaltport/simulation/drills/fleet.py
@@ -7,13 +7,14 @@
 import subprocess
 import sys
 import time
+import typing
 
 import basaltport.simulation.world.presets as presets
 
 IP = "127.0.0.1"
 
 
-def ports(n):
+def ports(n: int) -> list[int]:
     """Ports picked by the kernel, all held until all are picked."""
     socks = [socket.socket() for _ in range(n)]
     for s in socks:
@@ -25,18 +26,23 @@
 
 
 class Fleet:
-    def __init__(self, preset, folder, seed=1):
+    """The processes of one preset; `start` starts them, `stop` ends them."""
+
+    def __init__(self, preset: str, folder: str, seed: int = 1) -> None:
+        """Keep everything in `folder`."""
         self.p = presets.PRESETS[preset]
         self.folder = os.path.abspath(folder)
         self.seed = seed
-        self.procs = {}
-        self.settings = {}
+        self.procs: dict[str, subprocess.Popen[bytes]] = {}
+        self.settings: dict[str, typing.Any] = {}
         os.makedirs(self.folder, exist_ok=True)
 
-    def path(self, *parts):
+    def path(self, *parts: str) -> str:
+        """A path within the folder."""
         return os.path.join(self.folder, *parts)
 
-    def plan(self):
+    def plan(self) -> None:
+        """Choose ports and write settings."""
         p = self.p
         members = [("ledger", f"ledger-{i + 1}", i) for i in range(p["ledgers"])]
         members += [("rostrum", f"rostrum-{i + 1}", i) for i in range(p["rostrums"])]
@@ -72,27 +78,31 @@
         }
         self.dump("fleet.json", about)
 
-    def dump(self, name, doc):
+    def dump(self, name: str, doc: object) -> None:
+        """Write a JSON file into the folder."""
         with open(self.path(name), "w") as f:
             json.dump(doc, f, indent=1)
 
-    def spawn(self, name, *args):
+    def spawn(self, name: str, *args: str) -> None:
+        """Start `basaltport ARGS` as a process of this name."""
         out = open(self.path(f"{name}.out"), "ab")
         cmd = [sys.executable, "-m", "basaltport", *args]
         self.procs[name] = subprocess.Popen(cmd, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
         out.close()
 
-    def start(self):
+    def start(self) -> None:
+        """Plan and start all processes."""
         self.plan()
         self.spawn("standins", "standins", f"--conf={self.path('standins.json')}")
         for name in self.settings:
             self.start_member(name)
         self.note_ids()
 
-    def start_member(self, name):
+    def start_member(self, name: str) -> None:
+        """Start the member of this name by its settings."""
         self.spawn(name, self.settings[name][0], f"--settings={self.path(name + '.json')}")
 
-    def replace_ledgers(self, old):
+    def replace_ledgers(self, old: list[str]) -> None:
         """Other ledgers, with names, ports and folders of their own; the dead ones are forgotten."""
         ps = iter(ports(2 * len(old)))
         for n, name in enumerate(old):
@@ -106,13 +116,16 @@
         self.all_nodes = [s["http"] for _, s in self.settings.values()]
         self.note_ids()
 
-    def note_ids(self):
+    def note_ids(self) -> None:
+        """Write the ids of all processes to ids.json."""
         self.dump("ids.json", {k: p.pid for k, p in self.procs.items()})
 
-    def signal(self, name, sig):
+    def signal(self, name: str, sig: int) -> None:
+        """Send a signal to one process."""
         self.procs[name].send_signal(sig)
 
-    def stop(self):
+    def stop(self) -> None:
+        """End all processes by id: asked first, killed after a while."""
         for p in self.procs.values():
             if p.poll() is None:
                 p.send_signal(signal.SIGCONT)
