basaltport local-fleet: keepers, a proxy and stand-in replicas for routes

Nothing started the routed path on a developer's machine: `fleet` runs the older one, `scale` has no replicas that answer. The new package is a small adapter in the product's own words: a keeper's port, replicas that load in a second and stream a request's words back, and the runner. Example: routes.json. Tests: tests/test_local_fleet.py, among them the whole as processes (cold model, streamed answer).

--- /dev/null
+++ b/basaltport/local_fleet/process.py
@@ -0,0 +1,69 @@
+"""One process of the local fleet: a keeper, a proxy, or all stand-in replicas."""
+
+import asyncio
+import json
+import signal
+import sys
+import typing
+
+import absl.flags as flags
+
+import basaltport.keeper.shell as keeper_shell
+import basaltport.local_fleet.messages as messages
+import basaltport.local_fleet.port as port
+import basaltport.local_fleet.stand_ins as stand_ins
+import basaltport.relay.shell as relay_shell
+import basaltport.relay.words as words
+
+BAD_INPUT = 2
+FAILED = 1
+
+
+async def run_keeper(settings: dict[str, typing.Any]) -> None:
+    """Serve as a keeper until a signal ends the process."""
+    addresses = port.PortSettings(settings["listing"]["address"], settings["operators"])
+    await keeper_shell.KeeperShell(settings, port.Port(addresses)).run()
+
+
+async def run_proxy(settings: dict[str, typing.Any]) -> None:
+    """Serve as a proxy until a signal ends the process."""
+    await relay_shell.RelayShell(settings, words.Words()).run()
+
+
+async def run_stand_ins(settings: dict[str, typing.Any]) -> None:
+    """Serve all stand-in replicas until a signal ends the process."""
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, ended.set)
+    replicas = stand_ins.StandIns(messages.stand_in_settings(settings))
+    await replicas.start()
+    await ended.wait()
+    await replicas.stop()
+
+
+ROLES = {"keeper": run_keeper, "proxy": run_proxy, "stand-ins": run_stand_ins}
+
+
+async def _run_for(process: messages.ProcessSettings) -> None:
+    async with asyncio.timeout(process.seconds):
+        await ROLES[process.role](process.settings)
+
+
+def define(values: flags.FlagValues) -> None:
+    """Flags of a single process."""
+    flags.DEFINE_string("conf", None, "The process's file, as the runner writes it.", flag_values=values)
+
+
+def run(values: flags.FlagValues, arguments: list[str]) -> int:
+    """Run one process; its exit code."""
+    try:
+        with open(values.conf or "") as file:
+            process = messages.ProcessSettings(**json.load(file))
+        asyncio.run(_run_for(process))
+    except (ValueError, KeyError, TypeError) as error:
+        print(f"--conf: {type(error).__name__}: {error}", file=sys.stderr)
+        return BAD_INPUT
+    except OSError as error:
+        print(f"{values.conf}: {error}", file=sys.stderr)
+        return FAILED
+    return 0
--- /dev/null
+++ b/basaltport/local_fleet/runner.py
@@ -0,0 +1,106 @@
+"""Starts the local fleet's processes on 127.0.0.1 and ends them by id."""
+
+import collections.abc
+import dataclasses
+import http
+import time
+import typing
+import urllib.error
+import urllib.request
+
+import basaltport.local_fleet.messages as messages
+import basaltport.simulation.drills.fleet as fleet
+
+HOUSE = "local"
+ZONES = ("z1", "z2", "z3")
+KEEPERS = 3
+REPLICAS = 3
+TIMINGS = {"lease_ms": 3000, "grace_s": 1}
+STARTUP_S = 20
+POLL_S = 0.1
+STOP_MARGIN_S = 30
+
+
+class LocalFleet(fleet.Fleet):
+    """Three keepers, one proxy and one process with three stand-in replicas."""
+
+    def __init__(self, folder: str, seconds: float) -> None:
+        """Write settings, logs and data to `folder`; every process ends by itself after `seconds`."""
+        super().__init__("thin", folder)
+        self.seconds = seconds + STOP_MARGIN_S
+        self.keepers: list[str] = []
+        self.proxy = ""
+        self.ready = ""
+        self.listing = ""
+
+    def plan(self) -> None:
+        """Choose ports and write each process's settings."""
+        free = (f"{fleet.IP}:{number}" for number in fleet.ports(2 * KEEPERS + 4 + REPLICAS))
+        self.listing = next(free)
+        self._plan_stand_ins(free)
+        seeds = [next(free) for _ in range(KEEPERS)]
+        for index, address in enumerate(seeds):
+            self._plan_keeper(index, address, next(free), seeds)
+        self._plan_proxy(free, seeds)
+        self._write_addresses()
+
+    def start(self) -> None:
+        """Start all processes and note their ids."""
+        self.plan()
+        for name in self.settings:
+            self.spawn(name, "local-fleet-process", f"--conf={self.path(name + '.json')}")
+        self.note_ids()
+
+    def wait_for_leader(self, stopped: collections.abc.Callable[[], bool]) -> bool:
+        """Whether every keeper follows a leader within `STARTUP_S` seconds."""
+        end = time.monotonic() + STARTUP_S
+        while time.monotonic() < end and not stopped():
+            if all(self._follows(address) for address in self.keepers):
+                return True
+            time.sleep(POLL_S)
+        return False
+
+    def _follows(self, operators: str) -> bool:
+        url = f"http://{operators}/basaltport/status"
+        try:
+            with urllib.request.urlopen(url, timeout=1) as response:
+                return bool(response.status == http.HTTPStatus.OK)
+        except (urllib.error.URLError, OSError):
+            return False
+
+    def _plan_stand_ins(self, free: collections.abc.Iterator[str]) -> None:
+        replicas = tuple(
+            messages.ReplicaAddress(f"replica-{index + 1}", ZONES[index % len(ZONES)], next(free))
+            for index in range(REPLICAS)
+        )
+        settings = messages.StandInSettings(self.listing, replicas)
+        self._plan_process("stand-ins", "stand-ins", dataclasses.asdict(settings))
+
+    def _plan_keeper(self, index: int, address: str, operators: str, seeds: list[str]) -> None:
+        name = f"keeper-{index + 1}"
+        self.keepers.append(operators)
+        settings = self._member(name, ZONES[index], address, seeds)
+        settings |= {"first_start": True, "data": self.path(f"{name}.data"), "operators": operators}
+        settings["listing"] = {"address": self.listing}
+        self._plan_process(name, "keeper", settings)
+
+    def _plan_proxy(self, free: collections.abc.Iterator[str], seeds: list[str]) -> None:
+        settings = self._member("proxy-1", ZONES[0], next(free), seeds)
+        self.proxy, self.ready = next(free), next(free)
+        settings |= {"listen": self.proxy, "ready": self.ready, "zones": dict.fromkeys(ZONES, "local")}
+        self._plan_process("proxy-1", "proxy", settings)
+
+    def _member(self, name: str, zone: str, address: str, seeds: list[str]) -> dict[str, typing.Any]:
+        common = {"house": HOUSE, "seeds": seeds, "timings": TIMINGS}
+        return {**common, "name": name, "zone": zone, "address": address}
+
+    def _plan_process(self, name: str, role: str, settings: dict[str, typing.Any]) -> None:
+        process = messages.ProcessSettings(role, self.seconds, settings)
+        self.settings[name] = process
+        self.dump(f"{name}.json", dataclasses.asdict(process))
+
+    def _write_addresses(self) -> None:
+        """The addresses as a shell reads them."""
+        names = {"KEEPER": self.keepers[0], "PROXY": self.proxy, "PROXY_STATUS": self.ready}
+        with open(self.path("addresses"), "w") as file:
+            file.writelines(f"{name}={address}\n" for name, address in names.items())
--- /dev/null
+++ b/basaltport/local_fleet/stand_ins.py
@@ -0,0 +1,116 @@
+"""Stand-in replicas over HTTP: they take orders, report, and stream the words of a request back as events."""
+
+import asyncio
+import http
+import time
+
+import aiohttp.web
+
+import basaltport.local_fleet.engine as engine
+import basaltport.local_fleet.messages as messages
+import basaltport.relay.words as words
+
+ORDER_PATH = "/order"
+REPORT_PATH = "/report"
+LISTING_PATH = "/replicas"
+STAMP = "stand-in"
+HEADERS = words.Words()
+
+
+class StandIn:
+    """One replica on one address."""
+
+    def __init__(self, place: messages.ReplicaAddress, load_s: float, piece_s: float) -> None:
+        """Hold nothing yet; `piece_s` seconds pass before each piece of an answer."""
+        self.place = place
+        self.piece_s = piece_s
+        self.engine = engine.Engine(load_s)
+
+    def app(self) -> aiohttp.web.Application:
+        """The replica's HTTP application."""
+        app = aiohttp.web.Application()
+        app.router.add_post(ORDER_PATH, self.order)
+        app.router.add_get(REPORT_PATH, self.report)
+        app.router.add_route("*", "/{path:.*}", self.answer)
+        return app
+
+    def row(self) -> dict[str, object]:
+        """This replica's row of the list."""
+        return {
+            "id": self.place.id,
+            "service": messages.SERVICE,
+            "address": self.place.address,
+            "zone": self.place.zone,
+            "slots": messages.SLOTS,
+            "state": "ready",
+            "leaves_in_ms": None,
+            "cold_ms": 0,
+            "models": self.engine.models,
+            "loading": [],
+        }
+
+    async def order(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """A keeper's order to load or unload."""
+        body = await request.json()
+        order = engine.Order(body["kind"], body["model"], body["adapter"])
+        return aiohttp.web.json_response({"outcome": self.engine.order(order, time.monotonic())})
+
+    async def report(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """What this replica holds, for a keeper."""
+        return aiohttp.web.json_response(self.engine.report())
+
+    async def answer(self, request: aiohttp.web.Request) -> aiohttp.web.StreamResponse:
+        """A client's request: its words as numbered events, from the one after `Last-Event-Id`."""
+        headers = {HEADERS.replica: self.place.id}
+        if HEADERS.request_id in request.headers:
+            headers[HEADERS.request_id] = request.headers[HEADERS.request_id]
+        expected = request.headers.get(HEADERS.expect_replica, self.place.id)
+        if expected != self.place.id or not self.engine.holds(request.headers.get(HEADERS.model, "")):
+            return aiohttp.web.Response(status=http.HTTPStatus.MISDIRECTED_REQUEST, headers=headers)
+        text = (await request.read()).decode(errors="replace")
+        headers |= {HEADERS.stamp: STAMP, "Content-Type": "text/event-stream"}
+        response = aiohttp.web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get(HEADERS.resume) or 0) + 1
+        for number, word in enumerate(text.split(), 1):
+            if number < first:
+                continue
+            await asyncio.sleep(self.piece_s)
+            await response.write(f"id: {number}\ndata: {word}\n\n".encode())
+        await response.write_eof()
+        return response
+
+
+class StandIns:
+    """All stand-in replicas of a process, with the list that keepers read."""
+
+    def __init__(self, settings: messages.StandInSettings) -> None:
+        """Make the replicas; `start` opens their ports."""
+        self.listing = settings.listing
+        self.replicas = [StandIn(p, settings.load_s, settings.piece_s) for p in settings.replicas]
+        self.runners: list[aiohttp.web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Listen on every address."""
+        app = aiohttp.web.Application()
+        app.router.add_get(LISTING_PATH, self.list)
+        await self._serve(app, self.listing)
+        for replica in self.replicas:
+            await self._serve(replica.app(), replica.place.address)
+
+    async def stop(self) -> None:
+        """Close every port."""
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def list(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """The rows of all replicas."""
+        return aiohttp.web.json_response([replica.row() for replica in self.replicas])
+
+    async def _serve(self, app: aiohttp.web.Application, address: str) -> None:
+        runner = aiohttp.web.AppRunner(app, access_log=None, handler_cancellation=True, shutdown_timeout=0.2)
+        await runner.setup()
+        self.runners.append(runner)
+        host, port = address.split(":")
+        await aiohttp.web.TCPSite(runner, host, int(port)).start()
--- a/basaltport/main.py
+++ b/basaltport/main.py
@@ -7,6 +7,7 @@
 import basaltport.admin.fleet_cli as fleet_cli
 import basaltport.daemon as daemon
 import basaltport.load_generator.cli as paddle
+import basaltport.local_fleet.cli as local_fleet
 import basaltport.simulation.cli as rehearsal
 import basaltport.simulation.drills.drill as drill
 import basaltport.simulation.planner as planner
@@ -16,7 +17,7 @@
 GROUPS = [
     ("Roles", daemon.VERBS),
     ("Operators' verbs, at any node", cli.VERBS),
-    ("Of a fleet behind routes", fleet_cli.VERBS),
+    ("Of a fleet behind routes", {**fleet_cli.VERBS, **local_fleet.VERBS}),
     ("Tools", {**paddle.VERBS, **rehearsal.VERBS, **play.VERBS, **planner.VERBS, **drill.VERBS}),
     ("Scale runs", scale.VERBS),
 ]
--- /dev/null
+++ b/tests/test_local_fleet.py
@@ -0,0 +1,182 @@
+"""The fleet on a developer's machine: stand-in replicas, the keeper's port to them, and the whole of it."""
+
+import asyncio
+import dataclasses
+import http.client
+import json
+import pathlib
+import subprocess
+import sys
+
+import aiohttp
+import pytest
+
+import basaltport.configuration.routes as routes
+import basaltport.local_fleet.cli as cli
+import basaltport.local_fleet.engine as engine
+import basaltport.local_fleet.messages as messages
+import basaltport.local_fleet.port as port
+import basaltport.local_fleet.stand_ins as stand_ins
+import basaltport.main as main
+import basaltport.placement.effects as effects
+import basaltport.simulation.drills.fleet as fleet
+
+ROOT = pathlib.Path(__file__).parent.parent
+EXAMPLE = ROOT / "basaltport" / "examples" / "routes.json"
+BOUND = 60
+BIRCH = engine.Order("load", "birch")
+
+
+def test_a_load_takes_its_time_and_an_adapter_none():
+    replica = engine.Engine(load_s=2)
+    assert replica.order(BIRCH, 10) is engine.Outcome.ACCEPTED
+    assert replica.report() == {"models": {}, "busy": True, "orders": 1}
+    assert replica.order(BIRCH, 11.9) is engine.Outcome.ACCEPTED and not replica.holds("birch")
+    assert replica.order(BIRCH, 12) is engine.Outcome.DONE and replica.holds("birch")
+    assert not replica.holds("birch/a1")
+    assert replica.order(engine.Order("load", "birch", "a1"), 12) is engine.Outcome.DONE
+    assert replica.holds("birch/a1") and replica.holds("")
+    assert replica.report() == {"models": {"birch": ["a1"]}, "busy": False, "orders": 2}
+
+
+def test_an_adapter_or_a_whole_model_is_unloaded():
+    replica = engine.Engine(load_s=0)
+    for order in (BIRCH, engine.Order("load", "birch", "a1"), engine.Order("unload", "birch", "a1")):
+        replica.order(order, 0)
+    assert replica.holds("birch") and not replica.holds("birch/a1")
+    replica.order(engine.Order("unload", "birch"), 0)
+    assert not replica.holds("birch")
+
+
+class Shell:
+    """A keeper's shell that takes every ask down."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def ask(self, verb, body):
+        self.asked.append((verb, body))
+        return (503, {"error": "no leader"}) if verb == "configuration" else (200, {"serial": 1})
+
+
+class Stand:
+    """One stand-in replica that works at once, and a keeper's port to it."""
+
+    async def __aenter__(self):
+        listing, address, self.operators = (f"127.0.0.1:{n}" for n in fleet.ports(3))
+        place = messages.ReplicaAddress("replica-1", "z1", address)
+        settings = messages.StandInSettings(listing, (place,), load_s=0, piece_s=0)
+        assert messages.stand_in_settings(json.loads(json.dumps(dataclasses.asdict(settings)))) == settings
+        self.address = address
+        self.stand_ins = stand_ins.StandIns(settings)
+        await self.stand_ins.start()
+        self.shell = Shell()
+        self.port = port.Port(port.PortSettings(listing, self.operators))
+        await self.port.start(self.shell)
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.session.close()
+        await self.port.stop()
+        await self.stand_ins.stop()
+
+    def order(self, kind="load"):
+        return effects.Order(1, "replica-1", self.address, kind, "birch", None, "k", 1)
+
+    async def ask(self, **headers):
+        names = {k: getattr(stand_ins.HEADERS, k) for k in headers}
+        headers = {names[k]: v for k, v in headers.items()}
+        async with self.session.post(f"http://{self.address}/chat/", data="a b c", headers=headers) as got:
+            return got.status, got.headers, await got.text()
+
+
+def test_a_keeper_s_port_lists_orders_and_reads_reports():
+    async def run():
+        async with Stand() as s:
+            assert [r["id"] for r in await s.port.list()] == ["replica-1"]
+            assert await s.port.order(s.order()) == "done"
+            report = await s.port.report(effects.Report("replica-1", s.address))
+            assert report == {"models": {"birch": []}, "busy": False, "orders": 1}
+            await s.stand_ins.stop()
+            assert await s.port.list() is None
+            assert await s.port.order(s.order("unload")) == "unknown"
+            assert await s.port.report(effects.Report("replica-1", s.address)) is None
+
+    asyncio.run(run())
+
+
+def test_a_stand_in_answers_for_itself_and_what_it_holds_alone():
+    async def run():
+        async with Stand() as s:
+            status, headers, _ = await s.ask(model="birch")
+            assert status == 421 and headers[stand_ins.HEADERS.replica] == "replica-1"
+            await s.port.order(s.order())
+            assert (await s.ask(model="birch", expect_replica="replica-2"))[0] == 421
+            status, headers, text = await s.ask(model="birch", expect_replica="replica-1", request_id="r7")
+            assert status == 200 and headers[stand_ins.HEADERS.request_id] == "r7"
+            assert text == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+            assert (await s.ask(model="birch", resume="2"))[2] == "id: 3\ndata: c\n\n"
+
+    asyncio.run(run())
+
+
+def test_operators_replace_the_configuration_by_edition():
+    async def run():
+        async with Stand() as s:
+            url = f"http://{s.operators}{port.CONFIGURATION_PATH}"
+            for edition, body, status in (("x", "{}", 400), ("0", "{", 400), ("0", '{"edition": 1}', 200)):
+                async with s.session.put(url, data=body, headers={"If-Match": edition}) as got:
+                    assert got.status == status
+            async with s.session.get(url) as got:
+                assert got.status == 503 and got.headers["Retry-After"]
+            (verb, body), _ = s.shell.asked
+            assert verb == "configure" and body["base"] == 0 and body["document"] == {"edition": 1}
+
+    asyncio.run(run())
+
+
+def test_the_example_of_routes_is_valid():
+    assert routes.check(json.loads(EXAMPLE.read_text())) == []
+
+
+def test_a_folder_that_holds_something_is_refused(tmp_path, capsys):
+    (tmp_path / "keeper-1.data").mkdir()
+    with pytest.raises(SystemExit) as ended:
+        main.run(["basaltport", "local-fleet", f"--dir={tmp_path}"])
+    assert ended.value.code == cli.BAD_INPUT and "not empty" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("text", ["{", "{}", '{"role": "judge", "seconds": 1, "settings": {}}'])
+def test_a_process_without_good_settings_tells_so(tmp_path, capsys, text):
+    (tmp_path / "p.json").write_text(text)
+    with pytest.raises(SystemExit) as ended:
+        main.run(["basaltport", "local-fleet-process", f"--conf={tmp_path / 'p.json'}"])
+    assert ended.value.code == cli.BAD_INPUT and "--conf" in capsys.readouterr().err
+
+
+def call(address, method, path, body, headers):
+    connection = http.client.HTTPConnection(address, timeout=BOUND)
+    connection.request(method, path, body, headers)
+    got = connection.getresponse()
+    text = got.read().decode()
+    connection.close()
+    return got.status, text
+
+
+def test_the_whole_fleet_streams_an_answer_of_a_model_that_was_cold(tmp_path):
+    folder = tmp_path / "run"
+    command = [sys.executable, "-m", "basaltport", "local-fleet", f"--dir={folder}", f"--seconds={BOUND}"]
+    with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True) as started:
+        try:
+            assert started.stdout.readline().startswith("keepers: ")
+            addresses = dict(line.split("=") for line in (folder / "addresses").read_text().split())
+            body = EXAMPLE.read_bytes()
+            got = call(addresses["KEEPER"], "PUT", "/configuration", body, {"If-Match": "0"})
+            assert got[0] == 200, got
+            headers = {"Host": "models.example", "Basaltport-Model": "birch"}
+            got = call(addresses["PROXY"], "POST", "/chat/", "two words", headers)
+            assert got == (200, "id: 1\ndata: two\n\nid: 2\ndata: words\n\n")
+        finally:
+            started.terminate()
+            assert started.wait(BOUND) == 0
