Ports of fleets lie outside the range of outgoing connections

A fleet's ports were chosen by the kernel from the range it also gives to outgoing connections; on a machine with many of these (48,519 in TIME-WAIT) a port was taken before its process listened: 'address already in use' in 4 of 5 starts of the local fleet. They are now chosen at random below that range.

--- a/basaltport/simulation/drills/fleet.py
+++ b/basaltport/simulation/drills/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -12,16 +13,37 @@
 import basaltport.simulation.world.presets as presets
 
 IP = "127.0.0.1"
+LOWEST_PORT = 10_000
+OUTGOING_PORT = 32_768
+
+
+def first_outgoing_port() -> int:
+    """The lowest port that the kernel gives to outgoing connections."""
+    try:
+        with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+            return int(file.read().split()[0])
+    except (OSError, ValueError):
+        return OUTGOING_PORT
 
 
 def ports(n: int) -> list[int]:
-    """Ports picked by the kernel, all held until all are picked."""
-    socks = [socket.socket() for _ in range(n)]
-    for s in socks:
-        s.bind((IP, 0))
-    out = [s.getsockname()[1] for s in socks]
-    for s in socks:
-        s.close()
+    """Free ports, all held until all are picked. They lie below those of outgoing connections, any of which
+    could otherwise take a port between its choice and the start of the process that listens there."""
+    held: list[socket.socket] = []
+    candidates = range(LOWEST_PORT, first_outgoing_port())
+    for number in random.SystemRandom().sample(candidates, len(candidates)):
+        if len(held) == n:
+            break
+        candidate = socket.socket()
+        try:
+            candidate.bind((IP, number))
+        except OSError:
+            candidate.close()
+            continue
+        held.append(candidate)
+    out = [candidate.getsockname()[1] for candidate in held]
+    for candidate in held:
+        candidate.close()
     return out
 
 
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -155,6 +155,12 @@
     assert ended.value.code == cli.BAD_INPUT and "--conf" in capsys.readouterr().err
 
 
+def test_ports_of_a_fleet_are_none_that_an_outgoing_connection_may_take():
+    got = fleet.ports(40)
+    assert len(set(got)) == 40
+    assert max(got) < fleet.first_outgoing_port() and min(got) >= fleet.LOWEST_PORT
+
+
 def call(address, method, path, body, headers):
     connection = http.client.HTTPConnection(address, timeout=BOUND)
     connection.request(method, path, body, headers)
