--- a/basaltport/local_fleet/port.py
+++ b/basaltport/local_fleet/port.py
@@ -117,4 +117,5 @@
 
 def _response(status: int, document: Document) -> aiohttp.web.Response:
     headers = RETRY_AFTER if status == http.HTTPStatus.SERVICE_UNAVAILABLE else None
-    return aiohttp.web.json_response(document, status=status, headers=headers)
+    text = json.dumps(document) + "\n"
+    return aiohttp.web.Response(text=text, status=status, headers=headers, content_type="application/json")
