Simulated keepers with disks may take nothing back either; links may reorder and double

Cause: the world excused members with disks from the check that what is in force never goes back within one life, and its links kept their order, never doubled and lost what was under way to a restarted process. Change: the check holds for every member; a restart begins a new life for it. Links take `reordering`, `doubling`, `delay_max` and `across_lives`; a process may have a clock ahead and another name than its key. Defaults keep the links of the older tests.

--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -1,5 +1,6 @@
 """Keepers and proxies on virtual time, links and disks: their own reducers in one process."""
 
+import copy
 import heapq
 import random
 
@@ -15,14 +16,22 @@
 
 
 class Node:
+    """One process at one address. `member_name`: the name it bears among members, which a replacing machine
+    may share with its predecessor; `skew`: how far its steady clock is ahead of the world's."""
+
     def __init__(self, name, addr, disk):
         self.name, self.addr, self.disk = name, addr, disk
+        self.member_name, self.skew = name, 0
         self.member, self.life, self.frozen, self.held = None, 0, False, []
         self.seat, self.founders, self.book = "", None, None
 
 
 class Nodes:
-    """Whoever uses it gives `placement()`, `proxy_of(me, seed)` and what effects beside Send and Write do."""
+    """Whoever uses it gives `placement()`, `proxy_of(me, seed)` and what effects beside Send and Write do.
+
+    Links keep their order and lose what is under way when the receiver restarts, as one connection does.
+    `reordering` gives each message its own delay; `doubling` is the chance that it comes twice; `delay_max`
+    the longest delay in ms; `across_lives` delivers to whoever lives at the address when it arrives."""
 
     def __init__(self, seed, keepers=3, boot=True, packed=False):
         self.rng = random.Random(seed)
@@ -30,6 +39,7 @@
         self.heap, self.k, self.packed = [], 0, packed
         self.nodes, self.by_addr, self.last = {}, {}, {}
         self.cuts, self.held, self.lossy = set(), [], 0.0
+        self.reordering, self.doubling, self.delay_max, self.across_lives = False, 0.0, 11, False
         self.agreed, self.answers, self.n, self.notes = {}, {}, 0, []
         self.holding = True
         self.bytes = 0
@@ -81,12 +91,12 @@
             held, promised = n.disk.load().ok_value
             if not n.seat:
                 n.seat, n.founders = (
-                    f"{name}-{self.rng.getrandbits(32):08x}",
+                    f"{n.member_name}-{self.rng.getrandbits(32):08x}",
                     list(self.seeds) if first else None,
                 )
         args = (
             "house",
-            name,
+            n.member_name,
             n.seat,
             "ledger" if n.disk else "proxy",
             self.zone_of(name),
@@ -98,12 +108,17 @@
         if n.disk:
             fs = n.founders
             me = member.Me(*args, voters="ledgers", first_start=fs is not None, founders=fs or [])
-            n.member = role.Keeper(me, self.rng.getrandbits(32), self.now, held, promised, self.placement())
+            seed = self.rng.getrandbits(32)
+            n.member = role.Keeper(me, seed, self.clock(n), held, promised, self.placement())
         else:
             n.member = self.proxy_of(member.Me(*args), self.rng.getrandbits(32))
-        n.life, n.frozen, n.held = n.life + 1, False, []
+        n.life, n.frozen, n.held, n.book = n.life + 1, False, [], None
         self.tick(n, n.life)
 
+    def clock(self, n):
+        """The steady clock of a process."""
+        return kinds.Millis(self.now + n.skew)
+
     def proxy(self, name):
         self.add(name, False)
         self.boot(name)
@@ -125,7 +140,7 @@
 
     def stop(self, name):
         n = self.nodes[name]
-        self.step(n, events.Stop(self.now))
+        self.step(n, events.Stop(self.clock(n)))
         self.run(100)
         self.kill(name)
 
@@ -134,16 +149,16 @@
         n.frozen = on
         if not on:
             held, n.held = n.held, []
-            self.step(n, events.Tick(self.now))
+            self.step(n, events.Tick(self.clock(n)))
             for ev in held:
-                ev.now = self.now
+                ev.now = self.clock(n)
                 self.step(n, ev)
 
     def tick(self, n, life):
         if n.life != life:
             return
         if not n.frozen:
-            self.step(n, events.Tick(self.now))
+            self.step(n, events.Tick(self.clock(n)))
         self.later(TICK, self.tick, n, life)
 
     def give(self, n, life, ev):
@@ -152,7 +167,7 @@
         if n.frozen:
             n.held.append(ev)
             return
-        ev.now = self.now
+        ev.now = self.clock(n)
         self.step(n, ev)
 
     def step(self, n, ev):
@@ -171,7 +186,7 @@
             return
         n.book = b
         key = (tuple(b["gen"]), str(b["manifest"]), sorted(b["drains"]), sorted(b["roster"]))
-        if b["serial"] < was and not n.disk or self.agreed.setdefault(b["serial"], key) != key:
+        if b["serial"] < was or self.agreed.setdefault(b["serial"], key) != key:
             self.differs(n, b)
 
     def differs(self, n, b):
@@ -185,7 +200,7 @@
 
     def leader(self):
         """The name of the one that holds, or None."""
-        ns = [(n.member.promised, n.name) for n in self.up() if n.member.holds_at(self.now)]
+        ns = [(n.member.promised, n.name) for n in self.up() if n.member.holds_at(self.clock(n))]
         return max(ns)[1] if ns else None
 
     def roster(self):
@@ -235,11 +250,22 @@
             return
         if self.rng.random() < self.lossy:
             return
+        twice = self.doubling and self.rng.random() < self.doubling
+        for m in (msg, copy.copy(msg)) if twice else (msg,):
+            self.later(self.delay(n, to), self.arrive, n, to, to.life, m)
+
+    def delay(self, n, to):
+        """Ms that a message is under way."""
+        ms = self.rng.randrange(1, self.delay_max + 1)
+        if self.reordering:
+            return ms
         k = (n.name, to.name)
-        at = self.last[k] = max(self.last.get(k, 0), self.now + self.rng.randrange(1, 12))
-        self.later(at - self.now, self.arrive, n, to, to.life, msg)
+        at = self.last[k] = max(self.last.get(k, 0), self.now + ms)
+        return at - self.now
 
     def arrive(self, n, to, life, msg):
+        if self.across_lives:
+            life = to.life
         if (n.name, to.name) in self.cuts:
             self.keep(self.arrive, n, to, life, msg)
             return
