What still waits or runs at the end of the grace time gets its end, not a closed connection

Cause: after the grace time the process ended with requests unanswered: those that waited for a replica, were held for the feed, or ran at a silent one saw their connection closed. A request that was read and never sent on was so lost in planned work. Change: the event Finish. What waits is refused with a promise, attempts under way are stopped and their proven ends decide: unsent is refused, sent is ended with 502, a begun answer is cut. Nothing starts any more, no replica is blamed. The shell gives the answers half of the time that it kept for leaving.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -89,7 +89,7 @@
 
     def learn(self, run, h, result):
         """What an attempt's end tells of its replica, whether or not its request is still here."""
-        left = run.aborted is request.Aborted.CLIENT_LEFT
+        ours = run.aborted in (request.Aborted.CLIENT_LEFT, request.Aborted.PROCESS_ENDS)
         match result.outcome:
             case Outcome.DONE:
                 h.good(self.now)
@@ -99,11 +99,11 @@
                 h.absent[run.item] = self.now + ABSENT
             case Outcome.MOVED:
                 h.dead = True
-            case Outcome.UNSENT | Outcome.CUT if not left:
+            case Outcome.UNSENT | Outcome.CUT if not ours:
                 h.bad(self.now)
             case Outcome.FAILED if result.status >= SERVER_ERROR:
                 h.bad(self.now)
-            case Outcome.BROKEN if not left:
+            case Outcome.BROKEN if not ours:
                 h.bad(self.now)
                 self.after_timeout(run)
             case Outcome.LATE:
@@ -134,7 +134,7 @@
             arrived=q.arrivals > 0,
             budget=self.retry_of(q.service).room(self.now, self.peers()),
             replicas=q.spare(),
-            sends=q.unsent <= UNSENT and q.arrivals <= ARRIVALS,
+            sends=q.unsent <= UNSENT and q.arrivals <= ARRIVALS and not self.ending,
             time=q.until - self.now >= LEAST,
         )
 
--- a/basaltport/relay/events.py
+++ b/basaltport/relay/events.py
@@ -30,6 +30,13 @@
     request: int
 
 
+@_d
+class Finish:
+    """The process is about to end: every request that is still here gets its end."""
+
+    now: kinds.Millis
+
+
 @_d
 class Progress:
     """First bytes, or more of them, came from a replica for an attempt."""
--- a/basaltport/relay/request.py
+++ b/basaltport/relay/request.py
@@ -58,6 +58,7 @@
 
     SILENT = "silent"
     CLIENT_LEFT = "client left"
+    PROCESS_ENDS = "process ends"
 
 
 class Run:
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -25,6 +25,7 @@
 COME_BACK = 1000
 BOUND = 2000
 ASSUMED = 16
+ENDING = "this proxy ends"
 
 
 class Relay(
@@ -49,6 +50,7 @@
         self.tally = {}
         self.used = {}
         self.stopped = False
+        self.ending = False
         self.readiness_start()
         self.attempts_start()
         self.pick_start()
@@ -79,6 +81,9 @@
     # requests
 
     def on_arrived(self, ev):
+        if self.ending:
+            self.emit(events.Close(ev.request, 503, ENDING, attempts.SOON))
+            return
         if self.table.empty or not self.rows:
             self.park(ev)
             return
@@ -221,3 +226,15 @@
 
     def on_stop(self, ev):
         self.stopped = True
+
+    def on_finish(self, ev):
+        """What waits is refused; attempts under way are stopped, and their ends tell what may be promised."""
+        self.ending = True
+        for request_id in self.parked:
+            self.emit(events.Close(request_id, 503, ENDING, attempts.SOON))
+        self.parked = {}
+        for q in list(self.waiting.values()):
+            self.refuse(q, ENDING, attempts.SOON)
+        for q in self.requests.values():
+            q.run.aborted = request.Aborted.PROCESS_ENDS
+            self.emit(events.Abort(q.run.id))
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -109,7 +109,8 @@
             self.reseed(seeds)
 
     async def finish(self):
-        """Not ready at once; what still comes is served; once no new clients come, what runs is finished."""
+        """Not ready at once; what still comes is served. Once no new clients come, what runs is finished, and
+        what can't be is told so."""
         logs.note(2, {"name": self.member.me.name})
         self.stopping = True
         self.step(base.Stop(kinds.steady()))
@@ -117,6 +118,10 @@
         await asyncio.sleep(min(NOTICED, grace / 2))
         self.listener.close()
         until = kinds.steady() + 1000 * (grace - min(NOTICED, grace / 2) - LAST)
+        while self.close_idle() and kinds.steady() < until:
+            await asyncio.sleep(TICK)
+        self.step(events.Finish(kinds.steady()))
+        until += 1000 * LAST / 2
         while self.close_idle() and kinds.steady() < until:
             await asyncio.sleep(TICK)
         await self.wires.stop()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -222,6 +222,43 @@
     assert not s.m.health["a"].fails and not s.m.runs
 
 
+def test_what_a_client_leaves_while_it_waits_goes_nowhere():
+    s = Sim([row("a", models=())])
+    s.ask("once")
+    assert s.step(events.Left(s.now, 1)) == [] and not s.m.requests and not s.m.waiting
+    assert s.rows(row("a")) == []
+
+
+def test_a_process_that_ends_gives_every_request_its_end_and_only_proven_promises():
+    s = Sim([row("a"), row("b", "z2", models=("oak",))], stand.document())
+    connecting, sent, begun = s.ask("once")[0], s.ask("safe")[0], s.ask("stream")[0]
+    s.rows(row("a", models=()))
+    s.ask("once")
+    got = s.step(events.Finish(s.now))
+    assert [(e.request, e.status) for e in got if isinstance(e, events.Close)] == [(4, 503)]
+    aborted = [e.attempt for e in got if isinstance(e, events.Abort)]
+    assert aborted == [connecting.attempt, sent.attempt, begun.attempt]
+    ends = s.end(connecting.attempt, "unsent")
+    ends += s.end(sent.attempt, "broken")
+    ends += s.end(begun.attempt, "cut", resumes=True)
+    assert [(type(e), getattr(e, "status", None)) for e in ends] == [
+        (events.Close, 503),
+        (events.Close, 502),
+        (events.Cut, None),
+    ]
+    assert not s.m.requests and not s.m.health["a"].fails
+    late = s.ask("safe")[0]
+    assert (type(late), late.status) == (events.Close, 503)
+
+
+def test_what_is_held_for_the_feed_is_refused_when_the_process_ends():
+    s = Sim([], {"edition": 1, "routes": [], "services": []})
+    s.m.table = table.Table(None)
+    s.ask("once")
+    (got,) = s.step(events.Finish(s.now))
+    assert (type(got), got.status) == (events.Close, 503) and not s.m.parked
+
+
 def test_weights_split_and_longest_prefix_wins():
     doc = stand.document()
     doc["routes"].append({**doc["routes"][0], "name": "deep", "prefix": "/safe/deep/"})
--- a/tests/test_relay_wire.py
+++ b/tests/test_relay_wire.py
@@ -317,6 +317,29 @@
     assert one[2] == b"written"
 
 
+def test_after_a_stop_what_still_waits_is_refused_and_what_may_have_run_is_told_so():
+    async def go():
+        async def silent(replica, h, w):
+            await asyncio.Event().wait()
+
+        replicas = [stand.Replica("i-1", silent), stand.Replica("i-2", silent, models={"oak": []})]
+        async with stand.Front(replicas, timings={"grace_s": 1.2}) as f:
+            sent = asyncio.create_task(f.ask("/once/x", **{W.deadline: "60000"}))
+            while not f.replicas[0].seen:
+                await asyncio.sleep(0)
+            f.member.rows = {r: row for r, row in f.member.rows.items() if r == "i-2"}
+            f.member.rows_changed(["i-1"])
+            waits = asyncio.create_task(f.ask("/safe/x", **{W.deadline: "60000"}))
+            while not f.member.waiting:
+                await asyncio.sleep(0)
+            f.shell.end.set()
+            return await sent, await waits
+
+    (sent, _, _), (waits, heads, _) = run(go())
+    assert (sent, waits) == (502, 503)
+    assert heads["connection"] == "close" and "retry-after" in heads
+
+
 def test_what_a_replica_refused_is_offered_to_it_again_and_to_no_other():
     async def go():
         async def first(replica, h, w):
