--- /dev/null
+++ b/tests/test_relay_sequences.py
@@ -0,0 +1,145 @@
+"""Every sequence of ends that the attempts of one request may have, at the reducer: what the client is told
+at last, what ran, and how many replicas it went to."""
+
+import pytest
+
+import basaltport.relay.decision as decision
+import basaltport.relay.events as events
+import basaltport.relay.outcomes as outcomes
+import basaltport.relay.request as request
+import tests.test_relay as relay_tests
+
+Outcome = outcomes.Outcome
+DEPTH = 4
+REPLICAS = 4
+RESULTS = [
+    outcomes.Result(Outcome.DONE, 200),
+    outcomes.Result(Outcome.REFUSED, 503),
+    outcomes.Result(Outcome.ABSENT, 421),
+    outcomes.Result(Outcome.MOVED, 421),
+    outcomes.Result(Outcome.UNSENT),
+    outcomes.Result(Outcome.FAILED, 500),
+    outcomes.Result(Outcome.FAILED, 503),
+    outcomes.Result(Outcome.FAILED, 404),
+    outcomes.Result(Outcome.BROKEN),
+    outcomes.Result(Outcome.CUT, resumes=True),
+    outcomes.Result(Outcome.CUT),
+    outcomes.Result(Outcome.LATE),
+    outcomes.Result(Outcome.GONE),
+]
+ENDS = (events.Close, events.Pass, events.Cut)
+
+
+class Played:
+    """One request whose attempts end one after the other as `results` say."""
+
+    def __init__(self, route, results):
+        rows = [relay_tests.row(f"r{n}", f"z{n % 2 + 1}") for n in range(REPLICAS)]
+        self.sim = relay_tests.Sim(rows, timings={"retry_slack": 1000})
+        self.sent = []
+        self.ends = []
+        self.take(self.sim.ask(route, deadline=3000))
+        self.route = self.sim.m.requests[1].route
+        for result in results:
+            if not self.running():
+                break
+            attempt = self.sent[-1]
+            attempt.result = result
+            self.take(self.sim.step(events.Ended(self.sim.now, attempt.attempt, result)))
+            if not self.running() and not self.over():
+                self.take(self.sim.wait(600))
+
+    def take(self, got):
+        for effect in got:
+            if isinstance(effect, events.Attempt):
+                self.sent.append(Sent(effect.attempt, effect.replica))
+            if isinstance(effect, ENDS):
+                self.ends.append(effect)
+
+    def running(self):
+        return self.sent[-1].result is None
+
+    def over(self):
+        return not self.sim.m.requests
+
+
+class Sent:
+    def __init__(self, attempt, replica):
+        self.attempt = attempt
+        self.replica = replica
+        self.result = None
+
+
+def findings(played):
+    ended = [s for s in played.sent if s.result is not None]
+    ran = [s for s in ended if s.result.outcome.may_have_run]
+    arrived = {s.replica for s in ended if s.result.outcome is not Outcome.UNSENT}
+    begun = any(s.result.outcome is Outcome.CUT for s in ended)
+    if played.running():
+        arrived.add(played.sent[-1].replica)
+    if len(arrived) > played.route.attempts:
+        yield "more replicas than its route lets it"
+    if not played.route.repeatable() and len(ran) + (bool(ran) and played.running()) > 1:
+        yield "what runs once was sent again"
+    for end in played.ends:
+        status = getattr(end, "status", 0)
+        if isinstance(end, events.Pass) and ended[-1].result.status in decision.PROMISES:
+            status = ended[-1].result.status if not played.route.repeatable() else 0
+        if status in decision.PROMISES and ran:
+            yield "a promise for what may have run"
+        if begun and not isinstance(end, events.Cut):
+            yield "a second answer"
+    done = any(s.result.outcome is Outcome.DONE for s in ended)
+    if len(played.ends) + done != int(played.over()):
+        yield "not one end"
+    if not played.running() and not played.over() and not played.sim.m.waiting:
+        yield "not one end"
+
+
+def every(route):
+    """All sequences up to DEPTH, each as far as its attempts go."""
+    open_ = [()]
+    while open_:
+        results = open_.pop()
+        played = Played(route, results)
+        yield results, played
+        if len(results) < DEPTH and played.running() and len(results) == len(played.sent) - 1:
+            open_ += [(*results, r) for r in RESULTS]
+
+
+def found(route):
+    return {f for _, played in every(route) for f in findings(played)}
+
+
+def _always(known):
+    return True
+
+
+@pytest.mark.parametrize("route", ["safe", "once", "stream", "single"])
+def test_no_sequence_of_ends_breaks_a_rule(route):
+    assert found(route) == set()
+
+
+@pytest.mark.parametrize("route, least", [("safe", 200), ("once", 30), ("stream", 200), ("single", 30)])
+def test_the_sequences_are_many(route, least):
+    assert sum(1 for _ in every(route)) >= least
+
+
+@pytest.mark.parametrize(
+    "finding, route, breaks",
+    [
+        ("more replicas than its route lets it", "safe", [(request.Request, "spare", _always)]),
+        (
+            "what runs once was sent again",
+            "once",
+            [(decision, n, _always) for n in ("proven_safe", "affordable")],
+        ),
+        ("a promise for what may have run", "once", [(decision, "passable", _always)]),
+        ("a second answer", "stream", [(decision, "give_up", lambda begun, ran: decision.Move.PASS)]),
+        ("not one end", "safe", [(decision, "give_up", lambda begun, ran: decision.Move.NOTHING)]),
+    ],
+)
+def test_each_finding_is_seen(monkeypatch, finding, route, breaks):
+    for owner, name, broken in breaks:
+        monkeypatch.setattr(owner, name, broken)
+    assert finding in found(route)
