--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,7 @@
 """The relay's reducer on virtual time: what goes where, what goes again, what is refused and when."""
 
+import pytest
+
 import basaltport.events as base
 import basaltport.kinds as kinds
 import basaltport.member as member
@@ -259,6 +261,56 @@
     assert (type(got), got.status) == (events.Close, 503) and not s.m.parked
 
 
+LEAVING = [row("a", state="draining"), None]
+
+
+@pytest.mark.parametrize("later", LEAVING, ids=["drains", "gone"])
+def test_what_runs_at_a_replica_that_drains_or_is_listed_no_more_is_let_run(later):
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("once")[0]
+    assert s.rows(*(r for r in (later, row("b", "z2")) if r)) == []
+    assert s.wait(100) == [] and a.attempt in s.m.runs
+    assert s.end(a.attempt, "done", status=200) == [] and not s.m.requests
+
+
+@pytest.mark.parametrize("later", LEAVING, ids=["drains", "gone"])
+@pytest.mark.parametrize("outcome", ["broken", "unsent", "refused"])
+def test_a_second_attempt_goes_to_nothing_that_drains_or_is_gone_by_then(later, outcome):
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("safe")[0]
+    s.rows(*(r for r in (row("a"), later and {**later, "id": "b", "zone": "z2"}) if r))
+    s.end(a.attempt, outcome)
+    assert [e.replica for e in s.wait(1000) if isinstance(e, events.Attempt)] == ["a"]
+
+
+def test_a_second_attempt_goes_to_no_zone_that_was_evacuated_meanwhile():
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("safe")[0]
+    s.m.book = {**s.m.book, "drains": {"z1": 5}}
+    assert s.end(a.attempt, "broken")[0].replica == "b"
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("safe")[0]
+    s.m.book = {**s.m.book, "drains": {"z1": 5, "z2": 6}}
+    s.end(a.attempt, "broken")
+    got = s.wait(2000)
+    assert [(type(e), e.status) for e in got] == [(events.Close, 504)], "it may have run"
+
+
+def test_an_attempt_that_was_told_to_stop_and_is_answered_after_all_is_done():
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("safe")[0]
+    assert [type(e) for e in s.wait(400)] == [events.Abort]
+    assert s.end(a.attempt, "done", status=200) == []
+    assert not s.m.requests and not s.m.waiting and s.wait(500) == []
+
+
+def test_an_address_that_answers_as_another_replica_is_not_used_again():
+    s = Sim([row("a"), row("b", "z2")])
+    a = s.ask("safe")[0]
+    assert s.end(a.attempt, "moved")[0].replica == "b"
+    assert [s.ask("once")[0].replica for _ in range(3)] == ["b"] * 3
+
+
 def test_weights_split_and_longest_prefix_wins():
     doc = stand.document()
     doc["routes"].append({**doc["routes"][0], "name": "deep", "prefix": "/safe/deep/"})
--- a/tests/test_relay_wire.py
+++ b/tests/test_relay_wire.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+import basaltport.relay.upstream as upstream
 import tests.relay_stand as stand
 
 W = stand.W
@@ -340,6 +341,44 @@
     assert heads["connection"] == "close" and "retry-after" in heads
 
 
+def test_an_answer_that_is_too_long_is_no_answer(monkeypatch):
+    monkeypatch.setattr(upstream, "WHOLE", 5)
+
+    async def go(path):
+        async with stand.Front([stand.Replica("i-1", ok), stand.Replica("i-2", ok, zone="z2")]) as f:
+            got = await f.ask(path, **{W.deadline: "600"})
+            return got, [len(r.seen) for r in f.replicas]
+
+    (status, heads, _), seen = run(go("/once/x"))
+    assert (status, seen) == (502, [1, 0]) and W.stamp.lower() not in heads
+    (status, heads, _), seen = run(go("/safe/x"))
+    assert status in (502, 504) and sum(seen) <= 2 and W.stamp.lower() not in heads
+
+
+def test_a_hup_and_changed_limits_touch_no_request_that_is_under_way():
+    async def go():
+        gate = asyncio.Event()
+
+        async def slow(replica, h, w):
+            await gate.wait()
+            w.write(stand.whole(h, b"written"))
+
+        async with stand.Front([stand.Replica("i-1", slow)]) as f:
+            one = asyncio.create_task(f.ask("/once/x", body=b"x" * 900))
+            while not f.replicas[0].seen:
+                await asyncio.sleep(0)
+            f.shell.reload = lambda: ["127.0.0.1:9"]
+            f.shell.hup()
+            doc = {**f.doc, "limits": {"body_bytes": 100, "idle_close_ms": 1}}
+            stand.fill(f.member, [r.row() for r in f.replicas], doc)
+            f.shell.end_rested()
+            gate.set()
+            return await one, await f.ask("/once/x", body=b"x" * 900), f.member.me.seeds
+
+    one, two, seeds = run(go())
+    assert one[2] == b"written" and two[0] == 413 and seeds == ["127.0.0.1:9"]
+
+
 def test_what_a_replica_refused_is_offered_to_it_again_and_to_no_other():
     async def go():
         async def first(replica, h, w):
