--- /dev/null
+++ b/tests/test_request_safety.py
@@ -0,0 +1,66 @@
+"""The page on what may become of a request is whole: all states, all events, and tests that exist."""
+
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "request-safety.md").read_text()
+STATES = [
+    "Waiting",
+    "Connecting",
+    "Written in part",
+    "Written",
+    "Answered in part",
+    "Answered",
+    "Aborted",
+    "Unknown",
+]
+EVENTS = [
+    "silence",
+    "reset before the first byte",
+    "reset after the first byte",
+    "closed at rest",
+    "early answer",
+    "answer without an id",
+    "answer of another id",
+    "second answer",
+    "answer too long",
+    "answer cut",
+    "421",
+    "refusal",
+    "time over",
+    "client gone",
+    "SIGTERM",
+    "SIGHUP",
+    "replica gone",
+    "address reused",
+    "drain",
+    "evacuation",
+]
+TESTS = dict(re.findall(r"^- \[([a-z-]+)\]: `(\S+)`$", PAGE, re.M))
+
+
+def rows(state):
+    section = re.search(rf"^## {state}\n(.*?)(?=^## |\Z)", PAGE, re.M | re.S).group(1)
+    lines = [line for line in section.splitlines() if line.startswith("| ")]
+    return [[cell.strip() for cell in line.strip("|").split("|")] for line in lines[1:]]
+
+
+def test_every_state_tells_of_every_event():
+    for state in STATES:
+        assert [row[0] for row in rows(state)] == EVENTS, state
+
+
+def test_no_cell_is_empty_and_each_row_names_tests():
+    for state in STATES:
+        for row in rows(state):
+            assert len(row) == 4 and all(row), (state, row)
+            named = re.findall(r"\[([a-z-]+)\]", row[3])
+            assert named and set(named) <= set(TESTS), (state, row)
+
+
+def test_every_test_named_exists_and_none_is_listed_in_vain():
+    for label, test in TESTS.items():
+        file, _, name = test.partition("::")
+        assert f"\ndef {name}(" in (ROOT / "tests" / file).read_text(), test
+        assert PAGE.count(f"[{label}]") > 1, label
