Further attempts that wait, or are still to be stopped, count in the budget

Cause: the budget was looked at when a request went back into the queue, and spent when it was sent again. Between the two, any number of requests found the same room: 12 that were lost together while no replica was free all went again at once where 6.4 were allowed. Likewise every attempt at a silent replica was stopped for the same room, and those that then found none failed though their replica might have answered. Change: a part is reserved from the stop or the return to the queue until the attempt goes or the request ends.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -44,11 +44,23 @@
             )
         return w
 
+    def reserve(self, q):
+        """A part of the budget is kept for a further arrival until it goes or is given up."""
+        if not q.reserved:
+            q.reserved = True
+            self.retry_of(q.service).reserved += 1
+
+    def release(self, q):
+        if q.reserved:
+            q.reserved = False
+            self.retry_of(q.service).reserved -= 1
+
     def launch(self, q, r):
         row, h = self.rows[r], self.health_of(r)
         self.run_n += 1
         run = request.Run(self.run_n, q, r, self.now)
         if q.arrivals:
+            self.release(q)
             self.retry_of(q.service).spend(self.now)
         q.run = run
         q.state = request.RUN
@@ -111,6 +123,7 @@
 
     def settle(self, q, run, result):
         """What becomes of a request whose attempt ended."""
+        self.release(q)
         if result.outcome is Outcome.UNSENT:
             q.unsent += 1
         else:
@@ -155,6 +168,8 @@
                 self.emit(events.Cut(q.id))
 
     def requeue(self, q, run):
+        if q.arrivals:
+            self.reserve(q)
         q.avoid.add(run.replica)
         q.run = None
         q.state = request.WAIT
@@ -186,6 +201,7 @@
                 continue
             if not any(x != run.replica for x in self.usable(q)):
                 continue
+            self.reserve(q)
             run.aborted = request.Aborted.SILENT
             self.emit(events.Abort(run.id))
 
--- a/basaltport/relay/budget.py
+++ b/basaltport/relay/budget.py
@@ -36,6 +36,7 @@
     """Further attempts at one service: a part of the ratio of own first ones, and a share of the slack.
 
     After a start the slack is not used for one window, since what was spent before it is not remembered.
+    `reserved`: attempts that were promised a part and have not gone yet.
     """
 
     SAFE = 0.75
@@ -44,6 +45,7 @@
         self.ratio = ratio
         self.slack = slack
         self.slack_from = now + window
+        self.reserved = 0
         self.firsts = Window(window)
         self.more = Window(window + STEP)
 
@@ -52,7 +54,10 @@
 
     def room(self, now, nodes):
         slack = self.slack / max(1, nodes) if now >= self.slack_from else 0
-        return self.SAFE * (self.ratio * self.firsts.count(now) + slack) >= self.more.count(now) + 1
+        return (
+            self.SAFE * (self.ratio * self.firsts.count(now) + slack)
+            >= self.more.count(now) + self.reserved + 1
+        )
 
     def spend(self, now):
         self.more.add(now)
--- a/basaltport/relay/request.py
+++ b/basaltport/relay/request.py
@@ -26,6 +26,7 @@
         "sent_to",
         "begun",
         "ran",
+        "reserved",
         "key",
     )
 
@@ -46,6 +47,7 @@
         self.sent_to = set()
         self.begun = False
         self.ran = False
+        self.reserved = False
         self.key = (self.route.urgency, self.born, id)
 
     def spare(self):
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -185,6 +185,7 @@
         self.emit(events.Close(q.id, 503, why, int(retry_after)))
 
     def drop(self, q):
+        self.release(q)
         self.requests.pop(q.id, None)
         self.waiting.pop(q.id, None)
 
--- a/basaltport/relay/view.py
+++ b/basaltport/relay/view.py
@@ -35,7 +35,7 @@
     for s, w in m.retries.items():
         firsts, more = count(w.firsts, now), count(w.more, now)
         slack = w.slack / max(1, m.peers()) if now >= w.slack_from else 0
-        left = int(w.SAFE * (w.ratio * firsts + slack) - more)
+        left = int(w.SAFE * (w.ratio * firsts + slack) - more - w.reserved)
         out[s] = {"first": firsts, "further": more, "left": max(0, left)}
     return out
 
