The connection of a first attempt stays for other requests

Cause: the look for another connection closed the one that a request's first attempt had gone on, so that each refusal that was offered again cost a new connection to the replica, which is priced. Change: the connector brings forward one that suits and leaves the others where they are. Test: tests/test_relay_connections.py, two kept connections of which none is closed by the second attempt.

--- a/basaltport/relay/connections.py
+++ b/basaltport/relay/connections.py
@@ -67,7 +67,7 @@
         """The library calls it in the step in which `connect` set `need`."""
         need, now = self.need, self._loop.time()
         while True:
-            if need.once and not self.newest_first(key, now):
+            if not self.bring_forward(key, need, now):
                 return None
             connection = await super()._get(key, traces)
             if connection is None:
@@ -76,12 +76,20 @@
                 return connection
             connection.close()
 
-    def newest_first(self, key, now):
-        """Whether a kept connection is surely alive; if so, the one that rested least is taken next."""
+    def bring_forward(self, key, need, now):
+        """Whether a kept connection may suit a need; if so, the library takes that one next. Others stay: the
+        one that a first attempt went on, and those that are not surely alive, serve other requests."""
         kept = self._conns.get(key)
-        if not kept or now >= lives_until(kept[-1][0], SURELY):
+        if not kept:
             return False
-        kept.rotate(1)
+        at = -1 if need.once else 0
+        if kept[at][0].carried == need.request_id:
+            if len(kept) == 1:
+                return False
+            at = -2 if need.once else 1
+        if need.once and now >= lives_until(kept[at][0], SURELY):
+            return False
+        kept.rotate(-at)
         return True
 
     def _release(self, key, protocol, *, should_close=False):
--- a/tests/test_relay_connections.py
+++ b/tests/test_relay_connections.py
@@ -114,6 +114,21 @@
     assert run(go()) == ((Outcome.DONE, 1), (Outcome.DONE, 2), (Outcome.DONE, 2))
 
 
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_the_connection_of_a_first_attempt_stays_for_other_requests(repeatable):
+    async def go():
+        async with Direct() as d:
+            await d.go(request_id="same")
+            await d.go(repeatable, request_id="same")
+            (kept,) = d.upstream.connector._conns.values()
+            again = await d.go(repeatable, request_id="same")
+            return len(kept), again, await asyncio.gather(d.go(repeatable), d.go(repeatable))
+
+    kept, again, others = run(go())
+    assert kept == 2 and again == (Outcome.DONE, 3)
+    assert [n for _, n in others] == [3, 3]
+
+
 def test_a_late_refusal_is_not_taken_for_the_answer_of_a_second_attempt():
     ran = []
 
