--- a/basaltport/relay/budget.py
+++ b/basaltport/relay/budget.py
@@ -3,8 +3,10 @@
 import collections
 
 import basaltport.failure_detection.duties as duties
+import basaltport.kinds as kinds
 
-STEP = 250
+STEP_MS = 250
+SECOND_MS = 1000
 
 
 class Window:
@@ -12,25 +14,37 @@
 
     __slots__ = ("span", "steps", "sum")
 
-    def __init__(self, span):
+    def __init__(self, span: int) -> None:
+        """`span`: ms."""
         self.span = span
-        self.steps = collections.deque()
+        self.steps: collections.deque[list[int]] = collections.deque()
         self.sum = 0
 
-    def add(self, now, n=1):
-        k = now // STEP
-        if self.steps and self.steps[-1][0] == k:
-            self.steps[-1][1] += n
+    def add(self, now: kinds.Millis) -> None:
+        """One more."""
+        step = now // STEP_MS
+        if self.steps and self.steps[-1][0] == step:
+            self.steps[-1][1] += 1
         else:
-            self.steps.append([k, n])
-        self.sum += n
+            self.steps.append([step, 1])
+        self.sum += 1
 
-    def count(self, now):
-        old = (now - self.span) // STEP
-        while self.steps and self.steps[0][0] < old:
+    def count(self, now: kinds.Millis) -> int:
+        """How many there were within the span; what is past is let go of."""
+        first = self.first_step(now)
+        while self.steps and self.steps[0][0] < first:
             self.sum -= self.steps.popleft()[1]
         return self.sum
 
+    def peek(self, now: kinds.Millis) -> int:
+        """As `count`, without letting go of what is past."""
+        first = self.first_step(now)
+        return sum(number for step, number in self.steps if step >= first)
+
+    def first_step(self, now: kinds.Millis) -> int:
+        """The oldest step of which a part is within the span."""
+        return (now - self.span) // STEP_MS
+
 
 class Retries:
     """Further attempts at one service: a part of the ratio of own first ones, and a share of the slack.
@@ -41,26 +55,37 @@
 
     SAFE = 0.75
 
-    def __init__(self, now, ratio, window, slack):
+    def __init__(self, now: kinds.Millis, ratio: float, window: int, slack: float) -> None:
+        """`window`: ms; `slack`: of all nodes together."""
         self.ratio = ratio
         self.slack = slack
         self.slack_from = now + window
         self.reserved = 0
         self.firsts = Window(window)
-        self.more = Window(window + STEP)
+        self.further = Window(window + STEP_MS)
 
-    def first(self, now):
+    def first(self, now: kinds.Millis) -> None:
+        """A request for the service came."""
         self.firsts.add(now)
 
-    def room(self, now, nodes):
+    def allowed(self, now: kinds.Millis, nodes: int, firsts: int) -> float:
+        """Further attempts that this node may make in a window with so many first ones."""
         slack = self.slack / max(1, nodes) if now >= self.slack_from else 0
-        return (
-            self.SAFE * (self.ratio * self.firsts.count(now) + slack)
-            >= self.more.count(now) + self.reserved + 1
-        )
+        return self.SAFE * (self.ratio * firsts + slack)
+
+    def room(self, now: kinds.Millis, nodes: int) -> bool:
+        """Whether one more further attempt may be made."""
+        allowed = self.allowed(now, nodes, self.firsts.count(now))
+        return allowed >= self.further.count(now) + self.reserved + 1
+
+    def left(self, now: kinds.Millis, nodes: int) -> int:
+        """How many more there may be; changes nothing."""
+        allowed = self.allowed(now, nodes, self.firsts.peek(now))
+        return max(0, int(allowed - self.further.peek(now) - self.reserved))
 
-    def spend(self, now):
-        self.more.add(now)
+    def spend(self, now: kinds.Millis) -> None:
+        """A further attempt goes."""
+        self.further.add(now)
 
 
 class Cold:
@@ -72,19 +97,23 @@
 
     SAFE = 0.7
     LEAST = 3
+    HASHES = 2**64
 
-    def __init__(self):
-        self.sent = Window(1000)
+    def __init__(self) -> None:
+        """Nothing was sent yet."""
+        self.sent = Window(SECOND_MS)
 
     @classmethod
-    def share(cls, total, nodes, name, replica):
+    def share(cls, total: float, nodes: int, name: str, replica: str) -> int:
+        """Of `total` requests a second, those that the node of this name may send to a replica."""
         total = cls.SAFE * total
         nodes = max(1, nodes)
         each = int(total / nodes)
         if each >= cls.LEAST:
             return each
         some = total / cls.LEAST / nodes
-        return cls.LEAST if duties.weight(replica, name) / 2**64 < some / 2 else 0
+        return cls.LEAST if duties.weight(replica, name) / cls.HASHES < some / 2 else 0
 
-    def room(self, now, share):
+    def room(self, now: kinds.Millis, share: int) -> bool:
+        """Whether one more may be sent now."""
         return self.sent.count(now) < share
--- a/basaltport/relay/clients.py
+++ b/basaltport/relay/clients.py
@@ -4,32 +4,40 @@
 rest. So it is set out of reach, and connections at rest are ended from here, by the limit now in force.
 """
 
+import collections.abc
+
+import aiohttp.web
+
 import basaltport.relay.connections as connections
 
+Connection = aiohttp.web.RequestHandler
+
 LIBRARY_LIMIT_S = 24 * 3600
 AT_LEAST_S = 75
 MARGIN_S = 1
+MS = 1000
 
 
-def at_rest(connection):
+def at_rest(connection: Connection) -> bool:
     """Whether no request is on a connection, nor any byte of one unread."""
     if connection._waiter is None or connection._waiter.done() or connection._messages:
         return False
     return connection.transport is not None and not connections.unread(connection.transport)
 
 
-def rested_s(connection, now):
+def rested_s(connection: Connection, now_s: float) -> float:
     """How long ago a connection was accepted, or its last answer ended."""
-    return now - (connection._next_keepalive_close_time - LIBRARY_LIMIT_S)
+    return now_s - (connection._next_keepalive_close_time - LIBRARY_LIMIT_S)
 
 
 class RestLimit:
     """How long connections may rest: never less than any configuration of this process's life let them."""
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """Nothing was promised yet."""
         self.promised_s = 0.0
 
-    def seconds(self, limits):
+    def seconds(self, limits: collections.abc.Mapping[str, int]) -> float:
         """The limit under a configuration's `limits`."""
-        self.promised_s = max(self.promised_s, limits.get("idle_close_ms", 0) / 1000)
+        self.promised_s = max(self.promised_s, limits.get("idle_close_ms", 0) / MS)
         return max(AT_LEAST_S, self.promised_s + MARGIN_S)
--- a/basaltport/relay/connections.py
+++ b/basaltport/relay/connections.py
@@ -1,85 +1,122 @@
 """Connections to replicas: kept for as long as the replica says, never one with bytes nobody asked for."""
 
+import asyncio
+import collections
+import collections.abc
+import functools
 import select
+import typing
 
 import aiohttp
+import aiohttp.client_proto
+import aiohttp.client_reqrep
+import aiohttp.connector
+import aiohttp.tracing
 
 import basaltport.sockets as sockets
 
-UNSTATED = 4.0
-SURELY = 0.65
-"""A replica states whole seconds; one that states none may keep a connection for less than one second."""
-MARGIN = 0.35
+Request = aiohttp.client_reqrep.ClientRequest
+Key = aiohttp.client_reqrep.ConnectionKey
+Trace = aiohttp.tracing.Trace
+
+UNSTATED_S = 4.0
+"""For how long a connection rests whose replica does not tell its own limit."""
+SURELY_S = 0.65
+"""The same for what must not run again: limits are told in whole seconds; one not told may be under one."""
+MARGIN_S = 0.35
+"""A connection is used for so much less than its replica keeps it."""
+LIBRARY_LIMIT_S = 60.0
 READABLE = select.POLLIN | select.POLLPRI | select.POLLRDHUP
 
 
-def seconds(value):
+def seconds(value: str | None) -> int | None:
     """Seconds of a Keep-Alive header, or None."""
-    for part in (value or "").split(","):
-        k, _, v = part.strip().partition("=")
-        if k.lower() == "timeout" and v.strip().isdigit():
-            return int(v)
-    return int(value) if value and value.strip().isdigit() else None
+    if not value:
+        return None
+    for part in value.split(","):
+        key, _, number = part.strip().partition("=")
+        if key.lower() == "timeout" and number.strip().isdigit():
+            return int(number)
+    return int(value) if value.strip().isdigit() else None
 
 
-def unread(transport):
+def unread(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes, an end or an error wait to be read from a transport's socket."""
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), READABLE)
     return bool(poll.poll(0))
 
 
+class Protocol(aiohttp.client_proto.ResponseHandler):
+    """A connection's side of the library, with what its reuse depends on.
+
+    `released_s`: when its last answer ended, `keep_s`: for how long its replica then keeps it, if it said so,
+    `carried`: the id of the last request on it.
+    """
+
+    released_s = 0.0
+    keep_s: int | None = None
+    carried: str | None = None
+
+
 class Need:
     """What an attempt asks of its connection. `request_id`: of its request; `once`: it must not run again.
     `protocol`: the connection's, once it is there."""
 
     __slots__ = ("request_id", "once", "protocol")
 
-    def __init__(self, request_id: str | None, once: bool):
+    def __init__(self, request_id: str | None, once: bool) -> None:
+        """As of the class."""
         self.request_id = request_id
         self.once = once
-        self.protocol = None
+        self.protocol: Protocol | None = None
 
 
 class Connector(aiohttp.TCPConnector):
-    """`got(req)` is called once a connection is there, before a byte goes out; `need_of(req)` gives its Need.
-
-    A protocol in the pool bears `released` (when its last answer ended), `keep_s` (for how long its replica
-    then keeps it, if it said so) and `carried` (the id of the last request on it).
-    """
-
-    def __init__(self, got, need_of, **kw):
-        super().__init__(limit=0, socket_factory=sockets.factory, keepalive_timeout=60, **kw)
-        self.got = got
+    """`taken(request)` is called once a connection is there, before a byte goes out; `need_of(request)` gives
+    what the request's attempt needs."""
+
+    def __init__(
+        self,
+        taken: collections.abc.Callable[[Request], None],
+        need_of: collections.abc.Callable[[Request], Need],
+    ) -> None:
+        """As of the class."""
+        super().__init__(limit=0, socket_factory=sockets.factory, keepalive_timeout=LIBRARY_LIMIT_S)
+        factory = functools.partial(Protocol, loop=self._loop)
+        self._factory = typing.cast("functools.partial[aiohttp.client_proto.ResponseHandler]", factory)
+        self.taken = taken
         self.need_of = need_of
-        self.need = None
+        self.need = Need(None, True)
         self.made = 0
 
-    async def connect(self, req, *a, **kw):
+    async def connect(
+        self, req: Request, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> aiohttp.connector.Connection:
+        """A connection for a request: one that is proven quiet, or a new one."""
         self.need = need = self.need_of(req)
-        connection = await super().connect(req, *a, **kw)
-        need.protocol = connection.protocol
-        need.protocol.carried = need.request_id
-        self.got(req)
+        connection = await super().connect(req, traces, timeout)
+        need.protocol = protocol = typing.cast(Protocol, connection.protocol)
+        protocol.carried = need.request_id
+        self.taken(req)
         return connection
 
-    async def _get(self, key, traces):
+    async def _get(self, key: Key, traces: list[Trace]) -> aiohttp.connector.Connection | None:
         """The library calls it in the step in which `connect` set `need`."""
-        need, now = self.need, self._loop.time()
-        while True:
-            if not self.bring_forward(key, need, now):
-                return None
+        need, now_s = self.need, self._loop.time()
+        while self.bring_forward(key, need, now_s):
             connection = await super()._get(key, traces)
             if connection is None:
                 return None
-            if quiet(connection.protocol, need, now):
+            if quiet(typing.cast(Protocol, connection.protocol), need, now_s):
                 return connection
             connection.close()
+        return None
 
-    def bring_forward(self, key, need, now):
+    def bring_forward(self, key: Key, need: Need, now_s: float) -> bool:
         """Whether a kept connection may suit a need; if so, the library takes that one next. Others stay: the
         one that a first attempt went on, and those that are not surely alive, serve other requests."""
-        kept = self._conns.get(key)
+        kept = typing.cast("collections.deque[tuple[Protocol, float]]", self._conns.get(key))
         if not kept:
             return False
         at = -1 if need.once else 0
@@ -87,29 +124,36 @@
             if len(kept) == 1:
                 return False
             at = -2 if need.once else 1
-        if need.once and now >= lives_until(kept[at][0], SURELY):
+        if need.once and now_s >= lives_until(kept[at][0], SURELY_S):
             return False
         kept.rotate(-at)
         return True
 
-    def _release(self, key, protocol, *, should_close=False):
-        protocol.released = self._loop.time()
+    def _release(
+        self, key: Key, protocol: aiohttp.client_proto.ResponseHandler, *, should_close: bool = False
+    ) -> None:
+        typing.cast(Protocol, protocol).released_s = self._loop.time()
         super()._release(key, protocol, should_close=should_close)
 
-    async def _create_connection(self, *a, **kw):
+    async def _create_connection(
+        self, req: Request, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> aiohttp.client_proto.ResponseHandler:
         self.made += 1
-        return await super()._create_connection(*a, **kw)
+        return await super()._create_connection(req, traces, timeout)
 
 
-def lives_until(protocol, unstated):
-    """Until when a connection at rest is used; `unstated`: seconds if its replica does not tell its own."""
-    keep_s = getattr(protocol, "keep_s", None)
-    return protocol.released + (unstated if keep_s is None else keep_s - MARGIN)
+def lives_until(protocol: Protocol, unstated_s: float) -> float:
+    """Until when a connection at rest is used; `unstated_s`: for how long if its replica does not tell."""
+    if protocol.keep_s is None:
+        return protocol.released_s + unstated_s
+    return protocol.released_s + protocol.keep_s - MARGIN_S
 
 
-def quiet(protocol, need, now):
+def quiet(protocol: Protocol, need: Need, now_s: float) -> bool:
     """Whether a connection at rest may carry an attempt: it is not spent, nothing waits to be read from it,
     and no answer on it can be taken for another of the same request."""
-    if protocol.should_close or now >= lives_until(protocol, UNSTATED):
+    if protocol.should_close or now_s >= lives_until(protocol, UNSTATED_S):
+        return False
+    if protocol.carried == need.request_id or protocol.transport is None:
         return False
-    return protocol.carried != need.request_id and not unread(protocol.transport)
+    return not unread(protocol.transport)
--- a/basaltport/relay/decision.py
+++ b/basaltport/relay/decision.py
@@ -6,6 +6,7 @@
 import basaltport.relay.outcomes as outcomes
 
 Outcome = outcomes.Outcome
+SERVER_ERROR = 500
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses by which a client is told that its request has not run and never will."""
 
@@ -77,6 +78,7 @@
 
 
 def may_have_run(known: Known) -> bool:
+    """Whether a replica may have begun to work on the request, in this attempt or an earlier one."""
     return known.ran or known.outcome.may_have_run
 
 
@@ -97,7 +99,7 @@
         case Outcome.REFUSED | Outcome.ABSENT | Outcome.MOVED | Outcome.UNSENT:
             return True
         case Outcome.FAILED:
-            return known.status >= 500 and not known.begun
+            return known.status >= SERVER_ERROR and not known.begun
         case Outcome.BROKEN:
             return True
         case Outcome.CUT:
--- a/basaltport/relay/health.py
+++ b/basaltport/relay/health.py
@@ -1,39 +1,52 @@
 """What this node's own attempts tell of a replica."""
 
-FIRST = 250
-LONGEST = 4000
+import basaltport.kinds as kinds
+import basaltport.relay.budget as budget
+
+FIRST_MS = 250
+LONGEST_MS = 4000
+MOST_DOUBLINGS = 5
+KEPT_PART = 0.85
+LONG_AGO = kinds.Millis(-(10**9))
+NOW = kinds.Millis(0)
 
 
 class Health:
-    """`running`: attempts of this node. `down`: not used before then. `first`: smoothed ms to first bytes."""
+    """`running`: attempts of this node. `down`: not used before then. `first`: smoothed ms to first bytes.
+    `last`: when it last sent anything. `dead`: another replica has its address. `absent`: until when items
+    are not asked of it."""
 
     __slots__ = ("running", "down", "fails", "last", "first", "cold", "cold_until", "absent", "dead", "ok_at")
 
-    def __init__(self, cold):
+    def __init__(self, cold: budget.Cold) -> None:
+        """Nothing was sent to it yet. `cold`: what this node sends it while it is cold."""
         self.running = 0
-        self.down = 0
+        self.down = NOW
         self.fails = 0
-        self.last = 0
+        self.last = NOW
         self.first = 0.0
         self.cold = cold
-        self.cold_until = 0
-        self.absent = {}
+        self.cold_until = NOW
+        self.absent: dict[kinds.Item, kinds.Millis] = {}
         self.dead = False
-        self.ok_at = -(10**9)
+        self.ok_at = LONG_AGO
 
-    def bad(self, now):
+    def bad(self, now: kinds.Millis) -> None:
         """Out for a while that doubles with each failure in a row."""
-        self.down = now + min(LONGEST, FIRST << min(self.fails, 5))
+        out_for = min(LONGEST_MS, FIRST_MS << min(self.fails, MOST_DOUBLINGS))
+        self.down = kinds.Millis(now + out_for)
         self.fails += 1
 
-    def good(self, now):
+    def good(self, now: kinds.Millis) -> None:
+        """It gave a whole answer."""
         self.fails = 0
-        self.down = 0
+        self.down = NOW
         self.ok_at = now
 
-    def took(self, ms):
-        self.first = ms if not self.first else 0.85 * self.first + 0.15 * ms
+    def took(self, ms: int) -> None:
+        """First bytes came after so long."""
+        self.first = ms if not self.first else KEPT_PART * self.first + (1 - KEPT_PART) * ms
 
-    def lacks(self, item, now):
+    def lacks(self, item: kinds.Item, now: kinds.Millis) -> bool:
         """Whether it said lately that it does not hold the item."""
-        return self.absent.get(item, 0) > now
+        return self.absent.get(item, NOW) > now
--- a/basaltport/relay/view.py
+++ b/basaltport/relay/view.py
@@ -7,7 +7,6 @@
 import random
 
 import basaltport.kinds as kinds
-import basaltport.relay.budget as budget
 import basaltport.relay.events as events
 import basaltport.relay.request as request
 
@@ -23,20 +22,12 @@
     return sorted(rows, key=lambda r: -r["oldest_ms"])
 
 
-def count(w, now):
-    """Of a budget's window, without letting go of what is past."""
-    old = (now - w.span) // budget.STEP
-    return sum(n for k, n in w.steps if k >= old)
-
-
 def retries(m, now):
     """By service: further attempts in the window, and how many more there may be."""
     out = {}
     for s, w in m.retries.items():
-        firsts, more = count(w.firsts, now), count(w.more, now)
-        slack = w.slack / max(1, m.peers()) if now >= w.slack_from else 0
-        left = int(w.SAFE * (w.ratio * firsts + slack) - more - w.reserved)
-        out[s] = {"first": firsts, "further": more, "left": max(0, left)}
+        left = w.left(now, m.peers())
+        out[s] = {"first": w.firsts.peek(now), "further": w.further.peek(now), "left": left}
     return out
 
 
--- a/tests/test_relay_connections.py
+++ b/tests/test_relay_connections.py
@@ -74,7 +74,7 @@
         """As if all kept connections had been released so long ago."""
         for kept in self.upstream.connector._conns.values():
             for protocol, _ in kept:
-                protocol.released -= seconds
+                protocol.released_s -= seconds
 
     def socket(self):
         return self.writers[-1].transport.get_extra_info("socket")
@@ -188,7 +188,7 @@
         async with Direct() as d:
             await asyncio.gather(d.go(), d.go())
             (kept,) = d.upstream.connector._conns.values()
-            kept[0][0].released -= 3
+            kept[0][0].released_s -= 3
             newest = kept[1][0]
             await d.go(False)
             return kept[-1][0] is newest, d.replica.connections
