Requests that fail at once do not each take the same place in the retry budget

Cause: whether the budget has room was asked when an attempt ended, and the place was spent only when the next one was launched. While no replica could take them, any number of requests passed on the same free place: of 30 refused at once all 30 went again where 18 further arrivals were allowed. Change: a request that goes back into the queue reserves its place; it is spent at launch and given back if the request ends while it waits. Tests: tests/test_request_bytes_faults.py, with a small world of clients and replicas round the reducers (tests/request_world.py).

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -49,6 +49,7 @@
         self.run_n += 1
         run = request.Run(self.run_n, q, r, self.now)
         if q.arrivals:
+            self.retry_of(q.service).release()
             self.retry_of(q.service).spend(self.now)
         q.run = run
         q.state = request.RUN
@@ -159,6 +160,8 @@
         q.run = None
         q.state = request.WAIT
         self.waiting[q.id] = q
+        if q.arrivals:
+            self.retry_of(q.service).reserve()
 
     def fail(self, q, status, detail):
         """The end of a request that may have run."""
--- a/basaltport/relay/budget.py
+++ b/basaltport/relay/budget.py
@@ -46,13 +46,25 @@
         self.slack_from = now + window
         self.firsts = Window(window)
         self.more = Window(window + STEP)
+        self.reserved = 0
 
     def first(self, now):
         self.firsts.add(now)
 
     def room(self, now, nodes):
         slack = self.slack / max(1, nodes) if now >= self.slack_from else 0
-        return self.SAFE * (self.ratio * self.firsts.count(now) + slack) >= self.more.count(now) + 1
+        return (
+            self.SAFE * (self.ratio * self.firsts.count(now) + slack)
+            >= self.more.count(now) + self.reserved + 1
+        )
+
+    def reserve(self) -> None:
+        """Sets one further attempt aside for a request that waits until a replica takes it."""
+        self.reserved += 1
+
+    def release(self) -> None:
+        """Gives back what was set aside, whether or not it is spent now."""
+        self.reserved -= 1
 
     def spend(self, now):
         self.more.add(now)
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -186,7 +186,8 @@
 
     def drop(self, q):
         self.requests.pop(q.id, None)
-        self.waiting.pop(q.id, None)
+        if self.waiting.pop(q.id, None) and q.arrivals:
+            self.retry_of(q.service).release()
 
     def on_left(self, ev):
         self.parked.pop(ev.request, None)
--- a/tests/test_request_bytes_faults.py
+++ b/tests/test_request_bytes_faults.py
@@ -4,6 +4,7 @@
 
 
 import tests.relay_stand as stand
+import tests.request_world as request_world
 
 W = stand.W
 
@@ -66,3 +67,32 @@
 def test_a_run_that_was_cut_in_its_first_event_leaves_no_byte_in_the_next_one():
     got, seen = run(ask("/stream/x", torn_in_its_first_event, three_events))
     assert (got[0], got[2], seen) == (200, EVENTS, [1, 1])
+
+
+MANY = 30
+
+
+def many_refused_at_once():
+    """A world in which many requests were refused before any of them went again."""
+    world = request_world.World(proxies=2, replicas=3)
+    world.pass_time(12_000)
+    for _ in range(MANY):
+        world.ask(0, "safe", 2000)
+    world.end_all(request_world.Happening.REFUSED)
+    return world
+
+
+def test_requests_that_fail_at_once_do_not_each_take_the_same_place_in_the_budget():
+    world = many_refused_at_once()
+    world.pass_time(100)
+    world.end_all(request_world.Happening.WHOLE)
+    world.budget()
+    assert 0 < len(world.further_ms)
+
+
+def test_a_place_in_the_budget_comes_back_from_what_ends_while_it_waits():
+    world = many_refused_at_once()
+    reserved = world.proxies[0].retries["write"]
+    assert reserved.reserved > 0
+    world.pass_time(3000)
+    assert reserved.reserved == 0 and not world.open()
