Requests: a state machine over the reducers of two proxies, killed and restarted

Cause: the reducers were tested for chosen orders of events. Change: a hypothesis machine in which replicas answer, refuse, reset, fall silent and leave, clients go away, and proxies die and start again; it holds each request against one end, once, promise, tries, budget (summed over all lives of the proxies), deadline and what is passed on. Seven broken rules are found by it. Tests: tests/test_request_bytes_machine.py

--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -16,6 +16,8 @@
 Outcome = outcomes.Outcome
 START_MS = 1_000_000
 STEP_MS = 50
+LONG_MS = 60_000
+"""How long the first proxies ran before: longer than any window."""
 HELD_MS = 250
 TIMINGS = {"retry_ratio": 0.2, "retry_slack": 12, "retry_window_s": 10}
 WINDOW_MS = 10_000
@@ -83,6 +85,8 @@
         self.routes = {r["name"]: r for r in self.document["routes"]}
         self.passed: dict[tuple[int, int], int] = {}
         self.proxies = [self.proxy() for _ in range(proxies)]
+        for relay in self.proxies:
+            relay.born = kinds.Millis(START_MS - LONG_MS)
 
     def must(self, held: bool, rule: str, detail: object = "") -> None:
         if not held:
--- /dev/null
+++ b/tests/test_request_bytes_machine.py
@@ -0,0 +1,107 @@
+"""Requests through the reducers of several proxies, with any event at any time, and what must hold."""
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as strategies
+import pytest
+
+import basaltport.relay.budget as budget
+import basaltport.relay.decision as decision
+import basaltport.relay.request as request
+import basaltport.relay.role as role
+import tests.request_world as request_world
+
+Happening = request_world.Happening
+PROXIES = 2
+REPLICAS = 3
+SETTINGS = hypothesis.settings(
+    max_examples=120, stateful_step_count=40, deadline=None, derandomize=True, report_multiple_bugs=False
+)
+
+
+class Requests(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.world = request_world.World(PROXIES, REPLICAS)
+
+    def pick(self, keys, n):
+        keys = sorted(keys)
+        return keys[n % len(keys)]
+
+    @stateful.rule(
+        proxy=strategies.integers(0, PROXIES - 1),
+        route=strategies.sampled_from(["safe", "once", "stream", "single"]),
+        deadline_ms=strategies.integers(100, 4000),
+        many=strategies.sampled_from([1, 2, 6, 30]),
+    )
+    def ask(self, proxy, route, deadline_ms, many):
+        for _ in range(many):
+            self.world.ask(proxy, route, deadline_ms)
+
+    @stateful.precondition(lambda self: self.world.flights)
+    @stateful.rule(n=strategies.integers(0, 50), happening=strategies.sampled_from(Happening))
+    def end(self, n, happening):
+        self.world.end(self.pick(self.world.flights, n), happening)
+
+    @stateful.precondition(lambda self: self.world.flights)
+    @stateful.rule(happening=strategies.sampled_from(Happening))
+    def end_all(self, happening):
+        self.world.end_all(happening)
+
+    @stateful.precondition(lambda self: self.world.flights)
+    @stateful.rule(n=strategies.integers(0, 50))
+    def progress(self, n):
+        self.world.progress(self.pick(self.world.flights, n))
+
+    @stateful.rule(ms=strategies.sampled_from([50, 100, 400, 1500, 6000]))
+    def time(self, ms):
+        self.world.pass_time(ms)
+
+    @stateful.precondition(lambda self: self.world.open())
+    @stateful.rule(n=strategies.integers(0, 50))
+    def leave(self, n):
+        self.world.leave(self.pick(self.world.open(), n))
+
+    @stateful.rule(proxy=strategies.integers(0, PROXIES - 1))
+    def kill(self, proxy):
+        self.world.kill(proxy)
+
+    @stateful.rule(
+        n=strategies.integers(0, REPLICAS - 1), state=strategies.sampled_from(["ready", "ready", "draining"])
+    )
+    def change(self, n, state):
+        self.world.change(f"r{n}", state)
+
+    @stateful.invariant()
+    def within_the_budget(self):
+        self.world.budget()
+
+    def teardown(self):
+        if self.world.broken:
+            return
+        self.world.pass_time(5000)
+        self.world.must(not self.world.open(), "every request has its end", self.world.open())
+
+
+def test_any_order_of_events():
+    stateful.run_state_machine_as_test(Requests, settings=SETTINGS)
+
+
+BREAKS = [
+    ("runs at most once", [(decision, "proven_safe", lambda known: True)]),
+    ("what is refused never ran", [(decision, "give_up", lambda begun, ran: decision.Move.REFUSE)]),
+    ("bare promise is not passed on", [(decision, "passable", lambda known: True)]),
+    ("no more replicas than", [(request.Request, "spare", lambda self: True)]),
+    ("within the budget", [(budget.Retries, "room", lambda self, now, nodes: True)]),
+    ("held past its deadline", [(role.Relay, "expire", lambda self: None)]),
+    ("has (its|one) end", [(role.Relay, "drop", lambda self, q: self.waiting.pop(q.id, None))]),
+]
+
+
+@pytest.mark.parametrize("rule, breaks", BREAKS, ids=[b[0] for b in BREAKS])
+def test_a_broken_rule_is_found(monkeypatch, rule, breaks):
+    for owner, name, broken in breaks:
+        monkeypatch.setattr(owner, name, broken)
+    quick = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate], max_examples=2000)
+    with pytest.raises(request_world.Broken, match=rule):
+        stateful.run_state_machine_as_test(Requests, settings=quick)
