--- a/basaltport/events.py
+++ b/basaltport/events.py
@@ -1,42 +1,49 @@
 """Events that reducers take and effects that they give back; both are plain data."""
 
 import dataclasses
+import typing
 
 import basaltport.kinds as kinds
 
-_d = dataclasses.dataclass(slots=True)
+Document = dict[str, typing.Any]
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Tick:
+    """Time has passed."""
+
     now: kinds.Millis
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Heard:
+    """A message came from another member."""
+
     now: kinds.Millis
     src: str
     msg: object
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Synced:
+    """Records of a `Write` are on the disk, or the write failed."""
+
     now: kinds.Millis
     token: int
     ok: bool = True
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Asked:
     """An operator, or the platform, asks something of this member."""
 
     now: kinds.Millis
     call: str
     verb: str
-    body: dict
+    body: Document
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Arrived:
     """A sender's query, read and whole."""
 
@@ -44,18 +51,20 @@
     query: kinds.QueryId
     line: str
     token: str
-    body: dict
+    body: Document
     deadline: int = -1
     key: str = ""
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Gone:
+    """The client of a request is gone."""
+
     now: kinds.Millis
     query: kinds.QueryId
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Replied:
     """A dispatch ended: done, refused (never ran), broken (unknown) or late."""
 
@@ -65,114 +74,132 @@
     status: int = 0
     detail: str = ""
     serial: int = 0
-    reply: dict | None = None
+    reply: Document | None = None
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Polled:
+    """A replica told its state, or did not answer."""
+
     now: kinds.Millis
     replica: kinds.ReplicaId
     ok: bool
-    state: dict
+    state: Document
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Ordered:
+    """A replica answered an order, or did not."""
+
     now: kinds.Millis
     order: int
     ok: bool
-    state: dict
+    state: Document
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Stop:
     """The process ends in good order; what it had taken in is finished."""
 
     now: kinds.Millis
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Prewarm:
+    """An operator wants items loaded before anyone asks for them."""
+
     now: kinds.Millis
-    items: list
+    items: list[str]
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Send:
+    """A message for the member at an address."""
+
     addr: str
     msg: object
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Write:
     """Records for the journal; with `whole`, a fresh snapshot that replaces it."""
 
     token: int
-    records: list
-    whole: dict | None = None
+    records: list[typing.Any]
+    whole: Document | None = None
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Answer:
+    """The answer to an `Asked`."""
+
     call: str
     status: int
-    body: dict
+    body: Document
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Note:
+    """An event for the log."""
+
     number: int
-    fields: dict
+    fields: Document
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Dispatch:
+    """Send a request to a replica."""
+
     dispatch: kinds.DispatchId
     query: kinds.QueryId
     replica: kinds.ReplicaId
     url: str
-    body: dict
+    body: Document
     serial: int
     timeout: int
     deadline: int
     keep: bool = False
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Abandon:
     """Stop a dispatch whose sender is gone or whose time is up."""
 
     dispatch: kinds.DispatchId
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Close:
     """The final word to a sender."""
 
     query: kinds.QueryId
     status: int
-    body: dict
+    body: Document
     retry_after: int = 0
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Repeat:
     """The kept reply of the first query with the same key."""
 
     query: kinds.QueryId
     status: int
-    reply: dict
+    reply: Document
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Poll:
+    """Ask a replica for its state."""
+
     replica: kinds.ReplicaId
     url: str
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Order:
+    """Have a replica load or unload."""
+
     order: int
     replica: kinds.ReplicaId
     url: str
-    body: dict
+    body: Document
--- a/basaltport/frames.py
+++ b/basaltport/frames.py
@@ -1,8 +1,10 @@
 """One frame format between members: magic, version, kind, checksum, length, body."""
 
+import collections.abc
 import dataclasses
 import functools
 import json
+import typing
 import zlib
 
 import construct
@@ -22,35 +24,53 @@
     "crc" / construct.Int32ub,
     "length" / construct.Int32ub,
 )
-HEADER_SIZE = HEADER.sizeof()
+HEADER_SIZE: int = HEADER.sizeof()
 
 
-class Doc(construct.Adapter):
-    def _decode(self, obj, context, path):
-        try:
-            return json.loads(obj)
-        except ValueError as e:
-            raise construct.ConstructError(str(e))
+class GenerationFields(typing.Protocol):
+    """The parsed fields of a generation."""
 
-    def _encode(self, obj, context, path):
-        raise NotImplementedError
+    count: int
+    name: str
 
 
-class Pair(construct.Adapter):
-    def _decode(self, obj, context, path):
-        return kinds.Generation(obj.count, obj.name)
+class Header(typing.Protocol):
+    """The parsed fields before a body."""
 
-    def _encode(self, obj, context, path):
-        return {"count": obj.count, "name": obj.name}
+    version: int
+    kind: int
+    crc: int
+    length: int
+
+
+def _decode_document(raw: bytes, context: object) -> object:
+    try:
+        return json.loads(raw)
+    except ValueError as error:
+        raise construct.ConstructError(str(error)) from error
+
+
+def _encode_document(document: object, context: object) -> bytes:
+    """Documents are never built here: `parts` puts their text in without a copy."""
+    raise NotImplementedError
+
+
+def _decode_generation(fields: GenerationFields, context: object) -> kinds.Generation:
+    return kinds.Generation(fields.count, fields.name)
+
+
+def _encode_generation(generation: kinds.Generation, context: object) -> dict[str, object]:
+    return {"count": generation.count, "name": generation.name}
 
 
 _BYTES = construct.Prefixed(construct.VarInt, construct.GreedyBytes)
 _TEXT = construct.PascalString(construct.VarInt, "utf8")
-_DOC = Doc(_BYTES)
-_GEN = Pair(construct.Struct("count" / construct.Int64ub, "name" / _TEXT))
+_DOC = construct.ExprAdapter(_BYTES, _decode_document, _encode_document)
+_PAIR = construct.Struct("count" / construct.Int64ub, "name" / _TEXT)
+_GEN = construct.ExprAdapter(_PAIR, _decode_generation, _encode_generation)
 
 
-def _form(t):
+def _form(t: type) -> construct.Construct:
     if t is kinds.Generation:
         return _GEN
     if t is bool:
@@ -62,34 +82,53 @@
     return _DOC
 
 
+class _Field(typing.NamedTuple):
+    """A message's field: its class without parameters, and its form on the wire."""
+
+    name: str
+    type: type
+    form: construct.Construct
+
+
+@functools.cache
+def _layout(cls: collections.abc.Hashable) -> tuple[_Field, ...]:
+    """The fields of a message class."""
+    out = []
+    for field in dataclasses.fields(typing.cast(messages.MessageType, cls)):
+        plain = typing.cast(type, typing.get_origin(field.type) or field.type)
+        out.append(_Field(field.name, plain, _form(plain)))
+    return tuple(out)
+
+
 @functools.cache
-def _body(cls):
-    return construct.Struct(*[f.name / _form(f.type) for f in dataclasses.fields(cls)])
+def _body(cls: collections.abc.Hashable) -> construct.Struct:
+    return construct.Struct(*[field.name / field.form for field in _layout(cls)])
 
 
-def parts(msg):
+def parts(msg: object) -> list[bytes]:
     """A frame as its parts; large documents are not copied on the way."""
-    cls = type(msg)
-    out = []
-    for f in dataclasses.fields(cls):
-        form, v = _form(f.type), getattr(msg, f.name)
+    cls = typing.cast(messages.MessageType, type(msg))
+    out: list[bytes] = []
+    for name, _, form in _layout(cls):
+        value = getattr(msg, name)
         if form is _DOC:
-            raw = text.dumps(v)
+            raw = text.dumps(value)
             out += [construct.VarInt.build(len(raw)), raw]
             continue
-        out.append(form.build(v))
+        out.append(form.build(value))
     crc = 0
-    for p in out:
-        crc = zlib.crc32(p, crc)
+    for part in out:
+        crc = zlib.crc32(part, crc)
     head = {"version": VERSION, "kind": cls.KIND, "crc": crc, "length": sum(map(len, out))}
     return [HEADER.build(head), *out]
 
 
-def pack(msg):
+def pack(msg: object) -> bytes:
+    """A frame as one piece."""
     return b"".join(parts(msg))
 
 
-def header(raw):
+def header(raw: bytes) -> result.Result[Header, str]:
     """Ok(header) or Err(reason) for the fixed bytes before a body."""
     try:
         h = HEADER.parse(raw)
@@ -104,25 +143,30 @@
     return result.Ok(h)
 
 
-def body(h, raw):
+def body(h: Header, raw: bytes) -> result.Result[object, str]:
+    """Ok(message) or Err(reason) for the bytes after a header."""
     if zlib.crc32(raw) != h.crc:
         return result.Err("checksum differs")
     cls = messages.KINDS[h.kind]
     try:
         got = _body(cls).parse(raw)
-        return result.Ok(cls(**{f.name: _cast(f.type, got[f.name]) for f in dataclasses.fields(cls)}))
+        return result.Ok(cls(**{name: _cast(plain, got[name]) for name, plain, _ in _layout(cls)}))
     except (construct.ConstructError, ValueError, TypeError) as e:
         return result.Err(f"garbled body: {type(e).__name__}")
 
 
-def _cast(t, v):
-    if t in (dict, list) and not isinstance(v, t):
+def _cast(t: type, value: object) -> object:
+    if t in (dict, list) and not isinstance(value, t):
         raise TypeError(t.__name__)
-    return t(v) if t is not kinds.Generation and issubclass(t, (int, str)) else v
+    if t is kinds.Generation or not issubclass(t, (int, str)):
+        return value
+    convert: collections.abc.Callable[[object], object] = t
+    return convert(value)
 
 
-def unpack(raw):
+def unpack(raw: bytes) -> result.Result[object, str]:
+    """Ok(message) or Err(reason) for a whole frame."""
     h = header(raw[:HEADER_SIZE])
-    if h.is_err():
+    if isinstance(h, result.Err):
         return h
     return body(h.ok_value, raw[HEADER_SIZE:])
--- a/basaltport/messages.py
+++ b/basaltport/messages.py
@@ -1,26 +1,44 @@
 """What members say to each other. Field types decide the form on the wire (see frames)."""
 
+import collections.abc
 import dataclasses
+import typing
 
 import basaltport.kinds as kinds
 
-KINDS = {}
+Document = dict[str, typing.Any]
+Rows = list[typing.Any]
 
 
-def message(number):
-    """Registers a class as a message of this number; its fields are its form on the wire."""
+class Message(typing.Protocol):
+    """What every class that `message` registers has."""
 
-    def wrap(cls):
-        cls = dataclasses.dataclass(slots=True)(cls)
-        cls.KIND = number
-        KINDS[number] = cls
-        return cls
+    KIND: typing.ClassVar[int]
+    __dataclass_fields__: typing.ClassVar[dict[str, dataclasses.Field[typing.Any]]]
+
+
+MessageType = type[Message]
+
+KINDS: dict[int, MessageType] = {}
+
+
+@typing.dataclass_transform()
+def message(number: int) -> collections.abc.Callable[[type], MessageType]:
+    """Register a class as a message of this number; its fields are its form on the wire."""
+
+    def wrap(cls: type) -> MessageType:
+        made = typing.cast(MessageType, dataclasses.dataclass(slots=True)(cls))
+        made.KIND = number
+        KINDS[number] = made
+        return made
 
     return wrap
 
 
 @message(1)
 class Hello:
+    """A member tells who it is and which members it knows."""
+
     house: str
     name: kinds.Name
     seat: kinds.Seat
@@ -29,11 +47,13 @@
     addr: str
     http: str
     gen: kinds.Generation
-    known: list
+    known: Rows
 
 
 @message(2)
 class Campaign:
+    """A candidate asks for the promise of a seat."""
+
     gen: kinds.Generation
     seat: kinds.Seat
     name: kinds.Name
@@ -42,6 +62,8 @@
 
 @message(3)
 class Promise:
+    """The answer to a `Campaign`, with the generation and serial that the seat holds."""
+
     gen: kinds.Generation
     seat: kinds.Seat
     name: kinds.Name
@@ -49,24 +71,30 @@
     promised: kinds.Generation
     hgen: kinds.Generation
     serial: kinds.Serial
-    me: dict
+    me: Document
 
 
 @message(4)
 class Fetch:
+    """A new leader asks a seat for a copy of what it holds."""
+
     gen: kinds.Generation
     seat: kinds.Seat
 
 
 @message(5)
 class Copy:
+    """All that a seat holds."""
+
     gen: kinds.Generation
     seat: kinds.Seat
-    copy: dict
+    copy: Document
 
 
 @message(6)
 class Beat:
+    """The leader's heartbeat, with entries or a copy for one that lacks them."""
+
     gen: kinds.Generation
     seat: kinds.Seat
     name: kinds.Name
@@ -76,14 +104,16 @@
     cgen: kinds.Generation
     pgen: kinds.Generation
     pserial: kinds.Serial
-    entries: list
-    copy: dict
+    entries: Rows
+    copy: Document
     age: kinds.Millis
     echo: int
 
 
 @message(7)
 class Ack:
+    """The answer to a `Beat`."""
+
     gen: kinds.Generation
     seat: kinds.Seat
     n: int
@@ -98,17 +128,21 @@
 
 @message(8)
 class Forward:
+    """An operator's call, passed on to the leader."""
+
     call: str
     addr: str
     verb: str
-    body: dict
+    body: Document
 
 
 @message(9)
 class Reply:
+    """The answer to a `Forward`."""
+
     call: str
     status: int
-    body: dict
+    body: Document
 
 
 @message(10)
@@ -121,6 +155,8 @@
 
 @message(11)
 class Suspect:
+    """A watcher tells the leader whom it misses."""
+
     seat: kinds.Seat
     of: kinds.Seat
 
@@ -133,9 +169,9 @@
     fence: kinds.Fence
     seat: kinds.Seat
     version: int
-    rows: dict
-    gone: list
-    digests: list
+    rows: Document
+    gone: Rows
+    digests: Rows
     ranges: str
 
 
@@ -153,6 +189,8 @@
 
 @message(14)
 class Facts:
+    """The answer to a `Want`: how the item stands in the zone."""
+
     ask: int
     zone: kinds.Zone
     item: kinds.Item
@@ -163,7 +201,7 @@
     expected: kinds.Millis
     serving_for: kinds.Millis
     loading_for: kinds.Millis
-    replicas: list
+    replicas: Rows
     reason: str
 
 
@@ -176,38 +214,46 @@
     zone: kinds.Zone
     fence: kinds.Fence
     seen: int
-    rows: dict
+    rows: Document
 
 
 @message(16)
 class Grants:
+    """The slots that a node may use, replica by replica."""
+
     zone: kinds.Zone
     fence: kinds.Fence
     echo: int
     n: int
-    rows: dict
+    rows: Document
 
 
 @message(17)
 class PermitAsk:
+    """A steward asks for permits to load from the store."""
+
     seat: kinds.Seat
     zone: kinds.Zone
     fence: kinds.Fence
     k: int
-    held: dict
-    want: dict
+    held: Document
+    want: Document
 
 
 @message(18)
 class PermitGrant:
+    """The answer to a `PermitAsk`."""
+
     zone: kinds.Zone
     fence: kinds.Fence
     k: int
-    granted: dict
+    granted: Document
 
 
 @message(20)
 class CellWant:
+    """A member asks for the rows of a cell in some ranges."""
+
     zone: kinds.Zone
     fence: kinds.Fence
     seat: kinds.Seat
@@ -243,12 +289,14 @@
 
 @message(24)
 class Claimed:
+    """The answer to a `Claim`."""
+
     seat: kinds.Seat
     query: kinds.QueryId
     k: int
     state: str
     status: int
-    reply: dict
+    reply: Document
     owner: kinds.Seat
     left: kinds.Millis
 
@@ -264,7 +312,7 @@
     k: int
     state: str
     status: int
-    reply: dict
+    reply: Document
 
 
 @message(26)
@@ -280,10 +328,12 @@
 
 @message(27)
 class KeepCopy:
+    """The answer to a `KeepWant`."""
+
     seat: kinds.Seat
     range: int
     at: kinds.Serial
-    rows: dict
+    rows: Document
 
 
 @message(19)
