local-fleet tells its addresses only once the proxy listens

It waited for the keepers alone, and under load (30 on 16 cores) the first request was refused: 2 of 5 runs of the whole-fleet test.

--- a/basaltport/local_fleet/cli.py
+++ b/basaltport/local_fleet/cli.py
@@ -35,8 +35,8 @@
     end = time.monotonic() + values.seconds
     local.start()
     try:
-        if not local.wait_for_leader(lambda: bool(stops)):
-            print(f"no leader was found; see the .out files in {local.folder}", file=sys.stderr)
+        if not local.wait_until_up(lambda: bool(stops)):
+            print(f"the fleet did not come up; see the .out files in {local.folder}", file=sys.stderr)
             return FAILED
         print(f"keepers: {','.join(local.keepers)}\nproxy: {local.proxy}", flush=True)
         print(f"for a shell: . {local.path('addresses')}", flush=True)
--- a/basaltport/local_fleet/runner.py
+++ b/basaltport/local_fleet/runner.py
@@ -51,17 +51,18 @@
             self.spawn(name, "local-fleet-process", f"--conf={self.path(name + '.json')}")
         self.note_ids()
 
-    def wait_for_leader(self, stopped: collections.abc.Callable[[], bool]) -> bool:
-        """Whether every keeper follows a leader within `STARTUP_S` seconds."""
+    def wait_until_up(self, stopped: collections.abc.Callable[[], bool]) -> bool:
+        """Whether every keeper follows a leader and the proxy listens within `STARTUP_S` seconds."""
         end = time.monotonic() + STARTUP_S
         while time.monotonic() < end and not stopped():
-            if all(self._follows(address) for address in self.keepers):
+            if all(self._answers(address) for address in (*self.keepers, self.ready)):
                 return True
             time.sleep(POLL_S)
         return False
 
-    def _follows(self, operators: str) -> bool:
-        url = f"http://{operators}/basaltport/status"
+    def _answers(self, address: str) -> bool:
+        """Whether a status page is there: a keeper's once it knows a leader, a proxy's once it listens."""
+        url = f"http://{address}/basaltport/status"
         try:
             with urllib.request.urlopen(url, timeout=1) as response:
                 return bool(response.status == http.HTTPStatus.OK)
