--- a/basaltport/settings.py
+++ b/basaltport/settings.py
@@ -1,6 +1,7 @@
 """A process's settings: a JSON file, flags over it, all findings together."""
 
 import re
+import typing
 
 import result
 import trafaret
@@ -10,6 +11,9 @@
 
 _ADDR = trafaret.Regexp(re.compile(r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$"))
 
+Settings = dict[str, typing.Any]
+Findings = list[dict[str, str]]
+
 FORM = trafaret.Dict(
     {
         trafaret.Key("house"): check.NAME,
@@ -29,29 +33,42 @@
 )
 
 
-def load(path, over, role):
+def load(path: str, over: dict[str, str | None], role: str) -> result.Result[Settings, Findings]:
+    """The settings of a file with `over` in place of what it says, or all findings."""
+    doc = _document(path)
+    if isinstance(doc, result.Err):
+        return doc
+    given = {**doc.ok_value, **{k: v for k, v in over.items() if v is not None}}
+    checked: result.Result[Settings, Findings] = check.shape(FORM, given)
+    if isinstance(checked, result.Err):
+        return checked
+    findings = _contradictions(checked.ok_value, role)
+    return result.Err(findings) if findings else checked
+
+
+def _document(path: str) -> result.Result[Settings, Findings]:
+    """The object that a file holds."""
     try:
         with open(path) as f:
-            got = read.loads(f.read())
+            got: result.Result[object, Findings] = read.loads(f.read())
     except OSError as e:
-        return result.Err([{"place": path, "finding": e.strerror}])
+        return result.Err([{"place": path, "finding": str(e.strerror)}])
     except UnicodeDecodeError:
         return result.Err([{"place": path, "finding": "not text"}])
-    if got.is_err():
+    if isinstance(got, result.Err):
         return got
-    doc = got.ok_value
-    if not isinstance(doc, dict):
+    if not isinstance(got.ok_value, dict):
         return result.Err([{"place": path, "finding": "not an object"}])
-    doc.update({k: v for k, v in over.items() if v is not None})
-    got = check.shape(FORM, doc)
-    if got.is_err():
-        return got
-    s = got.ok_value
-    fs = []
-    if role == "ledger" and not s.get("data"):
-        fs.append({"place": "data", "finding": "a ledger needs a data folder"})
-    if s["addr"] == s["http"]:
-        fs.append({"place": "http", "finding": "same as addr"})
-    if set(s["seeds"]) == {s["addr"]}:
-        fs.append({"place": "seeds", "finding": "the only seed is this member itself"})
-    return result.Err(fs) if fs else result.Ok(s)
+    return result.Ok(got.ok_value)
+
+
+def _contradictions(settings: Settings, role: str) -> Findings:
+    """What is wrong though each field is well formed."""
+    findings = []
+    if role == "ledger" and not settings.get("data"):
+        findings.append({"place": "data", "finding": "a ledger needs a data folder"})
+    if settings["addr"] == settings["http"]:
+        findings.append({"place": "http", "finding": "same as addr"})
+    if set(settings["seeds"]) == {settings["addr"]}:
+        findings.append({"place": "seeds", "finding": "the only seed is this member itself"})
+    return findings
--- a/basaltport/wires.py
+++ b/basaltport/wires.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import collections
+import collections.abc
+import typing
+
+import result
 
 import basaltport.frames as frames
 import basaltport.sockets as sockets
@@ -12,84 +16,112 @@
 SILENT = 15
 BODY = 5
 RATE = 1 << 20
+UNSENT = 1 << 20
+
+Queue = collections.deque[object]
+Heard = collections.abc.Callable[[str, typing.Any], None]
+Refused = collections.abc.Callable[[str, str], None]
 
 
 class Wires:
-    def __init__(self, addr, heard, refused):
+    """The connections of one member: `heard` gets each message, `refused` each frame that is none."""
+
+    def __init__(self, addr: str, heard: Heard, refused: Refused) -> None:
+        """Listen on `addr` once started."""
         self.addr = addr
         self.heard = heard
         self.refused = refused
-        self.out = {}
-        self.tasks = {}
-        self.server = None
-        self.open = set()
+        self.out: dict[str, tuple[Queue, asyncio.Event]] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.server: asyncio.Server | None = None
+        self.open: set[asyncio.Task[None]] = set()
 
-    async def start(self):
+    async def start(self) -> None:
+        """Listen."""
         host, port = self.addr.split(":")
         self.server = await asyncio.start_server(self.accept, host, int(port))
 
-    async def stop(self):
-        self.server.close()
+    async def stop(self) -> None:
+        """Listen no more and end all connections."""
+        if self.server:
+            self.server.close()
         for t in list(self.tasks.values()) + list(self.open):
             t.cancel()
 
-    def send(self, addr, msg):
-        q = self.out.get(addr)
-        if q is None:
-            q = self.out[addr] = (collections.deque(maxlen=BOUND), asyncio.Event())
-            self.tasks[addr] = asyncio.get_running_loop().create_task(self.pump(addr, *q))
-        q[0].append(msg)
-        q[1].set()
+    def send(self, addr: str, msg: object) -> None:
+        """Queue a message; where `BOUND` wait, the oldest is dropped."""
+        if addr not in self.out:
+            self.out[addr] = (collections.deque(maxlen=BOUND), asyncio.Event())
+            self.tasks[addr] = asyncio.get_running_loop().create_task(self.pump(addr, *self.out[addr]))
+        queue, filled = self.out[addr]
+        queue.append(msg)
+        filled.set()
 
-    async def pump(self, addr, q, ev):
+    async def pump(self, addr: str, queue: Queue, filled: asyncio.Event) -> None:
+        """Connect while there is something to send; what waits when that fails is dropped."""
         host, port = addr.split(":")
         while True:
-            await ev.wait()
+            await filled.wait()
             try:
-                r, w = await asyncio.wait_for(asyncio.open_connection(host, int(port)), CONNECT)
-                sockets.bound(w.get_extra_info("socket"))
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), CONNECT)
+                sockets.bound(writer.get_extra_info("socket"))
             except (OSError, TimeoutError):
-                q.clear()
-                ev.clear()
+                queue.clear()
+                filled.clear()
                 await asyncio.sleep(RETRY)
                 continue
             try:
-                while True:
-                    while q:
-                        w.writelines(frames.parts(q.popleft()))
-                        if w.transport.get_write_buffer_size() > 1 << 20:
-                            await w.drain()
-                    ev.clear()
-                    await ev.wait()
-                    if w.transport.is_closing() or r.at_eof():
-                        break
+                await self.write(reader, writer, queue, filled)
             except (OSError, TimeoutError):
                 pass
             finally:
-                w.transport.abort()
+                writer.transport.abort()
 
-    async def accept(self, r, w):
-        t = asyncio.current_task()
-        self.open.add(t)
-        peer = w.get_extra_info("peername")
+    async def write(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        queue: Queue,
+        filled: asyncio.Event,
+    ) -> None:
+        """Send what is queued until the connection ends."""
+        while True:
+            while queue:
+                writer.writelines(frames.parts(queue.popleft()))
+                if writer.transport.get_write_buffer_size() > UNSENT:
+                    await writer.drain()
+            filled.clear()
+            await filled.wait()
+            if writer.transport.is_closing() or reader.at_eof():
+                return
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Read frames of a peer until its connection ends or a frame is refused."""
+        task = typing.cast(asyncio.Task[None], asyncio.current_task())
+        self.open.add(task)
+        peer = str(writer.get_extra_info("peername"))
         try:
-            sockets.bound(w.get_extra_info("socket"))
+            sockets.bound(writer.get_extra_info("socket"))
             while True:
-                async with asyncio.timeout(SILENT):
-                    raw = await r.readexactly(frames.HEADER_SIZE)
-                h = frames.header(raw)
-                if h.is_err():
-                    self.refused(str(peer), h.err_value)
-                    return
-                async with asyncio.timeout(BODY + h.ok_value.length / RATE):
-                    raw = await r.readexactly(h.ok_value.length)
-                m = frames.body(h.ok_value, raw)
-                if m.is_err():
-                    self.refused(str(peer), m.err_value)
+                got = await self.read(reader)
+                if isinstance(got, result.Err):
+                    self.refused(peer, got.err_value)
                     return
-                self.heard("", m.ok_value)
+                self.heard("", got.ok_value)
         except (asyncio.IncompleteReadError, OSError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
-            self.open.discard(t)
-            w.close()
+            self.open.discard(task)
+            writer.close()
+
+    async def read(self, reader: asyncio.StreamReader) -> result.Result[object, str]:
+        """The next message, or why its frame is refused."""
+        async with asyncio.timeout(SILENT):
+            raw = await reader.readexactly(frames.HEADER_SIZE)
+        header = frames.header(raw)
+        if isinstance(header, result.Err):
+            return header
+        length = header.ok_value.length
+        async with asyncio.timeout(BODY + length / RATE):
+            raw = await reader.readexactly(length)
+        return frames.body(header.ok_value, raw)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -21,7 +21,7 @@
         "placement query_proxy readiness relay replica_client scale simulation zone_controller"
     ).split()),
     *(f"basaltport/{name}.py" for name in (
-        "daemon host kinds main member settings shell wires"
+        "daemon host kinds main member shell"
     ).split()),
     "platform/**",
     "tests/**",
