--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -7,6 +7,11 @@
 import yarl
 
 import basaltport.relay.connections as connections
+import basaltport.relay.decision as decision
+import basaltport.relay.outcomes as outcomes
+
+Outcome = outcomes.Outcome
+Result = outcomes.Result
 
 HOP = {
     "connection",
@@ -24,6 +29,9 @@
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 WHOLE = 16 << 20
 CONNECT = 0.4
+SWITCHING = 101
+BODILESS = (204, 304)
+"""Statuses whose answers have no body."""
 
 
 def end_to_end(headers):
@@ -34,6 +42,14 @@
     return multidict.CIMultiDict((k, v) for k, v in headers.items() if k.lower() not in drop)
 
 
+def states_its_end(r: aiohttp.ClientResponse) -> bool:
+    """Whether a head tells where its body ends. Where only the end of the connection does, a body that
+    was cut can't be told from a whole one."""
+    if r.method == "HEAD" or r.status in BODILESS:
+        return True
+    return "Content-Length" in r.headers or "chunked" in r.headers.get("Transfer-Encoding", "").lower()
+
+
 class Foreign(Exception):
     """The bytes are not the answer to what was sent."""
 
@@ -82,32 +98,36 @@
         return h
 
     async def run(self, e, sink, progress):
-        """(outcome, status, detail, resumes) of an attempt, see `relay.events.Ended`."""
+        """The `outcomes.Result` of an attempt."""
         try:
             async with asyncio.timeout(e.left / 1000):
                 return await self.once(e, sink, progress)
         except TimeoutError:
-            return self.lost(e, sink, "late", "the time is over")
+            return self.lost(e, sink, Outcome.LATE, "the time is over")
         except asyncio.CancelledError:
             asyncio.current_task().uncancel()
-            return self.lost(e, sink, "broken", "stopped")
+            return self.lost(e, sink, Outcome.BROKEN, "stopped")
         except Departed as x:
-            return "gone", 0, str(x), False
+            return Result(Outcome.GONE, 0, str(x))
         except Foreign as x:
-            return self.lost(e, sink, "broken", str(x))
-        except aiohttp.ClientConnectorError as x:
-            return "unsent", 0, type(x).__name__, False
+            return self.lost(e, sink, Outcome.BROKEN, str(x))
         except (aiohttp.ClientError, OSError, ValueError) as x:
-            return self.lost(e, sink, "broken", type(x).__name__)
+            return self.lost(e, sink, Outcome.BROKEN, type(x).__name__)
         finally:
             self.written.discard(e.attempt)
 
+    def sent(self, attempt):
+        """Whether a byte of an attempt may have left: so from the step in which it took its connection. The
+        library writes without telling, so what it has a connection for counts as sent, whatever it raises."""
+        return attempt in self.written
+
     def lost(self, e, sink, outcome, why):
-        if e.attempt not in self.written:
-            return "unsent", 0, why, False
+        """The end of an attempt that has no whole answer."""
+        if not self.sent(e.attempt):
+            return Result(Outcome.UNSENT, 0, why)
         if sink.begun:
-            return "cut", 0, why, sink.can_resume() and outcome != "late"
-        return outcome, 0, why, False
+            return Result(Outcome.CUT, 0, why, sink.can_resume() and outcome is not Outcome.LATE)
+        return Result(outcome, 0, why)
 
     async def once(self, e, sink, progress):
         url = yarl.URL(f"http://{e.address}{sink.path}", encoded=True)
@@ -131,12 +151,15 @@
         if h.get(w.request_id) != sink.request_id:
             r.close()
             raise Foreign("the answer is of another request")
+        if r.status == SWITCHING:
+            r.close()
+            raise Foreign("nobody asked for another protocol")
         if r.status == 421:
             await self.whole(r)
-            return ("absent" if h.get(w.replica) == e.replica else "moved"), 421, "", False
+            return Result(Outcome.ABSENT if h.get(w.replica) == e.replica else Outcome.MOVED, 421)
         if w.not_run in h:
             await self.whole(r)
-            return "refused", r.status, f"refused by the replica: {r.status}", False
+            return Result(Outcome.REFUSED, r.status, f"refused by the replica: {r.status}")
         if h.get("Content-Encoding", "identity").lower() != "identity":
             r.close()
             raise Foreign("the answer is encoded")
@@ -145,14 +168,17 @@
             raise Foreign("the answer has no stamp")
         if 200 <= r.status < 300 and sink.streams:
             return await self.stream(e, sink, r, progress)
+        if not states_its_end(r):
+            r.close()
+            raise Foreign("an answer without an end")
         raw = await self.whole(r)
-        if r.status >= 500:
+        if r.status >= 500 or r.status in decision.PROMISES:
             sink.keep(e.attempt, r.status, end_to_end(h), raw)
-            return "failed", r.status, "", False
+            return Result(Outcome.FAILED, r.status)
         if sink.begun:
-            return "failed", r.status, "a run that should go on does not", False
+            return Result(Outcome.FAILED, r.status, "a run that should go on does not")
         await sink.whole(r.status, end_to_end(h), raw)
-        return "done", r.status, "", False
+        return Result(Outcome.DONE, r.status)
 
     async def whole(self, r):
         """The whole body, or an error if it ends early; what is over WHOLE is no answer."""
@@ -165,17 +191,14 @@
         return bytes(raw)
 
     async def stream(self, e, sink, r, progress):
-        if (
-            "Content-Length" not in r.headers
-            and "chunked" not in r.headers.get("Transfer-Encoding", "").lower()
-        ):
+        if not states_its_end(r):
             r.close()
             raise Foreign("a stream without an end")
         async for c in r.content.iter_any():
             progress()
             await sink.part(r.status, r.headers, c)
         await sink.end(r.status, r.headers)
-        return "done", r.status, "", False
+        return Result(Outcome.DONE, r.status)
 
 
 MARK = "X-Basaltport-Attempt"
