--- a/basaltport/failure_detection/ring.py
+++ b/basaltport/failure_detection/ring.py
@@ -1,9 +1,13 @@
 """Heartbeats round a ring: each member pulses to a few watchers, who tell the leader whom they miss."""
 
 import bisect
+import collections.abc
 import functools
 import hashlib
+import typing
 
+import basaltport.kinds as kinds
+import basaltport.member as member
 import basaltport.messages as messages
 
 WATCHERS = 3
@@ -13,12 +17,18 @@
 VOICE = 900
 
 
+LONG_AGO = -(10**9)
+
+Seats = collections.abc.Iterable[str]
+
+
 @functools.cache
-def place(seat):
+def place(seat: str) -> bytes:
+    """The point of a name on the ring."""
     return hashlib.blake2b(seat.encode(), digest_size=8).digest()
 
 
-def watchers(seat, roster):
+def watchers(seat: str, roster: collections.abc.Collection[str]) -> list[str]:
     """The seats that follow on the ring."""
     ring = sorted(roster, key=place)
     if seat not in roster:
@@ -27,24 +37,47 @@
     return [ring[(i + k) % len(ring)] for k in range(1, min(WATCHERS, len(ring) - 1) + 1)]
 
 
-def after(point, names, n):
+def after(point: str, names: Seats, n: int) -> list[str]:
     """The names that follow a point on the ring."""
     ring = sorted(names, key=place)
     i = bisect.bisect([place(x) for x in ring], place(point))
     return [ring[(i + k) % len(ring)] for k in range(min(n, len(ring)))]
 
 
-class RingMixin:
-    """Needs SeatMixin. A watcher that itself stood still begins anew instead of accusing."""
+class RingNeeds(typing.Protocol):
+    """What `RingMixin` needs of the member it is part of; see `consensus.seat`."""
+
+    me: member.Me
+    now: kinds.Millis
+    book: dict[str, typing.Any]
+    leader: typing.Any
+
+    def addr_of(self, seat: str) -> str:
+        """The address of a seat."""
+
+    def send(self, addr: str, msg: object) -> None:
+        """Send a message to an address."""
+
+
+if typing.TYPE_CHECKING:
+    Needs = RingNeeds
+else:
+    Needs = object
+
+
+class RingMixin(Needs):
+    """Watches seats of the ring. A watcher that itself stood still begins anew instead of accusing."""
 
-    def ring_start(self):
+    def ring_start(self) -> None:
+        """Begin with nothing heard."""
         self.pulse_n = 0
-        self.pulse_at = -(10**9)
+        self.pulse_at = LONG_AGO
         self.ring_at = self.now
-        self.pulses = {}
-        self.voices = {}
+        self.pulses: dict[str, int] = {}
+        self.voices: dict[str, dict[str, int]] = {}
 
-    def tick_ring(self):
+    def tick_ring(self) -> None:
+        """Send heartbeats to the watchers of this seat, and accuse whom it watches and misses."""
         if self.now - self.ring_at > GAP:
             self.pulses = {}
         self.ring_at = self.now
@@ -61,19 +94,23 @@
             if self.now - self.pulses.setdefault(s, self.now) > MISSED:
                 self.accuse(s)
 
-    def accuse(self, s):
+    def accuse(self, seat: str) -> None:
+        """Tell the leader that a seat is missed."""
+        word = messages.Suspect(self.me.seat, kinds.Seat(seat))
         if getattr(self, "leading", False):
-            self.hear_suspect("", messages.Suspect(self.me.seat, s))
+            self.hear_suspect("", word)
         elif self.leader:
-            self.send(self.leader.addr, messages.Suspect(self.me.seat, s))
+            self.send(self.leader.addr, word)
 
-    def hear_pulse(self, src, m):
+    def hear_pulse(self, src: str, m: messages.Pulse) -> None:
+        """A seat that this one watches is alive."""
         self.pulses[m.seat] = self.now
 
-    def hear_suspect(self, src, m):
+    def hear_suspect(self, src: str, m: messages.Suspect) -> None:
+        """A watcher misses a seat."""
         self.voices.setdefault(m.of, {})[m.seat] = self.now
 
-    def missed_by(self, s):
+    def missed_by(self, s: str) -> int:
         """How many watchers miss a seat just now."""
         vs = self.voices.get(s, {})
         return sum(1 for at in vs.values() if self.now - at < VOICE)
--- a/basaltport/replica_client/__init__.py
+++ b/basaltport/replica_client/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, polls and orders to replicas over HTTP, and what is proven of each."""
--- a/basaltport/replica_client/pieces.py
+++ b/basaltport/replica_client/pieces.py
@@ -1,18 +1,37 @@
 """A streamed reply as its replica tells it: numbered pieces of one dispatch, and a line that counts them."""
 
+import enum
+import typing
+
+
+class Kind(enum.StrEnum):
+    """What a line of a stream is: a piece, or the end with the count of all pieces."""
+
+    PIECE = "piece"
+    END = "end"
+
+
+class Line(typing.NamedTuple):
+    """A line that was taken: a piece with its number, or the end with the count."""
+
+    kind: Kind
+    number: int
+    piece: typing.Any = None
+
 
 class Pieces:
     """Takes a replica's lines in turn; anything out of order, or of another dispatch, is no reply."""
 
     __slots__ = ("dispatch", "n", "ended")
 
-    def __init__(self, dispatch):
+    def __init__(self, dispatch: str) -> None:
+        """Expect the pieces of one dispatch, from number 0."""
         self.dispatch = dispatch
         self.n = 0
         self.ended = False
 
-    def take(self, doc):
-        """("piece", number, piece) or ("end", count, None); ValueError where the stream can't be trusted."""
+    def take(self, doc: object) -> Line:
+        """The line of a document; ValueError where the stream can't be trusted."""
         if not isinstance(doc, dict) or doc.get("dispatch") != self.dispatch:
             raise ValueError("a line of another dispatch")
         if self.ended:
@@ -21,8 +40,8 @@
             if doc.get("pieces") != self.n:
                 raise ValueError("the end does not count the pieces")
             self.ended = True
-            return "end", self.n, None
+            return Line(Kind.END, self.n)
         if doc.get("n") != self.n:
             raise ValueError("a piece out of order")
         self.n += 1
-        return "piece", self.n - 1, doc.get("piece")
+        return Line(Kind.PIECE, self.n - 1, doc.get("piece"))
