--- a/basaltport/configuration/__init__.py
+++ b/basaltport/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator configures: its form, checks, patches, and the rules compiled from it."""
--- a/basaltport/configuration/items.py
+++ b/basaltport/configuration/items.py
@@ -1,9 +1,12 @@
 """Which items a pattern names: `m` a model, `m/a` an adapter, `m/*` a model's adapters, `*` everything."""
 
 import bisect
+import collections.abc
+import typing
 
 
-def items_of(m):
+def items_of(m: dict[str, typing.Any]) -> collections.abc.Iterator[str]:
+    """All models and adapters of a manifest."""
     for k, v in m["models"].items():
         yield k
         for a in v.get("adapters") or {}:
@@ -15,11 +18,13 @@
 
     __slots__ = ("all", "sorted")
 
-    def __init__(self, items):
+    def __init__(self, items: collections.abc.Iterable[str]) -> None:
+        """Sort the items once."""
         self.all = frozenset(items)
         self.sorted = sorted(self.all)
 
-    def match(self, pattern):
+    def match(self, pattern: str) -> list[str]:
+        """The items that a pattern names, in order."""
         if not pattern.endswith("*"):
             return [pattern] if pattern in self.all else []
         head = pattern[:-1]
--- a/basaltport/configuration/patch.py
+++ b/basaltport/configuration/patch.py
@@ -1,7 +1,13 @@
 """RFC 7396 merge patches, and their inverse: the patch that leads from one manifest to another."""
 
+import typing
 
-def merge(target, patch):
+Json = typing.Any
+Document = dict[str, Json]
+
+
+def merge(target: object, patch: object) -> Json:
+    """The target with a merge patch applied; nothing is changed in place."""
     if not isinstance(patch, dict):
         return patch
     out = dict(target) if isinstance(target, dict) else {}
@@ -13,10 +19,11 @@
     return out
 
 
-def diff(old, new):
+def diff(old: object, new: object) -> Json:
+    """The patch that leads from one document to another."""
     if not isinstance(old, dict) or not isinstance(new, dict):
         return new
-    out = {k: None for k in old if k not in new}
+    out: Document = {k: None for k in old if k not in new}
     for k, v in new.items():
         if k not in old:
             out[k] = v
--- a/basaltport/configuration/read.py
+++ b/basaltport/configuration/read.py
@@ -1,20 +1,27 @@
 """JSON read strictly: a name given twice in one object is a finding with its place, and so is NaN."""
 
+import collections.abc
 import json
+import typing
 
 import result
 
 
-class _Twice(dict):
+Pairs = list[tuple[str, typing.Any]]
+Finding = dict[str, str]
+
+
+class _Twice(dict[str, typing.Any]):
     """An object in which names were given twice."""
 
-    def __init__(self, pairs, names):
+    def __init__(self, pairs: Pairs, names: list[str]) -> None:
         super().__init__(pairs)
         self.names = names
 
 
-def _object(pairs):
-    seen, twice = set(), []
+def _object(pairs: Pairs) -> dict[str, typing.Any]:
+    seen: set[str] = set()
+    twice: list[str] = []
     for k, _ in pairs:
         if k in seen:
             twice.append(k)
@@ -22,21 +29,25 @@
     return _Twice(pairs, twice) if twice else dict(pairs)
 
 
-def _constant(name):
+def _constant(name: str) -> typing.NoReturn:
     raise ValueError(f"{name} is no JSON")
 
 
-def _walk(doc, place):
+def _walk(doc: object, place: str) -> collections.abc.Iterator[Finding]:
     here = f"{place}." if place else ""
     if isinstance(doc, _Twice):
         for k in doc.names:
             yield {"place": f"{here}{k}", "finding": "this name stands twice"}
-    items = doc.items() if isinstance(doc, dict) else enumerate(doc) if isinstance(doc, list) else ()
-    for k, v in items:
-        yield from _walk(v, f"{here}{k}")
+    items: collections.abc.Iterable[tuple[object, object]] = ()
+    if isinstance(doc, dict):
+        items = doc.items()
+    elif isinstance(doc, list):
+        items = enumerate(doc)
+    for name, value in items:
+        yield from _walk(value, f"{here}{name}")
 
 
-def loads(text):
+def loads(text: str) -> result.Result[object, list[Finding]]:
     """Ok(document) or Err(findings)."""
     try:
         doc = json.loads(text, object_pairs_hook=_object, parse_constant=_constant)
--- a/basaltport/configuration/routes.py
+++ b/basaltport/configuration/routes.py
@@ -3,7 +3,9 @@
 Every field is told by one test. An item whose fields all pass is plain and costs no more; only one that is
 not is given to trafaret, whose findings name each field."""
 
+import collections.abc
 import math
+import typing
 
 import trafaret
 
@@ -13,52 +15,59 @@
 LONGEST = 1000
 MOST = 1_000_000
 
+Document = dict[str, typing.Any]
+Finding = dict[str, str]
+Findings = list[Finding]
+Test = collections.abc.Callable[[object], bool]
+Names = collections.abc.Container[str]
+T = typing.TypeVar("T")
 
-def _text(v):
+
+def _text(v: object) -> typing.TypeGuard[str]:
     return type(v) is str and 0 < len(v) <= LONGEST
 
 
-def _prefix(v):
-    return _text(v) and v[0] == "/" and v[-1] == "/"
+def _prefix(v: object) -> bool:
+    return _text(v) and v.startswith("/") and v.endswith("/")
 
 
-def _kind(v):
+def _kind(v: object) -> bool:
     return type(v) is str and v in KINDS
 
 
-def _flag(v):
+def _flag(v: object) -> bool:
     return type(v) is bool
 
 
-def _number(v):
+def _number(v: object) -> typing.TypeGuard[float]:
     return (type(v) is int or type(v) is float) and 0 <= v < math.inf
 
 
-def _more(v):
+def _more(v: object) -> bool:
     return _number(v) and v > 0
 
 
-def _whole(v):
+def _whole(v: object) -> typing.TypeGuard[int]:
     return type(v) is int and v >= 0
 
 
-def _count(v):
+def _count(v: object) -> bool:
     return _whole(v) and v <= MOST
 
 
-def _model(v):
+def _model(v: object) -> bool:
     return _text(v) and "/" not in v
 
 
-def _list(v):
+def _list(v: object) -> typing.TypeGuard[list[typing.Any]]:
     return type(v) is list
 
 
-def _dict(v):
+def _dict(v: object) -> typing.TypeGuard[Document]:
     return type(v) is dict
 
 
-SAYS = {
+SAYS: dict[Test, str] = {
     _text: f"not a text of 1 to {LONGEST} characters",
     _prefix: "not a path that begins and ends with a slash",
     _kind: "none of " + ", ".join(KINDS),
@@ -73,8 +82,8 @@
 }
 
 
-def _told(test, or_null):
-    def look(v):
+def _told(test: Test, or_null: bool) -> trafaret.Trafaret:
+    def look(v: object) -> object:
         return v if test(v) or (or_null and v is None) else trafaret.DataError(SAYS[test])
 
     return trafaret.Call(look)
@@ -83,7 +92,10 @@
 class Form:
     """Fields that are needed, that may be left out, and that may be null too; others are not looked at."""
 
-    def __init__(self, needed, optional, nullable=()):
+    def __init__(
+        self, needed: dict[str, Test], optional: dict[str, Test], nullable: tuple[str, ...] = ()
+    ) -> None:
+        """Each field with the test that it is to pass."""
         self.tests = {**optional, **needed}
         self.needed = needed.keys()
         self.nullable = frozenset(nullable)
@@ -91,7 +103,8 @@
         keys |= {trafaret.Key(k, optional=True): _told(t, k in nullable) for k, t in optional.items()}
         self.form = trafaret.Dict(keys, allow_extra=["*"])
 
-    def plain(self, v):
+    def plain(self, v: object) -> bool:
+        """Whether all fields pass."""
         if type(v) is not dict:
             return False
         tests = self.tests
@@ -101,11 +114,12 @@
                 return False
         return v.keys() >= self.needed
 
-    def findings(self, v, place):
+    def findings(self, v: object, place: str) -> Findings:
+        """What is wrong with an object that stands at `place`."""
         if self.plain(v):
             return []
-        got = check_.shape(self.form, v)
-        return [_at(f"{place}.{f['place']}".strip("."), f["finding"]) for f in got.err_value]
+        found = check_.findings(self.form, v)
+        return [_at(f"{place}.{f['place']}".strip("."), f["finding"]) for f in found]
 
 
 ROUTE = Form(
@@ -149,16 +163,16 @@
 NAMED = Form({"name": _text}, {})
 
 
-def _at(place, finding):
+def _at(place: str, finding: str) -> Finding:
     return {"place": place, "finding": finding}
 
 
-def _get(doc, key, kind):
+def _get(doc: Document, key: str, kind: type[T]) -> T:
     v = doc.get(key)
     return v if type(v) is kind else kind()
 
 
-def check(doc, current=None):
+def check(doc: object, current: Document | None = None) -> Findings:
     """Findings {"place", "finding"} of a whole configuration, in order; empty when it is valid.
     `current` is the configuration in force, or None: the new edition is higher than its."""
     fs = TOP.findings(doc, "")
@@ -174,7 +188,7 @@
     return fs
 
 
-def _once(name, seen, place, fs):
+def _once(name: object, seen: dict[str, str], place: str, fs: Findings) -> None:
     """Notes where a name stands; a second place is a finding."""
     if not _text(name):
         return
@@ -184,9 +198,9 @@
     seen[name] = place
 
 
-def _services(services, fs):
+def _services(services: list[object], fs: Findings) -> Names:
     """The names of services."""
-    seen = {}
+    seen: dict[str, str] = {}
     for n, s in enumerate(services):
         place = f"services.{n}"
         fs += SERVICE.findings(s, place)
@@ -198,17 +212,18 @@
     return seen
 
 
-def _engine(engine, place, fs):
+def _engine(engine: Document, place: str, fs: Findings) -> None:
     fs += ENGINE.findings(engine, place)
-    seen = {}
+    seen: dict[str, str] = {}
     for n, m in enumerate(_get(engine, "models", list)):
         fs += MODEL.findings(m, f"{place}.models.{n}")
         if type(m) is dict:
             _once(m.get("name"), seen, f"{place}.models.{n}", fs)
 
 
-def _routes(routes, known, fs):
-    names, paths = {}, {}
+def _routes(routes: list[object], known: Names | None, fs: Findings) -> None:
+    names: dict[str, str] = {}
+    paths: dict[tuple[str, str], str] = {}
     for n, r in enumerate(routes):
         place = f"routes.{n}"
         fs += ROUTE.findings(r, place)
@@ -224,7 +239,7 @@
             fs.append(_at(f"{place}.prefix", f"host and prefix are those of {first}"))
 
 
-def _targets(r, known, place, fs):
+def _targets(r: Document, known: Names | None, place: str, fs: Findings) -> None:
     service, shares = r.get("service"), r.get("shares")
     if service is None and shares is None:
         fs.append(_at(f"{place}.service", "neither a service nor shares"))
@@ -244,35 +259,42 @@
         fs.append(_at(f"{place}.shares", "the weights sum to 0"))
 
 
-def _known(name, known, place, fs):
+def _known(name: object, known: Names | None, place: str, fs: Findings) -> None:
     if _text(name) and known is not None and name not in known:
         fs.append(_at(place, f"no service {name!r}"))
 
 
-def check_patch(change):
+def check_patch(change: object) -> Findings:
     """Findings of a change's form; what it leads to is checked as a whole configuration."""
     fs = CHANGE.findings(change, "")
     if type(change) is not dict:
         return fs
     for section, items in _get(change, "put", dict).items():
-        place, seen = f"put.{section}", {}
-        if not _list(items):
-            fs.append(_at(place, SAYS[_list]))
-            continue
-        for n, v in enumerate(items):
-            fs += NAMED.findings(v, f"{place}.{n}")
-            if type(v) is dict:
-                _once(v.get("name"), seen, f"{place}.{n}", fs)
+        _put(items, f"put.{section}", fs)
     for section, gone in _get(change, "remove", dict).items():
-        if not _list(gone):
-            fs.append(_at(f"remove.{section}", SAYS[_list]))
-            continue
-        bad = [n for n, v in enumerate(gone) if not _text(v)]
-        fs += [_at(f"remove.{section}.{n}", SAYS[_text]) for n in bad]
+        _remove(gone, f"remove.{section}", fs)
     return fs
 
 
-def patch(current, change):
+def _put(items: object, place: str, fs: Findings) -> None:
+    if not _list(items):
+        fs.append(_at(place, SAYS[_list]))
+        return
+    seen: dict[str, str] = {}
+    for n, v in enumerate(items):
+        fs += NAMED.findings(v, f"{place}.{n}")
+        if type(v) is dict:
+            _once(v.get("name"), seen, f"{place}.{n}", fs)
+
+
+def _remove(names: object, place: str, fs: Findings) -> None:
+    if not _list(names):
+        fs.append(_at(place, SAYS[_list]))
+        return
+    fs += [_at(f"{place}.{n}", SAYS[_text]) for n, v in enumerate(names) if not _text(v)]
+
+
+def patch(current: Document | None, change: Document) -> Document:
     """A new configuration: a put item takes the place of the one of its name, or the last place; a removed
     name goes, unless it is put too. `change` has no findings; `current` (or None) is left as it is."""
     doc = {**(current or {}), "edition": change["edition"]}
@@ -286,5 +308,5 @@
     return doc
 
 
-def _name(item):
+def _name(item: object) -> object:
     return item.get("name") if type(item) is dict else None
--- a/basaltport/configuration/rules.py
+++ b/basaltport/configuration/rules.py
@@ -1,6 +1,8 @@
 """A manifest compiled to rules: for each line a short program that the rostrum's interpreter runs."""
 
+import collections.abc
 import dataclasses
+import typing
 
 import basaltport.configuration.items as items
 import basaltport.kinds as kinds
@@ -8,9 +10,13 @@
 KEEP_MS = 120_000
 KEEP_BOUND = 20_000
 
+Document = dict[str, typing.Any]
+
 
 @dataclasses.dataclass(slots=True)
 class ItemRule:
+    """A model or an adapter; `full` is its size with all its adapters."""
+
     item: kinds.Item
     size: int
     full: int
@@ -24,8 +30,10 @@
 
 @dataclasses.dataclass(slots=True)
 class LineRule:
+    """A line of service; `program` holds the steps that the interpreter runs for each request."""
+
     name: str
-    program: list
+    program: list[tuple[str, typing.Any]]
     urgency: int
     patience: int
     bound: int
@@ -33,37 +41,43 @@
     pool: str
     timeout: int
     ready_timeout: int
-    prewarm: list
-    senders: frozenset
-    items: frozenset
+    prewarm: list[str]
+    senders: frozenset[str]
+    items: frozenset[str]
 
 
 @dataclasses.dataclass(slots=True)
 class Rules:
+    """All that a manifest says, by name."""
+
     serial: int
-    lines: dict
-    items: dict
-    pools: dict
-    groups: dict
-    zones: list
+    lines: dict[str, LineRule]
+    items: dict[str, ItemRule]
+    pools: Document
+    groups: Document
+    zones: list[str]
     loads: int
     longest_load: int = 0
     keep_ms: int = KEEP_MS
     keep_bound: int = KEEP_BOUND
 
 
-def compile(m, serial, old=None, was=None):
+def compile(m: Document | None, serial: int, old: Document | None = None, was: Rules | None = None) -> Rules:
     """Rules of a manifest; lines that stand as in the manifest `old`, whose rules `was` are, keep theirs."""
     if m is None:
         return Rules(serial, {}, {}, {}, {}, [], 0)
-    same = {}
-    if old is not None and (old["models"] is m["models"] or old["models"] == m["models"]):
+    same: dict[str, LineRule] = {}
+    if old is not None and was is not None and (old["models"] is m["models"] or old["models"] == m["models"]):
         same = {k: was.lines[k] for k, v in m["lines"].items() if old["lines"].get(k) is v}
     index = None if same and len(same) == len(m["lines"]) else items.Index(items.items_of(m))
+    if was is not None and same:
+        rules = was.items
+    else:
+        rules = {i.item: i for k, v in m["models"].items() for i in _items(k, v)}
     return Rules(
         serial,
         {k: same.get(k) or _line(k, v, index) for k, v in m["lines"].items()},
-        was.items if same else {i.item: i for k, v in m["models"].items() for i in _items(k, v)},
+        rules,
         m["pools"],
         m["groups"],
         sorted(m["zones"]),
@@ -74,13 +88,13 @@
     )
 
 
-def _longest(m):
+def _longest(m: Document) -> int:
     """The longest declared load; 0 where some model declares none."""
     ms = [v.get("expected_load_ms", 0) for v in m["models"].values()]
     return max(ms, default=0) if all(ms) else 0
 
 
-def _items(k, v):
+def _items(k: str, v: Document) -> collections.abc.Iterator[ItemRule]:
     c, w = v.get("copies", 1), v.get("idle_window_ms", 0)
     rt, ex = v.get("ready_timeout_ms", 0), v.get("expected_load_ms", 0)
     full = v["size"] + sum(d["size"] for d in (v.get("adapters") or {}).values())
@@ -91,9 +105,10 @@
         )
 
 
-def _line(k, v, index):
+def _line(k: str, v: Document, index: items.Index | None) -> LineRule:
+    assert index is not None
     named = frozenset(i for p in v["items"] for i in index.match(p))
-    program = [
+    program: list[tuple[str, typing.Any]] = [
         ("sender", {h: s for s, h in v["senders"].items()}),
         ("item", named),
         ("deadline", v["patience_ms"]),
