--- a/basaltport/simulation/routes/operator.py
+++ b/basaltport/simulation/routes/operator.py
@@ -1,5 +1,8 @@
 """The operator: changes sent to any keeper until there is a clear answer, and what was answered."""
 
+import basaltport.events as events
+
+LINK_MS = 12
 SILENT = 1000
 AGAIN = 150
 CLEAR = (200, 400, 409, 412)
@@ -8,7 +11,7 @@
 class Change:
     def __init__(self, id, verb, body, until):
         self.id, self.verb, self.body, self.until = id, verb, body, until
-        self.status, self.asks, self.then = None, 0, None
+        self.status, self.asks, self.then, self.asked = None, 0, None, ""
 
 
 class OperatorMixin:
@@ -18,6 +21,16 @@
         self.changes, self.change_of = {}, {}
         self.edition, self.last_edition = 0, 0
 
+    def ask(self, name, verb, **body):
+        """A call's id. It arrives later, so that whoever asked knows the id before the answer comes."""
+        self.n += 1
+        call = f"c{self.n}"
+        self.answers[call] = None
+        node = self.nodes[name]
+        asked = events.Asked(self.now, call, verb, body)
+        self.later(self.rng.randrange(1, LINK_MS), self.give, node, node.life, asked)
+        return call
+
     def order_change(self, verb, then=None, ms=60_000, **body):
         """Sends a change; `then(status)` once there is a clear answer."""
         c = Change(f"c{len(self.changes) + 1}", verb, body, self.now + ms)
@@ -45,7 +58,8 @@
         if not up:
             self.later(pause, self.send_change, c, min(1000, pause * 2))
             return
-        call = self.ask(self.rng.choice(up).name, c.verb, change=c.id, **c.body)
+        c.asked = self.rng.choice([n.name for n in up if n.name != c.asked] or [c.asked])
+        call = self.ask(c.asked, c.verb, change=c.id, **c.body)
         self.change_of[call] = c
         c.asks += 1
         self.later(SILENT, self.silent, c, call, pause)
--- a/basaltport/simulation/world/fleetworld.py
+++ b/basaltport/simulation/world/fleetworld.py
@@ -34,6 +34,15 @@
     "small": {"keepers": 3, "proxies": 6, "replicas": 9, "plain": 3, "models": 26, "each": 3, "flow": 40},
     "wide": {"keepers": 3, "proxies": 12, "replicas": 18, "plain": 6, "models": 56, "each": 3, "flow": 120},
 }
+DEPLOYMENTS = {
+    "furrow": {"proxies": 8, "replicas": 18, "plain": 3, "models": 56, "each": 3, "flow": 60},
+    "tsehay": {"proxies": 9, "replicas": 12, "plain": 3, "models": 39, "each": 3, "flow": 60},
+}
+PRESETS |= {
+    f"{name}-{keepers}": {"keepers": keepers, **machines}
+    for name, machines in DEPLOYMENTS.items()
+    for keepers in (3, 5)
+}
 
 
 class World(
