--- a/basaltport/simulation/routes/control_world.py
+++ b/basaltport/simulation/routes/control_world.py
@@ -6,7 +6,8 @@
 import basaltport.simulation.world.fleetworld as fleetworld
 
 LOOK = 10
-END_AFTER_STOP = 200
+END_AFTER_RELEASE = 100
+RELEASE_LOOK = 20
 GROWN_KEEPERS = 5
 CATCH_UP_MS = {3: 4000, GROWN_KEEPERS: 6000}
 
@@ -73,14 +74,23 @@
         self.core_upset = self.now
 
     def retire_keeper(self, name: str) -> None:
-        """SIGTERM; it is gone for good once its process has ended."""
+        """SIGTERM; its process ends once the others need its vote no more, and it is gone for good."""
         node = self.nodes[name]
         self.disturb(name)
         self.log("stop", node=name)
         self.step(node, events.Stop(self.now))
-        self.later(END_AFTER_STOP, self.retired, name, node)
+        self.later(RELEASE_LOOK, self.retired, name, node)
 
     def retired(self, name: str, node) -> None:
+        if self.nodes.get(name) is not node:
+            return
+        if node.member is not None and not node.member.released():
+            self.later(RELEASE_LOOK, self.retired, name, node)
+            return
+        self.log("released", node=name)
+        self.later(END_AFTER_RELEASE, self.end_retired, name, node)
+
+    def end_retired(self, name: str, node) -> None:
         if self.nodes.get(name) is node:
             self.remove_keeper(name)
 
