--- a/basaltport/consensus/feed.py
+++ b/basaltport/consensus/feed.py
@@ -88,13 +88,13 @@
             return [], {}, *head
         self.needs.discard(s)
         self.sent[s] = (self.now, head[1])
-        self.note_transfer(s, size)
+        self.note_transfer(s, size, bool(copy))
         return es or [], copy, pg, ps
 
-    def note_transfer(self, s, size):
-        """What is sent while more is on its way comes behind it."""
+    def note_transfer(self, s, size, whole=False):
+        """What is sent while more is on its way comes behind it; what is whole makes up for all before."""
         first = Transfer(self.n, self.now, 0, self.book["serial"], 0)
-        if self.on_its_way(s):
+        if self.on_its_way(s) and not whole:
             first = self.transfers[s]
         self.transfers[s] = dataclasses.replace(first, size=first.size + size, upto=self.head()[1])
 
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -1,6 +1,7 @@
 """What a leader sends to a member is sent again only once it must have arrived, or is seen to be lost."""
 
 import basaltport.consensus.feed as feed
+import basaltport.events as events
 import basaltport.messages as messages
 import tests.keepers as keepers
 
@@ -13,8 +14,8 @@
     return w, w.nodes[w.leader()].member, w.nodes[follower].seat
 
 
-def copies(w, leader, seat, ms):
-    """How many heartbeats with a copy of the log went to a seat within `ms`."""
+def copies(w, leader, seat, rounds, each_round):
+    """How many heartbeats with a copy of the log go to a seat in some rounds of 200 ms."""
     address = leader.addr_of(seat)
     sent = []
     send = w.do_send
@@ -25,18 +26,30 @@
         send(n, e)
 
     w.do_send = watch
-    w.run(ms)
+    for _ in range(rounds):
+        w.run(200)
+        each_round()
     w.do_send = send
     return len(sent)
 
 
+def lacking(leader, seat, beat):
+    """What a member answers to a heartbeat whose entries it can't join on to what it has."""
+    return messages.Ack(leader.promised, seat, beat, 1, True, leader.promised, *leader.head(), 0, True)
+
+
 def test_a_large_copy_is_sent_once_while_it_may_be_on_its_way():
+    """The member goes on answering heartbeats that were sent before the copy."""
     w, leader, seat = led()
     w.differs = lambda n, b: None
-    document = leader.book["manifest"]
-    leader.book = {**leader.book, "manifest": {**document, "note": "x" * 600_000}}
+    leader.book = {**leader.book, "manifest": {**leader.book["manifest"], "note": "x" * 600_000}}
+    before = leader.n
     leader.needs.add(seat)
-    assert copies(w, leader, seat, 1900) == 1
+
+    def answer_what_came_before():
+        w.step(w.nodes[w.leader()], events.Heard(w.now, "", lacking(leader, seat, before)))
+
+    assert copies(w, leader, seat, 9, answer_what_came_before) == 1
 
 
 def test_a_lost_copy_is_sent_again_once_a_later_heartbeat_was_answered_without_it():
@@ -54,11 +67,8 @@
     w, leader, seat = led()
     leader.transfers[seat] = feed.Transfer(leader.n, w.now, 10**6, leader.book["serial"], leader.head()[1])
 
-    def lacking(beat):
-        return messages.Ack(leader.promised, seat, beat, 1, True, leader.promised, *leader.head(), 0, True)
-
-    assert leader.to_come(lacking(leader.n - 1))
-    assert not leader.to_come(lacking(leader.n))
+    assert leader.to_come(lacking(leader, seat, leader.n - 1))
+    assert not leader.to_come(lacking(leader, seat, leader.n))
     assert not leader.on_its_way(seat)
 
 
