--- a/basaltport/relay/budget.py
+++ b/basaltport/relay/budget.py
@@ -36,6 +36,7 @@
     """Further attempts at one service: a part of the ratio of own first ones, and a share of the slack.
 
     After a start the slack is not used for one window, since what was spent before it is not remembered.
+    `reserved`: attempts that were promised a part and have not gone yet.
     """
 
     SAFE = 0.75
@@ -44,9 +45,9 @@
         self.ratio = ratio
         self.slack = slack
         self.slack_from = now + window
+        self.reserved = 0
         self.firsts = Window(window)
         self.more = Window(window + STEP)
-        self.reserved = 0
 
     def first(self, now):
         self.firsts.add(now)
@@ -58,14 +59,6 @@
             >= self.more.count(now) + self.reserved + 1
         )
 
-    def reserve(self) -> None:
-        """Sets one further attempt aside for a request that waits until a replica takes it."""
-        self.reserved += 1
-
-    def release(self) -> None:
-        """Gives back what was set aside, whether or not it is spent now."""
-        self.reserved -= 1
-
     def spend(self, now):
         self.more.add(now)
 
