A member's place is taken only by one at its address, or once it is lost

Cause: two living members of one name took each other's place again and again (joint changes without end), and a word of leaving that a follower had kept for long marked a member as lost that was back.

--- a/basaltport/consensus/roster.py
+++ b/basaltport/consensus/roster.py
@@ -217,17 +217,20 @@
         return True
 
     def replaced_by(self, row, roster):
-        """The seat whose place a new member takes, or None: of its address, else of its name, else lost."""
-        seats = sorted(s for s in roster if s != self.me.seat)
-        for same in ("addr", "name"):
-            for s in seats:
-                if roster[s][same] == row[same]:
-                    return s
-        lost = [s for s in seats if self.lost_seat(s)]
-        return min(lost, key=self.drop_order, default=None)
+        """The seat whose place a new member takes, or None: the one at its address, whose process is no
+        more, else of the lost ones the one of its name first."""
+        for s in sorted(roster):
+            if roster[s]["addr"] == row["addr"]:
+                return s
+        lost = [s for s in roster if self.lost_seat(s)]
+        return min(lost, key=lambda s: (roster[s]["name"] != row["name"], self.drop_order(s)), default=None)
 
     def lost_seat(self, s):
-        return s != self.me.seat and (s in self.gone or self.quiet_for(s) > timing.SILENT)
+        """Whether a seat said lately that it leaves, or was not heard for long."""
+        if s == self.me.seat:
+            return False
+        leaves = s in self.gone and self.now - self.gone[s] < timing.LEAVE_WAIT
+        return leaves or self.quiet_for(s) > timing.SILENT
 
     def drop_order(self, s):
         """Those that said so go first, then the one heard of longest ago."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 import basaltport.consensus.book as book
 import basaltport.consensus.quorum as quorum
 import basaltport.consensus.roster as roster
+import basaltport.consensus.timing as timing
 import basaltport.events as events
 import basaltport.keeper.role as role
 import basaltport.kinds as kinds
@@ -34,6 +35,29 @@
     w.tick(n, n.life)
 
 
+@pytest.mark.parametrize("members", [3, 5])
+def test_two_members_of_one_name_do_not_take_each_others_place(members):
+    w = world(3, members)
+    w.add("x")
+    boot_under_name(w, "x", others(w)[0])
+    w.run(3000)
+    first = w.nodes[w.leader()].member.book
+    w.run(10_000)
+    second = w.nodes[w.leader()].member.book
+    assert len(first["roster"]) == members + 1
+    assert second["roster"] == first["roster"]
+
+
+def test_a_seat_that_left_long_ago_and_is_back_is_not_taken_for_lost():
+    w = world(4, 3)
+    leader = w.nodes[w.leader()].member
+    seat = w.nodes[others(w)[0]].seat
+    leader.gone[seat] = leader.now
+    assert leader.lost_seat(seat)
+    leader.gone[seat] = leader.now - timing.LEAVE_WAIT
+    assert not leader.lost_seat(seat)
+
+
 def different(edition):
     return {**keepers.document(edition), "limits": {**keepers.LIMITS, "body_bytes": 1_000_000}}
 
