No gap in a log: not in what is kept, sent, taken or applied; none that leaves gets orders

Change: kept entries are cleared where the newest does not join on; a leader with a gap sends a copy; a follower takes no entries with a gap and says what it lacks; nothing behind a gap is applied. Slices go to seats of the next roster only.

--- a/basaltport/consensus/book.py
+++ b/basaltport/consensus/book.py
@@ -35,6 +35,11 @@
     return {"s": int(serial), "g": [gen.count, gen.name], "op": op}
 
 
+def contiguous(entries, after):
+    """Whether the entries' serials follow one another from the one behind `after` on."""
+    return all(e["s"] == after + i for i, e in enumerate(entries, 1))
+
+
 def gen_of(e):
     return kinds.Generation(e["g"][0], e["g"][1])
 
--- a/basaltport/consensus/feed.py
+++ b/basaltport/consensus/feed.py
@@ -132,7 +132,7 @@
         if s not in have:
             return None, *self.head()
         es = [self.past[k] for k in sorted(self.past) if k > s] + [e for e in self.tail if e["s"] > s]
-        if es and es[0]["s"] != s + 1:
+        if not book.contiguous(es, s):
             return None, *self.head()
         return es, have[s], kinds.Serial(s)
 
--- a/basaltport/consensus/seat.py
+++ b/basaltport/consensus/seat.py
@@ -216,9 +216,9 @@
         have.update({kinds.Serial(e["s"]): book.gen_of(e) for e in self.tail})
         if m.pserial < book.serial(self.book):
             es = [e for e in m.entries if e["s"] > book.serial(self.book)]
-            if not es or es[0]["s"] != book.serial(self.book) + 1:
+            if not es or not book.contiguous(es, book.serial(self.book)):
                 return bool(m.entries and m.entries[-1]["s"] <= book.serial(self.book))
-        elif have.get(m.pserial) != m.pgen:
+        elif have.get(m.pserial) != m.pgen or not book.contiguous(m.entries, m.pserial):
             return False
         else:
             es = m.entries
@@ -237,6 +237,8 @@
             return
         if not any(e["s"] == commit and book.gen_of(e) == cgen for e in self.tail):
             return
+        if not book.contiguous(self.tail, self.book["serial"]):
+            raise ValueError(f"the log has a gap behind {self.book['serial']}")
         while self.tail and self.tail[0]["s"] <= commit:
             self.book = book.apply(self.book, self.tail.pop(0))
         self.in_force()
--- a/basaltport/consensus/voters.py
+++ b/basaltport/consensus/voters.py
@@ -102,6 +102,9 @@
                 self.keep_past(e)
 
     def keep_past(self, e):
+        """Agreed entries without a gap, the newest of them."""
+        if self.past and e["s"] - 1 not in self.past:
+            self.clear_past()
         self.past[e["s"]] = e
         self.past_size += text.size(e)
         while len(self.past) > PAST or self.past_size > PAST_BYTES and len(self.past) > 1:
@@ -110,5 +113,8 @@
     def install(self, copy):
         was = book.serial(self.book)
         super().install(copy)
-        if book.serial(self.book) > was + 1 and was + 1 not in self.past:
-            self.past, self.past_size = {}, 0
+        if book.serial(self.book) > was and book.serial(self.book) not in self.past:
+            self.clear_past()
+
+    def clear_past(self):
+        self.past, self.past_size = {}, 0
--- a/basaltport/keeper/duties.py
+++ b/basaltport/keeper/duties.py
@@ -276,7 +276,9 @@
     def keep_slices(self):
         rows, roster = self.tip_book.get("slices") or {}, self.tip_book["roster"]
         live = sorted(
-            s for s in self.live() if s not in self.gone and not (s in self.echoes and self.gave_up(s))
+            s
+            for s in self.live() & roster.keys() - self.gone.keys()
+            if not (s in self.echoes and self.gave_up(s))
         )
         if not rows and len(live) < len(roster) and self.now - self.since < GATHER:
             return
--- /dev/null
+++ b/tests/test_log_gaps.py
@@ -0,0 +1,74 @@
+"""A log never has a gap: not in what a member keeps, nor in what it sends, takes or applies."""
+
+import pytest
+
+import basaltport.consensus.book as book
+import basaltport.keeper.duties as duties
+import basaltport.kinds as kinds
+import basaltport.messages as messages
+import tests.keepers as keepers
+
+
+def follower_and_leader():
+    w = keepers.founded(1, 3, editions=3)
+    w.run(300)
+    return w, w.nodes[keepers.others(w)[0]].member, w.nodes[w.leader()].member
+
+
+def test_a_copy_that_is_one_entry_ahead_leaves_no_gap_in_what_is_kept():
+    w, follower, leader = follower_and_leader()
+    ahead = book.apply(leader.book, book.entry(leader.book["serial"] + 1, leader.promised, {"op": "final"}))
+    follower.install({"book": ahead, "tail": []})
+    after = book.entry(ahead["serial"] + 1, leader.promised, {"op": "final"})
+    follower.tail.append(after)
+    follower.advance(after["s"], book.gen_of(after))
+    assert list(follower.past) == [after["s"]]
+
+
+def test_a_leader_with_a_gap_in_what_it_keeps_sends_a_copy():
+    w, _, leader = follower_and_leader()
+    oldest = min(leader.past)
+    assert leader.entries_from(oldest)[0] is not None
+    del leader.past[oldest + 2]
+    assert leader.entries_from(oldest)[0] is None
+
+
+@pytest.mark.parametrize("missing", [1, 2])
+def test_entries_with_a_gap_are_not_taken(missing):
+    w, follower, leader = follower_and_leader()
+    serial = follower.book["serial"]
+    entries = [book.entry(serial + i, leader.promised, {"op": "final"}) for i in (1, 2, 3)]
+    del entries[missing]
+    if missing == 2:
+        entries.append(book.entry(serial + 4, leader.promised, {"op": "final"}))
+    head = follower.head()
+    beat = messages.Beat(
+        leader.promised, leader.me.seat, "k", leader.me.addr, 10**6, serial, head[0], head[0],
+        kinds.Serial(serial), entries, {}, 0, 0
+    )  # fmt: skip
+    assert follower.extend(beat) is False
+    assert follower.head() == head
+
+
+def test_what_is_behind_a_gap_is_not_applied():
+    w, follower, leader = follower_and_leader()
+    serial = follower.book["serial"]
+    follower.tail = [book.entry(serial + 2, leader.promised, {"op": "final"})]
+    with pytest.raises(ValueError):
+        follower.advance(serial + 2, leader.promised)
+    assert follower.book["serial"] == serial
+
+
+def test_a_seat_that_is_on_its_way_out_is_given_no_orders():
+    """While one member takes another's place, the former one still votes and may answer."""
+    w, _, leader = follower_and_leader()
+    out = next(s for s in leader.book["roster"] if s != leader.me.seat)
+    row = {**leader.book["roster"][out], "seat": "new", "addr": "10.9.9.9:1", "name": "new"}
+    leader.append({"op": "joint", "drops": [out], "adds": [row]})
+    leader.acks[out] = leader.now
+    assert out in leader.live()
+    leader.tip_book = {**leader.tip_book, "slices": {}}
+    leader.since = leader.now - duties.GATHER
+    leader.keep_slices()
+    given = [e["op"].get("give", {}) for e in leader.tail if e["op"]["op"] == "slices"]
+    assert given and out not in {owner for give in given for owner in give.values()}
