Model: a world of keepers, proxies, machines with troubles and operators, with checks at every step

Change: the package basaltport/model runs the daemons' own reducers: links that lose, delay, double, reorder and cut; processes that are killed, frozen, wiped, powered off, stopped and replaced; disks slow, stalled and full; operators that race and repeat; checks after every step and a search for a sequential order of all calls.

--- /dev/null
+++ b/basaltport/model/checks.py
@@ -0,0 +1,199 @@
+"""The model's checks, run after every step of every member and every quarter of a second."""
+
+import collections
+import typing
+
+import basaltport.model.finding as finding
+import basaltport.model.linearizability as linearizability
+
+Rule = finding.Rule
+WORD_MS = 700
+LEASE_MS = 3000
+PERIOD = 250
+MAJORITY_MS = 6000
+CATCH_UP_MS = 4000
+
+
+class Checks:
+    """Knows what all members have ever had in force, who led which term and what operators were told."""
+
+    def __init__(self, world: typing.Any) -> None:
+        self.world = world
+        self.terms: dict = {}
+        self.began: dict = {}
+        self.entries: dict = {}
+        self.in_force: dict = {}
+        self.generations: dict = {}
+        self.top = 0
+        self.roster: set = set()
+        self.tops: collections.deque = collections.deque()
+        self.beats: dict = {}
+        self.words: dict = {}
+        self.taken: set = set()
+        self.refused: set = set()
+        self.history: list[linearizability.Operation] = []
+        self.orders: dict = {}
+        self.no_leader_since: int | None = None
+        self.worst_gap = 0
+        self.counts: collections.Counter = collections.Counter()
+
+    def broken(self, rule: finding.Rule, **facts: object) -> None:
+        raise finding.Broken(rule, self.world.now, **facts)
+
+    # after each step
+
+    def stepped(self, node: typing.Any, was: int) -> None:
+        member = node.member
+        if member.book is not node.book:
+            node.book = member.book
+            self.came_in_force(node, was)
+        if not node.disk:
+            return
+        self.counts["steps"] += 1
+        self.logs_agree(node)
+        if member.leading:
+            self.leads(node)
+
+    def came_in_force(self, node: typing.Any, was: int) -> None:
+        b = node.member.book
+        if b["serial"] < was:
+            self.broken(Rule.BACK, node=node.name, was=was, now=b["serial"])
+        key = (tuple(b["gen"]), str(b["manifest"]), sorted(b["drains"]), sorted(b["roster"]))
+        if self.in_force.setdefault(b["serial"], key) != key:
+            self.broken(Rule.AGREED, node=node.name, serial=b["serial"])
+        if not node.disk:
+            return
+        self.generations[b["serial"]] = tuple(b["gen"])
+        if b["serial"] > self.top:
+            self.top, self.roster = b["serial"], set(b["roster"])
+        self.taken |= b["changes"].keys()
+        self.repeats()
+
+    def repeats(self) -> None:
+        if both := self.refused & self.taken:
+            self.broken(Rule.REPEAT, changes=sorted(both))
+
+    def refuse(self, change: str) -> None:
+        self.refused.add(change)
+        self.repeats()
+
+    def logs_agree(self, node: typing.Any) -> None:
+        for e in node.member.tail:
+            known = self.entries.setdefault((e["s"], tuple(e["g"])), e["op"])
+            if known is not e["op"] and known != e["op"]:
+                self.broken(Rule.LOG, node=node.name, serial=e["s"])
+
+    # leaders
+
+    def leads(self, node: typing.Any) -> None:
+        term, life = node.member.promised, (node.name, node.life)
+        if self.terms.setdefault(term, life) != life:
+            self.broken(Rule.TERM, term=term, first=self.terms[term], second=life)
+        if (term, life) not in self.began:
+            self.began[term, life] = self.world.now
+            self.counts["terms"] += 1
+            self.complete(node)
+        self.one_holds()
+
+    def complete(self, node: typing.Any) -> None:
+        """A new leader's log has all that was in force anywhere."""
+        m = node.member
+        have = {e["s"]: tuple(e["g"]) for e in m.tail}
+        for s in range(m.book["serial"] + 1, self.top + 1):
+            if s in self.generations and have.get(s) != self.generations[s]:
+                self.broken(Rule.AGREED, node=node.name, serial=s, leader=True)
+
+    def one_holds(self) -> None:
+        holders = [n.name for n in self.world.up() if n.member.leading and self.world.holds(n)]
+        if len(holders) > 1:
+            self.broken(Rule.HOLDERS, members=holders)
+
+    # a majority's word
+
+    def beat_sent(self, node: typing.Any, beat: typing.Any) -> None:
+        self.beats.setdefault((node.name, node.life, beat.gen, beat.n), self.world.now)
+
+    def ack_heard(self, node: typing.Any, ack: typing.Any) -> None:
+        if not ack.ok or ack.gen != node.member.promised:
+            return
+        at = self.beats.get((node.name, node.life, ack.gen, ack.n))
+        if at is not None:
+            words = self.words.setdefault((node.name, node.life, ack.gen), {})
+            words[ack.seat] = max(at, words.get(ack.seat, 0))
+
+    def majority_since(self, node: typing.Any, since: int) -> bool:
+        """Of the newest roster that it has, agreed or not: majorities of one and the next overlap."""
+        m = node.member
+        words = self.words.get((node.name, node.life, m.promised), {})
+        roster = m.tip()["roster"]
+        have = [s for s in roster if s == m.me.seat or words.get(s, -1) >= since]
+        return 2 * len(have) > len(roster)
+
+    def answers(self, node: typing.Any, call: str, status: int, body: dict) -> None:
+        """A leader's own answer to a read, or its refusal of a change."""
+        if status not in (200, 412) or status == 200 and "document" not in body:
+            return
+        self.counts["reads"] += 1
+        begin = self.world.calls[call]
+        if node.member.leading and not self.majority_since(node, begin):
+            self.broken(Rule.WORD, node=node.name, call=call, begin=begin)
+
+    def feeds(self, node: typing.Any) -> None:
+        m = node.member
+        self.counts["updates"] += 1
+        began = self.began.get((m.promised, (node.name, node.life)), self.world.now)
+        if not self.majority_since(node, max(began, self.world.now - WORD_MS)):
+            self.broken(Rule.WORD, node=node.name, feeds=True)
+
+    # orders to replicas
+
+    def orders_replica(self, node: typing.Any, replica: str, fence: int) -> None:
+        now = self.world.now
+        at, who, last = self.orders.get(replica, (-LEASE_MS, None, -1))
+        same = fence == last and who == (node.name, node.life)
+        after = fence > last and now - at >= LEASE_MS
+        restarted = fence == last and who is not None and who[0] == node.name
+        if not (same or after or restarted):
+            self.broken(Rule.ORDERS, node=node.name, fence=fence, last=last, before=who, ms=now - at)
+        self.orders[replica] = (now, (node.name, node.life), fence)
+        self.counts["orders"] += 1
+
+    # every quarter of a second
+
+    def look_round(self) -> None:
+        now = self.world.now
+        self.tops.append((now, self.top))
+        while len(self.tops) > 1 and self.tops[1][0] <= now - CATCH_UP_MS:
+            self.tops.popleft()
+        self.led()
+        self.caught_up()
+
+    def led(self) -> None:
+        now = self.world.now
+        if self.world.leader():
+            self.no_leader_since = None
+            return
+        if self.no_leader_since is None:
+            self.no_leader_since = now
+        gap = now - self.no_leader_since
+        if not self.world.bearable:
+            return
+        self.worst_gap = max(self.worst_gap, gap)
+        if gap > MAJORITY_MS:
+            self.broken(Rule.MAJORITY, ms=gap, lost=sorted(self.world.machines.lost(now)))
+
+    def caught_up(self) -> None:
+        """Whoever has been well for CATCH_UP_MS, with a leader all that time, has what was in force then."""
+        at, top = self.tops[0]
+        if at > self.world.now - CATCH_UP_MS or self.world.well_since > at:
+            return
+        for node, since in self.world.well():
+            if since <= at and node.member.book["serial"] < top:
+                self.broken(Rule.CATCH_UP, node=node.name, serial=node.member.book["serial"], top=top)
+
+    # at the end
+
+    def finish(self) -> None:
+        self.counts["calls"] = len(self.history)
+        if not linearizability.linearizable(self.history):
+            self.broken(Rule.HISTORY, calls=len(self.history))
--- /dev/null
+++ b/basaltport/model/finding.py
@@ -0,0 +1,29 @@
+"""What a check of the model found broken."""
+
+import enum
+
+
+class Rule(enum.Enum):
+    """The model's checks."""
+
+    TERM = "one leader a term"
+    LOG = "logs agree"
+    AGREED = "agreed entries are never lost nor undone"
+    BACK = "what is in force never goes back within a life"
+    HOLDERS = "no two members hold at one time"
+    WORD = "nobody serves a read or feeds a proxy without a majority's word after its beginning"
+    HISTORY = "the history of all operators is linearizable"
+    REPEAT = "a repeat of what was taken is never refused"
+    MAJORITY = "no majority is lost while no more machines are lost than is borne"
+    CATCH_UP = "whoever is back has caught up within the bound"
+    ORDERS = "orders to a replica come from one member at a time, under rising fences"
+    DISK = "a member starts from its disk"
+
+
+class Broken(AssertionError):
+    """A rule did not hold."""
+
+    def __init__(self, rule: Rule, now: int, **facts: object) -> None:
+        super().__init__(f"{rule.name} at {now}: {facts}")
+        self.rule = rule
+        self.facts = facts
--- /dev/null
+++ b/basaltport/model/machines.py
@@ -0,0 +1,58 @@
+"""Machines of the model: which process each one runs, and which count as lost."""
+
+import dataclasses
+
+CATCH_UP = 4000
+
+
+@dataclasses.dataclass(slots=True)
+class Machine:
+    """`troubles`: how many are on it now; `back_at`: when the last one ended; `amnesia`: the seat in force
+    there lost its memory and is not agreed yet; `replacing`: another machine is on its way."""
+
+    node: str
+    troubles: int = 0
+    back_at: int = -CATCH_UP
+    amnesia: bool = False
+    replacing: bool = False
+
+
+def withstand(members: int) -> int:
+    """Machines that may be lost at once."""
+    return (members - 1) // 2
+
+
+class Machines:
+    """Counts losses: a machine is lost while a trouble is on it and for CATCH_UP after."""
+
+    def __init__(self, names: list[str]) -> None:
+        self.rows = [Machine(n) for n in names]
+        self.borne = withstand(len(names))
+
+    def __getitem__(self, slot: int) -> Machine:
+        return self.rows[slot]
+
+    def slot_of(self, node: str | None) -> int:
+        """The slot of a process, or 0 where it has none."""
+        return next((i for i, m in enumerate(self.rows) if m.node == node), 0)
+
+    def lost(self, now: int) -> set[int]:
+        return {i for i, m in enumerate(self.rows) if m.troubles or now < m.back_at + CATCH_UP}
+
+    def bears(self, slot: int, now: int) -> bool:
+        """Whether one may be lost, with those that are."""
+        return len(self.lost(now) | {slot}) <= self.borne
+
+    def may_forget(self, slot: int, outside: set[int]) -> bool:
+        """Whether a disk may be lost: those lost before whose loss the roster does not show yet count, and
+        those that have no seat now."""
+        forgot = outside | {i for i, m in enumerate(self.rows) if m.amnesia}
+        return slot not in forgot and len(forgot) < self.borne
+
+    def hit(self, slot: int) -> None:
+        self.rows[slot].troubles += 1
+
+    def over(self, slot: int, now: int) -> None:
+        m = self.rows[slot]
+        m.troubles -= 1
+        m.back_at = now
--- /dev/null
+++ b/basaltport/model/troubles.py
@@ -0,0 +1,265 @@
+"""What schedules do to the model's world, trouble by trouble."""
+
+import typing
+
+import basaltport.events as events
+import basaltport.model.schedule as schedule
+import basaltport.model.world as model_world
+
+Trouble = schedule.Trouble
+LEAVE_MS = 100
+REPLACES = {Trouble.REPLACE_NEW_FIRST, Trouble.REPLACE_OLD_FIRST, Trouble.REPLACE_CUT}
+FORGETS = REPLACES | {Trouble.WIPE}
+NO_LOSS = {Trouble.NOTHING, Trouble.PROXY, Trouble.CHANGES}
+UP_MS = 4500
+
+
+class Player:
+    """Applies the actions of a schedule; one that its mode forbids is passed over and counted."""
+
+    def __init__(self, world: model_world.World) -> None:
+        self.world = world
+        self.done: dict[str, int] = {}
+        self.passed = 0
+        self.fresh = 0
+        self.gone: set[str] = set()
+
+    def play(self, action: schedule.Action) -> None:
+        w = self.world
+        w.run(action.wait)
+        slot = w.machines.slot_of(w.leader()) if action.slot == schedule.LEADER else action.slot
+        if not self.allowed(action, slot):
+            self.passed += 1
+            return
+        name = action.trouble.value
+        self.done[name] = self.done.get(name, 0) + 1
+        getattr(self, "do_" + name.replace("-", "_"))(slot, action)
+
+    def allowed(self, action: schedule.Action, slot: int) -> bool:
+        w, trouble = self.world, action.trouble
+        if trouble in NO_LOSS:
+            return True
+        node = w.nodes[w.machines[slot].node]
+        if node.member is None or node.frozen:
+            return False
+        if trouble in REPLACES and w.machines[slot].replacing:
+            return False
+        if not w.bearable:
+            return trouble not in FORGETS or self.may_forget(slot)
+        if trouble is Trouble.REPLACE_NEW_FIRST:
+            return not w.machines.lost(w.now)
+        if trouble is Trouble.LOSS:
+            return False
+        return w.machines.bears(slot, w.now)
+
+    def may_forget(self, slot: int) -> bool:
+        w = self.world
+        seats = [w.nodes[m.node].seat for m in w.machines.rows]
+        return w.machines.may_forget(slot, {i for i, s in enumerate(seats) if s not in w.checks.roster})
+
+    def node_of(self, slot: int) -> str:
+        return self.world.machines[slot].node
+
+    def for_a_while(self, slot: int, lasts: int, end: typing.Callable, *args: object) -> None:
+        self.world.machines.hit(slot)
+        self.world.later(lasts, self.over, slot, end, args)
+
+    def over(self, slot: int, end: typing.Callable, args: tuple) -> None:
+        end(*args)
+        self.world.machines.over(slot, self.world.now)
+
+    # processes
+
+    def do_nothing(self, slot: int, action: schedule.Action) -> None:
+        pass
+
+    def do_kill(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self.node_of(slot))
+        self.for_a_while(slot, action.lasts, self.start, self.node_of(slot))
+
+    def do_power(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self.node_of(slot), power=True)
+        self.for_a_while(slot, action.lasts, self.start, self.node_of(slot))
+
+    def do_wipe(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self.node_of(slot), disk=True)
+        self.world.machines[slot].amnesia = True
+        self.for_a_while(slot, action.lasts, self.start, self.node_of(slot))
+        self.world.later(action.lasts, self.remembered, slot)
+
+    def remembered(self, slot: int) -> None:
+        """The seat that came without memory is agreed, and no replaced one has a seat."""
+        w = self.world
+        leader = w.leader()
+        roster = w.nodes[leader].member.book["roster"].keys() if leader else set()
+        seats = {w.nodes[m.node].seat for m in w.machines.rows}
+        if w.nodes[self.node_of(slot)].seat in roster and roster <= seats:
+            w.machines[slot].amnesia = False
+            return
+        w.later(50, self.remembered, slot)
+
+    def start(self, name: str) -> None:
+        if self.world.nodes[name].member is None and name not in self.gone:
+            self.world.boot(name)
+
+    def do_freeze(self, slot: int, action: schedule.Action) -> None:
+        name = self.node_of(slot)
+        self.world.freeze(name)
+        self.for_a_while(slot, action.lasts, self.thaw, name, self.world.nodes[name].life)
+
+    def thaw(self, name: str, life: int) -> None:
+        if self.world.nodes[name].life == life:
+            self.world.freeze(name, False)
+
+    def do_stop(self, slot: int, action: schedule.Action) -> None:
+        """In good order, and back after a while."""
+        name = self.node_of(slot)
+        self.stop(name)
+        self.for_a_while(slot, LEAVE_MS + 1 + action.lasts, self.start, name)
+
+    def stop(self, name: str) -> None:
+        node = self.world.nodes[name]
+        self.world.step(node, events.Stop(self.world.clock(node)))
+        self.world.later(LEAVE_MS, self.kill_life, name, node.life)
+
+    def kill_life(self, name: str, life: int) -> None:
+        if self.world.nodes[name].life == life:
+            self.world.kill(name)
+
+    def do_jump(self, slot: int, action: schedule.Action) -> None:
+        """Its steady clock goes ahead at once, as after a machine's sleep that no message noticed."""
+        self.world.nodes[self.node_of(slot)].skew += action.lasts
+        self.for_a_while(slot, 1, bool)
+
+    # replacement
+
+    def successor(self, slot: int, own_name: bool) -> str:
+        """A new machine at another address, under its own or its predecessor's name."""
+        w = self.world
+        w.machines[slot].replacing = True
+        self.fresh += 1
+        name = f"n{self.fresh}"
+        node = w.add(name)
+        if not own_name:
+            node.member_name = w.nodes[self.node_of(slot)].member_name
+        return name
+
+    def enter(self, slot: int, name: str) -> None:
+        w = self.world
+        w.machines[slot].node = name
+        w.machines[slot].replacing = False
+        w.seeds = sorted(w.nodes[m.node].addr for m in w.machines.rows)[:3]
+        if w.nodes[name].member is None:
+            w.boot(name)
+        self.remembered(slot)
+
+    def do_replace_new_first(self, slot: int, action: schedule.Action) -> None:
+        """Planned: the new one is up for a while, then the old one stops in order and is gone."""
+        old, new = self.node_of(slot), self.successor(slot, own_name=True)
+        self.world.boot(new)
+        self.world.later(UP_MS + action.lasts, self.relieve, slot, old, new)
+
+    def relieve(self, slot: int, old: str, new: str) -> None:
+        if not self.world.bearable and not self.may_forget(slot):
+            self.world.later(500, self.relieve, slot, old, new)
+            return
+        self.world.machines[slot].amnesia = True
+        self.gone.add(old)
+        if self.world.nodes[old].member is not None and not self.world.nodes[old].frozen:
+            self.stop(old)
+        self.enter(slot, new)
+
+    def do_replace_old_first(self, slot: int, action: schedule.Action) -> None:
+        """Unplanned: the old one is gone for good, an empty one comes later."""
+        old = self.node_of(slot)
+        self.gone.add(old)
+        self.world.kill(old, power=True)
+        new = self.successor(slot, own_name=bool(action.choice % 2))
+        self.world.machines[slot].amnesia = True
+        self.for_a_while(slot, action.lasts, self.enter, slot, new)
+
+    def do_replace_cut(self, slot: int, action: schedule.Action) -> None:
+        """The old one is cut off and lives on for a while; the new one bears its name or its own. The old one never
+        comes back into the network."""
+        w, old = self.world, self.node_of(slot)
+        self.isolate(old, both=True)
+        w.machines[slot].amnesia = True
+        w.retired.add(old)
+        new = self.successor(slot, own_name=bool(action.choice % 2))
+        self.for_a_while(slot, action.lasts, self.enter, slot, new)
+        w.later(action.lasts + 10_000, self.retire, old)
+
+    def retire(self, name: str) -> None:
+        self.world.kill(name)
+
+    # links
+
+    def isolate(self, name: str, both: bool, inward: bool = False) -> list:
+        others = [n for n in self.world.nodes if n != name]
+        out = [] if inward else [(name, n) for n in others]
+        back = [(n, name) for n in others] if both or inward else []
+        self.world.part_links(out + back)
+        return out + back
+
+    def do_cut(self, slot: int, action: schedule.Action) -> None:
+        self.for_a_while(
+            slot, action.lasts, self.world.join_links, self.isolate(self.node_of(slot), both=True)
+        )
+
+    def do_cut_in(self, slot: int, action: schedule.Action) -> None:
+        pairs = self.isolate(self.node_of(slot), both=False, inward=True)
+        self.for_a_while(slot, action.lasts, self.world.join_links, pairs)
+
+    def do_cut_out(self, slot: int, action: schedule.Action) -> None:
+        self.for_a_while(
+            slot, action.lasts, self.world.join_links, self.isolate(self.node_of(slot), both=False)
+        )
+
+    def do_cut_pair(self, slot: int, action: schedule.Action) -> None:
+        w, name = self.world, self.node_of(slot)
+        others = sorted(n.name for n in w.keepers() if n.name != name)
+        if not others:
+            return
+        other = others[action.choice % len(others)]
+        pairs = [(name, other), (other, name)]
+        w.part_links(pairs)
+        self.for_a_while(slot, action.lasts, self.world.join_links, pairs)
+
+    def do_loss(self, slot: int, action: schedule.Action) -> None:
+        self.world.lossy = 0.2
+        self.world.later(action.lasts, setattr, self.world, "lossy", 0.0)
+
+    # disks
+
+    def do_slow(self, slot: int, action: schedule.Action) -> None:
+        disk = self.world.nodes[self.node_of(slot)].disk
+        disk.slow = 40
+        self.for_a_while(slot, action.lasts, setattr, disk, "slow", 1)
+
+    def do_stall(self, slot: int, action: schedule.Action) -> None:
+        name = self.node_of(slot)
+        self.world.stall(name)
+        self.for_a_while(slot, action.lasts, self.flow, name)
+
+    def flow(self, name: str) -> None:
+        self.world.stall(name, False)
+
+    def do_full(self, slot: int, action: schedule.Action) -> None:
+        disk = self.world.nodes[self.node_of(slot)].disk
+        disk.full = True
+        self.for_a_while(slot, action.lasts, setattr, disk, "full", False)
+
+    # proxies, operators
+
+    def do_proxy(self, slot: int, action: schedule.Action) -> None:
+        """One more proxy, or one that starts again with nothing."""
+        name = f"p{action.choice % 2}"
+        if name in self.world.nodes:
+            self.world.kill(name)
+            self.world.boot(name)
+            return
+        self.world.proxy(name)
+
+    def do_changes(self, slot: int, action: schedule.Action) -> None:
+        for operator in self.world.operators:
+            operator.make(1 + action.choice % 4)
--- /dev/null
+++ b/basaltport/model/world.py
@@ -0,0 +1,188 @@
+"""The model's world: keepers and proxies by their own reducers, machines with troubles, operators, checks."""
+
+import collections
+import typing
+
+import basaltport.events as events
+import basaltport.fleet.messages as fleet_messages
+import basaltport.keeper.events as keeper_events
+import basaltport.member as member
+import basaltport.messages as messages
+import basaltport.model.checks as checks
+import basaltport.model.linearizability as linearizability
+import basaltport.model.machines as machines
+import basaltport.model.operators as operators
+import basaltport.model.standins as standins
+import basaltport.simulation.routes.nodes as nodes
+
+REPLICAS = ("r1", "r2")
+LIST_MS = 20
+HELD_SHARE = 0.5
+HELD_MS = 20_000
+LATE_MS = 400
+
+
+class World(nodes.Nodes):
+    """Links lose, delay, double and reorder; what a cut holds up may come after it heals."""
+
+    def __init__(self, seed: int, members: int = 3, bearable: bool = True, rough: bool = True) -> None:
+        self.bearable = bearable
+        self.machines = machines.Machines([f"k{i + 1}" for i in range(members)])
+        self.calls: dict[str, int] = {}
+        self.waiting: dict[str, typing.Callable] = {}
+        self.marks = 0
+        self.well_at: dict[tuple[str, int], int] = {}
+        self.well_since = 0
+        self.retired: set[str] = set()
+        self.parted: collections.Counter = collections.Counter()
+        self.checks = checks.Checks(self)
+        super().__init__(seed, members)
+        self.operators = [operators.Operator(self, f"op{i + 1}", 400) for i in range(3)]
+        if rough:
+            self.reordering, self.doubling, self.delay_max, self.across_lives = True, 0.02, 25, True
+        self.later(checks.PERIOD, self.look_round)
+
+    # stand-ins
+
+    def placement(self) -> standins.Placement:
+        return standins.Placement(REPLICAS)
+
+    def proxy_of(self, me: member.Me, seed: int) -> standins.Proxy:
+        return standins.Proxy(me, seed, self.now)
+
+    def do_list(self, node: nodes.Node, effect: object) -> None:
+        self.later(LIST_MS, self.read_list, node, node.life)
+
+    def read_list(self, node: nodes.Node, life: int) -> None:
+        rows = [{"id": r, "service": "s", "models": {}} for r in REPLICAS]
+        self.give(node, life, keeper_events.Listed(self.now, True, rows))
+
+    def do_order(self, node: nodes.Node, effect: typing.Any) -> None:
+        self.checks.orders_replica(node, effect.replica, effect.fence)
+
+    # checks
+
+    def look(self, node: nodes.Node, was: int) -> None:
+        self.checks.stepped(node, was)
+
+    def holds(self, node: nodes.Node) -> bool:
+        return node.member.holds_at(self.clock(node))
+
+    def look_round(self) -> None:
+        self.later(checks.PERIOD, self.look_round)
+        if not self.leader() or self.lossy:
+            self.well_since = self.now + 1
+        self.checks.look_round()
+
+    def current(self) -> set[str]:
+        """Processes that are part of the fleet, not replaced ones that live on."""
+        proxies = {n.name for n in self.nodes.values() if not n.disk}
+        return {m.node for m in self.machines.rows} | proxies
+
+    def well(self) -> typing.Iterator[tuple[nodes.Node, int]]:
+        """Processes that run and have no trouble, and since when."""
+        current = self.current()
+        ill = {m.node for m in self.machines.rows if m.troubles}
+        ill |= {x for pair in self.cuts if current.issuperset(pair) for x in pair}
+        for name in sorted(current):
+            node = self.nodes[name]
+            key = (name, node.life)
+            if node.member is None or node.frozen or name in ill:
+                self.well_at.pop(key, None)
+                continue
+            yield node, self.well_at.setdefault(key, self.now)
+
+    def add(self, name: str, disk: bool = True) -> nodes.Node:
+        """A replaced process that lives on never hears of newer ones."""
+        node = super().add(name, disk)
+        for other in sorted(self.retired):
+            self.part_links([(other, name), (name, other)])
+        return node
+
+    # wires
+
+    def do_send(self, node: nodes.Node, effect: events.Send) -> None:
+        msg = effect.msg
+        if isinstance(msg, messages.Beat):
+            self.checks.beat_sent(node, msg)
+        elif isinstance(msg, fleet_messages.Update):
+            self.checks.feeds(node)
+        elif isinstance(msg, messages.Reply):
+            self.checks.answers(node, msg.call, msg.status, msg.body)
+        super().do_send(node, effect)
+
+    def step(self, node: nodes.Node, event: typing.Any) -> None:
+        if (
+            node.member is not None
+            and isinstance(event, events.Heard)
+            and isinstance(event.msg, messages.Ack)
+        ):
+            self.checks.ack_heard(node, event.msg)
+        super().step(node, event)
+
+    def part_links(self, pairs: list[tuple[str, str]]) -> None:
+        """Cuts these links once more; each is whole again when it was joined as often."""
+        self.parted.update(pairs)
+        self.cuts = set(self.parted)
+
+    def join_links(self, pairs: list[tuple[str, str]]) -> None:
+        """What whole links held up comes, unless it is too old."""
+        self.parted.subtract(pairs)
+        self.parted = +self.parted
+        self.cuts = set(self.parted)
+        held, self.held = self.held, []
+        for at, f, args in held:
+            if (args[0].name, args[1].name) in self.cuts:
+                self.held.append((at, f, args))
+            elif self.now - at < HELD_MS:
+                self.later(self.rng.randrange(1, LATE_MS), f, *args)
+
+    def keep(self, f: typing.Callable, *args: typing.Any) -> None:
+        if self.rng.random() < HELD_SHARE:
+            super().keep(f, *args)
+
+    # operators
+
+    def next_mark(self) -> int:
+        self.marks += 1
+        return self.marks
+
+    def reachable(self) -> list[str]:
+        """Members that operators can ask: a frozen one takes the call and says nothing."""
+        return sorted(n.name for n in self.keepers())
+
+    def ask(self, name: str, verb: str, **body: object) -> str:
+        self.calls[f"c{self.n + 1}"] = self.now
+        return super().ask(name, verb, **body)
+
+    def when_answered(self, call: str, patience: int, then: typing.Callable) -> None:
+        """Once, with status and body, or with None after `patience`."""
+        if self.answers.get(call):
+            then(self.answers[call])
+            return
+        self.waiting[call] = then
+        self.later(patience, self.give_up, call)
+
+    def give_up(self, call: str) -> None:
+        then = self.waiting.pop(call, None)
+        if then:
+            then(None)
+
+    def do_answer(self, node: nodes.Node, effect: events.Answer) -> None:
+        super().do_answer(node, effect)
+        if node.member.leading:
+            self.checks.answers(node, effect.call, effect.status, effect.body)
+        then = self.waiting.pop(effect.call, None)
+        if then:
+            self.later(0, then, self.answers[effect.call])
+
+    def record(self, operation: linearizability.Operation) -> None:
+        self.checks.history.append(operation)
+
+    def refused(self, change: str) -> None:
+        self.checks.refuse(change)
+
+    def finish(self) -> None:
+        for operator in self.operators:
+            operator.finish()
+        self.checks.finish()
--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -137,6 +137,7 @@
         else:
             n.disk.syncing = n.disk.syncing or len(n.disk.queue)
             n.disk.done()
+            n.disk.queue = []
 
     def stop(self, name):
         n = self.nodes[name]
