--- a/basaltport/model/schedule.py
+++ b/basaltport/model/schedule.py
@@ -21,6 +21,7 @@
     CUT_IN = "cut-in"
     CUT_OUT = "cut-out"
     CUT_PAIR = "cut-pair"
+    SPLIT = "split"
     JUMP = "jump"
     SLOW = "slow"
     STALL = "stall"
--- a/basaltport/model/world.py
+++ b/basaltport/model/world.py
@@ -34,6 +34,7 @@
         self.well_at: dict[tuple[str, int], int] = {}
         self.well_since = 0
         self.retired: set[str] = set()
+        self.zombies: set[str] = set()
         self.parted: collections.Counter = collections.Counter()
         self.checks = checks.Checks(self)
         super().__init__(seed, members)
@@ -70,7 +71,7 @@
 
     def look_round(self) -> None:
         self.later(checks.PERIOD, self.look_round)
-        if not self.leader() or self.lossy:
+        if not self.leader() or self.lossy or self.zombies:
             self.well_since = self.now + 1
         self.checks.look_round()
 
