--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 import basaltport.member as member
 import basaltport.relay.budget as budget
 import basaltport.relay.events as events
+import basaltport.relay.outcomes as outcomes
 import basaltport.relay.pieces as pieces
 import basaltport.relay.role as role
 import basaltport.relay.table as table
@@ -38,7 +39,7 @@
         return self.step(ev)
 
     def end(self, attempt, outcome, **kw):
-        return self.step(events.Ended(self.now, attempt, outcome, **kw))
+        return self.step(events.Ended(self.now, attempt, outcomes.Result(outcomes.Outcome(outcome), **kw)))
 
     def wait(self, ms):
         got = []
@@ -213,6 +214,14 @@
     assert not s.m.health["a"].fails, "the replica is not blamed"
 
 
+def test_a_replica_is_not_blamed_for_a_client_that_left_while_it_was_connected_to():
+    s = Sim([row("a")])
+    a = s.ask("once")[0]
+    s.step(events.Left(s.now, 1))
+    s.end(a.attempt, "unsent")
+    assert not s.m.health["a"].fails and not s.m.runs
+
+
 def test_weights_split_and_longest_prefix_wins():
     doc = stand.document()
     doc["routes"].append({**doc["routes"][0], "name": "deep", "prefix": "/safe/deep/"})
--- /dev/null
+++ b/tests/test_request_bytes_faults.py
@@ -0,0 +1,68 @@
+"""Faults that the sweep of `test_request_bytes` found, each by itself."""
+
+import asyncio
+
+
+import tests.relay_stand as stand
+
+W = stand.W
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+async def ask(path, *scripts):
+    """(status, headers, body) and how many requests each replica saw."""
+    replicas = [stand.Replica(f"i-{n}", s, zone=f"z{n}") for n, s in enumerate(scripts, 1)]
+    async with stand.Front(replicas) as f:
+        got = await f.ask(path)
+        return got, [len(r.seen) for r in replicas]
+
+
+async def good(replica, h, w):
+    w.write(stand.whole(h, b"written"))
+
+
+async def endless(replica, h, w):
+    """A body that only the end of the connection ends, and it ends early."""
+    w.write(stand.head(h) + b"wri")
+    await w.drain()
+    w.close()
+
+
+def test_a_body_that_only_its_connection_ends_is_never_taken_for_whole():
+    once, seen = run(ask("/once/x", endless, good))
+    assert (once[0], seen) == (502, [1, 0])
+    safe, seen = run(ask("/safe/x", endless, good))
+    assert (safe[0], safe[2], seen) == (200, b"written", [1, 1])
+
+
+async def switching(replica, h, w):
+    upgrade = {"Connection": "upgrade", "Upgrade": "chat", "Content-Length": "0"}
+    w.write(stand.head(h, "101 Switching Protocols", **upgrade))
+
+
+def test_no_client_is_told_that_its_connection_speaks_another_protocol():
+    once, seen = run(ask("/once/x", switching, good))
+    assert (once[0], seen) == (502, [1, 0])
+    safe, seen = run(ask("/safe/x", switching, good))
+    assert (safe[0], safe[2], seen) == (200, b"written", [1, 1])
+
+
+EVENTS = b"".join(stand.event(i) for i in range(1, 4))
+
+
+async def torn_in_its_first_event(replica, h, w):
+    w.write(stand.head(h, **{"Transfer-Encoding": "chunked"}) + stand.chunk(stand.event(1)[:-2]))
+    await w.drain()
+    w.close()
+
+
+async def three_events(replica, h, w):
+    w.write(stand.head(h, **{"Transfer-Encoding": "chunked"}) + stand.chunk(EVENTS) + b"0\r\n\r\n")
+
+
+def test_a_run_that_was_cut_in_its_first_event_leaves_no_byte_in_the_next_one():
+    got, seen = run(ask("/stream/x", torn_in_its_first_event, three_events))
+    assert (got[0], got[2], seen) == (200, EVENTS, [1, 1])
