--- a/basaltport/main.py
+++ b/basaltport/main.py
@@ -7,6 +7,7 @@
 import basaltport.admin.fleet_cli as fleet_cli
 import basaltport.daemon as daemon
 import basaltport.load_generator.cli as paddle
+import basaltport.model.cli as model
 import basaltport.local_fleet.cli as local_fleet
 import basaltport.simulation.cli as rehearsal
 import basaltport.simulation.drills.drill as drill
@@ -18,7 +19,10 @@
     ("Roles", daemon.VERBS),
     ("Operators' verbs, at any node", cli.VERBS),
     ("Of a fleet behind routes", {**fleet_cli.VERBS, **local_fleet.VERBS}),
-    ("Tools", {**paddle.VERBS, **rehearsal.VERBS, **play.VERBS, **planner.VERBS, **drill.VERBS}),
+    (
+        "Tools",
+        {**paddle.VERBS, **rehearsal.VERBS, **play.VERBS, **planner.VERBS, **drill.VERBS, **model.VERBS},
+    ),
     ("Scale runs", scale.VERBS),
 ]
 
--- a/basaltport/model/checks.py
+++ b/basaltport/model/checks.py
@@ -4,13 +4,19 @@
 import typing
 
 import basaltport.consensus.quorum as quorum
+import basaltport.messages as messages
 import basaltport.model.finding as finding
 import basaltport.model.linearizability as linearizability
+import basaltport.simulation.routes.nodes as nodes
+
+if typing.TYPE_CHECKING:
+    import basaltport.model.world as model_world
 
 Rule = finding.Rule
 WORD_MS = 500
 LEASE_MS = 3000
 PERIOD = 250
+OK, STALE = 200, 412
 MAJORITY_MS = 6000
 CATCH_UP_MS = 4000
 
@@ -18,107 +24,112 @@
 class Checks:
     """Knows what all members have ever had in force, who led which term and what operators were told."""
 
-    def __init__(self, world: typing.Any) -> None:
+    def __init__(self, world: "model_world.World") -> None:
+        """Watches `world`, which calls it."""
         self.world = world
-        self.terms: dict = {}
-        self.began: dict = {}
-        self.entries: dict = {}
-        self.in_force: dict = {}
-        self.former: dict = {}
-        self.generations: dict = {}
+        self.terms: dict[typing.Any, typing.Any] = {}
+        self.began: dict[typing.Any, typing.Any] = {}
+        self.entries: dict[typing.Any, typing.Any] = {}
+        self.in_force: dict[typing.Any, typing.Any] = {}
+        self.former: dict[typing.Any, typing.Any] = {}
+        self.generations: dict[typing.Any, typing.Any] = {}
         self.top = 0
-        self.roster: set = set()
-        self.tops: collections.deque = collections.deque()
-        self.beats: dict = {}
-        self.words: dict = {}
-        self.taken: set = set()
-        self.refused: set = set()
+        self.roster: set[str] = set()
+        self.tops: collections.deque[tuple[int, int]] = collections.deque()
+        self.beats: dict[typing.Any, typing.Any] = {}
+        self.words: dict[typing.Any, typing.Any] = {}
+        self.taken: set[str] = set()
+        self.refused: set[str] = set()
         self.history: list[linearizability.Operation] = []
-        self.orders: dict = {}
+        self.orders: dict[typing.Any, typing.Any] = {}
         self.no_leader_since: int | None = None
         self.worst_gap = 0
-        self.counts: collections.Counter = collections.Counter()
+        self.counts: collections.Counter[str] = collections.Counter()
 
-    def broken(self, rule: finding.Rule, **facts: object) -> None:
-        raise finding.Broken(rule, self.world.now, **facts)
+    def _broken(self, rule: finding.Rule, **facts: object) -> None:
+        raise finding.BrokenError(rule, self.world.now, **facts)
 
     # after each step
 
-    def stepped(self, node: typing.Any, was: int) -> None:
+    def stepped(self, node: nodes.Node, was: int) -> None:
+        """Right after a member took an event; `was` is the serial in force before."""
         member = node.member
         if member.book is not node.book:
             node.book = member.book
-            self.came_in_force(node, was)
+            self._came_in_force(node, was)
         if not node.disk:
             return
         self.counts["steps"] += 1
-        self.logs_agree(node)
+        self._logs_agree(node)
         if member.leading:
-            self.leads(node)
+            self._leads(node)
 
-    def came_in_force(self, node: typing.Any, was: int) -> None:
+    def _came_in_force(self, node: nodes.Node, was: int) -> None:
         b = node.member.book
         if b["serial"] < was:
-            self.broken(Rule.BACK, node=node.name, was=was, now=b["serial"])
+            self._broken(Rule.BACK, node=node.name, was=was, now=b["serial"])
         key = (tuple(b["gen"]), str(b["manifest"]), sorted(b["drains"]), sorted(b["roster"]))
         if self.in_force.setdefault(b["serial"], key) != key:
-            self.broken(Rule.AGREED, node=node.name, serial=b["serial"])
+            self._broken(Rule.AGREED, node=node.name, serial=b["serial"])
         if not node.disk:
             return
         former = sorted(b.get("former") or ())
         if self.former.setdefault(b["serial"], former) != former:
-            self.broken(Rule.AGREED, node=node.name, serial=b["serial"], former=True)
+            self._broken(Rule.AGREED, node=node.name, serial=b["serial"], former=True)
         self.generations[b["serial"]] = tuple(b["gen"])
         if b["serial"] > self.top:
             self.top, self.roster = b["serial"], set(quorum.voters(b))
         self.taken |= b["changes"].keys()
-        self.repeats()
+        self._repeats()
 
-    def repeats(self) -> None:
+    def _repeats(self) -> None:
         if both := self.refused & self.taken:
-            self.broken(Rule.REPEAT, changes=sorted(both))
+            self._broken(Rule.REPEAT, changes=sorted(both))
 
     def refuse(self, change: str) -> None:
+        """An operator was told that this change was refused."""
         self.refused.add(change)
-        self.repeats()
+        self._repeats()
 
-    def logs_agree(self, node: typing.Any) -> None:
+    def _logs_agree(self, node: nodes.Node) -> None:
         for e in node.member.tail:
             known = self.entries.setdefault((e["s"], tuple(e["g"])), e["op"])
             if known is not e["op"] and known != e["op"]:
-                self.broken(Rule.LOG, node=node.name, serial=e["s"])
+                self._broken(Rule.LOG, node=node.name, serial=e["s"])
 
     # leaders
 
-    def leads(self, node: typing.Any) -> None:
+    def _leads(self, node: nodes.Node) -> None:
         term, life = node.member.promised, (node.name, node.life)
         if self.terms.setdefault(term, life) != life:
-            self.broken(Rule.TERM, term=term, first=self.terms[term], second=life)
+            self._broken(Rule.TERM, term=term, first=self.terms[term], second=life)
         if (term, life) not in self.began:
             self.began[term, life] = self.world.now
             self.counts["terms"] += 1
-            self.complete(node)
-        self.one_holds()
+            self._complete(node)
+        self._one_holds()
 
-    def complete(self, node: typing.Any) -> None:
+    def _complete(self, node: nodes.Node) -> None:
         """A new leader's log has all that was in force anywhere."""
         m = node.member
         have = {e["s"]: tuple(e["g"]) for e in m.tail}
         for s in range(m.book["serial"] + 1, self.top + 1):
             if s in self.generations and have.get(s) != self.generations[s]:
-                self.broken(Rule.AGREED, node=node.name, serial=s, leader=True)
+                self._broken(Rule.AGREED, node=node.name, serial=s, leader=True)
 
-    def one_holds(self) -> None:
+    def _one_holds(self) -> None:
         holders = [n.name for n in self.world.up() if n.member.leading and self.world.holds(n)]
         if len(holders) > 1:
-            self.broken(Rule.HOLDERS, members=holders)
+            self._broken(Rule.HOLDERS, members=holders)
 
     # a majority's word
 
-    def beat_sent(self, node: typing.Any, beat: typing.Any) -> None:
+    def beat_sent(self, node: nodes.Node, beat: messages.Beat) -> None:
+        """A leader sent a heartbeat."""
         self.beats.setdefault((node.name, node.life, beat.gen, beat.n), self.world.now)
 
-    def ack_heard(self, node: typing.Any, ack: typing.Any) -> None:
+    def ack_heard(self, node: nodes.Node, ack: messages.Ack) -> None:
+        """A leader is about to hear an acknowledgement."""
         if not ack.ok or ack.gen != node.member.promised:
             return
         at = self.beats.get((node.name, node.life, ack.gen, ack.n))
@@ -126,7 +137,7 @@
             words = self.words.setdefault((node.name, node.life, ack.gen), {})
             words[ack.seat] = max(at, words.get(ack.seat, 0))
 
-    def majority_since(self, node: typing.Any, since: int) -> bool:
+    def _majority_since(self, node: nodes.Node, since: int) -> bool:
         """Of the newest roster that it has, agreed or not: majorities of one and the next overlap."""
         m = node.member
         words = self.words.get((node.name, node.life, m.promised), {})
@@ -135,46 +146,49 @@
         rosters = [tip["roster"], *([tip["former"]] if "former" in tip else [])]
         return all(2 * len(have & roster.keys()) > len(roster) for roster in rosters)
 
-    def answers(self, node: typing.Any, call: str, status: int, body: dict) -> None:
+    def answers(self, node: nodes.Node, call: str, status: int, body: dict[str, typing.Any]) -> None:
         """A leader's own answer to a read, or its refusal of a change."""
-        if status not in (200, 412) or status == 200 and "document" not in body:
+        if status not in (OK, STALE) or status == OK and "document" not in body:
             return
         self.counts["reads"] += 1
         begin = self.world.calls[call]
-        if node.member.leading and not self.majority_since(node, begin):
-            self.broken(Rule.WORD, node=node.name, call=call, begin=begin)
+        if node.member.leading and not self._majority_since(node, begin):
+            self._broken(Rule.WORD, node=node.name, call=call, begin=begin)
 
-    def feeds(self, node: typing.Any) -> None:
+    def feeds(self, node: nodes.Node) -> None:
+        """A leader sends an update to a proxy."""
         m = node.member
         self.counts["updates"] += 1
         began = self.began.get((m.promised, (node.name, node.life)), self.world.now)
-        if not self.majority_since(node, max(began, self.world.now - WORD_MS)):
-            self.broken(Rule.WORD, node=node.name, feeds=True)
+        if not self._majority_since(node, max(began, self.world.now - WORD_MS)):
+            self._broken(Rule.WORD, node=node.name, feeds=True)
 
     # orders to replicas
 
-    def orders_replica(self, node: typing.Any, replica: str, fence: int) -> None:
+    def orders_replica(self, node: nodes.Node, replica: str, fence: int) -> None:
+        """A member sends an order to a replica."""
         now = self.world.now
         at, who, last = self.orders.get(replica, (-LEASE_MS, None, -1))
         same = fence == last and who == (node.name, node.life)
         after = fence > last and now - at >= LEASE_MS
         restarted = fence == last and who is not None and who[0] == node.name
         if not (same or after or restarted):
-            self.broken(Rule.ORDERS, node=node.name, fence=fence, last=last, before=who, ms=now - at)
+            self._broken(Rule.ORDERS, node=node.name, fence=fence, last=last, before=who, ms=now - at)
         self.orders[replica] = (now, (node.name, node.life), fence)
         self.counts["orders"] += 1
 
     # every quarter of a second
 
     def look_round(self) -> None:
+        """What holds over time: a leader is there, whoever is back has caught up."""
         now = self.world.now
         self.tops.append((now, self.top))
         while len(self.tops) > 1 and self.tops[1][0] <= now - CATCH_UP_MS:
             self.tops.popleft()
-        self.led()
-        self.caught_up()
+        self._led()
+        self._caught_up()
 
-    def led(self) -> None:
+    def _led(self) -> None:
         now = self.world.now
         if self.world.leader():
             self.no_leader_since = None
@@ -186,9 +200,9 @@
             return
         self.worst_gap = max(self.worst_gap, gap)
         if gap > MAJORITY_MS:
-            self.broken(Rule.MAJORITY, ms=gap, lost=sorted(self.world.machines.lost(now)))
+            self._broken(Rule.MAJORITY, ms=gap, lost=sorted(self.world.machines.lost(now)))
 
-    def caught_up(self) -> None:
+    def _caught_up(self) -> None:
         """Whoever has been well for CATCH_UP_MS, with a leader all that time, has what was in force then."""
         at, top = self.tops[0]
         well = list(self.world.well())
@@ -196,11 +210,12 @@
             return
         for node, since in well:
             if since <= at and node.member.book["serial"] < top:
-                self.broken(Rule.CATCH_UP, node=node.name, serial=node.member.book["serial"], top=top)
+                self._broken(Rule.CATCH_UP, node=node.name, serial=node.member.book["serial"], top=top)
 
     # at the end
 
     def finish(self) -> None:
+        """All calls together."""
         self.counts["calls"] = len(self.history)
         if not linearizability.linearizable(self.history):
-            self.broken(Rule.HISTORY, calls=len(self.history))
+            self._broken(Rule.HISTORY, calls=len(self.history))
--- a/basaltport/model/cli.py
+++ b/basaltport/model/cli.py
@@ -1,10 +1,7 @@
 """`basaltport model`: long random runs, replays of a schedule, and the exhaustive search."""
 
 import collections
-import concurrent.futures
-import multiprocessing
 import time
-import typing
 
 import absl.flags as flags
 
@@ -22,27 +19,10 @@
     flags.DEFINE_integer("first", 1, "The first seed.", flag_values=values)
     flags.DEFINE_integer("members", 3, "Members that vote: 3 or 5.", flag_values=values)
     flags.DEFINE_integer("steps", 20, "Actions of a schedule.", flag_values=values)
-    flags.DEFINE_integer("processes", 1, "Seeds that run at once.", flag_values=values)
     flags.DEFINE_integer("depth", 0, "Search every schedule of so many actions instead.", flag_values=values)
     flags.DEFINE_string("replay", "", "A schedule as a failing seed prints it.", flag_values=values)
 
 
-def _one(seed: int, members: int, steps: int) -> run.Outcome:
-    return run.play(random_search.draw(seed, members, steps))
-
-
-def _outcomes(values: flags.FlagValues) -> typing.Iterator[run.Outcome]:
-    seeds = range(values.first, values.first + values.seeds)
-    if values.processes < 2:
-        for seed in seeds:
-            yield _one(seed, values.members, values.steps)
-        return
-    context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(values.processes, mp_context=context) as pool:
-        n = len(seeds)
-        yield from pool.map(_one, seeds, [values.members] * n, [values.steps] * n, chunksize=10)
-
-
 def _report(outcome: run.Outcome) -> None:
     plan = outcome.schedule
     print(f"seed {plan.seed}: {outcome.broken}")
@@ -52,9 +32,12 @@
 
 
 def _search(values: flags.FlagValues) -> int:
-    start, counts, done = time.monotonic(), collections.Counter(), collections.Counter()
+    start = time.monotonic()
+    counts: collections.Counter[str] = collections.Counter()
+    done: collections.Counter[str] = collections.Counter()
     failed, virtual, gap = [], 0, 0
-    for outcome in _outcomes(values):
+    for seed in range(values.first, values.first + values.seeds):
+        outcome = run.play(random_search.draw(seed, values.members, values.steps))
         counts += outcome.counts
         done.update(outcome.done)
         virtual += outcome.virtual_ms
--- a/basaltport/model/finding.py
+++ b/basaltport/model/finding.py
@@ -17,13 +17,13 @@
     MAJORITY = "no majority is lost while no more machines are lost than is borne"
     CATCH_UP = "whoever is back has caught up within the bound"
     ORDERS = "orders to a replica come from one member at a time, under rising fences"
-    DISK = "a member starts from its disk"
 
 
-class Broken(AssertionError):
+class BrokenError(AssertionError):
     """A rule did not hold."""
 
     def __init__(self, rule: Rule, now: int, **facts: object) -> None:
+        """`now` is virtual time; `facts` say what was seen."""
         super().__init__(f"{rule.name} at {now}: {facts}")
         self.rule = rule
         self.facts = facts
--- a/basaltport/model/linearizability.py
+++ b/basaltport/model/linearizability.py
@@ -9,6 +9,8 @@
 
 
 class Kind(enum.Enum):
+    """What a call did."""
+
     READ = "read"
     CHANGE = "change"
     REFUSAL = "refusal"
--- a/basaltport/model/machines.py
+++ b/basaltport/model/machines.py
@@ -26,10 +26,12 @@
     """Counts losses: a machine is lost while a trouble is on it and for CATCH_UP after."""
 
     def __init__(self, names: list[str]) -> None:
+        """One machine for each process."""
         self.rows = [Machine(n) for n in names]
         self.borne = withstand(len(names))
 
     def __getitem__(self, slot: int) -> Machine:
+        """The machine of a slot."""
         return self.rows[slot]
 
     def slot_of(self, node: str | None) -> int:
@@ -37,6 +39,7 @@
         return next((i for i, m in enumerate(self.rows) if m.node == node), 0)
 
     def lost(self, now: int) -> set[int]:
+        """Slots that count as lost."""
         return {i for i, m in enumerate(self.rows) if m.troubles or now < m.back_at + CATCH_UP}
 
     def bears(self, slot: int, now: int) -> bool:
@@ -50,9 +53,11 @@
         return slot not in forgot and len(forgot) < self.borne
 
     def hit(self, slot: int) -> None:
+        """A trouble begins."""
         self.rows[slot].troubles += 1
 
     def over(self, slot: int, now: int) -> None:
+        """A trouble ends."""
         m = self.rows[slot]
         m.troubles -= 1
         m.back_at = now
--- a/basaltport/model/operators.py
+++ b/basaltport/model/operators.py
@@ -5,13 +5,21 @@
 
 import basaltport.model.linearizability as linearizability
 
+if typing.TYPE_CHECKING:
+    import basaltport.model.world as model_world
+
 PATIENCE = 1500
 REPEATS = 4
+OK, STALE = 200, 412
+UNDECIDED = (503, 504)
+REPEATED_SHARE = 0.3
+Answer = tuple[int, dict[str, typing.Any]]
+Then = typing.Callable[[Answer | None, int], None]
 LIMITS = {"header_bytes": 16384, "header_wait_ms": 3000, "idle_close_ms": 15000}
 BODY_BYTES = 1_000_000
 
 
-def document(edition: int, mark: int) -> dict:
+def document(edition: int, mark: int) -> dict[str, typing.Any]:
     """A configuration whose content tells who wrote it."""
     return {
         "edition": edition,
@@ -21,7 +29,8 @@
     }
 
 
-def value_of(doc: dict | None) -> linearizability.Value:
+def value_of(doc: dict[str, typing.Any] | None) -> linearizability.Value:
+    """The register's value that a configuration is."""
     if not doc:
         return linearizability.Value()
     return linearizability.Value(doc["edition"], str(doc["limits"]["body_bytes"]))
@@ -35,7 +44,7 @@
     begin: int
     base: int
     value: linearizability.Value
-    document: dict
+    document: dict[str, typing.Any]
     sent: int = 0
     status: int | None = None
 
@@ -43,7 +52,8 @@
 class Operator:
     """Reads, then changes what it read, again and again; `left` calls are still to make."""
 
-    def __init__(self, world: typing.Any, name: str, pause: int) -> None:
+    def __init__(self, world: "model_world.World", name: str, pause: int) -> None:
+        """`pause`: the longest wait between two calls in ms."""
         self.world = world
         self.name = name
         self.pause = pause
@@ -54,24 +64,25 @@
         self.order: Order | None = None
 
     def make(self, changes: int) -> None:
+        """So many changes more, each after a read."""
         self.left += changes
         if not self.busy:
             self.busy = True
-            self.read()
+            self._read()
 
-    def go_on(self) -> None:
+    def _go_on(self) -> None:
         if self.left <= 0:
             self.busy = False
             return
-        self.world.later(1 + self.world.rng.randrange(self.pause + 1), self.read)
+        self.world.later(1 + self.world.rng.randrange(self.pause + 1), self._read)
 
-    def member(self) -> str | None:
+    def _member(self) -> str | None:
         names = self.world.reachable()
         return self.world.rng.choice(names) if names else None
 
-    def send(self, verb: str, then: typing.Callable, **body: object) -> None:
+    def _send(self, verb: str, then: Then, **body: object) -> None:
         """Calls `then` with the answer, or with None once patience is over."""
-        name = self.member()
+        name = self._member()
         if name is None:
             self.world.later(PATIENCE, then, None, self.world.now)
             return
@@ -81,61 +92,60 @@
 
     # reads
 
-    def read(self) -> None:
-        self.send("configuration", self.have_read)
+    def _read(self) -> None:
+        self._send("configuration", self._have_read)
 
-    def have_read(self, answer: tuple | None, begin: int) -> None:
-        if answer is None or answer[0] != 200:
+    def _have_read(self, answer: Answer | None, begin: int) -> None:
+        if answer is None or answer[0] != OK:
             self.left -= 1
-            self.go_on()
+            self._go_on()
             return
         self.seen = value_of(answer[1]["document"])
         self.world.record(
             linearizability.Operation(self.name, linearizability.Kind.READ, begin, self.world.now, self.seen)
         )
-        self.change()
+        self._change()
 
     # changes
 
-    def change(self) -> None:
+    def _change(self) -> None:
         self.count += 1
         self.left -= 1
         mark = self.world.next_mark()
         doc = document(self.seen.version + 1, mark)
         order = Order(f"{self.name}-{self.count}", self.world.now, self.seen.version, value_of(doc), doc)
         self.order = order
-        self.submit(order)
+        self._submit(order)
 
-    def submit(self, order: Order) -> None:
+    def _submit(self, order: Order) -> None:
         order.sent += 1
         body = {"change": order.change, "base": order.base, "document": order.document}
-        self.send("configure", lambda answer, begin: self.have_sent(order, answer, begin), **body)
+        self._send("configure", lambda answer, begin: self._have_sent(order, answer, begin), **body)
 
-    def have_sent(self, order: Order, answer: tuple | None, begin: int) -> None:
-        status = answer[0] if answer else None
-        if status in (200, 412):
-            self.settled(order, status, answer[1], begin)
+    def _have_sent(self, order: Order, answer: Answer | None, begin: int) -> None:
+        if answer and answer[0] in (OK, STALE):
+            self._settled(order, answer[0], answer[1], begin)
             return
         if order.sent <= REPEATS:
-            self.world.later(50, self.submit, order)
+            self.world.later(50, self._submit, order)
             return
         self.finish()
-        self.go_on()
+        self._go_on()
 
-    def settled(self, order: Order, status: int, body: dict, begin: int) -> None:
+    def _settled(self, order: Order, status: int, body: dict[str, typing.Any], begin: int) -> None:
         self.order = None
         kind = linearizability.Kind
         now = self.world.now
-        if status == 200:
+        if status == OK:
             self.world.record(
                 linearizability.Operation(self.name, kind.CHANGE, order.begin, now, order.value, order.base)
             )
-            self.maybe_repeat(order)
+            self._maybe_repeat(order)
         else:
             value = linearizability.Value(body["edition"])
             self.world.refused(order.change)
             self.world.record(linearizability.Operation(self.name, kind.REFUSAL, begin, now, value))
-        self.go_on()
+        self._go_on()
 
     def finish(self) -> None:
         """Nobody told what came of the order that is open, if one is."""
@@ -144,13 +154,13 @@
             return
         self.world.record(linearizability.unanswered(self.name, order.begin, order.base, order.value))
 
-    def maybe_repeat(self, order: Order) -> None:
+    def _maybe_repeat(self, order: Order) -> None:
         """Now and then what was acknowledged is sent once more, as after a lost answer."""
-        if self.world.rng.random() >= 0.3:
+        if self.world.rng.random() >= REPEATED_SHARE:
             return
         body = {"change": order.change, "base": order.base, "document": order.document}
-        self.send("configure", lambda answer, begin: self.repeated(order, answer), **body)
+        self._send("configure", lambda answer, begin: self._repeated(order, answer), **body)
 
-    def repeated(self, order: Order, answer: tuple | None) -> None:
-        if answer and answer[0] not in (200, 503, 504):
+    def _repeated(self, order: Order, answer: Answer | None) -> None:
+        if answer and answer[0] not in (OK, *UNDECIDED):
             self.world.refused(order.change)
--- a/basaltport/model/random_search.py
+++ b/basaltport/model/random_search.py
@@ -36,7 +36,8 @@
 
 
 SWEEP_MS = 20
-STORY_SHARE = 0.4
+AT_LEADER = 0.3
+STORY_SHARE = 0.08
 
 
 def draw(seed: int, members: int, steps: int) -> schedule.Schedule:
@@ -45,7 +46,7 @@
     bearable = bool(seed % 2)
     actions: list[schedule.Action] = []
     while len(actions) < steps:
-        if rng.random() < STORY_SHARE / 5:
+        if rng.random() < STORY_SHARE:
             actions += rng.choice(STORIES)(rng, members)
         else:
             actions.append(_any_action(rng, members))
@@ -53,7 +54,7 @@
 
 
 def _any_action(rng: random.Random, members: int) -> schedule.Action:
-    slot = schedule.LEADER if rng.random() < 0.3 else rng.randrange(members)
+    slot = schedule.LEADER if rng.random() < AT_LEADER else rng.randrange(members)
     trouble = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
     return schedule.Action(rng.choice(WAITS), trouble, slot, rng.choice(LASTS), rng.randrange(8))
 
--- a/basaltport/model/run.py
+++ b/basaltport/model/run.py
@@ -17,19 +17,19 @@
     """What a run did; `broken` is None where every check held."""
 
     schedule: schedule.Schedule
-    broken: finding.Broken | None
+    broken: finding.BrokenError | None
     virtual_ms: int
     worst_gap: int
-    counts: collections.Counter
+    counts: collections.Counter[str]
     done: dict[str, int]
 
 
-def founded(plan: schedule.Schedule) -> model_world.World:
+def founded(plan: schedule.Schedule, rough: bool = True) -> model_world.World:
     """A fleet with its seats, one proxy and a first configuration."""
-    world = model_world.World(plan.seed, plan.members, plan.bearable)
+    world = model_world.World(plan.seed, plan.members, plan.bearable, rough)
     names = [m.node for m in world.machines.rows]
     if world.until(lambda: world.settled(*names), FOUNDING_MS) is None:
-        raise finding.Broken(finding.Rule.MAJORITY, world.now, founding=True)
+        raise finding.BrokenError(finding.Rule.MAJORITY, world.now, founding=True)
     world.proxy("p0")
     world.operators[0].make(1)
     world.run(200)
@@ -38,7 +38,8 @@
 
 def play(plan: schedule.Schedule) -> Outcome:
     """Runs a schedule with all checks."""
-    world, player, broken = None, None, None
+    world: model_world.World | None = None
+    player, broken = None, None
     try:
         world = founded(plan)
         player = troubles.Player(world)
@@ -46,9 +47,9 @@
             player.play(action)
         calm(world)
         world.finish()
-    except finding.Broken as e:
+    except finding.BrokenError as e:
         broken = e
-    counts = world.checks.counts if world else collections.Counter()
+    counts: collections.Counter[str] = world.checks.counts if world else collections.Counter()
     gap = world.checks.worst_gap if world else 0
     done = player.done if player else {}
     return Outcome(plan, broken, world.now - 1_000_000 if world else 0, gap, counts, done)
--- a/basaltport/model/schedule.py
+++ b/basaltport/model/schedule.py
@@ -64,6 +64,7 @@
 
 
 def load(text: str) -> Schedule:
+    """The schedule of such a line."""
     got = json.loads(text)
     actions = tuple(Action(w, Trouble(t), s, lasts, c) for w, t, s, lasts, c in got["actions"])
     return Schedule(got["seed"], got["members"], got["bearable"], actions)
--- a/basaltport/model/standins.py
+++ b/basaltport/model/standins.py
@@ -8,53 +8,70 @@
 import basaltport.placement.effects as effects
 
 
+Row = dict[str, typing.Any]
+Rows = dict[str, Row]
+Effect = effects.List | effects.Order
+
+
 class Placement:
     """Orders something of every replica it knows with every tick; keeps what it was told."""
 
     hold_ms: int
 
     def __init__(self, replicas: tuple[str, ...] = ("r1",)) -> None:
+        """Orders for these replicas."""
         self.replicas = replicas
-        self.rows: dict = {}
-        self.changed: set = set()
-        self.told: list = []
+        self.rows: Rows = {}
+        self.changed: set[str] = set()
+        self.told: list[tuple[object, ...]] = []
         self.deposed = False
         self.ready: int | None = None
 
-    def start(self, now: int, fence: int, holder: str) -> list:
+    def start(self, now: int, fence: int, holder: str) -> list[Effect]:
+        """Orders may begin after a while."""
         self.fence, self.holder, self.ready = fence, holder, now + self.hold_ms
         self.rows = {}
         return [effects.List()]
 
-    def stop(self) -> list:
+    def stop(self) -> list[Effect]:
+        """No more orders."""
         self.ready = None
         return []
 
-    def tick(self, now: int) -> list:
-        if now < self.ready:
+    def tick(self, now: int) -> list[Effect]:
+        """One order for each replica."""
+        if self.ready is None or now < self.ready:
             return []
         return [
-            effects.Order(i + 1, kinds.ReplicaId(r), "a:1", "load", "m", None, self.holder, self.fence)
+            effects.Order(
+                i + 1, kinds.ReplicaId(r), "a:1", "load", "m", None, self.holder, kinds.Fence(self.fence)
+            )
             for i, r in enumerate(self.replicas)
         ]
 
-    def configure(self, now: int, document: dict, drains: set) -> list:
+    def configure(self, now: int, document: Row, drains: set[str]) -> list[Effect]:
+        """The configuration in force."""
         self.document, self.drains = document, drains
         return []
 
-    def listed(self, now: int, rows: list) -> list:
+    def listed(self, now: int, rows: list[Row]) -> list[Effect]:
+        """The whole list."""
         self.put({r["id"]: r for r in rows})
         return []
 
-    def put(self, rows: dict) -> None:
+    def put(self, rows: Rows) -> None:
+        """New rows."""
         self.changed |= {i for i in rows.keys() | self.rows.keys() if rows.get(i) != self.rows.get(i)}
         self.rows = rows
 
-    def facts(self, now: int, item: str) -> dict:
+    def facts(self, now: int, item: str) -> Row:
+        """What a proxy is told of an item."""
         return {"state": "loading", "retry_after_ms": 100}
 
-    def __getattr__(self, name: str) -> typing.Callable:
-        def told(now, *args):
+    def __getattr__(self, name: str) -> typing.Callable[..., list[Effect]]:
+        """Everything else is written down."""
+
+        def told(now: int, *args: object) -> list[Effect]:
             self.told.append((name, *args))
             return []
 
@@ -64,19 +81,24 @@
 class Proxy(follow.FollowMixin, member.Member):
     """A proxy's side of the feed alone."""
 
-    TICKS = ("tick_follow",)
+    TICKS: typing.Any = ("tick_follow",)
 
     def __init__(self, me: member.Me, seed: int, now: kinds.Millis) -> None:
+        """Orders for these replicas."""
         member.Member.__init__(self, me, seed, now)
-        self.follow_start()
-        self.heard_facts: dict = {}
-        self.changes: list = []
+        start: typing.Callable[[], None] = self.follow_start
+        start()
+        self.heard_facts: Row = {}
+        self.changes: list[set[str]] = []
 
-    def on_facts(self, items: dict) -> None:
+    def on_facts(self, items: Row) -> None:
+        """Keeps them."""
         self.heard_facts.update(items)
 
-    def rows_changed(self, ids: set) -> None:
+    def rows_changed(self, ids: set[str]) -> None:
+        """Keeps which."""
         self.changes.append(set(ids))
 
-    def usage(self) -> tuple[dict, dict]:
+    def usage(self) -> tuple[Row, Row]:
+        """Always the same."""
         return {"m": 1}, {}
--- a/basaltport/model/troubles.py
+++ b/basaltport/model/troubles.py
@@ -3,7 +3,6 @@
 import typing
 
 import basaltport.consensus.quorum as quorum
-import basaltport.events as events
 import basaltport.model.schedule as schedule
 import basaltport.model.world as model_world
 
@@ -23,6 +22,7 @@
     """Applies the actions of a schedule; one that its mode forbids is passed over and counted."""
 
     def __init__(self, world: model_world.World) -> None:
+        """Plays into `world`."""
         self.world = world
         self.done: dict[str, int] = {}
         self.passed = 0
@@ -30,17 +30,18 @@
         self.gone: set[str] = set()
 
     def play(self, action: schedule.Action) -> None:
+        """Waits, then does it unless the mode forbids."""
         w = self.world
         w.run(action.wait)
         slot = w.machines.slot_of(w.leader()) if action.slot == schedule.LEADER else action.slot
-        if not self.allowed(action, slot):
+        if not self._allowed(action, slot):
             self.passed += 1
             return
         name = action.trouble.value
         self.done[name] = self.done.get(name, 0) + 1
-        getattr(self, "do_" + name.replace("-", "_"))(slot, action)
+        getattr(self, "_do_" + name.replace("-", "_"))(slot, action)
 
-    def allowed(self, action: schedule.Action, slot: int) -> bool:
+    def _allowed(self, action: schedule.Action, slot: int) -> bool:
         w, trouble = self.world, action.trouble
         if trouble in NO_LOSS:
             return True
@@ -58,79 +59,80 @@
         return w.machines.bears(slot, w.now)
 
     def may_forget(self, slot: int) -> bool:
+        """Whether what a machine holds may be lost, of what the newest roster shows."""
         w = self.world
         seats = [w.nodes[m.node].seat for m in w.machines.rows]
         return w.machines.may_forget(slot, {i for i, s in enumerate(seats) if s not in w.checks.roster})
 
-    def node_of(self, slot: int) -> str:
+    def _node_of(self, slot: int) -> str:
         return self.world.machines[slot].node
 
-    def for_a_while(self, slot: int, lasts: int, end: typing.Callable, *args: object) -> None:
+    def _for_a_while(self, slot: int, lasts: int, end: typing.Callable[..., object], *args: object) -> None:
         self.world.machines.hit(slot)
-        self.world.later(lasts, self.over, slot, end, args)
+        self.world.later(lasts, self._over, slot, end, args)
 
-    def over(self, slot: int, end: typing.Callable, args: tuple) -> None:
+    def _over(self, slot: int, end: typing.Callable[..., object], args: tuple[object, ...]) -> None:
         end(*args)
         self.world.machines.over(slot, self.world.now)
 
     # processes
 
-    def do_nothing(self, slot: int, action: schedule.Action) -> None:
+    def _do_nothing(self, slot: int, action: schedule.Action) -> None:
         pass
 
-    def do_kill(self, slot: int, action: schedule.Action) -> None:
-        self.world.kill(self.node_of(slot))
-        self.for_a_while(slot, action.lasts, self.start, self.node_of(slot))
+    def _do_kill(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self._node_of(slot))
+        self._for_a_while(slot, action.lasts, self._start, self._node_of(slot))
 
-    def do_power(self, slot: int, action: schedule.Action) -> None:
-        self.world.kill(self.node_of(slot), power=True)
-        self.for_a_while(slot, action.lasts, self.start, self.node_of(slot))
+    def _do_power(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self._node_of(slot), power=True)
+        self._for_a_while(slot, action.lasts, self._start, self._node_of(slot))
 
-    def do_wipe(self, slot: int, action: schedule.Action) -> None:
-        self.world.kill(self.node_of(slot), disk=True)
+    def _do_wipe(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self._node_of(slot), disk=True)
         self.world.machines[slot].amnesia = True
-        self.for_a_while(slot, action.lasts, self.start, self.node_of(slot))
+        self._for_a_while(slot, action.lasts, self._start, self._node_of(slot))
         self.world.later(action.lasts, self.remembered, slot)
 
     def remembered(self, slot: int) -> None:
         """The seat that came without memory is agreed, and no replaced one has a seat."""
         w = self.world
         leader = w.leader()
-        roster = quorum.voters(w.nodes[leader].member.book).keys() if leader else set()
+        roster = set(quorum.voters(w.nodes[leader].member.book)) if leader else set()
         seats = {w.nodes[m.node].seat for m in w.machines.rows}
         if w.zombies:
             w.later(50, self.remembered, slot)
             return
-        if w.nodes[self.node_of(slot)].seat in roster and roster <= seats:
+        if w.nodes[self._node_of(slot)].seat in roster and roster <= seats:
             w.machines[slot].amnesia = False
             return
         w.later(50, self.remembered, slot)
 
-    def start(self, name: str) -> None:
+    def _start(self, name: str) -> None:
         if self.world.nodes[name].member is None and name not in self.gone:
             self.world.boot(name)
 
-    def do_freeze(self, slot: int, action: schedule.Action) -> None:
-        name = self.node_of(slot)
+    def _do_freeze(self, slot: int, action: schedule.Action) -> None:
+        name = self._node_of(slot)
         self.world.freeze(name)
-        self.for_a_while(slot, action.lasts, self.thaw, name, self.world.nodes[name].life)
+        self._for_a_while(slot, action.lasts, self._thaw, name, self.world.nodes[name].life)
 
-    def thaw(self, name: str, life: int) -> None:
+    def _thaw(self, name: str, life: int) -> None:
         if self.world.nodes[name].life == life:
             self.world.freeze(name, False)
 
-    def do_stop(self, slot: int, action: schedule.Action) -> None:
+    def _do_stop(self, slot: int, action: schedule.Action) -> None:
         """In good order, and back after a while."""
-        name = self.node_of(slot)
-        self.stop(name)
-        self.for_a_while(slot, STOP_MS + action.lasts, self.start, name)
+        name = self._node_of(slot)
+        self._stop(name)
+        self._for_a_while(slot, STOP_MS + action.lasts, self._start, name)
 
-    def stop(self, name: str) -> None:
+    def _stop(self, name: str) -> None:
         node = self.world.nodes[name]
-        self.world.step(node, events.Stop(self.world.clock(node)))
-        self.world.later(LEAVE_MS, self.end_once_released, name, node.life)
+        self.world.ask_to_stop(node)
+        self.world.later(LEAVE_MS, self._end_once_released, name, node.life)
 
-    def end_once_released(self, name: str, life: int) -> None:
+    def _end_once_released(self, name: str, life: int) -> None:
         """The process waits until the others need its vote no more."""
         node = self.world.nodes[name]
         if node.life != life:
@@ -138,16 +140,16 @@
         if node.member.released():
             self.world.kill(name)
             return
-        self.world.later(50, self.end_once_released, name, life)
+        self.world.later(50, self._end_once_released, name, life)
 
-    def do_jump(self, slot: int, action: schedule.Action) -> None:
+    def _do_jump(self, slot: int, action: schedule.Action) -> None:
         """Its steady clock goes ahead at once, as after a machine's sleep that no message noticed."""
-        self.world.nodes[self.node_of(slot)].skew += action.lasts
-        self.for_a_while(slot, 1, bool)
+        self.world.nodes[self._node_of(slot)].skew += action.lasts
+        self._for_a_while(slot, 1, bool)
 
     # replacement
 
-    def successor(self, slot: int, own_name: bool) -> str:
+    def _successor(self, slot: int, own_name: bool) -> str:
         """A new machine at another address, under its own or its predecessor's name."""
         w = self.world
         w.machines[slot].replacing = True
@@ -155,10 +157,10 @@
         name = f"n{self.fresh}"
         node = w.add(name)
         if not own_name:
-            node.member_name = w.nodes[self.node_of(slot)].member_name
+            node.member_name = w.nodes[self._node_of(slot)].member_name
         return name
 
-    def enter(self, slot: int, name: str) -> None:
+    def _enter(self, slot: int, name: str) -> None:
         w = self.world
         w.machines[slot].node = name
         w.machines[slot].replacing = False
@@ -167,125 +169,127 @@
             w.boot(name)
         self.remembered(slot)
 
-    def do_replace_new_first(self, slot: int, action: schedule.Action) -> None:
+    def _do_replace_new_first(self, slot: int, action: schedule.Action) -> None:
         """Planned: the new one is up for a while, then the old one stops in order and is gone."""
-        old, new = self.node_of(slot), self.successor(slot, own_name=True)
+        old, new = self._node_of(slot), self._successor(slot, own_name=True)
         self.world.boot(new)
-        self.world.later(UP_MS + action.lasts, self.relieve, slot, old, new)
+        self.world.later(UP_MS + action.lasts, self._relieve, slot, old, new)
 
-    def relieve(self, slot: int, old: str, new: str) -> None:
+    def _relieve(self, slot: int, old: str, new: str) -> None:
         if not self.world.bearable and not self.may_forget(slot):
-            self.world.later(500, self.relieve, slot, old, new)
+            self.world.later(500, self._relieve, slot, old, new)
             return
         self.world.machines[slot].amnesia = True
         self.gone.add(old)
         if self.world.nodes[old].member is not None and not self.world.nodes[old].frozen:
-            self.stop(old)
-        self.enter(slot, new)
+            self._stop(old)
+        self._enter(slot, new)
 
-    def do_replace_old_first(self, slot: int, action: schedule.Action) -> None:
+    def _do_replace_old_first(self, slot: int, action: schedule.Action) -> None:
         """Unplanned: the old one is gone for good, an empty one comes later."""
-        old = self.node_of(slot)
+        old = self._node_of(slot)
         self.gone.add(old)
         self.world.kill(old, power=True)
-        new = self.successor(slot, own_name=bool(action.choice % 2))
+        new = self._successor(slot, own_name=bool(action.choice % 2))
         self.world.machines[slot].amnesia = True
-        self.for_a_while(slot, action.lasts, self.enter, slot, new)
+        self._for_a_while(slot, action.lasts, self._enter, slot, new)
 
-    def do_replace_cut(self, slot: int, action: schedule.Action) -> None:
-        """The old one lives on for a while, cut off for good, or with HALF_CUT from the leader and the new one
-        alone; the new one bears its name or its own."""
-        w, old = self.world, self.node_of(slot)
+    def _do_replace_cut(self, slot: int, action: schedule.Action) -> None:
+        """The old one lives on for a while, cut off for good, or with HALF_CUT from the leader and the new
+        one alone; the new one bears its name or its own."""
+        w, old = self.world, self._node_of(slot)
         leader = w.leader()
-        half = bool(action.choice & HALF_CUT) and leader not in (None, old)
-        if half:
+        half = False
+        if action.choice & HALF_CUT and leader and leader != old:
+            half = True
             w.part_links([(old, leader), (leader, old)])
             w.zombies.add(old)
         else:
             self.isolate(old, both=True)
             w.retired.add(old)
         w.machines[slot].amnesia = True
-        new = self.successor(slot, own_name=bool(action.choice % 2))
+        new = self._successor(slot, own_name=bool(action.choice % 2))
         if half:
             w.part_links([(old, new), (new, old)])
         self.gone.add(old)
-        self.for_a_while(slot, action.lasts, self.enter, slot, new)
-        w.later(action.lasts + ZOMBIE_MS, self.retire, slot, old)
+        self._for_a_while(slot, action.lasts, self._enter, slot, new)
+        w.later(action.lasts + ZOMBIE_MS, self._retire, slot, old)
 
-    def retire(self, slot: int, name: str) -> None:
+    def _retire(self, slot: int, name: str) -> None:
         self.world.kill(name)
         self.world.zombies.discard(name)
         self.remembered(slot)
 
     # links
 
-    def isolate(self, name: str, both: bool, inward: bool = False) -> list:
+    def isolate(self, name: str, both: bool, inward: bool = False) -> list[tuple[str, str]]:
+        """Cuts all links from a process, or to it, or both; gives the links."""
         others = [n for n in self.world.nodes if n != name]
         out = [] if inward else [(name, n) for n in others]
         back = [(n, name) for n in others] if both or inward else []
         self.world.part_links(out + back)
         return out + back
 
-    def do_cut(self, slot: int, action: schedule.Action) -> None:
-        self.for_a_while(
-            slot, action.lasts, self.world.join_links, self.isolate(self.node_of(slot), both=True)
+    def _do_cut(self, slot: int, action: schedule.Action) -> None:
+        self._for_a_while(
+            slot, action.lasts, self.world.join_links, self.isolate(self._node_of(slot), both=True)
         )
 
-    def do_cut_in(self, slot: int, action: schedule.Action) -> None:
-        pairs = self.isolate(self.node_of(slot), both=False, inward=True)
-        self.for_a_while(slot, action.lasts, self.world.join_links, pairs)
+    def _do_cut_in(self, slot: int, action: schedule.Action) -> None:
+        pairs = self.isolate(self._node_of(slot), both=False, inward=True)
+        self._for_a_while(slot, action.lasts, self.world.join_links, pairs)
 
-    def do_cut_out(self, slot: int, action: schedule.Action) -> None:
-        self.for_a_while(
-            slot, action.lasts, self.world.join_links, self.isolate(self.node_of(slot), both=False)
+    def _do_cut_out(self, slot: int, action: schedule.Action) -> None:
+        self._for_a_while(
+            slot, action.lasts, self.world.join_links, self.isolate(self._node_of(slot), both=False)
         )
 
-    def do_cut_pair(self, slot: int, action: schedule.Action) -> None:
-        w, name = self.world, self.node_of(slot)
+    def _do_cut_pair(self, slot: int, action: schedule.Action) -> None:
+        w, name = self.world, self._node_of(slot)
         others = sorted(n.name for n in w.keepers() if n.name != name)
         if not others:
             return
         other = others[action.choice % len(others)]
         pairs = [(name, other), (other, name)]
         w.part_links(pairs)
-        self.for_a_while(slot, action.lasts, self.world.join_links, pairs)
+        self._for_a_while(slot, action.lasts, self.world.join_links, pairs)
 
-    def do_split(self, slot: int, action: schedule.Action) -> None:
+    def _do_split(self, slot: int, action: schedule.Action) -> None:
         """The leader and every second process on one side, the others on the other."""
         w = self.world
         names = sorted(n.name for n in w.keepers())
-        left = {n for i, n in enumerate(names) if (action.choice >> i % 3) & 1} | {self.node_of(slot)}
+        left = {n for i, n in enumerate(names) if (action.choice >> i % 3) & 1} | {self._node_of(slot)}
         pairs = [(a, b) for a in names for b in names if (a in left) != (b in left)]
         w.part_links(pairs)
         w.later(action.lasts, w.join_links, pairs)
 
-    def do_loss(self, slot: int, action: schedule.Action) -> None:
+    def _do_loss(self, slot: int, action: schedule.Action) -> None:
         self.world.lossy = 0.2
         self.world.later(action.lasts, setattr, self.world, "lossy", 0.0)
 
     # disks
 
-    def do_slow(self, slot: int, action: schedule.Action) -> None:
-        disk = self.world.nodes[self.node_of(slot)].disk
+    def _do_slow(self, slot: int, action: schedule.Action) -> None:
+        disk = self.world.nodes[self._node_of(slot)].disk
         disk.slow = 40
-        self.for_a_while(slot, action.lasts, setattr, disk, "slow", 1)
+        self._for_a_while(slot, action.lasts, setattr, disk, "slow", 1)
 
-    def do_stall(self, slot: int, action: schedule.Action) -> None:
-        name = self.node_of(slot)
+    def _do_stall(self, slot: int, action: schedule.Action) -> None:
+        name = self._node_of(slot)
         self.world.stall(name)
-        self.for_a_while(slot, action.lasts, self.flow, name)
+        self._for_a_while(slot, action.lasts, self._flow, name)
 
-    def flow(self, name: str) -> None:
+    def _flow(self, name: str) -> None:
         self.world.stall(name, False)
 
-    def do_full(self, slot: int, action: schedule.Action) -> None:
-        disk = self.world.nodes[self.node_of(slot)].disk
+    def _do_full(self, slot: int, action: schedule.Action) -> None:
+        disk = self.world.nodes[self._node_of(slot)].disk
         disk.full = True
-        self.for_a_while(slot, action.lasts, setattr, disk, "full", False)
+        self._for_a_while(slot, action.lasts, setattr, disk, "full", False)
 
     # proxies, operators
 
-    def do_proxy(self, slot: int, action: schedule.Action) -> None:
+    def _do_proxy(self, slot: int, action: schedule.Action) -> None:
         """One more proxy, or one that starts again with nothing."""
         name = f"p{action.choice % 2}"
         if name in self.world.nodes:
@@ -294,6 +298,6 @@
             return
         self.world.proxy(name)
 
-    def do_changes(self, slot: int, action: schedule.Action) -> None:
+    def _do_changes(self, slot: int, action: schedule.Action) -> None:
         for operator in self.world.operators:
             operator.make(1 + action.choice % 4)
--- a/basaltport/model/world.py
+++ b/basaltport/model/world.py
@@ -13,8 +13,10 @@
 import basaltport.model.machines as machines
 import basaltport.model.operators as operators
 import basaltport.model.standins as standins
+import basaltport.placement.effects as effects
 import basaltport.simulation.routes.nodes as nodes
 
+Then = typing.Callable[[operators.Answer | None], object]
 REPLICAS = ("r1", "r2")
 LIST_MS = 20
 HELD_SHARE = 0.5
@@ -26,19 +28,21 @@
     """Links lose, delay, double and reorder; what a cut holds up may come after it heals."""
 
     def __init__(self, seed: int, members: int = 3, bearable: bool = True, rough: bool = True) -> None:
+        """Keepers are about to start; `rough` links delay, double and reorder."""
         self.bearable = bearable
         self.machines = machines.Machines([f"k{i + 1}" for i in range(members)])
         self.calls: dict[str, int] = {}
-        self.waiting: dict[str, typing.Callable] = {}
+        self.waiting: dict[str, Then] = {}
         self.marks = 0
         self.well_at: dict[tuple[str, int], int] = {}
         self.well_since = 0
         self.retired: set[str] = set()
         self.zombies: set[str] = set()
-        self.parted: collections.Counter = collections.Counter()
+        self.parted: collections.Counter[tuple[str, str]] = collections.Counter()
         self.checks = checks.Checks(self)
         super().__init__(seed, members)
         self.operators = [operators.Operator(self, f"op{i + 1}", 400) for i in range(3)]
+        self.delay_max = 1
         if rough:
             self.reordering, self.doubling, self.delay_max, self.across_lives = True, 0.02, 25, True
         self.later(checks.PERIOD, self.look_round)
@@ -46,30 +50,39 @@
     # stand-ins
 
     def placement(self) -> standins.Placement:
+        """For each keeper its own."""
         return standins.Placement(REPLICAS)
 
     def proxy_of(self, me: member.Me, seed: int) -> standins.Proxy:
+        """A proxy that only follows."""
         return standins.Proxy(me, seed, self.now)
 
     def do_list(self, node: nodes.Node, effect: object) -> None:
+        """The platform answers a little later."""
         self.later(LIST_MS, self.read_list, node, node.life)
 
     def read_list(self, node: nodes.Node, life: int) -> None:
+        """Its answer comes."""
         rows = [{"id": r, "service": "s", "models": {}} for r in REPLICAS]
-        self.give(node, life, keeper_events.Listed(self.now, True, rows))
+        listed: typing.Callable[..., object] = keeper_events.Listed
+        self.give(node, life, listed(self.now, True, rows))
 
-    def do_order(self, node: nodes.Node, effect: typing.Any) -> None:
+    def do_order(self, node: nodes.Node, effect: effects.Order) -> None:
+        """An order to a replica."""
         self.checks.orders_replica(node, effect.replica, effect.fence)
 
     # checks
 
     def look(self, node: nodes.Node, was: int) -> None:
+        """Checks after a step."""
         self.checks.stepped(node, was)
 
     def holds(self, node: nodes.Node) -> bool:
-        return node.member.holds_at(self.clock(node))
+        """Whether a member may act as the only leader."""
+        return bool(node.member.holds_at(self.clock(node)))
 
     def look_round(self) -> None:
+        """Checks over time."""
         self.later(checks.PERIOD, self.look_round)
         if not self.leader() or self.lossy or self.zombies:
             self.well_since = self.now + 1
@@ -103,6 +116,7 @@
     # wires
 
     def do_send(self, node: nodes.Node, effect: events.Send) -> None:
+        """What is sent is seen by the checks first."""
         msg = effect.msg
         if isinstance(msg, messages.Beat):
             self.checks.beat_sent(node, msg)
@@ -112,7 +126,8 @@
             self.checks.answers(node, msg.call, msg.status, msg.body)
         super().do_send(node, effect)
 
-    def step(self, node: nodes.Node, event: typing.Any) -> None:
+    def step(self, node: nodes.Node, event: events.Heard | events.Tick | events.Synced) -> None:
+        """Acknowledgements are seen by the checks first."""
         if (
             node.member is not None
             and isinstance(event, events.Heard)
@@ -138,13 +153,15 @@
             elif self.now - at < HELD_MS:
                 self.later(self.rng.randrange(1, LATE_MS), f, *args)
 
-    def keep(self, f: typing.Callable, *args: typing.Any) -> None:
+    def keep(self, f: typing.Callable[..., object], *args: object) -> None:
+        """A part of what a cut stops is only held up."""
         if self.rng.random() < HELD_SHARE:
             super().keep(f, *args)
 
     # operators
 
     def next_mark(self) -> int:
+        """Tells the content of one change from all others."""
         self.marks += 1
         return self.marks
 
@@ -153,10 +170,11 @@
         return sorted(n.name for n in self.keepers())
 
     def ask(self, name: str, verb: str, **body: object) -> str:
+        """Remembers when the call was made."""
         self.calls[f"c{self.n + 1}"] = self.now
         return super().ask(name, verb, **body)
 
-    def when_answered(self, call: str, patience: int, then: typing.Callable) -> None:
+    def when_answered(self, call: str, patience: int, then: Then) -> None:
         """Once, with status and body, or with None after `patience`."""
         if self.answers.get(call):
             then(self.answers[call])
@@ -165,11 +183,13 @@
         self.later(patience, self.give_up, call)
 
     def give_up(self, call: str) -> None:
+        """The caller waits no longer."""
         then = self.waiting.pop(call, None)
         if then:
             then(None)
 
     def do_answer(self, node: nodes.Node, effect: events.Answer) -> None:
+        """The caller goes on."""
         super().do_answer(node, effect)
         if node.member.leading:
             self.checks.answers(node, effect.call, effect.status, effect.body)
@@ -178,12 +198,15 @@
             self.later(0, then, self.answers[effect.call])
 
     def record(self, operation: linearizability.Operation) -> None:
+        """One call more of the history."""
         self.checks.history.append(operation)
 
     def refused(self, change: str) -> None:
+        """A change that an operator was told is not made."""
         self.checks.refuse(change)
 
     def finish(self) -> None:
+        """The checks of the whole run."""
         for operator in self.operators:
             operator.finish()
         self.checks.finish()
--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -3,6 +3,7 @@
 import copy
 import heapq
 import random
+import typing
 
 import basaltport.consensus.quorum as quorum
 import basaltport.events as events
@@ -22,11 +23,15 @@
     """One process at one address. `member_name`: the name it bears among members, which a replacing machine
     may share with its predecessor; `skew`: how far its steady clock is ahead of the world's."""
 
-    def __init__(self, name, addr, disk):
+    def __init__(self, name: str, addr: str, disk: typing.Any) -> None:
         self.name, self.addr, self.disk = name, addr, disk
         self.member_name, self.skew = name, 0
-        self.member, self.life, self.frozen, self.held = None, 0, False, []
-        self.seat, self.founders, self.book = "", None, None
+        self.member: typing.Any = None
+        self.life, self.frozen = 0, False
+        self.held: list[typing.Any] = []
+        self.seat = ""
+        self.founders: list[str] | None = None
+        self.book: typing.Any = None
 
 
 class Nodes:
@@ -36,14 +41,22 @@
     `reordering` gives each message its own delay; `doubling` is the chance that it comes twice; `delay_max`
     the longest delay in ms; `across_lives` delivers to whoever lives at the address when it arrives."""
 
-    def __init__(self, seed, keepers=3, boot=True, packed=False):
+    def __init__(self, seed: int, keepers: int = 3, boot: bool = True, packed: bool = False) -> None:
         self.rng = random.Random(seed)
         self.now = kinds.Millis(1_000_000)
-        self.heap, self.k, self.packed = [], 0, packed
-        self.nodes, self.by_addr, self.last = {}, {}, {}
-        self.cuts, self.held, self.lossy = set(), [], 0.0
+        self.heap: list[typing.Any] = []
+        self.k, self.packed = 0, packed
+        self.nodes: dict[str, Node] = {}
+        self.by_addr: dict[str, Node] = {}
+        self.last: dict[tuple[str, str], int] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.held: list[typing.Any] = []
+        self.lossy = 0.0
         self.reordering, self.doubling, self.delay_max, self.across_lives = False, 0.0, 11, False
-        self.agreed, self.answers, self.n, self.notes = {}, {}, 0, []
+        self.agreed: dict[int, typing.Any] = {}
+        self.answers: dict[str, typing.Any] = {}
+        self.n = 0
+        self.notes: list[typing.Any] = []
         self.holding = True
         self.bytes = 0
         for i in range(keepers):
@@ -54,14 +67,14 @@
 
     # time
 
-    def later(self, ms, f, *a):
+    def later(self, ms: float, f: typing.Callable[..., object], *a: typing.Any) -> None:
         self.k += 1
         heapq.heappush(self.heap, (self.now + ms, self.k, f, a))
 
-    def run(self, ms):
+    def run(self, ms: float) -> None:
         self.until(bool, ms)
 
-    def until(self, test, ms):
+    def until(self, test: typing.Callable[[], object], ms: float) -> float | None:
         """Ms until the test held, or None."""
         start, end = self.now, self.now + ms
         while not test():
@@ -75,19 +88,19 @@
 
     # nodes
 
-    def add(self, name, disk=True):
+    def add(self, name: str, disk: bool = True) -> Node:
         n = Node(name, self.address(), None)
         n.disk = simdisk.SimDisk(random.Random(self.rng.random())) if disk else None
         self.nodes[name] = self.by_addr[n.addr] = n
         return n
 
-    def address(self):
+    def address(self) -> str:
         return f"10.0.0.{len(self.by_addr) + 1}:1"
 
-    def zone_of(self, name):
+    def zone_of(self, name: str) -> str:
         return f"z-{name}"
 
-    def boot(self, name, first=False):
+    def boot(self, name: str, first: bool = False) -> None:
         n = self.nodes[name]
         held, promised = None, kinds.Generation()
         if n.disk:
@@ -118,16 +131,16 @@
         n.life, n.frozen, n.held, n.book = n.life + 1, False, [], None
         self.tick(n, n.life)
 
-    def clock(self, n):
+    def clock(self, n: Node) -> kinds.Millis:
         """The steady clock of a process."""
         return kinds.Millis(self.now + n.skew)
 
-    def proxy(self, name):
+    def proxy(self, name: str) -> typing.Any:
         self.add(name, False)
         self.boot(name)
         return self.nodes[name].member
 
-    def kill(self, name, power=False, disk=False):
+    def kill(self, name: str, power: bool = False, disk: bool = False) -> None:
         n = self.nodes[name]
         n.member, n.life = None, n.life + 1
         if n.disk is None:
@@ -142,15 +155,18 @@
             n.disk.done()
             n.disk.queue = []
 
-    def stop(self, name):
+    def stop(self, name: str) -> None:
         """The end that SIGTERM brings: the process goes once its member is released."""
         n = self.nodes[name]
-        self.step(n, events.Stop(self.clock(n)))
+        self.ask_to_stop(n)
         self.run(LAST)
         self.until(lambda: n.member is None or n.member.released(), STOPPED)
         self.kill(name)
 
-    def freeze(self, name, on=True):
+    def ask_to_stop(self, n: Node) -> None:
+        self.step(n, events.Stop(self.clock(n)))
+
+    def freeze(self, name: str, on: bool = True) -> None:
         n = self.nodes[name]
         n.frozen = on
         if not on:
@@ -160,14 +176,14 @@
                 ev.now = self.clock(n)
                 self.step(n, ev)
 
-    def tick(self, n, life):
+    def tick(self, n: Node, life: int) -> None:
         if n.life != life:
             return
         if not n.frozen:
             self.step(n, events.Tick(self.clock(n)))
         self.later(TICK, self.tick, n, life)
 
-    def give(self, n, life, ev):
+    def give(self, n: Node, life: int, ev: typing.Any) -> None:
         if n.life != life or n.member is None:
             return
         if n.frozen:
@@ -176,7 +192,7 @@
         ev.now = self.clock(n)
         self.step(n, ev)
 
-    def step(self, n, ev):
+    def step(self, n: Node, ev: typing.Any) -> None:
         if n.member is None:
             return
         was = n.member.book["serial"]
@@ -185,7 +201,7 @@
         if n.member is not None:
             self.look(n, was)
 
-    def look(self, n, was):
+    def look(self, n: Node, was: int) -> None:
         """One book for each serial, nothing taken back. A book that was seen here is not looked at again."""
         b = n.member.book
         if b is n.book:
@@ -195,25 +211,25 @@
         if b["serial"] < was or self.agreed.setdefault(b["serial"], key) != key:
             self.differs(n, b)
 
-    def differs(self, n, b):
+    def differs(self, n: Node, b: typing.Any) -> None:
         raise AssertionError((n.name, b["serial"]))
 
-    def keepers(self):
+    def keepers(self) -> list[Node]:
         return [n for n in self.nodes.values() if n.disk and n.member]
 
-    def up(self):
+    def up(self) -> list[Node]:
         return [n for n in self.keepers() if not n.frozen]
 
-    def leader(self):
+    def leader(self) -> str | None:
         """The name of the one that holds, or None."""
         ns = [(n.member.promised, n.name) for n in self.up() if n.member.holds_at(self.clock(n))]
         return max(ns)[1] if ns else None
 
-    def roster(self):
+    def roster(self) -> list[str]:
         """Names of all that vote, while a member takes another's place both."""
         return sorted(r["name"] for r in quorum.voters(self.nodes[self.leader()].member.book).values())
 
-    def settled(self, *names):
+    def settled(self, *names: str) -> bool:
         """Whether there is a leader whose agreed roster is of these names, all of whose seats answer."""
         k = self.leader()
         m = k and self.nodes[k].member
@@ -222,28 +238,28 @@
 
     # wires
 
-    def cut(self, a, b, both=True):
+    def cut(self, a: str, b: str, both: bool = True) -> None:
         self.cuts |= {(a, b), (b, a)} if both else {(a, b)}
 
-    def part(self, left):
+    def part(self, left: typing.Collection[str]) -> None:
         for a in left:
             for b in self.nodes:
                 if b not in left:
                     self.cut(a, b)
 
-    def heal(self):
+    def heal(self) -> None:
         self.cuts = set()
         held, self.held = self.held, []
         for at, f, a in held:
             if self.now - at < HELD:
                 self.later(1, f, *a)
 
-    def keep(self, f, *a):
+    def keep(self, f: typing.Callable[..., object], *a: typing.Any) -> None:
         """What a cut holds up comes once it heals, if that is soon; without `holding` it is lost."""
         if self.holding:
             self.held.append((self.now, f, a))
 
-    def do_send(self, n, e):
+    def do_send(self, n: Node, e: typing.Any) -> None:
         to = self.by_addr.get(e.addr)
         if to is None:
             return
@@ -261,7 +277,7 @@
         for m in (msg, copy.copy(msg)) if twice else (msg,):
             self.later(self.delay(n, to), self.arrive, n, to, to.life, m)
 
-    def delay(self, n, to):
+    def delay(self, n: Node, to: Node) -> int:
         """Ms that a message is under way."""
         ms = self.rng.randrange(1, self.delay_max + 1)
         if self.reordering:
@@ -270,7 +286,7 @@
         at = self.last[k] = max(self.last.get(k, 0), self.now + ms)
         return at - self.now
 
-    def arrive(self, n, to, life, msg):
+    def arrive(self, n: Node, to: Node, life: int, msg: typing.Any) -> None:
         if self.across_lives:
             life = to.life
         if (n.name, to.name) in self.cuts:
@@ -280,20 +296,20 @@
 
     # disks, notes
 
-    def do_write(self, n, e):
+    def do_write(self, n: Node, e: typing.Any) -> None:
         whole = None
         if e.whole is not None:
             whole = {"promised": list(n.member.promised), **e.whole, "tail": list(e.whole["tail"])}
         n.disk.write(e.token, e.records, whole)
         self.sync_next(n)
 
-    def sync_next(self, n):
+    def sync_next(self, n: Node) -> None:
         d = n.disk
         if d.queue and not d.syncing and not d.stalled:
             d.begin()
             self.later(d.lapse(self.now) - self.now, self.synced, n, n.life, d)
 
-    def synced(self, n, life, disk):
+    def synced(self, n: Node, life: int, disk: typing.Any) -> None:
         if n.life != life or n.disk is not disk:
             return
         if disk.stalled:
@@ -303,18 +319,18 @@
             self.give(n, life, events.Synced(self.now, token, ok))
         self.sync_next(n)
 
-    def stall(self, name, on=True):
+    def stall(self, name: str, on: bool = True) -> None:
         n = self.nodes[name]
         n.disk.stalled = on
         if not on:
             self.sync_next(n)
 
-    def do_note(self, n, e):
+    def do_note(self, n: Node, e: typing.Any) -> None:
         self.notes.append((self.now, n.name, e.number, e.fields))
 
     # operators
 
-    def ask(self, name, verb, **body):
+    def ask(self, name: str, verb: str, **body: object) -> str:
         self.n += 1
         c = f"c{self.n}"
         self.answers[c] = None
@@ -322,10 +338,10 @@
         self.give(n, n.life, events.Asked(self.now, c, verb, body))
         return c
 
-    def do_answer(self, n, e):
+    def do_answer(self, n: Node, e: typing.Any) -> None:
         self.answers[e.call] = (e.status, e.body, self.now)
 
-    def asked(self, name, verb, ms=4000, **body):
+    def asked(self, name: str, verb: str, ms: float = 4000, **body: object) -> typing.Any:
         """Status and body of an answer, which comes within `ms`."""
         c = self.ask(name, verb, **body)
         assert self.until(lambda: self.answers[c], ms) is not None, (name, verb)
