--- a/basaltport/model/checks.py
+++ b/basaltport/model/checks.py
@@ -5,6 +5,7 @@
 
 import basaltport.consensus.quorum as quorum
 import basaltport.messages as messages
+import basaltport.model.durable as durable
 import basaltport.model.finding as finding
 import basaltport.model.linearizability as linearizability
 import basaltport.simulation.routes.nodes as nodes
@@ -35,6 +36,7 @@
         self.generations: dict[typing.Any, typing.Any] = {}
         self.top = 0
         self.roster: set[str] = set()
+        self.durable = durable.Durable()
         self.tops: collections.deque[tuple[int, int]] = collections.deque()
         self.beats: dict[typing.Any, typing.Any] = {}
         self.words: dict[typing.Any, typing.Any] = {}
@@ -67,7 +69,7 @@
     def _came_in_force(self, node: nodes.Node, was: int) -> None:
         b = node.member.book
         if b["serial"] < was:
-            self._broken(Rule.BACK, node=node.name, was=was, now=b["serial"])
+            self._broken(Rule.BACK, node=node.name, was=was, serial=b["serial"])
         key = (tuple(b["gen"]), str(b["manifest"]), sorted(b["drains"]), sorted(b["roster"]))
         if self.in_force.setdefault(b["serial"], key) != key:
             self._broken(Rule.AGREED, node=node.name, serial=b["serial"])
@@ -122,6 +124,13 @@
         if len(holders) > 1:
             self._broken(Rule.HOLDERS, members=holders)
 
+    # disks
+
+    def says(self, node: nodes.Node, msg: object) -> None:
+        """A member sends something."""
+        if node.disk and not self.durable.bears_out(node, msg):
+            self._broken(Rule.SYNCED, node=node.name, says=msg)
+
     # a majority's word
 
     def beat_sent(self, node: nodes.Node, beat: messages.Beat) -> None:
--- /dev/null
+++ b/basaltport/model/durable.py
@@ -0,0 +1,71 @@
+"""What each member's disk holds for sure, told by the disk itself and not by the member's own account."""
+
+import dataclasses
+import typing
+
+import basaltport.consensus.book as book
+import basaltport.kinds as kinds
+import basaltport.messages as messages
+import basaltport.simulation.routes.nodes as nodes
+
+Entry = tuple[int, tuple[int, str]]
+
+
+def _key(entry: dict[str, typing.Any]) -> Entry:
+    count, name = entry["g"]
+    return entry["s"], (count, name)
+
+
+@dataclasses.dataclass(slots=True)
+class Held:
+    """Of one disk: the highest vote and the entries that are synced."""
+
+    promised: kinds.Generation = kinds.Generation()
+    entries: set[Entry] = dataclasses.field(default_factory=set)
+
+    def add(self, promised: list[kinds.Generation], entries: list[Entry]) -> None:
+        """These are synced now."""
+        self.promised = max([self.promised, *promised])
+        self.entries.update(entries)
+
+
+class Durable:
+    """Writes that are under way by token, and what is synced by process."""
+
+    def __init__(self) -> None:
+        """No disk holds anything."""
+        self.writes: dict[tuple[str, int, int], tuple[list[kinds.Generation], list[Entry]]] = {}
+        self.held: dict[str, Held] = {}
+
+    def started(self, node: nodes.Node) -> None:
+        """A process read its disk: that is what it holds."""
+        m = node.member
+        entries = [_key(e) for e in m.tail]
+        held = self.held[node.name] = Held()
+        held.add([m.promised], [*entries, (m.book["serial"], tuple(m.book["gen"]))])
+
+    def asked(self, node: nodes.Node, token: int, records: list[dict[str, typing.Any]], whole: bool) -> None:
+        """A write was handed to the disk; with `whole`, of all that the member has."""
+        m = node.member
+        promised = [kinds.Generation(*r["promise"]) for r in records if "promise" in r]
+        entries = [_key(r["entry"]) for r in records if "entry" in r]
+        if whole:
+            promised.append(m.promised)
+            entries += [_key(e) for e in m.tail]
+            entries.append((m.book["serial"], tuple(book.gen(m.book))))
+        self.writes[node.name, node.life, token] = promised, entries
+
+    def synced(self, node: nodes.Node, token: int, ok: bool) -> None:
+        """The disk says that a write is safe, or that it failed."""
+        written = self.writes.pop((node.name, node.life, token), None)
+        if ok and written:
+            self.held[node.name].add(*written)
+
+    def bears_out(self, node: nodes.Node, msg: object) -> bool:
+        """Whether what a vote or an acknowledgement says is on the disk."""
+        held = self.held[node.name]
+        if isinstance(msg, messages.Promise):
+            return not msg.ok or held.promised >= msg.gen
+        if isinstance(msg, messages.Ack) and msg.ok:
+            return not msg.serial or (msg.serial, tuple(msg.hgen)) in held.entries
+        return True
--- a/basaltport/model/finding.py
+++ b/basaltport/model/finding.py
@@ -12,6 +12,7 @@
     BACK = "what is in force never goes back within a life"
     HOLDERS = "no two members hold at one time"
     WORD = "nobody serves a read or feeds a proxy without a majority's word after its beginning"
+    SYNCED = "no vote and no acknowledgement leaves a member before what it says is on its disk"
     HISTORY = "the history of all operators is linearizable"
     REPEAT = "a repeat of what was taken is never refused"
     MAJORITY = "no majority is lost while no more machines are lost than is borne"
--- a/basaltport/model/operators.py
+++ b/basaltport/model/operators.py
@@ -62,6 +62,7 @@
         self.seen = linearizability.Value()
         self.busy = False
         self.order: Order | None = None
+        self.taken: list[Order] = []
 
     def make(self, changes: int) -> None:
         """So many changes more, each after a read."""
@@ -155,9 +156,11 @@
         self.world.record(linearizability.unanswered(self.name, order.begin, order.base, order.value))
 
     def _maybe_repeat(self, order: Order) -> None:
-        """Now and then what was acknowledged is sent once more, as after a lost answer."""
+        """Now and then one of those that were acknowledged is sent once more, as after a lost answer."""
+        self.taken.append(order)
         if self.world.rng.random() >= REPEATED_SHARE:
             return
+        order = self.world.rng.choice(self.taken)
         body = {"change": order.change, "base": order.base, "document": order.document}
         self._send("configure", lambda answer, begin: self._repeated(order, answer), **body)
 
--- a/basaltport/model/random_search.py
+++ b/basaltport/model/random_search.py
@@ -95,7 +95,33 @@
     ]
 
 
-STORIES = (second_loss, living_name, cut_leader)
+def power_cut(rng: random.Random, members: int) -> list[schedule.Action]:
+    """Slow disks, changes, and all machines lose power at one moment."""
+    slow = [schedule.Action(0, Trouble.SLOW, slot, CALM_MS) for slot in range(members)]
+    change = schedule.Action(CALM_MS, Trouble.CHANGES, choice=rng.randrange(8))
+    cut = [schedule.Action(0, Trouble.POWER, slot, rng.choice(LASTS)) for slot in range(members)]
+    return [change, *slow, schedule.Action(_swept(rng, 800), Trouble.NOTHING), *cut]
+
+
+def quick_restart(rng: random.Random, members: int) -> list[schedule.Action]:
+    """One member does not hear the leader; another starts again at any moment after."""
+    lost = schedule.Action(CALM_MS, Trouble.CUT_PAIR, schedule.LEADER, 2000, rng.randrange(8))
+    again = schedule.Action(500 + _swept(rng, 500), Trouble.KILL, rng.randrange(members), 1)
+    return [lost, again]
+
+
+def wiped_leads(rng: random.Random, members: int) -> list[schedule.Action]:
+    """A wiped member has caught up, then the leader is lost and operators send again what was taken."""
+    slot = rng.randrange(members)
+    return [
+        schedule.Action(CALM_MS, Trouble.CHANGES, choice=7),
+        schedule.Action(3000, Trouble.WIPE, slot, 50),
+        schedule.Action(CALM_MS, Trouble.POWER, schedule.LEADER, CALM_MS),
+        schedule.Action(2000, Trouble.CHANGES, choice=7),
+    ]
+
+
+STORIES = (second_loss, living_name, cut_leader, power_cut, quick_restart, wiped_leads)
 
 
 def shrink(plan: schedule.Schedule, tries: int = 200) -> schedule.Schedule:
--- a/basaltport/model/world.py
+++ b/basaltport/model/world.py
@@ -118,6 +118,7 @@
     def do_send(self, node: nodes.Node, effect: events.Send) -> None:
         """What is sent is seen by the checks first."""
         msg = effect.msg
+        self.checks.says(node, msg)
         if isinstance(msg, messages.Beat):
             self.checks.beat_sent(node, msg)
         elif isinstance(msg, fleet_messages.Update):
@@ -128,14 +129,24 @@
 
     def step(self, node: nodes.Node, event: events.Heard | events.Tick | events.Synced) -> None:
         """Acknowledgements are seen by the checks first."""
-        if (
-            node.member is not None
-            and isinstance(event, events.Heard)
-            and isinstance(event.msg, messages.Ack)
-        ):
+        if node.member is None:
+            return
+        if isinstance(event, events.Heard) and isinstance(event.msg, messages.Ack):
             self.checks.ack_heard(node, event.msg)
+        if isinstance(event, events.Synced):
+            self.checks.durable.synced(node, event.token, event.ok)
         super().step(node, event)
 
+    def do_write(self, node: nodes.Node, effect: events.Write) -> None:
+        """What the disk will hold once it says so."""
+        self.checks.durable.asked(node, effect.token, effect.records, effect.whole is not None)
+        super().do_write(node, effect)
+
+    def started(self, node: nodes.Node) -> None:
+        """A start reads the disk."""
+        if node.disk:
+            self.checks.durable.started(node)
+
     def part_links(self, pairs: list[tuple[str, str]]) -> None:
         """Cuts these links once more; each is whole again when it was joined as often."""
         self.parted.update(pairs)
--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -129,8 +129,12 @@
         else:
             n.member = self.proxy_of(member.Me(*args), self.rng.getrandbits(32))
         n.life, n.frozen, n.held, n.book = n.life + 1, False, [], None
+        self.started(n)
         self.tick(n, n.life)
 
+    def started(self, n: Node) -> None:
+        """A process was made and has done nothing yet."""
+
     def clock(self, n: Node) -> kinds.Millis:
         """The steady clock of a process."""
         return kinds.Millis(self.now + n.skew)
