--- a/basaltport/model/finding.py
+++ b/basaltport/model/finding.py
@@ -17,6 +17,7 @@
     REPEAT = "a repeat of what was taken is never refused"
     MAJORITY = "no majority is lost while no more machines are lost than is borne"
     CATCH_UP = "whoever is back has caught up within the bound"
+    CRASH = "no event makes a member raise an exception"
     ORDERS = "orders to a replica come from one member at a time, under rising fences"
 
 
--- a/basaltport/model/world.py
+++ b/basaltport/model/world.py
@@ -1,6 +1,7 @@
 """The model's world: keepers and proxies by their own reducers, machines with troubles, operators, checks."""
 
 import collections
+import traceback
 import typing
 
 import basaltport.events as events
@@ -9,6 +10,7 @@
 import basaltport.member as member
 import basaltport.messages as messages
 import basaltport.model.checks as checks
+import basaltport.model.finding as finding
 import basaltport.model.linearizability as linearizability
 import basaltport.model.machines as machines
 import basaltport.model.operators as operators
@@ -135,7 +137,12 @@
             self.checks.ack_heard(node, event.msg)
         if isinstance(event, events.Synced):
             self.checks.durable.synced(node, event.token, event.ok)
-        super().step(node, event)
+        try:
+            super().step(node, event)
+        except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as e:
+            trace = traceback.extract_tb(e.__traceback__)[-1]
+            facts = {"node": node.name, "error": repr(e), "at": f"{trace.filename}:{trace.lineno}"}
+            raise finding.BrokenError(finding.Rule.CRASH, self.now, **facts) from e
 
     def do_write(self, node: nodes.Node, effect: events.Write) -> None:
         """What the disk will hold once it says so."""
