A manifest's entry that is null, or a section that is none, is a finding and no more

An entry that was not there before and is null was taken for unchanged: {"lines": {"oak": null}} over a manifest without findings was Ok, and its rules could not be compiled by any node; in models it raised AttributeError. {"models": 5} raised TypeError.

--- a/basaltport/configuration/check.py
+++ b/basaltport/configuration/check.py
@@ -163,6 +163,11 @@
     return new is old or new == old
 
 
+def _unchanged(name: str, new: object, was: Document) -> bool:
+    """Whether an entry stands as it was; one that was not there is new, also where it is null."""
+    return name in was and _same(new, was[name])
+
+
 def findings(form: trafaret.Trafaret, doc: object) -> Findings:
     """What is wrong with the form of a document."""
     got = shape(form, doc)
@@ -176,7 +181,7 @@
     new = {}
     for k in doc:
         was = old[k] if k in SECTIONS else None
-        new[k] = doc[k] if was is None else {n: v for n, v in doc[k].items() if not _same(v, was.get(n))}
+        new[k] = doc[k] if was is None else {n: v for n, v in doc[k].items() if not _unchanged(n, v, was)}
     return findings(MANIFEST, new)
 
 
@@ -194,7 +199,7 @@
 def _sound(doc: Document, old: Document, every: bool) -> _Sound:
     lines = _sound_entries(LINE, doc.get("lines"), old.get("lines") or {}, every)
     models = _sound_entries(MODEL, doc.get("models"), old.get("models") or {}, every)
-    whole = len(models) == len(doc.get("models") or ())
+    whole = len(models) == len(_section(doc, "models") or ())
     index = items.Index(items.items_of({"models": models})) if whole else None
     return _Sound(
         lines, models, _section(doc, "pools"), _section(doc, "groups"), _section(doc, "zones"), index
@@ -204,7 +209,7 @@
 def _sound_entries(form: trafaret.Trafaret, entries: object, was: Document, every: bool) -> Document:
     if not isinstance(entries, dict):
         return {}
-    return {n: v for n, v in entries.items() if every or _same(v, was.get(n)) or shape(form, v).is_ok()}
+    return {n: v for n, v in entries.items() if every or _unchanged(n, v, was) or shape(form, v).is_ok()}
 
 
 def _section(doc: Document, name: str) -> Document | None:
@@ -224,7 +229,7 @@
     if old and all(_same(doc.get(k), old.get(k)) for k in ("models", "pools", "groups")):
         was = old["lines"]
     for k, v in m.lines.items():
-        if not _same(v, was.get(k)):
+        if not _unchanged(k, v, was):
             _line_references(m, k, v, find)
     if not was:
         for k, v in m.models.items():
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -120,3 +120,33 @@
     assert got == {"surprise", "lines.desk.urgency", "lines.letters.pool"}
     for doc in (None, [], "x", {}, {"lines": 3, "models": {"a": 1}}):
         assert check.manifest(doc).is_err()
+
+
+def places(doc, depth=4):
+    """All places of a document, each as the keys that lead there."""
+    if depth == 0 or not isinstance(doc, dict):
+        return
+    for k, v in doc.items():
+        yield (k,)
+        yield from ((k, *rest) for rest in places(v, depth - 1))
+
+
+@pytest.mark.parametrize("junk", [5, 1.5, True, None, "x", [], [[]], {"x": {}}])
+@pytest.mark.parametrize("base", [None, "thin.json"])
+def test_anything_at_any_place_is_a_finding_or_taken_and_never_an_error(junk, base):
+    whole = load("thin.json")
+    old = load(base) if base else None
+    for place in places(whole):
+        m = load("thin.json")
+        at = m
+        for k in place[:-1]:
+            at = at[k]
+        at[place[-1]] = junk
+        got = check.manifest(m, old)
+        assert got.is_ok() or got.err_value, place
+
+
+def test_a_new_entry_that_is_null_is_a_finding():
+    m = load("thin.json")
+    m["models"]["oak"] = None
+    assert [f["place"] for f in check.manifest(m, load("thin.json")).err_value] == ["models.oak"]
