Done: the feed between keepers and proxies

Both mixins say by a Protocol what they need; what a proxy lacks of book and rows is a named tuple each. Behaviour and the form on the wire are as before.

--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -1,80 +1,113 @@
 """A proxy's side of the feed: what it knows, kept also while no leader is heard; never older than it was."""
 
+import collections.abc
+import typing
+
 import basaltport.consensus.book as book
 import basaltport.fleet.messages as messages
 import basaltport.kinds as kinds
+import basaltport.member as member
 
 FOLLOW = 400
 SEEK = 300
 FIRST = 100
 UNLED = 1200
 AT_ONCE = 100
+LONG_AGO = -(10**9)
+
+Row = dict[str, typing.Any]
+Rows = dict[str, Row]
+Ids = collections.abc.Collection[str]
+
+
+class FollowNeeds(typing.Protocol):
+    """What `FollowMixin` needs of the member it is part of."""
+
+    me: member.Me
+    now: kinds.Millis
+
+    def send(self, addr: str, msg: object) -> None:
+        """Send a message to an address."""
+
+
+if typing.TYPE_CHECKING:
+    Needs = FollowNeeds
+else:
+    Needs = object
 
 
-class FollowMixin:
-    """Needs Member. `book`: the agreed book, `rows`: replicas by id, `keepers`: addresses, `proxies`: how
+class FollowMixin(Needs):
+    """`book`: the agreed book, `rows`: replicas by id, `keepers`: addresses, `proxies`: how
     many live, `led_at`: when the leader was heard. Hooks: `followed`, `rows_changed`, `on_facts`, `usage`."""
 
-    def follow_start(self):
-        self.book = book.new()
-        self.rows = {}
-        self.keepers = []
+    def follow_start(self) -> None:
+        """Begin with nothing known."""
+        self.book: Row = book.new()
+        self.rows: Rows = {}
+        self.keepers: list[str] = []
         self.proxies = 0
-        self.led_at = -(10**9)
+        self.led_at = LONG_AGO
         self.feed_gen = kinds.Generation()
         self.feed_n = -1
         self.leader_address = ""
-        self.follow_at = -(10**9)
+        self.follow_at = LONG_AGO
 
-    def led(self):
+    def led(self) -> bool:
+        """Whether the leader was heard lately."""
         return self.now - self.led_at < UNLED
 
     # hooks
 
-    def followed(self):
+    def followed(self) -> None:
         """The book changed."""
 
-    def rows_changed(self, ids):
+    def rows_changed(self, ids: Ids) -> None:
         """Rows of these ids came, changed or went."""
 
-    def on_facts(self, items):
+    def on_facts(self, items: Row) -> None:
         """Facts by item, as Placement gives them."""
 
-    def usage(self):
+    def usage(self) -> tuple[dict[str, int], dict[str, int]]:
         """(use, load) since the last call; see Follow."""
         return {}, {}
 
     # asking
 
-    def tick_follow(self):
-        every = FOLLOW if self.led() else SEEK if self.feed_n >= 0 else FIRST
+    def tick_follow(self) -> None:
+        """Tell the leader what is known, or look for one, as often as each is due."""
+        unled = SEEK if self.feed_n >= 0 else FIRST
+        every = FOLLOW if self.led() else unled
         if self.now - self.follow_at >= every:
             self.follow()
 
-    def addresses(self):
+    def addresses(self) -> list[str]:
+        """Where to ask: the leader, or all keepers that are known."""
         if self.led() and self.leader_address:
             return [self.leader_address]
-        return sorted({*self.keepers, *self.me.seeds, *filter(None, [self.leader_address])} - {self.me.addr})
+        known = {*self.keepers, *self.me.seeds, self.leader_address}
+        return sorted(known - {self.me.addr, ""})
 
-    def follow(self):
+    def follow(self) -> None:
+        """Tell what is known, and what was used since."""
         self.follow_at = self.now
         use, load = self.usage() if self.led() else ({}, {})
         for a in self.addresses():
             self.send(a, self.follow_of(use, load))
 
-    def follow_of(self, use, load):
+    def follow_of(self, use: Row, load: Row) -> messages.Follow:
         """Where the leader's address is not known, it is to tell all anew."""
         m, s = self.me, book.serial(self.book)
         gen = self.feed_gen if self.leader_address else kinds.Generation()
         return messages.Follow(m.name, m.zone, m.addr, gen, s, self.feed_n, use, load)
 
-    def want(self, items):
+    def want(self, items: dict[str, int]) -> None:
+        """Tell the leader how many requests wait for items."""
         for a in self.addresses():
             self.send(a, messages.Want(self.me.name, self.me.zone, self.me.addr, items))
 
     # hearing
 
-    def hear_update(self, src, m):
+    def hear_update(self, src: str, m: messages.Update) -> None:
         """An older leader's word counts for nothing; what does not join on to what is known is asked for."""
         if m.gen < self.feed_gen:
             return
@@ -95,14 +128,15 @@
         if lacks and self.now - self.follow_at >= AT_ONCE:
             self.follow()
 
-    def take_book(self, m):
+    def take_book(self, m: messages.Update) -> None:
+        """Take the copy if it is newer, and entries that join on."""
         if m.copy and m.copy["serial"] > self.book["serial"]:
             self.book = {**book.new(), **m.copy}
         for e in m.entries:
             if e["s"] == self.book["serial"] + 1:
                 self.book = book.apply(self.book, e)
 
-    def take_rows(self, m):
+    def take_rows(self, m: messages.Update) -> set[str]:
         """Ids whose rows are not as they were."""
         if m.n < 0 or m.n <= self.feed_n:
             return set()
@@ -118,18 +152,19 @@
         old, self.rows = self.rows, new
         return {i for i in old.keys() | new.keys() if old.get(i) != new.get(i)}
 
-    def hear_redirect(self, src, m):
+    def hear_redirect(self, src: str, m: messages.Redirect) -> None:
         """A leader that steps down names nobody: all keepers are asked at once."""
         if m.keepers and m.gen >= self.feed_gen:
             self.keepers = list(m.keepers)
         if self.led() and (m.address or m.gen != self.feed_gen):
             return
         if not m.address:
-            self.led_at = -(10**9)
+            self.led_at = LONG_AGO
             return
         if m.gen >= self.feed_gen and m.address not in {self.leader_address, *self.keepers, *self.me.seeds}:
             self.leader_address = m.address
             self.send(m.address, self.follow_of({}, {}))
 
-    def hear_facts(self, src, m):
+    def hear_facts(self, src: str, m: messages.Facts) -> None:
+        """The leader tells how items stand."""
         self.on_facts(m.items)
--- a/basaltport/fleet/messages.py
+++ b/basaltport/fleet/messages.py
@@ -15,8 +15,8 @@
     gen: kinds.Generation
     serial: kinds.Serial
     seen: int
-    use: dict
-    load: dict
+    use: messages.Document
+    load: messages.Document
 
 
 @messages.message(41)
@@ -28,15 +28,15 @@
     gen: kinds.Generation
     leader: kinds.Name
     leader_address: str
-    keepers: list
+    keepers: list[str]
     serial: kinds.Serial
-    entries: list
-    copy: dict
+    entries: messages.Rows
+    copy: messages.Document
     full: bool
     base: int
     n: int
-    rows: dict
-    gone: list
+    rows: messages.Document
+    gone: list[str]
     proxies: int
 
 
@@ -47,7 +47,7 @@
     gen: kinds.Generation
     leader: kinds.Name
     address: str
-    keepers: list
+    keepers: list[str]
 
 
 @messages.message(43)
@@ -57,9 +57,11 @@
     name: kinds.Name
     zone: kinds.Zone
     address: str
-    items: dict
+    items: messages.Document
 
 
 @messages.message(44)
 class Facts:
-    items: dict
+    """The leader's answer to a `Want`: how each item stands, as Placement tells it."""
+
+    items: messages.Document
--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -1,6 +1,10 @@
 """The leader's side of the feed to proxies: the agreed book and replicas' rows, to each what it lacks."""
 
+import typing
+
 import basaltport.fleet.messages as messages
+import basaltport.kinds as kinds
+import basaltport.member as member
 import basaltport.text as text
 
 IDLE = 1000
@@ -9,23 +13,48 @@
 ROWS = 40
 GONE = 5000
 SMALL = 2000
+LONG_AGO = -(10**9)
+NOBODY = kinds.Name("")
 COPIED = ("serial", "gen", "mserial", "manifest", "drains", "roster", "voters", "slices")
 
 
+Row = dict[str, typing.Any]
+
+
+class BookPart(typing.NamedTuple):
+    """What a proxy lacks of the agreed book: entries, or a copy."""
+
+    entries: list[Row]
+    copy: Row
+
+
+class RowsPart(typing.NamedTuple):
+    """What a proxy lacks of the rows: changed ones and ids gone since number `base`, or with `full` all."""
+
+    full: bool
+    base: int
+    rows: Row
+    gone: list[str]
+
+
 class Proxy:
     """A follower: what it has or was sent, and of what it says it has: how much, since when no more."""
 
     __slots__ = ("zone", "address", "at", "serial", "seen", "told", "sent_at", "reset_at", "said")
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """Nothing is known of it."""
+        self.zone = kinds.Zone("")
+        self.address = ""
+        self.at = LONG_AGO
         self.serial = 0
         self.seen = -1
-        self.told = None
-        self.sent_at = -(10**9)
-        self.reset_at = -(10**9)
-        self.said = {}
+        self.told: list[str] | None = None
+        self.sent_at = LONG_AGO
+        self.reset_at = LONG_AGO
+        self.said: dict[str, tuple[int, int]] = {}
 
-    def lost(self, what, has, now):
+    def lost(self, what: str, has: int, now: int) -> bool:
         """Whether it has said for RESEND that it has this much and no more, and was sent more."""
         was = self.said.get(what)
         if has >= getattr(self, what) or was is None or was[0] != has:
@@ -37,44 +66,95 @@
         return True
 
 
-class PublishMixin:
-    """Needs RosterMixin, VoterMixin and `placement`. `rows_known`: the list was read since this one leads."""
+class Placed(typing.Protocol):
+    """The rows of replicas, and the ids of those changed since they were last published."""
+
+    rows: Row
+    changed: set[str]
+
+
+class PublishNeeds(typing.Protocol):
+    """What `PublishMixin` needs of the keeper it is part of; see `consensus`."""
+
+    me: member.Me
+    now: kinds.Millis
+    book: Row
+    past: dict[int, Row]
+    leading: bool
+    leader: typing.Any
+    promised: kinds.Generation
+    placement: Placed
 
-    def publish_start(self):
-        self.proxies = {}
+    def send(self, addr: str, msg: object) -> None:
+        """Send a message to an address."""
+
+    def holds(self) -> bool:
+        """Whether this leader was vouched for lately."""
+
+    def hears_leader(self) -> bool:
+        """Whether the leader was heard lately."""
+
+    def heard_use(self, zone: str, use: Row, load: Row) -> None:
+        """A proxy's use of items and replicas."""
+
+
+if typing.TYPE_CHECKING:
+
+    class Needs(PublishNeeds):
+        """What `super()` reaches in the keeper."""
+
+        def lead_start(self, *args: object) -> None:
+            """Begin to lead."""
+
+        def step_down(self, why: str) -> None:
+            """Lead no more."""
+else:
+    Needs = object
+
+
+class PublishMixin(Needs):
+    """`rows_known`: the list was read since this one leads."""
+
+    def publish_start(self) -> None:
+        """Begin without proxies."""
+        self.proxies: dict[str, Proxy] = {}
         self.rows_known = False
         self.feed_n = 0
-        self.feed_at = {}
-        self.rows_sent = -(10**9)
-        self.published = None
-        self.looked = -(10**9)
+        self.feed_at: dict[str, int] = {}
+        self.rows_sent = LONG_AGO
+        self.published: tuple[int, int] | None = None
+        self.looked = LONG_AGO
 
-    def publish_clear(self):
+    def publish_clear(self) -> None:
+        """Forget all proxies and what was published."""
         self.publish_start()
         self.placement.changed.clear()
 
-    def lead_start(self, *args):
+    def lead_start(self, *args: object) -> None:
+        """This keeper leads: proxies are told anew."""
         super().lead_start(*args)
         self.publish_clear()
 
-    def step_down(self, why):
+    def step_down(self, why: str) -> None:
         """Proxies look for the next leader at once."""
         was, gen = self.leading, self.promised
         super().step_down(why)
         if was:
-            m = messages.Redirect(gen, "", "", self.keepers())
+            m = messages.Redirect(gen, NOBODY, "", self.keepers())
             for p in self.proxies.values():
                 self.send(p.address, m)
         self.publish_clear()
 
-    def keepers(self):
+    def keepers(self) -> list[str]:
+        """The addresses of all keepers."""
         return sorted(r["addr"] for r in self.book["roster"].values())
 
-    def hear_follow(self, src, m):
+    def hear_follow(self, src: str, m: messages.Follow) -> None:
+        """A proxy tells what it has; one that asks a keeper that does not lead is sent on."""
         if not self.leading:
             x = self.leader if self.hears_leader() else None
-            known = (x.gen, x.name, x.addr) if x else (self.promised, "", "")
-            self.send(m.address, messages.Redirect(*known, self.keepers()))
+            gen, name, addr = (x.gen, x.name, x.addr) if x else (self.promised, NOBODY, "")
+            self.send(m.address, messages.Redirect(gen, name, addr, self.keepers()))
             return
         p = self.proxies.get(m.name)
         if p is None:
@@ -85,7 +165,7 @@
             self.heard_use(m.zone, m.use, m.load)
         self.published = None
 
-    def hear_state(self, p, m):
+    def hear_state(self, p: Proxy, m: messages.Follow) -> None:
         """One that has nothing of this leader, new or started anew, is sent all; one that stays behind what
         it was sent lost something, however much else went out to it meanwhile."""
         if m.gen != self.promised:
@@ -97,12 +177,13 @@
         if p.lost("seen", m.seen, self.now):
             p.seen = m.seen
 
-    def tell_facts(self, address, facts):
+    def tell_facts(self, address: str, facts: Row) -> None:
+        """Answer a `Want`."""
         self.send(address, messages.Facts(facts))
 
     # updates
 
-    def publish(self):
+    def publish(self) -> None:
         """To each proxy what it lacks, at once; else an empty word now and then."""
         if not self.leading or not self.holds():
             return
@@ -122,7 +203,8 @@
         if rows or not self.rows_known:
             self.rows_sent, self.published = self.now, state
 
-    def number_rows(self):
+    def number_rows(self) -> None:
+        """Give the rows that changed the next number of the feed."""
         self.feed_n += 1
         for i in self.placement.changed:
             self.feed_at.pop(i, None)
@@ -131,7 +213,8 @@
         while len(self.feed_at) > GONE + len(self.placement.rows):
             del self.feed_at[next(iter(self.feed_at))]
 
-    def update(self, p):
+    def update(self, p: Proxy) -> None:
+        """Send a proxy what it lacks."""
         entries, copy = self.book_for(p.serial)
         full, base, rows, gone = self.rows_for(p.seen)
         n = self.feed_n if self.rows_known else -1
@@ -139,7 +222,7 @@
         fresh = p.told != keepers
         m = messages.Update(
             self.promised,
-            self.me.name if fresh else "",
+            self.me.name if fresh else NOBODY,
             self.me.addr if fresh else "",
             keepers if fresh else [],
             self.book["serial"],
@@ -155,20 +238,22 @@
         p.serial, p.seen, p.told, p.sent_at = self.book["serial"], n, keepers, self.now
         self.send(p.address, m)
 
-    def book_for(self, serial):
+    def book_for(self, serial: int) -> BookPart:
         """Entries after a serial, or a copy of what proxies need where those are not here or are more."""
         top = self.book["serial"]
         here = top - serial <= len(self.past)
         es = [self.past.get(k) for k in range(serial + 1, top + 1)] if here else [None]
         if serial and all(es) and sum(map(text.size, es)) <= text.size(self.book) + SMALL:
-            return es, {}
-        return [], {k: self.book[k] for k in COPIED if k in self.book}
+            return BookPart([e for e in es if e], {})
+        return BookPart([], {k: self.book[k] for k in COPIED if k in self.book})
 
-    def rows_for(self, seen):
+    def rows_for(self, seen: int) -> RowsPart:
+        """Rows after a number of the feed, all of them where it is below 0."""
         if not self.rows_known:
-            return False, -1, {}, []
+            return RowsPart(False, -1, {}, [])
         rows = self.placement.rows
         if seen < 0:
-            return True, -1, dict(rows), []
+            return RowsPart(True, -1, dict(rows), [])
         ids = [i for i, n in self.feed_at.items() if n > seen]
-        return False, seen, {i: rows[i] for i in ids if i in rows}, [i for i in ids if i not in rows]
+        here = {i: rows[i] for i in ids if i in rows}
+        return RowsPart(False, seen, here, [i for i in ids if i not in rows])
