--- a/basaltport/load_generator/cli.py
+++ b/basaltport/load_generator/cli.py
@@ -3,12 +3,15 @@
 import asyncio
 import json
 import os
+import pathlib
 import sys
+import typing
 
 import absl.flags as flags
 import aiohttp
+import result
 
-import basaltport.admin.cli as clerk
+import basaltport.admin.cli as admin_cli
 import basaltport.load_generator.plan as plan
 import basaltport.load_generator.shoot as shoot
 import basaltport.load_generator.verdict as verdict
@@ -16,9 +19,16 @@
 import basaltport.verbs as verbs
 
 PRESETS = ["furrow", "thin", "tsehay"]
+TOTAL_S = 20
+BROKEN = 1
+BAD_INPUT = 2
+NOBODY_ANSWERED = 4
 
+Json = dict[str, typing.Any]
 
-def define(fv):
+
+def define(fv: flags.FlagValues) -> None:
+    """Flags of the verb."""
     flags.DEFINE_list("node", ["127.0.0.1:7000"], "host:port of rostrums; shots go round.", flag_values=fv)
     flags.DEFINE_string("demand", None, "The demand document: lines, rates, items, bursts.", flag_values=fv)
     flags.DEFINE_enum("preset", None, PRESETS, "Instead of --demand: a deployment's own.", flag_values=fv)
@@ -31,45 +41,66 @@
     flags.DEFINE_bool("json", False, "Print the report as JSON.", flag_values=fv)
 
 
-async def get(url):
-    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20)) as s:
+async def get(url: str) -> Json:
+    """The JSON at a URL."""
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TOTAL_S)) as s:
         async with s.get(url) as r:
-            return await r.json(content_type=None)
+            doc: Json = await r.json(content_type=None)
+            return doc
+
 
+def read(path: str | pathlib.Path, flag: str) -> result.Result[typing.Any, str]:
+    """The document of a file that a flag names."""
+    doc, bad = admin_cli.read_doc(path)
+    return result.Err(f"--{flag} {bad}") if bad else result.Ok(doc)
 
-def run(fv, args):
+
+def demand(fv: flags.FlagValues) -> result.Result[plan.Demand, list[str]]:
+    """The demand that the flags name, at the scale they ask for."""
     path = stage.EXAMPLES / f"{fv.preset}-demand.json" if fv.preset else fv.demand or ""
-    doc, bad = clerk.read_doc(path)
-    if bad:
-        print(f"--demand {bad}", file=sys.stderr)
-        return 2
-    got = plan.demand(doc)
-    if got.is_err():
-        for f in got.err_value:
-            print(f"{f['place']}: {f['finding']}", file=sys.stderr)
-        return 2
-    d = got.ok_value
+    doc = read(path, "demand")
+    if isinstance(doc, result.Err):
+        return result.Err([doc.err_value])
+    got = plan.demand(doc.ok_value)
+    if isinstance(got, result.Err):
+        return result.Err([f"{f['place']}: {f['finding']}" for f in got.err_value])
+    for line in got.ok_value["lines"].values():
+        line["rate"] *= fv.scale
+    return got
+
+
+def run(fv: flags.FlagValues, args: list[str]) -> int:
+    """Send the demand and judge the answers; the exit code."""
+    wanted = demand(fv)
+    if isinstance(wanted, result.Err):
+        return told(wanted.err_value)
     nodes, record = fv.node, fv.record
     if fv.fleet:
-        about, bad = clerk.read_doc(fv.fleet)
-        if bad:
-            print(f"--fleet {bad}", file=sys.stderr)
-            return 2
-        nodes, record = about["nodes"], about["admin"]
-    for v in d["lines"].values():
-        v["rate"] *= fv.scale
-    shots = plan.schedule(d, fv.seconds, fv.seed)
-    sh = shoot.Shooter(nodes, d, shots, f"p{fv.seed}-{os.urandom(3).hex()}", fv.lapse)
-    return finish(fv, asyncio.run(sh.run()), nodes, record)
-
-
-def finish(fv, shots, nodes, record):
+        about = read(fv.fleet, "fleet")
+        if isinstance(about, result.Err):
+            return told([about.err_value])
+        nodes, record = about.ok_value["nodes"], about.ok_value["admin"]
+    shots = plan.schedule(wanted.ok_value, fv.seconds, fv.seed)
+    tag = f"p{fv.seed}-{os.urandom(3).hex()}"
+    shooter = shoot.Shooter(nodes, wanted.ok_value, shots, tag, fv.lapse)
+    return finish(fv, asyncio.run(shooter.run()), nodes, record)
+
+
+def told(findings: list[str]) -> int:
+    """The exit code of bad input, after its findings were printed."""
+    for finding in findings:
+        print(finding, file=sys.stderr)
+    return BAD_INPUT
+
+
+def finish(fv: flags.FlagValues, shots: list[shoot.Shot], nodes: list[str], record: str | None) -> int:
+    """Read the record of runs, print the report, and give the exit code."""
     try:
         m = asyncio.run(get(f"http://{nodes[0]}/v1/ops/show"))["manifest"]
         rec = asyncio.run(get(f"http://{record}/record")) if record else None
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as e:
         print(f"the manifest or the record could not be read: {type(e).__name__}: {e}", file=sys.stderr)
-        return 4
+        return NOBODY_ANSWERED
     once = {k for k, v in m["lines"].items() if v["once_only"]}
     out = verdict.report(shots, rec, fv.seconds)
     out["findings"] = verdict.findings(shots, once, rec) if rec else None
@@ -80,15 +111,16 @@
     if rec is None:
         print("no record of runs was given: only counts, no verdict", file=sys.stderr)
         return 0
-    return 1 if out["findings"] else 0
+    return BROKEN if out["findings"] else 0
 
 
-def human(out):
+def human(out: dict[str, typing.Any]) -> None:
+    """Print a report as tables."""
     rows = []
     for k, v in out["lines"].items():
         counts = " ".join(f"{c}={n}" for c, n in sorted(v["counts"].items()))
         rows.append({"line": k, **v, "counts": counts})
-    clerk.table(rows, ["line", "sent", "goodput_per_s", "p50_ms", "p90_ms", "p99_ms", "counts"])
+    admin_cli.table(rows, ["line", "sent", "goodput_per_s", "p50_ms", "p90_ms", "p99_ms", "counts"])
     print(f"shots left late by p99 {out['send_late_p99_ms']} ms; store {out.get('store')}")
     for f in out["findings"] or []:
         print(f"BROKEN {f['rule']} at {f['place']}: {f['finding']}")
--- a/basaltport/load_generator/plan.py
+++ b/basaltport/load_generator/plan.py
@@ -1,12 +1,25 @@
 """What is to be sent and when: demand documents, checked, and the open-loop schedule made from them."""
 
 import random
+import typing
 
 import result
 import trafaret
 
 import basaltport.configuration.check as check
 
+Demand = dict[str, typing.Any]
+
+
+class Planned(typing.NamedTuple):
+    """One request to send: when, in seconds from the start, on which line, for what, and as whom."""
+
+    at: float
+    line: str
+    item: str
+    sender: str
+
+
 _RATE = trafaret.Float(gte=0, lte=100_000) | trafaret.Int(gte=0, lte=100_000)
 LINE = trafaret.Dict(
     {
@@ -32,30 +45,33 @@
 )
 
 
-def demand(doc):
+def demand(doc: object) -> result.Result[Demand, check.Findings]:
+    """The demand of a document, or all findings."""
     got = check.shape(DEMAND, doc)
-    if got.is_err():
+    if isinstance(got, result.Err):
         return got
     fs = []
-    for n, b in enumerate(doc.get("bursts", [])):
-        if b["line"] not in doc["lines"]:
+    lines = got.ok_value["lines"]
+    for n, b in enumerate(got.ok_value["bursts"]):
+        if b["line"] not in lines:
             fs.append({"place": f"bursts.{n}.line", "finding": f"no line {b['line']!r}"})
-    for k, v in doc["lines"].items():
+    for k, v in lines.items():
         if not v["senders"]:
             fs.append({"place": f"lines.{k}.senders", "finding": "at least one sender is needed"})
     return result.Err(fs) if fs else got
 
 
-def rate_at(d, line, t):
-    r = d["lines"][line]["rate"]
+def rate_at(d: Demand, line: str, t: float) -> float:
+    """A line's rate at a time, with the bursts of that time."""
+    rate: float = d["lines"][line]["rate"]
     for b in d["bursts"]:
         if b["line"] == line and b["at_s"] <= t < b["at_s"] + b["for_s"]:
-            r *= b["factor"]
-    return r
+            rate *= b["factor"]
+    return rate
 
 
-def schedule(d, seconds, seed):
-    """All shots as (time in seconds, line, item, sender), by time; the same for the same seed."""
+def schedule(d: Demand, seconds: float, seed: int) -> list[Planned]:
+    """All shots by time; the same for the same seed."""
     out = []
     for line in sorted(d["lines"]):
         v = d["lines"][line]
@@ -68,6 +84,6 @@
                 break
             if rng.random() * peak > rate_at(d, line, t):
                 continue
-            out.append((t, line, rng.choice(v["items"]), rng.choice(sorted(v["senders"]))))
+            out.append(Planned(t, line, rng.choice(v["items"]), rng.choice(sorted(v["senders"]))))
     out.sort()
     return out
--- a/basaltport/load_generator/shoot.py
+++ b/basaltport/load_generator/shoot.py
@@ -1,45 +1,56 @@
 """Open-loop sending: every shot leaves at its time, whatever became of those before."""
 
 import asyncio
+import dataclasses
+import http
 import json
 import time
 
 import aiohttp
 
+import basaltport.load_generator.plan as plan
 import basaltport.replica_client.adapter as adapter
 
+LEAD_S = 0.2
 
+
+@dataclasses.dataclass(slots=True)
 class Shot:
-    __slots__ = ("n", "line", "item", "prompt", "due", "outcome", "code", "ms", "late_ms", "detail")
+    """A request that was sent and what came of it."""
 
-    def __init__(self, n, line, item, prompt, due):
-        self.n = n
-        self.line = line
-        self.item = item
-        self.prompt = prompt
-        self.due = due
-        self.outcome = "lost"
-        self.code = ""
-        self.ms = 0.0
-        self.late_ms = 0.0
-        self.detail = ""
+    n: int
+    line: str
+    item: str
+    prompt: str
+    due: float
+    outcome: str = "lost"
+    code: str = ""
+    ms: float = 0.0
+    late_ms: float = 0.0
+    detail: str = ""
 
 
 class Shooter:
-    def __init__(self, nodes, demand, shots, tag, lapse):
+    """Sends a plan to nodes in turn; each prompt bears `tag`, each request ends within `lapse` seconds."""
+
+    def __init__(
+        self, nodes: list[str], demand: plan.Demand, shots: list[plan.Planned], tag: str, lapse: float
+    ) -> None:
+        """Keep the plan; `run` sends it."""
         self.nodes = nodes
         self.demand = demand
         self.plan = shots
         self.tag = tag
         self.lapse = lapse
-        self.shots = []
+        self.shots: list[Shot] = []
 
-    async def run(self):
+    async def run(self) -> list[Shot]:
+        """Send all and wait for their ends."""
         t = aiohttp.ClientTimeout(total=self.lapse)
         conn = aiohttp.TCPConnector(limit=0, keepalive_timeout=5)
         tasks = []
         async with adapter.once_session(timeout=t, connector=conn) as s:
-            self.begin = time.monotonic() + 0.2
+            self.begin = time.monotonic() + LEAD_S
             for n, (at, line, item, sender) in enumerate(self.plan):
                 wait = self.begin + at - time.monotonic()
                 if wait > 0:
@@ -51,7 +62,8 @@
             await asyncio.gather(*tasks)
         return self.shots
 
-    async def one(self, s, shot, sender):
+    async def one(self, s: aiohttp.ClientSession, shot: Shot, sender: str) -> None:
+        """Send one and note its end."""
         d = self.demand["lines"][shot.line]
         model, _, adapter = shot.item.partition("/")
         body = {"model": model, "prompt": shot.prompt, "stream": d.get("stream", False)}
@@ -71,9 +83,10 @@
             shot.outcome, shot.code = "cut", type(e).__name__
         shot.ms = (time.monotonic() - shot.due) * 1000
 
-    async def read(self, r, shot, want):
+    async def read(self, r: aiohttp.ClientResponse, shot: Shot, want: str) -> None:
+        """Read an answer, whole or in pieces, and judge it."""
         ran = r.headers.get("Basaltport-Ran", "unknown")
-        if r.status != 200:
+        if r.status != http.HTTPStatus.OK:
             doc = await r.json(content_type=None)
             shot.code = doc.get("error", "")
             shot.outcome = "refused" if ran == "no" else "unknown"
@@ -82,7 +95,8 @@
             doc = await r.json()
             self.judge(shot, doc["reply"], want)
             return
-        words, ended = [], False
+        words: list[str] = []
+        ended = False
         async for raw in r.content:
             doc = json.loads(raw)
             if doc.get("end"):
@@ -97,7 +111,8 @@
             return
         self.judge(shot, " ".join(words), want)
 
-    def judge(self, shot, got, want):
+    def judge(self, shot: Shot, got: object, want: str) -> None:
+        """Hold what came against what should."""
         shot.outcome = "done" if got == want else "crossed"
         if got != want:
             shot.detail = f"got {got!r}, not {want!r}"
