--- a/basaltport/anti_entropy/__init__.py
+++ b/basaltport/anti_entropy/__init__.py
@@ -0,0 +1,1 @@
+"""Digests over ranges of keys, by which copies are compared and mended."""
--- a/basaltport/cell/__init__.py
+++ b/basaltport/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Copies of what each zone's replicas hold."""
--- a/basaltport/zone_controller/homes.py
+++ b/basaltport/zone_controller/homes.py
@@ -16,7 +16,7 @@
         """When each zone last had a replica of each group that is up and may be used."""
         for z in self.rules.zones:
             c = self.cells.get(z, cell.BLANK)
-            for r, v in c["rows"].items():
+            for r, v in c.rows.items():
                 if "|" not in r and v["up"] and self.may_use(r):
                     self.seen_alive[(z, self.book["platform"][r]["group"])] = self.now
 
@@ -24,7 +24,7 @@
         """A zone is lost once none of its replicas was up for a while; one not heard of yet is not."""
         if z in self.book["drains"] or not self.zone_has(z, group):
             return False
-        if not self.cells.get(z, cell.BLANK)["whole"]:
+        if not self.cells.get(z, cell.BLANK).whole:
             return True
         at = self.seen_alive.setdefault((z, group), self.now)
         return self.now - at < LOST
@@ -46,8 +46,8 @@
 
     def could_hold(self, z, r):
         """Whether some replica of the zone has room for it beside the kept items that it holds."""
-        rows = self.cells.get(z, cell.BLANK)["rows"]
-        if not self.cells.get(z, cell.BLANK)["whole"]:
+        rows = self.cells.get(z, cell.BLANK).rows
+        if not self.cells.get(z, cell.BLANK).whole:
             return True
         free = {}
         for k, v in rows.items():
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -30,7 +30,7 @@
 
 
 def _cells(n):
-    return {z: c["rows"] for z, c in n.member.cells.items()}
+    return {z: c.rows for z, c in n.member.cells.items()}
 
 
 def test_a_new_steward_s_first_news_is_newer_than_all_of_the_old_one_s():
@@ -42,7 +42,7 @@
         rows["x1|m"] = f"loaded{v}"
         m = messages.CellNews(node.Z, 6, "st-s", v, dict(rows), [], ranges.digests(rows), "")
         n.step(events.Heard(n.now, "b:1", m))
-    assert n.r.cells["z1"]["version"] == 2 and n.r.cells["z1"]["rows"]["x1|m"] == "loaded2"
+    assert n.r.cells["z1"].version == 2 and n.r.cells["z1"].rows["x1|m"] == "loaded2"
 
 
 def test_a_member_that_missed_news_has_its_copy_mended():
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -202,7 +202,7 @@
 def _whole_at_once(self):
     _join(self)
     for i, j in self.joins.items():
-        self.whole[i] = j["at"]
+        self.whole[i] = j.at
     self.joins = {}
 
 
