--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import basaltport.consensus.feed as feed
 import basaltport.fleet.messages as messages
 import basaltport.kinds as kinds
 import basaltport.member as member
@@ -15,6 +16,8 @@
 SMALL = 2000
 LONG_AGO = -(10**9)
 NOBODY = kinds.Name("")
+ROW_BYTES = 500
+"""About how much one row takes."""
 COPIED = ("serial", "gen", "mserial", "manifest", "drains", "roster", "voters", "slices")
 
 
@@ -40,7 +43,7 @@
 class Proxy:
     """A follower: what it has or was sent, and of what it says it has: how much, since when no more."""
 
-    __slots__ = ("zone", "address", "at", "serial", "seen", "told", "sent_at", "reset_at", "said")
+    __slots__ = ("zone", "address", "at", "serial", "seen", "told", "sent_at", "reset_at", "said", "arrives")
 
     def __init__(self) -> None:
         """Nothing is known of it."""
@@ -53,14 +56,20 @@
         self.sent_at = LONG_AGO
         self.reset_at = LONG_AGO
         self.said: dict[str, tuple[int, int]] = {}
+        self.arrives = LONG_AGO
+
+    def sent(self, size: int, now: int) -> None:
+        """Note an update: one after another they take their time over the slowest link."""
+        self.sent_at = now
+        self.arrives = max(self.arrives, now) + size // feed.SLOWEST_LINK
 
     def lost(self, what: str, has: int, now: int) -> bool:
-        """Whether it has said for RESEND that it has this much and no more, and was sent more."""
+        """Whether it has said for RESEND that it has this much and no more, though more must have arrived."""
         was = self.said.get(what)
         if has >= getattr(self, what) or was is None or was[0] != has:
             self.said[what] = (has, now)
             return False
-        if now - was[1] < RESEND:
+        if now - was[1] < RESEND or now < self.arrives:
             return False
         self.said[what] = (has, now)
         return True
@@ -169,7 +178,7 @@
         """One that has nothing of this leader, new or started anew, is sent all; one that stays behind what
         it was sent lost something, however much else went out to it meanwhile."""
         if m.gen != self.promised:
-            if self.now - p.reset_at >= RESEND:
+            if self.now - p.reset_at >= RESEND and self.now >= p.arrives:
                 p.serial, p.seen, p.told, p.reset_at = m.serial, -1, None, self.now
             return
         if p.lost("serial", m.serial, self.now):
@@ -235,7 +244,9 @@
             gone,
             len(self.proxies),
         )
-        p.serial, p.seen, p.told, p.sent_at = self.book["serial"], n, keepers, self.now
+        p.serial, p.seen, p.told = self.book["serial"], n, keepers
+        size = text.size(entries) + text.size(copy) + ROW_BYTES * len(rows)
+        p.sent(size, self.now)
         self.send(p.address, m)
 
     def book_for(self, serial: int) -> BookPart:
