A large copy is not sent again while it may still be on its way over a slow link

Cause: feed.under_way took it that a link carries 64 Mbit/s, so a copy of 2 MB over 5 Mbit/s went out again every 400 ms; up to nine queued, heartbeats waited behind them, and the newcomer was not let in for 10 to 60 s. Change: heartbeats arrive in their order, so what was sent with one is gone only where a later one is acknowledged; until then it is waited for as over 4 Mbit/s.

--- a/basaltport/consensus/feed.py
+++ b/basaltport/consensus/feed.py
@@ -1,5 +1,7 @@
 """The feed: beats with what each seat lacks, and the echoes that lengthen leases."""
 
+import dataclasses
+
 import basaltport.kinds as kinds
 import basaltport.consensus.book as book
 import basaltport.consensus.seat as seat
@@ -8,12 +10,21 @@
 
 BEAT = 200
 RESEND = 250
-RATE = 8000
+SLOWEST_RATE = 500
 LARGE = 1 << 20
 AT_ONCE = 4
 MARGIN = 150
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LargeLoad:
+    """What was sent to a member: when, how many bytes, and with which heartbeat."""
+
+    at: int
+    size: int
+    heartbeat: int
+
+
 class FeedMixin:
     """Needs LeadMixin."""
 
@@ -71,13 +82,16 @@
         self.sent[s] = (self.now, head[1])
         self.heavy.pop(s, None)
         if size > LARGE:
-            self.heavy[s] = (self.now, size)
+            self.heavy[s] = LargeLoad(self.now, size, self.n)
         return es or [], copy, pg, ps
 
     def under_way(self, s):
-        """Whether something large that was sent may still be on its way."""
-        at, size = self.heavy.get(s, (self.now, 0))
-        return self.now - at < size // RATE
+        """Whether something large that was sent may still be on its way. Heartbeats arrive in their order, so
+        it is not where a later one was acknowledged; else a link as slow as SLOWEST_RATE is waited for."""
+        load = self.heavy.get(s)
+        if load is None or self.seen_n.get(s, 0) > load.heartbeat:
+            return False
+        return self.now - load.at < load.size // SLOWEST_RATE
 
     def busy(self):
         return sum(self.under_way(s) for s in self.heavy)
