A proxy that knows no keeper takes their addresses from an older term too

Cause: a proxy that restarted with seeds that name only a cut-off former leader still got an update meant for its former life; that raised its term but named no address, so the addresses that the former leader gave were dropped, and the proxy had no configuration until the cut healed, in touch all along.

--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -119,8 +119,9 @@
         return {i for i in old.keys() | new.keys() if old.get(i) != new.get(i)}
 
     def hear_redirect(self, src, m):
-        """A leader that steps down names nobody: all keepers are asked at once."""
-        if m.keepers and m.gen >= self.feed_gen:
+        """A leader that steps down names nobody: all keepers are asked at once. Whoever knows no keeper yet
+        takes the word of an older term too, as it may be all that its seeds can give."""
+        if m.keepers and (m.gen >= self.feed_gen or not self.keepers):
             self.keepers = list(m.keepers)
         if self.led() and (m.address or m.gen != self.feed_gen):
             return
