The disk keeps identity and state in force by one rename, and syncs what it reads back

`current` (format 2) holds seat and founders as well; format 1 is still read. Numbers are never used twice, a failed preparation gives its room back, leftovers go with the next switch, records of one append share a checksum. A folder that cannot prove its seat starts as a new seat and says so (note 22). The simulated disk loses power as harshly. The filling of the disk tests now appends one by one, as all of a torn batch is lost: what it asserts is unchanged, and torn batches have a test of their own.

--- a/basaltport/consensus/journal.py
+++ b/basaltport/consensus/journal.py
@@ -1,249 +1,185 @@
-"""The disk of a ledger: snapshots by dbm.dumb, made whole and switched by rename; a journal between them."""
+"""The disk of a member: its identity, a snapshot of its state, and the log of what came after it.
 
-import dbm.dumb
-import json
+A switch writes a new snapshot and an empty log beside those in force, syncs them and their names, and puts
+them in force by one rename. docs/storage.md says what holds after a loss of power, and why.
+"""
+
+import dataclasses
 import os
 import re
-import zlib
+import typing
 
-import construct
 import result
 
+import basaltport.consensus.durable_files as durable_files
+import basaltport.consensus.member_identity as member_identity
+import basaltport.consensus.record_framing as record_framing
+import basaltport.consensus.snapshot_store as snapshot_store
+import basaltport.consensus.write_ahead_log as write_ahead_log
 import basaltport.kinds as kinds
-import basaltport.consensus.book as book
-import basaltport.text as text
-
-FORMAT = 1
-RECORD = construct.Struct("length" / construct.Int32ub, "crc" / construct.Int32ub)
-HEAD = RECORD.sizeof()
-BEGINS = re.compile(rb'\{"(entry|promise)":')
-
-
-def encode(rec):
-    raw = text.dumps(rec)
-    return RECORD.build({"length": len(raw), "crc": zlib.crc32(raw)}) + raw
-
-
-def _one(raw, at):
-    """The record at a place and where the next begins, or None."""
-    if at + HEAD > len(raw):
-        return None
-    h = RECORD.parse(raw[at : at + HEAD])
-    end = at + HEAD + h.length
-    body = raw[at + HEAD : end]
-    if h.length == 0 or len(body) < h.length or zlib.crc32(body) != h.crc:
-        return None
-    return json.loads(body), end
-
-
-def read(raw):
-    """Ok((records, good length)); Err where a bad record has good ones behind it."""
-    recs, at = [], 0
-    while at < len(raw):
-        got = _one(raw, at)
-        if got is None:
-            break
-        recs.append(got[0])
-        at = got[1]
-    bad = at
-    for m in BEGINS.finditer(raw, bad + HEAD + 1):
-        probe = m.start() - HEAD
-        if _one(raw, probe) is not None:
-            return result.Err(f"bad record at byte {bad}, good ones behind it at byte {probe}")
-    return result.Ok((recs, bad))
-
-
-def replay(state, recs):
-    """Journal records over a snapshot's state: {'book', 'tail', 'promised'}."""
-    tail = list(state["tail"])
-    promised = state["promised"]
-    for r in recs:
-        if "promise" in r:
-            promised = max(promised, r["promise"])
-            continue
-        e = r["entry"]
-        tail = [x for x in tail if x["s"] < e["s"]] + [e]
-        promised = max(promised, e["g"])
-    return {"book": state["book"], "tail": tail, "promised": promised}
-
-
-def parts(state):
-    """A snapshot's records; where the shell made them already, as they are."""
-    if "parts" in state:
-        return dict(state["parts"])
-    raw = {f"book/{k}": text.dumps({k: v})[len(k) + 4 : -1] for k, v in state["book"].items()}
-    raw["tail"] = text.dumps(state["tail"])
-    raw["promised"] = text.plain(list(state["promised"]))
-    return raw
-
-
-def empty():
-    return {"book": book.new(), "tail": [], "promised": [0, ""]}
-
-
-class Snapshot(dbm.dumb._Database):
-    """As `dbm.dumb.open` gives it, but without `chmod`, which not every place offers."""
-
-    def __init__(self, path, flag):
-        super().__init__(path, 0o666, flag)
-
-    def _chmod(self, file):
-        pass
+
+GENERATION_FILE = re.compile(r"(snap|journal)\.(\d+)(\.\w+)?")
+
+encode = record_framing.encode
+empty = snapshot_store.empty
+parts = snapshot_store.parts
+
+
+@dataclasses.dataclass(frozen=True)
+class Recovered:
+    """What a start reads back. `held` is None where nothing was ever kept. `new_seat`: the folder cannot
+    prove the seat that it voted under, so that this member is another one from now on, and votes once it is
+    let in anew."""
+
+    identity: member_identity.Identity
+    held: dict[str, typing.Any] | None
+    promised: kinds.Generation
+    new_seat: bool = False
 
 
 class Disk:
     """Blocking; one writer thread calls it. `name` guards the folder against another member's start."""
 
-    def __init__(self, folder, name):
+    def __init__(self, folder: str, name: str) -> None:
         self.folder = folder
         self.name = name
-        self.n = 0
-        self.file = None
+        self.identity: member_identity.Identity | None = None
+        self.number = member_identity.NOTHING_WRITTEN
+        self.last_number = self.number
+        self.log: write_ahead_log.WriteAheadLog | None = None
         self.broken = False
 
-    def path(self, *parts):
-        return os.path.join(self.folder, *parts)
-
-    def empty(self):
-        """Whether nothing was ever kept here; then the folder is made."""
-        os.makedirs(self.folder, exist_ok=True)
-        return not os.path.exists(self.path("current"))
-
-    def open(self):
-        os.makedirs(self.folder, exist_ok=True)
-        if not os.path.exists(self.path("current")):
-            self.switch(empty())
-            return result.Ok((None, kinds.Generation()))
-        with open(self.path("current")) as f:
-            try:
-                c = json.load(f)
-                fmt, who, n = c["format"], c["member"], c["n"]
-            except (ValueError, KeyError, TypeError):
-                return result.Err("the file `current` is garbled")
-        if fmt > FORMAT:
-            return result.Err(f"format {fmt} is newer than this program's {FORMAT}")
-        if who != self.name:
-            return result.Err(f"the folder is of member {who!r}, not {self.name!r}")
-        self.n = n
-        state = self.load_snapshot()
-        if state.is_err():
-            return state
-        with open(self.path(f"journal.{n}"), "rb") as f:
-            got = read(f.read())
-        if got.is_err():
-            return got
-        recs, good = got.ok_value
-        self.file = open(self.path(f"journal.{n}"), "r+b", buffering=0)
-        self.file.truncate(good)
-        self.file.seek(good)
-        os.fsync(self.file.fileno())
-        st = replay(state.ok_value, recs)
-        return result.Ok(({"book": st["book"], "tail": st["tail"]}, kinds.Generation(*st["promised"])))
-
-    def seat_of(self, fallback):
-        """The seat kept beside the journal: a restart with its memory is the same seat."""
-        try:
-            with open(self.path("seat")) as f:
-                return f.read().strip() or fallback
-        except OSError:
-            return fallback
+    # opening
 
-    def founders(self):
-        """Addresses that may found, kept at the first start of all; None where this was another start."""
+    def open(self, fresh: member_identity.Identity) -> result.Result[Recovered, str]:
+        """What is kept here; `fresh` is who this member is where nothing says otherwise. All that is given
+        back is safe: names and records that an earlier process had not yet synced are synced first."""
         try:
-            with open(self.path("founders")) as f:
-                return json.load(f)
-        except (OSError, ValueError):
-            return None
-
-    def keep_seat(self, seat, founders=None):
-        if founders is not None:
-            with open(self.path("founders"), "w") as f:
-                json.dump(list(founders), f)
-                f.flush()
-                os.fsync(f.fileno())
-        with open(self.path("seat.new"), "w") as f:
-            f.write(seat)
-            f.flush()
-            os.fsync(f.fileno())
-        os.rename(self.path("seat.new"), self.path("seat"))
-        self.sync(self.folder)
-
-    def load_snapshot(self):
+            durable_files.make_folder(self.folder)
+            durable_files.sync(self.folder)
+            loaded = member_identity.load(self.folder, self.name)
+            if loaded.is_err():
+                return loaded
+            manifest = loaded.ok_value
+            if manifest is None:
+                return result.Ok(self._first_start(fresh))
+            return self._recover(manifest, fresh)
+        except OSError as error:
+            return result.Err(f"it cannot be read or written: {type(error).__name__}: {error}")
+
+    def _first_start(self, fresh: member_identity.Identity) -> Recovered:
+        """The identity is kept before anything else. Where `current` is missing beside other files, this is
+        not the first start of all, whatever the settings say."""
+        orphans = self._generation_files(lambda number: True)
+        self.identity = dataclasses.replace(fresh, founders=None) if orphans else fresh
+        self._keep_identity()
+        self.switch(snapshot_store.empty())
+        return Recovered(self.identity, None, kinds.Generation(), bool(orphans))
+
+    def _recover(
+        self, manifest: member_identity.Manifest, fresh: member_identity.Identity
+    ) -> result.Result[Recovered, str]:
+        new_seat = manifest.identity is None
+        self.identity = dataclasses.replace(fresh, founders=None) if new_seat else manifest.identity
+        self.number = self.last_number = manifest.number
+        if self.number == member_identity.NOTHING_WRITTEN:
+            self.switch(snapshot_store.empty())
+            return result.Ok(Recovered(self.identity, None, kinds.Generation()))
+        snapshot = snapshot_store.read(self.folder, self.number)
+        if snapshot.is_err():
+            return snapshot
+        scan = write_ahead_log.WriteAheadLog.scan(self.folder, self.number)
+        if scan.is_err():
+            return scan
+        self.log = write_ahead_log.WriteAheadLog.reopen(self.folder, self.number, scan.ok_value.length)
+        if manifest.format == member_identity.SEPARATE_FILES:
+            self._keep_identity()
+        state = write_ahead_log.replay(snapshot.ok_value, scan.ok_value.records)
+        held = {"book": state["book"], "tail": state["tail"]}
+        return result.Ok(Recovered(self.identity, held, kinds.Generation(*state["promised"]), new_seat))
+
+    def _keep_identity(self) -> None:
+        member_identity.prepare(self.folder, self._manifest(self.number))
+        member_identity.commit(self.folder)
+
+    def _manifest(self, number: int) -> member_identity.Manifest:
+        return member_identity.Manifest(self.name, number, self.identity)
+
+    # snapshots
+
+    def switch(self, state: snapshot_store.State) -> None:
+        """Replace snapshot and log. A number is never used twice: after an error in `commit` the files of a
+        failed switch may be the ones in force."""
+        self.last_number += 1
+        number = self.last_number
+        log = self._prepare(number, state)
         try:
-            with Snapshot(self.path(f"snap.{self.n}"), "r") as db:
-                want = json.loads(db["sum"])
-                raw = {k.decode(): db[k] for k in db.keys() if k != b"sum"}
-            if {k: zlib.crc32(v) for k, v in raw.items()} != want:
-                return result.Err("a snapshot record's checksum differs")
-            b = {**book.new(), **{k[5:]: json.loads(v) for k, v in raw.items() if k.startswith("book/")}}
-            return result.Ok(
-                {"book": b, "tail": json.loads(raw["tail"]), "promised": json.loads(raw["promised"])}
-            )
-        except (dbm.dumb.error, OSError, ValueError, KeyError, SyntaxError) as e:
-            return result.Err(f"snapshot {self.n} cannot be read: {type(e).__name__}")
-
-    def switch(self, state):
-        """A fresh synced generation of files, in force by one rename; the old ones go after."""
-        n = self.n + 1
-        raw = parts(state)
-        raw["sum"] = json.dumps({k: zlib.crc32(v) for k, v in raw.items()}).encode()
-        with Snapshot(self.path(f"snap.{n}"), "n") as db:
-            for k, v in raw.items():
-                db[k] = v
-        for ext in ("dat", "dir"):
-            self.sync(self.path(f"snap.{n}.{ext}"))
-        f = open(self.path(f"journal.{n}"), "w+b", buffering=0)
-        os.fsync(f.fileno())
-        tmp = self.path("current.new")
-        with open(tmp, "w") as c:
-            json.dump({"format": FORMAT, "member": self.name, "n": n}, c)
-            c.flush()
-            os.fsync(c.fileno())
-        self.sync(self.folder)
-        os.rename(tmp, self.path("current"))
-        self.sync(self.folder)
-        if self.file:
-            self.file.close()
-        old, self.n, self.file = self.n, n, f
-        for name in (f"snap.{old}.dat", f"snap.{old}.dir", f"snap.{old}.bak", f"journal.{old}"):
-            if os.path.exists(self.path(name)):
-                os.remove(self.path(name))
-
-    def sync(self, path):
-        fd = os.open(path, os.O_RDONLY)
+            member_identity.commit(self.folder)
+        except OSError:
+            log.close()
+            raise
+        self.close()
+        self.number, self.log = number, log
+        self._remove_all_but_current()
+
+    def _prepare(self, number: int, state: snapshot_store.State) -> write_ahead_log.WriteAheadLog:
+        """All that a switch needs, synced under its names. Where it fails, room is given back."""
+        log = None
         try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+            snapshot_store.write(self.folder, number, state)
+            log = write_ahead_log.WriteAheadLog.create(self.folder, number)
+            member_identity.prepare(self.folder, self._manifest(number))
+            durable_files.sync(self.folder)
+            return log
+        except OSError:
+            if log is not None:
+                log.close()
+            self._remove(self._generation_files(lambda other: other == number))
+            raise
+
+    def _generation_files(self, wanted: typing.Callable[[int], bool]) -> list[str]:
+        matches = [GENERATION_FILE.fullmatch(name) for name in os.listdir(self.folder)]
+        return [match[0] for match in matches if match and wanted(int(match[2]))]
+
+    def _remove_all_but_current(self) -> None:
+        """Files of earlier generations, of interrupted switches and of the older format."""
+        try:
+            names = self._generation_files(lambda number: number != self.number)
+        except OSError:
+            return
+        self._remove([*names, *member_identity.SEPARATE])
+
+    def _remove(self, names: list[str]) -> None:
+        for name in names:
+            durable_files.remove(os.path.join(self.folder, name))
+
+    # writing
 
-    def write(self, records, whole):
-        """After a failure only a whole snapshot is taken: the journal may end in half a record. A batch is
-        one write, so that a power cut tears it at one place and nothing good stands behind."""
+    def write(self, records: list[bytes | record_framing.Record], whole: snapshot_store.State | None) -> None:
+        """A snapshot, then records. After a failure only a snapshot is taken: the log may end in part of a
+        frame, or may not be the one in force any more."""
         if whole is not None:
+            self.broken = True
             self.switch(whole)
             self.broken = False
         if not records:
             return
         if self.broken:
-            raise OSError("the journal broke off; a snapshot is needed")
+            raise OSError("the log broke off; a snapshot is needed")
         self.broken = True
-        raw = b"".join(r if type(r) is bytes else encode(r) for r in records)
-        while raw:
-            raw = raw[self.file.write(raw) :]
-        os.fsync(self.file.fileno())
+        self.log.append([r if type(r) is bytes else encode(r) for r in records])
         self.broken = False
 
-    def write_all(self, batch):
+    def write_all(self, batch: list[tuple[int, list[bytes], snapshot_store.State | None]]) -> None:
         """Writes in their order; records after the last snapshot share one sync."""
-        recs = []
-        for _, records, whole in batch:
+        records: list[bytes] = []
+        for _, more, whole in batch:
             if whole is not None:
                 self.write([], whole)
-                recs = []
-            recs += records
-        self.write(recs, None)
+                records = []
+            records += more
+        self.write(records, None)
 
-    def close(self):
-        if self.file:
-            self.file.close()
+    def close(self) -> None:
+        if self.log is not None:
+            self.log.close()
--- /dev/null
+++ b/basaltport/consensus/write_ahead_log.py
@@ -0,0 +1,83 @@
+"""The log between two snapshots: appended to and synced before anything in it is said to others."""
+
+import os
+import typing
+
+import result
+
+import basaltport.consensus.durable_files as durable_files
+import basaltport.consensus.record_framing as record_framing
+import basaltport.consensus.snapshot_store as snapshot_store
+
+
+def replay(
+    state: snapshot_store.State, records: typing.Iterable[record_framing.Record]
+) -> snapshot_store.State:
+    """The state of a snapshot with the records of its log over it. A promise never goes back."""
+    tail = list(state["tail"])
+    promised = state["promised"]
+    for record in records:
+        if "promise" in record:
+            promised = max(promised, record["promise"])
+            continue
+        entry = record["entry"]
+        tail = [held for held in tail if held["s"] < entry["s"]] + [entry]
+        promised = max(promised, entry["g"])
+    return {"book": state["book"], "tail": tail, "promised": promised}
+
+
+def _path(folder: str, number: int) -> str:
+    return os.path.join(folder, f"journal.{number}")
+
+
+class WriteAheadLog:
+    """One log file, open for appending."""
+
+    def __init__(self, file: typing.BinaryIO) -> None:
+        self.file = file
+
+    @staticmethod
+    def create(folder: str, number: int) -> "WriteAheadLog":
+        """An empty log; its name is safe once the folder is synced."""
+        path = _path(folder, number)
+        durable_files.clear(path)
+        log = WriteAheadLog(open(path, "w+b", buffering=0))
+        try:
+            log.sync()
+        except OSError:
+            log.close()
+            raise
+        return log
+
+    @staticmethod
+    def scan(folder: str, number: int) -> result.Result[record_framing.Scan, str]:
+        """What a log holds; changes nothing."""
+        with open(_path(folder, number), "rb") as file:
+            return record_framing.scan(file.read())
+
+    @staticmethod
+    def reopen(folder: str, number: int, length: int) -> "WriteAheadLog":
+        """Cut a log to its whole frames. The sync also covers frames that an earlier process wrote and did
+        not sync: from here on this process counts on them."""
+        log = WriteAheadLog(open(_path(folder, number), "r+b", buffering=0))
+        try:
+            log.file.truncate(length)
+            log.file.seek(length)
+            log.sync()
+        except OSError:
+            log.close()
+            raise
+        return log
+
+    def append(self, frames: list[bytes]) -> None:
+        """Write and sync records as one frame. After an error the log may end in part of it."""
+        raw = record_framing.encode_batch(frames)
+        while raw:
+            raw = raw[self.file.write(raw) :]
+        self.sync()
+
+    def sync(self) -> None:
+        os.fsync(self.file.fileno())
+
+    def close(self) -> None:
+        self.file.close()
--- a/basaltport/host.py
+++ b/basaltport/host.py
@@ -13,6 +13,7 @@
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.consensus.journal as journal
+import basaltport.consensus.member_identity as member_identity
 import basaltport.consensus.role as ledger
 import basaltport.logs as logs
 import basaltport.member as member
@@ -70,16 +71,15 @@
             self.member = rostrum.Rostrum(self.me, seed, now)
             return None
         self.disk = journal.Disk(self.settings["data"], self.settings["name"])
-        got = self.disk.open()
+        got = self.disk.open(member_identity.Identity(self.me.seat))
         if got.is_err():
             logs.note(21, {"folder": self.settings["data"], "why": got.err_value})
             return got.err_value
-        held, promised = got.ok_value
-        if held is not None:
-            self.me.seat = self.disk.seat_of(self.me.seat)
-        else:
-            self.disk.keep_seat(self.me.seat)
-        self.member = ledger.Ledger(self.me, seed, now, held, promised)
+        recovered = got.ok_value
+        self.me.seat = kinds.Seat(recovered.identity.seat)
+        self.member = ledger.Ledger(self.me, seed, now, recovered.held, recovered.promised)
+        if recovered.new_seat:
+            logs.note(22, {"folder": self.settings["data"], "seat": self.me.seat})
         g, n = self.member.head()
         logs.note(20, {"serial": int(n), "generation": g.text(), "seat": self.me.seat})
         return None
--- a/basaltport/keeper/shell.py
+++ b/basaltport/keeper/shell.py
@@ -10,6 +10,7 @@
 import threading
 
 import basaltport.consensus.journal as journal
+import basaltport.consensus.member_identity as member_identity
 import basaltport.events as base
 import basaltport.keeper.events as events
 import basaltport.keeper.role as role
@@ -74,18 +75,19 @@
         s = self.settings
         seat = f"{s['name']}-{os.urandom(4).hex()}"
         self.disk = journal.Disk(s["data"], s["name"])
-        if self.disk.empty():
-            self.disk.keep_seat(seat, s["seeds"] if s.get("first_start") else None)
-        got = self.disk.open()
+        fresh = member_identity.Identity(seat, tuple(s["seeds"]) if s.get("first_start") else None)
+        got = self.disk.open(fresh)
         if got.is_err():
             logs.note(21, {"folder": s["data"], "why": got.err_value})
             raise OSError(f"data folder: {got.err_value}")
-        held, promised = got.ok_value
-        founders = self.disk.founders()
+        recovered = got.ok_value
+        founders = recovered.identity.founders
+        if recovered.new_seat:
+            logs.note(22, {"folder": s["data"], "seat": recovered.identity.seat})
         self.me = member.Me(
             s["house"],
             s["name"],
-            self.disk.seat_of(seat),
+            recovered.identity.seat,
             "ledger",
             s["zone"],
             s["address"],
@@ -94,11 +96,13 @@
             0,
             voters="ledgers",
             first_start=founders is not None,
-            founders=founders or [],
+            founders=list(founders or ()),
         )
         lease = s.get("timings", {}).get("lease_ms", role.LEASE)
         seed = random.SystemRandom().getrandbits(64)
-        self.member = role.Keeper(self.me, seed, kinds.steady(), held, promised, lease_ms=lease)
+        self.member = role.Keeper(
+            self.me, seed, kinds.steady(), recovered.held, recovered.promised, lease_ms=lease
+        )
         g, n = self.member.head()
         logs.note(20, {"serial": int(n), "generation": g.text(), "seat": self.me.seat})
 
--- a/basaltport/logs.py
+++ b/basaltport/logs.py
@@ -20,6 +20,10 @@
     19: ("seats-missing", "No leader for five seconds: these members' promises are missing."),
     20: ("disk-opened", "The data folder was read; what was held is given."),
     21: ("disk-refused", "The data folder cannot be used: the reason is given. Nothing was changed in it."),
+    22: (
+        "seat-unknown",
+        "The data folder cannot prove the seat that voted here: this is a new seat without a vote.",
+    ),
     23: ("disk-failed", "A write to the data folder failed."),
     24: ("override", "An operator gave members up for lost: the house may go on without them."),
     30: ("member-met", "A member became known, or came back with a new seat."),
--- a/basaltport/simulation/world/virtual_disk.py
+++ b/basaltport/simulation/world/virtual_disk.py
@@ -1,69 +1,106 @@
-"""A disk on virtual time: bytes are safe only once synced; power loss may tear what was not."""
+"""A member's disk on virtual time: bytes are safe only once synced; power loss may tear what was not."""
 
 import json
+import typing
+
+import result
 
-import basaltport.kinds as kinds
 import basaltport.consensus.journal as journal
+import basaltport.consensus.record_framing as record_framing
+import basaltport.consensus.write_ahead_log as write_ahead_log
+import basaltport.kinds as kinds
+
+Queued = tuple[int, bytes, str | None]
 
 
 class SimDisk:
-    """The journal's own record form and replay; the switch of snapshots is one step, as a rename is."""
+    """The log's own frames and replay; the switch of snapshots is one step, as a rename is. docs/storage.md
+    says why a power loss of the real files comes to what `power_loss` does here."""
 
     def __init__(self, rng):
         self.rng = rng
         self.snap = json.dumps(journal.empty())
         self.safe = b""
-        self.queue = []
+        self.queue: list[Queued] = []
         self.syncing = 0
+        self.under_way = 0
         self.slow = 1
         self.stalled = False
         self.full = False
         self.broken = False
 
-    def write(self, token, records, whole):
+    def write(self, token: int, records: list[record_framing.Record], whole: dict | None) -> None:
         """Takes a write; it is safe only when `done` is called for it."""
-        raw = b"".join(journal.encode(r) for r in records)
+        raw = record_framing.encode_batch([record_framing.encode(r) for r in records]) if records else b""
         self.queue.append((token, raw, json.dumps(whole) if whole is not None else None))
 
-    def lapse(self, now):
+    def lapse(self, now: int) -> int:
         return now + self.rng.randrange(1, 6) * self.slow
 
-    def begin(self):
-        """One sync covers all that waits now."""
-        self.syncing = len(self.queue)
+    def begin(self) -> None:
+        """One sync covers all that waits now. It is under way until `done`, however long the disk stalls."""
+        self.syncing = self.under_way = len(self.queue)
 
-    def done(self):
+    def done(self) -> list[tuple[int, bool]]:
         """What the sync covered is safe: tokens and whether it went well."""
         batch, self.queue = self.queue[: self.syncing], self.queue[self.syncing :]
-        self.syncing = 0
+        self.syncing = self.under_way = 0
         out = []
         for token, raw, whole in batch:
             if not self.full and whole is not None:
                 self.snap, self.safe, self.broken = whole, b"", False
+            if self.full and not self.broken:
+                self.safe += self._torn(raw)
             self.broken = self.broken or self.full
             if not self.broken:
                 self.safe += raw
             out.append((token, not self.broken))
         return out
 
-    def power_loss(self):
-        """A prefix of what was under way may have reached the disk, torn anywhere."""
-        for _, raw, whole in self.queue:
-            if whole is not None:
-                break
-            self.safe += raw[: self.rng.randrange(0, len(raw) + 1)]
-            break
+    def power_loss(self) -> None:
+        """Of what was under way: nothing; or a prefix of its snapshots, each whole; or all of them, and of
+        the records behind the last one a prefix, the last frame torn anywhere or with its beginning
+        missing."""
+        batch = self.queue[: max(self.syncing, self.under_way)]
         self.queue = []
-        self.syncing = 0
+        self.syncing = self.under_way = 0
+        snapshots = [whole for _, _, whole in batch if whole is not None]
+        if not batch or self.full:
+            return
+        kept = self.rng.randrange(0, len(snapshots) + 1)
+        if kept:
+            self.snap, self.safe, self.broken = snapshots[kept - 1], b"", False
+        if kept == len(snapshots) and not self.broken:
+            self._tear(self._records_behind_the_last_snapshot(batch))
+
+    @staticmethod
+    def _records_behind_the_last_snapshot(batch: list[Queued]) -> list[bytes]:
+        frames: list[bytes] = []
+        for _, raw, whole in batch:
+            frames = [raw] if whole is not None else [*frames, raw]
+        return [raw for raw in frames if raw]
+
+    def _tear(self, frames: list[bytes]) -> None:
+        """A prefix of the frames, and some of the bytes of the next."""
+        kept = self.rng.randrange(0, len(frames) + 1)
+        self.safe += b"".join(frames[:kept])
+        if kept < len(frames):
+            self.safe += self._torn(frames[kept])
 
-    def load(self):
-        """As a start reads it: Ok((held, promised)) or Err."""
-        got = journal.read(self.safe)
+    def _torn(self, raw: bytes) -> bytes:
+        """A prefix, or zeros where the beginning should be: in either case the frame is not whole."""
+        cut = self.rng.randrange(0, max(1, len(raw)))
+        if self.rng.random() < 0.5:
+            return raw[:cut]
+        return bytes(cut) + raw[cut:] if cut else b""
+
+    def load(self) -> result.Result[tuple[dict[str, typing.Any], kinds.Generation], str]:
+        """As a start reads it: Ok((held, promised)) or Err. The cut log can be appended to again."""
+        got = record_framing.scan(self.safe)
         if got.is_err():
             return got
-        recs, good = got.ok_value
-        self.safe = self.safe[:good]
-        st = journal.replay(json.loads(self.snap), recs)
-        return got.map(
-            lambda _: ({"book": st["book"], "tail": st["tail"]}, kinds.Generation(*st["promised"]))
-        )
+        self.safe = self.safe[: got.ok_value.length]
+        self.broken = False
+        state = write_ahead_log.replay(json.loads(self.snap), got.ok_value.records)
+        held = {"book": state["book"], "tail": state["tail"]}
+        return result.Ok((held, kinds.Generation(*state["promised"])))
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -9,6 +9,8 @@
 import basaltport.kinds as kinds
 import basaltport.consensus.book as book
 import basaltport.consensus.journal as journal
+import basaltport.consensus.member_identity as member_identity
+import basaltport.consensus.record_framing as record_framing
 
 G = kinds.Generation(1, "l")
 
@@ -19,21 +21,22 @@
 
 def disk(path, name="l"):
     d = journal.Disk(str(path), name)
-    return d, d.open()
+    return d, d.open(member_identity.Identity("s1"))
 
 
 def held(path):
     d, got = disk(path)
     d.close()
-    return [e["s"] for e in got.ok_value[0]["tail"]]
+    return [e["s"] for e in got.ok_value.held["tail"]]
 
 
 def filled(path, n=5):
     d, got = disk(path)
-    assert got.ok_value[0] is None
-    d.write(entries(n), None)
+    assert got.ok_value.held is None
+    for e in entries(n):
+        d.write([e], None)
     d.close()
-    return os.path.join(path, f"journal.{d.n}")
+    return os.path.join(path, f"journal.{d.number}")
 
 
 def test_what_was_synced_is_there_again(tmp_path):
@@ -46,12 +49,75 @@
     with open(f, "r+b") as x:
         x.truncate(os.path.getsize(f) - 7)
     d, got = disk(tmp_path)
-    assert [e["s"] for e in got.ok_value[0]["tail"]] == [1, 2, 3, 4]
+    assert [e["s"] for e in got.ok_value.held["tail"]] == [1, 2, 3, 4]
     d.write(entries(1, 5), None)
     d.close()
     assert held(tmp_path) == [1, 2, 3, 4, 5]
 
 
+def test_of_a_batch_that_was_torn_anywhere_nothing_is_taken(tmp_path):
+    f = filled(tmp_path, 2)
+    whole = open(f, "rb").read()
+    batch = record_framing.encode_batch([journal.encode(r) for r in entries(3, 3)])
+    for cut in range(len(batch)):
+        for torn in (batch[:cut], bytes(cut) + batch[cut:]):
+            open(f, "wb").write(whole + torn)
+            assert held(tmp_path) == ([1, 2, 3, 4, 5] if torn == batch else [1, 2])
+    open(f, "wb").write(whole + batch)
+    assert held(tmp_path) == [1, 2, 3, 4, 5]
+
+
+def test_a_log_of_single_frames_and_the_files_of_format_1_still_open(tmp_path):
+    filled(tmp_path)
+    with open(tmp_path / "journal.1", "ab") as f:
+        f.write(b"".join(journal.encode(r) for r in entries(2, 6)))
+    _as_format_1(tmp_path, seat="s0", founders=["a:1", "b:1"])
+    for _ in range(2):
+        d, got = disk(tmp_path)
+        d.close()
+        assert [e["s"] for e in got.ok_value.held["tail"]] == [1, 2, 3, 4, 5, 6, 7]
+        assert got.ok_value.identity == member_identity.Identity("s0", ("a:1", "b:1"))
+        assert not got.ok_value.new_seat
+    assert json.load(open(tmp_path / "current"))["format"] == 2
+
+
+def _as_format_1(path, seat, founders=None):
+    (path / "current").write_text(json.dumps({"format": 1, "member": "l", "n": 1}))
+    if seat is not None:
+        (path / "seat").write_text(seat)
+    if founders is not None:
+        (path / "founders").write_text(json.dumps(founders))
+
+
+def test_a_folder_that_lost_its_seat_is_of_a_new_seat_which_it_keeps(tmp_path):
+    filled(tmp_path)
+    _as_format_1(tmp_path, seat=None, founders=["a:1"])
+    d, got = disk(tmp_path)
+    d.close()
+    assert got.ok_value.new_seat and got.ok_value.identity == member_identity.Identity("s1")
+    assert len(got.ok_value.held["tail"]) == 5
+    again = journal.Disk(str(tmp_path), "l").open(member_identity.Identity("s2", ("a:1",)))
+    assert again.ok_value.identity == member_identity.Identity("s1") and not again.ok_value.new_seat
+
+
+def test_a_folder_that_lost_current_is_no_founder(tmp_path):
+    filled(tmp_path)
+    os.remove(tmp_path / "current")
+    got = journal.Disk(str(tmp_path), "l").open(member_identity.Identity("s2", ("a:1",)))
+    assert got.ok_value.held is None and got.ok_value.new_seat
+    assert got.ok_value.identity == member_identity.Identity("s2")
+
+
+def test_files_of_interrupted_switches_are_removed_by_the_next(tmp_path):
+    filled(tmp_path)
+    for name in ("snap.7.dat", "snap.7.bak", "journal.7", "seat", "founders"):
+        (tmp_path / name).write_text("old")
+    d, _ = disk(tmp_path)
+    d.write([], journal.empty())
+    d.close()
+    assert sorted(os.listdir(tmp_path)) == ["current", "journal.2", "snap.2.bak", "snap.2.dat", "snap.2.dir"]
+
+
 def test_damage_in_the_middle_is_refused_loudly_and_nothing_changed(tmp_path):
     f = filled(tmp_path)
     with open(f, "r+b") as x:
@@ -67,7 +133,7 @@
     d, _ = disk(tmp_path)
     d.write([], {**journal.empty(), "tail": [entries(1)[0]["entry"]]})
     d.close()
-    f = os.path.join(tmp_path, f"snap.{d.n}.dat")
+    f = os.path.join(tmp_path, f"snap.{d.number}.dat")
     raw = open(f, "rb").read()
     open(f, "wb").write(raw.replace(b"l1", b"l9"))
     assert "checksum" in disk(tmp_path)[1].err_value
@@ -127,6 +193,6 @@
 @hypothesis.given(st.integers(1, 6), st.integers(0, 400))
 def test_cut_anywhere_a_journal_gives_a_prefix(n, cut):
     raw = b"".join(journal.encode(r) for r in entries(n))
-    recs, good = journal.read(raw[: min(cut, len(raw))]).ok_value
-    assert recs == entries(n)[: len(recs)] and good <= cut
-    assert len(recs) == n or cut < len(raw)
+    got = record_framing.scan(raw[: min(cut, len(raw))]).ok_value
+    assert list(got.records) == entries(n)[: len(got.records)] and got.length <= cut
+    assert len(got.records) == n or cut < len(raw)
