--- a/basaltport/model/machines.py
+++ b/basaltport/model/machines.py
@@ -17,7 +17,7 @@
     replacing: bool = False
 
 
-def withstand(members: int) -> int:
+def losses_borne(members: int) -> int:
     """Machines that may be lost at once."""
     return (members - 1) // 2
 
@@ -28,7 +28,7 @@
     def __init__(self, names: list[str]) -> None:
         """One machine for each process."""
         self.rows = [Machine(n) for n in names]
-        self.borne = withstand(len(names))
+        self.borne = losses_borne(len(names))
 
     def __getitem__(self, slot: int) -> Machine:
         """The machine of a slot."""
--- a/basaltport/model/schedule.py
+++ b/basaltport/model/schedule.py
@@ -48,7 +48,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Schedule:
-    """`bearable`: never more machines are lost at once than the fleet withstands, so it must go on."""
+    """`bearable`: never more machines are lost at once than may be, so it must go on."""
 
     seed: int
     members: int
--- a/basaltport/model/standins.py
+++ b/basaltport/model/standins.py
@@ -78,7 +78,7 @@
         return told
 
 
-class Proxy(follow.FollowMixin, member.Member):
+class Proxy(member.Member, follow.FollowMixin):
     """A proxy's side of the feed alone."""
 
     TICKS: typing.Any = ("tick_follow",)
@@ -95,7 +95,7 @@
         """Keeps them."""
         self.heard_facts.update(items)
 
-    def rows_changed(self, ids: set[str]) -> None:
+    def rows_changed(self, ids: follow.Ids) -> None:
         """Keeps which."""
         self.changes.append(set(ids))
 
--- a/tests/test_control_scenarios.py
+++ b/tests/test_control_scenarios.py
@@ -1,15 +1,8 @@
-"""Control machines in trouble on fixed seeds: every scenario at both deployments' sizes, each check seen red."""
+"""Control machines in trouble on fixed seeds, at the sizes of both deployments; each check is seen red."""
 
 import pytest
 
-import basaltport.consensus.campaign as campaign
-import basaltport.consensus.feed as feed
-import basaltport.consensus.timing as timing
-import basaltport.fleet.follow as follow
-import basaltport.keeper.desk as desk
-import basaltport.keeper.role as role
 import basaltport.simulation.routes.control as control
-import basaltport.simulation.routes.control_checks as control_checks
 import basaltport.simulation.routes.control_losses as control_losses
 import basaltport.simulation.routes.control_play as control_play
 
