Relay: annotations, docstrings and whole names in upstream, answer and request

No change of behaviour: Upstream says by a Protocol what it needs of a request; kept answers are a class; the end of an answer that is none is one function; Request.state, which nothing read, is gone. Relay and byte mutations pass.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -63,7 +63,6 @@
             self.release(q)
             self.retry_of(q.service).spend(self.now)
         q.run = run
-        q.state = request.RUN
         self.runs[run.id] = run
         h.running += 1
         h.cold.sent.add(self.now)
@@ -172,7 +171,6 @@
             self.reserve(q)
         q.avoid.add(run.replica)
         q.run = None
-        q.state = request.WAIT
         self.waiting[q.id] = q
 
     def fail(self, q, status, detail):
--- a/basaltport/relay/request.py
+++ b/basaltport/relay/request.py
@@ -3,12 +3,24 @@
 import enum
 
 import basaltport.kinds as kinds
+import basaltport.relay.events as events
+import basaltport.relay.table as table
 
-WAIT = "wait"
-RUN = "run"
+
+class Aborted(enum.Enum):
+    """Why an attempt was stopped from here."""
+
+    SILENT = "silent"
+    CLIENT_LEFT = "client left"
+    PROCESS_ENDS = "process ends"
 
 
 class Request:
+    """What the reducer knows of a request. `until`: its deadline, `arrivals`: attempts that were sent,
+    `unsent`: those that were not, `avoid`: replicas of its attempts, `sent_to`: those that it may have
+    reached, `begun`: a part of an answer is out, `ran`: it may have run, `reserved`: a part of the budget is
+    kept for it, `key`: its place in the queue."""
+
     __slots__ = (
         "id",
         "route",
@@ -18,7 +30,6 @@
         "until",
         "tokens",
         "prefix",
-        "state",
         "run",
         "arrivals",
         "unsent",
@@ -30,52 +41,45 @@
         "key",
     )
 
-    def __init__(self, id, route, ev):
-        self.id = id
+    def __init__(self, request_id: int, route: table.Route, arrived: events.Arrived) -> None:
+        """A request that has just arrived."""
+        self.id = request_id
         self.route = route
         self.service = ""
-        self.item = ev.item if route.pinned else kinds.Item("")
-        self.born = ev.now
-        self.until = ev.now
-        self.tokens = ev.tokens
-        self.prefix = ev.prefix
-        self.state = WAIT
-        self.run = None
+        self.item = arrived.item if route.pinned else kinds.Item("")
+        self.born = arrived.now
+        self.until = arrived.now
+        self.tokens = arrived.tokens
+        self.prefix = arrived.prefix
+        self.run: Run | None = None
         self.arrivals = 0
         self.unsent = 0
-        self.avoid = set()
-        self.sent_to = set()
+        self.avoid: set[kinds.ReplicaId] = set()
+        self.sent_to: set[kinds.ReplicaId] = set()
         self.begun = False
         self.ran = False
         self.reserved = False
-        self.key = (self.route.urgency, self.born, id)
+        self.key = (self.route.urgency, self.born, request_id)
 
-    def spare(self):
+    def spare(self) -> bool:
         """Whether it may go to a replica that it was not sent to."""
         return len(self.sent_to) < self.route.attempts
 
 
-class Aborted(enum.Enum):
-    """Why an attempt was stopped from here."""
-
-    SILENT = "silent"
-    CLIENT_LEFT = "client left"
-    PROCESS_ENDS = "process ends"
-
-
 class Run:
-    """An attempt under way."""
+    """An attempt under way. `heard`: when its first bytes came, `last`: its latest ones."""
 
     __slots__ = ("id", "request", "replica", "item", "service", "sent", "until", "heard", "last", "aborted")
 
-    def __init__(self, id, q, replica, now):
-        self.id = id
-        self.request = q.id
+    def __init__(self, run_id: int, request: Request, replica: kinds.ReplicaId, now: kinds.Millis) -> None:
+        """An attempt that goes now."""
+        self.id = run_id
+        self.request = request.id
         self.replica = replica
-        self.item = q.item
-        self.service = q.service
+        self.item = request.item
+        self.service = request.service
         self.sent = now
-        self.until = q.until
-        self.heard = 0
+        self.until = request.until
+        self.heard = kinds.Millis(0)
         self.last = now
-        self.aborted = None
+        self.aborted: Aborted | None = None
--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -1,6 +1,8 @@
 """Sends attempts to replicas and tells what is proven of each."""
 
 import asyncio
+import collections.abc
+import typing
 
 import aiohttp
 import multidict
@@ -8,7 +10,9 @@
 
 import basaltport.relay.connections as connections
 import basaltport.relay.decision as decision
+import basaltport.relay.events as events
 import basaltport.relay.outcomes as outcomes
+import basaltport.relay.words as words
 import basaltport.replica_client.adapter as adapter
 
 Outcome = outcomes.Outcome
@@ -29,180 +33,250 @@
 }
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 WHOLE = 16 << 20
-CONNECT = 0.4
+"""Bytes of the longest answer that is passed on whole."""
+CONNECT_S = 0.4
+LINE_BYTES = 16_384
+FIELD_BYTES = 32_768
+MS = 1000
+MARK = "X-Basaltport-Attempt"
+"""Bears an attempt's number up to its connection; it is never sent."""
 SWITCHING = 101
+OK = range(200, 300)
+MISDIRECTED = 421
 BODILESS = (204, 304)
 """Statuses whose answers have no body."""
 
 
-def end_to_end(headers):
+def end_to_end(headers: multidict.CIMultiDictProxy[str]) -> multidict.CIMultiDict[str]:
     """Headers but those of a single connection."""
     drop = set(HOP)
-    for v in headers.getall("Connection", ()):
-        drop.update(x.strip().lower() for x in v.split(","))
+    for value in headers.getall("Connection", ()):
+        drop.update(name.strip().lower() for name in value.split(","))
     return multidict.CIMultiDict((k, v) for k, v in headers.items() if k.lower() not in drop)
 
 
-def states_its_end(r: aiohttp.ClientResponse) -> bool:
+def states_its_end(response: aiohttp.ClientResponse) -> bool:
     """Whether a head tells where its body ends. Where only the end of the connection does, a body that
     was cut can't be told from a whole one."""
-    if r.method == "HEAD" or r.status in BODILESS:
+    if response.method == "HEAD" or response.status in BODILESS:
         return True
-    return "Content-Length" in r.headers or "chunked" in r.headers.get("Transfer-Encoding", "").lower()
+    headers = response.headers
+    return "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "").lower()
 
 
-class Foreign(Exception):
+class ForeignError(Exception):
     """The bytes are not the answer to what was sent."""
 
 
-class Departed(Exception):
+class DepartedError(Exception):
     """The client takes no more."""
 
 
+class Sink(typing.Protocol):
+    """What an attempt needs of the request that it is for, and where its answer goes."""
+
+    method: str
+    path: str
+    body: bytes
+    heads: multidict.CIMultiDict[str]
+    request_id: str | None
+    streams: bool
+    begun: bool
+
+    def resume(self) -> str:
+        """The id that a stream's next run goes on from, or ""."""
+        ...
+
+    def can_resume(self) -> bool:
+        """Whether another run can go on from what the client has."""
+        ...
+
+    def keep(self, attempt: int, status: int, heads: multidict.CIMultiDict[str], raw: bytes) -> None:
+        """A whole answer of failure, which may be passed on later."""
+        ...
+
+    async def whole(self, status: int, heads: multidict.CIMultiDict[str], raw: bytes) -> None:
+        """The whole answer."""
+        ...
+
+    async def part(self, status: int, heads: multidict.CIMultiDictProxy[str], raw: bytes) -> None:
+        """A part of a stream."""
+        ...
+
+    async def end(self, status: int, heads: multidict.CIMultiDictProxy[str]) -> None:
+        """The whole end of a stream."""
+        ...
+
+
+Progress = collections.abc.Callable[[], None]
+
+
 class Upstream:
-    def __init__(self, words):
-        self.words = words
-        self.session = None
-        self.needs = {}
-        self.written = set()
+    """Attempts at replicas, each on a connection of its own for as long as it lasts."""
+
+    session: aiohttp.ClientSession
+    connector: connections.Connector
+
+    def __init__(self, header_names: words.Words) -> None:
+        """`header_names`: those that replicas know."""
+        self.words = header_names
+        self.needs: dict[int, connections.Need] = {}
+        self.written: set[int] = set()
 
-    async def start(self):
+    async def start(self) -> None:
+        """Ready for attempts."""
         self.connector = connections.Connector(self.got, self.need_of)
         self.session = adapter.once_session(
             connector=self.connector,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
             skip_auto_headers=SKIP,
-            max_line_size=16_384,
-            max_field_size=32_768,
+            max_line_size=LINE_BYTES,
+            max_field_size=FIELD_BYTES,
         )
 
-    async def stop(self):
+    async def stop(self) -> None:
+        """Ends all connections."""
         await self.session.close()
 
-    def need_of(self, req):
-        return self.needs[int(req.headers[MARK])]
+    def need_of(self, request: connections.Request) -> connections.Need:
+        """What the attempt of a library's request needs of its connection."""
+        return self.needs[int(request.headers[MARK])]
 
-    def got(self, req):
-        self.written.add(int(req.headers.pop(MARK)))
+    def got(self, request: connections.Request) -> None:
+        """A request has its connection: from here on it counts as sent."""
+        self.written.add(int(request.headers.pop(MARK)))
 
-    def heads(self, e, sink, left):
-        w = self.words
-        h = multidict.CIMultiDict(sink.heads)
-        h[w.deadline] = str(max(1, left))
-        h[w.expect_replica] = e.replica
-        h[w.priority] = str(e.priority)
-        h[MARK] = str(e.attempt)
+    def heads(self, attempt: events.Attempt, sink: Sink) -> multidict.CIMultiDict[str]:
+        """The headers that go to the replica."""
+        names = self.words
+        heads = multidict.CIMultiDict(sink.heads)
+        heads[names.deadline] = str(max(1, attempt.left))
+        heads[names.expect_replica] = attempt.replica
+        heads[names.priority] = str(attempt.priority)
+        heads[MARK] = str(attempt.attempt)
         last = sink.resume()
         if last:
-            h[w.resume] = last
-        return h
+            heads[names.resume] = last
+        return heads
 
-    async def run(self, e, sink, progress):
-        """The `outcomes.Result` of an attempt."""
-        self.needs[e.attempt] = connections.Need(sink.request_id, not e.repeatable)
+    async def run(self, attempt: events.Attempt, sink: Sink, progress: Progress) -> Result:
+        """One attempt, to its end."""
+        self.needs[attempt.attempt] = connections.Need(sink.request_id, not attempt.repeatable)
         try:
-            async with asyncio.timeout(e.left / 1000):
-                return await self.once(e, sink, progress)
+            async with asyncio.timeout(attempt.left / MS):
+                return await self.once(attempt, sink, progress)
         except TimeoutError:
-            return self.lost(e, sink, Outcome.LATE, "the time is over")
+            return self.lost(attempt, sink, Outcome.LATE, "the time is over")
         except asyncio.CancelledError:
-            asyncio.current_task().uncancel()
-            return self.lost(e, sink, Outcome.BROKEN, "stopped")
-        except Departed as x:
-            return Result(Outcome.GONE, 0, str(x))
-        except Foreign as x:
-            return self.lost(e, sink, Outcome.BROKEN, str(x))
-        except (aiohttp.ClientError, OSError, ValueError) as x:
-            return self.lost(e, sink, Outcome.BROKEN, type(x).__name__)
+            typing.cast("asyncio.Task[None]", asyncio.current_task()).uncancel()
+            return self.lost(attempt, sink, Outcome.BROKEN, "stopped")
+        except DepartedError as error:
+            return Result(Outcome.GONE, 0, str(error))
+        except ForeignError as error:
+            return self.lost(attempt, sink, Outcome.BROKEN, str(error))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return self.lost(attempt, sink, Outcome.BROKEN, type(error).__name__)
         finally:
-            del self.needs[e.attempt]
-            self.written.discard(e.attempt)
+            del self.needs[attempt.attempt]
+            self.written.discard(attempt.attempt)
 
-    def sent(self, attempt):
+    def sent(self, attempt: int) -> bool:
         """Whether a byte of an attempt may have left: so from the step in which it took its connection. The
         library writes without telling, so what it has a connection for counts as sent, whatever it raises."""
         return attempt in self.written
 
-    def lost(self, e, sink, outcome, why):
+    def lost(self, attempt: events.Attempt, sink: Sink, outcome: Outcome, why: str) -> Result:
         """The end of an attempt that has no whole answer."""
-        if not self.sent(e.attempt):
+        if not self.sent(attempt.attempt):
             return Result(Outcome.UNSENT, 0, why)
         if sink.begun:
             return Result(Outcome.CUT, 0, why, sink.can_resume() and outcome is not Outcome.LATE)
         return Result(outcome, 0, why)
 
-    async def once(self, e, sink, progress):
-        url = yarl.URL(f"http://{e.address}{sink.path}", encoded=True)
-        heads = self.heads(e, sink, e.left)
+    async def once(self, attempt: events.Attempt, sink: Sink, progress: Progress) -> Result:
+        """The request and its answer, on one connection."""
+        url = yarl.URL(f"http://{attempt.address}{sink.path}", encoded=True)
+        heads = self.heads(attempt, sink)
         async with self.session.request(
             sink.method, url, headers=heads, data=sink.body or None, allow_redirects=False
-        ) as r:
+        ) as response:
             progress()
-            self.hear_limit(e.attempt, r)
-            return await self.answer(e, sink, r, progress)
+            self.hear_limit(attempt.attempt, response)
+            return await self.answer(attempt, sink, response, progress)
 
-    def hear_limit(self, attempt, r):
+    def hear_limit(self, attempt: int, response: aiohttp.ClientResponse) -> None:
         """The replica's word on how long it keeps the connection. An answer that came whole with its head has
         given its connection back by now, so it is asked of the attempt."""
-        stated = connections.seconds(r.headers.get("Keep-Alive"))
-        if stated is not None:
-            self.needs[attempt].protocol.keep_s = stated
-
-    async def answer(self, e, sink, r, progress):
-        w, h = self.words, r.headers
-        if h.get(w.request_id) != sink.request_id:
-            r.close()
-            raise Foreign("the answer is of another request")
-        if r.status == SWITCHING:
-            r.close()
-            raise Foreign("nobody asked for another protocol")
-        if r.status == 421:
-            await self.whole(r)
-            return Result(Outcome.ABSENT if h.get(w.replica) == e.replica else Outcome.MOVED, 421)
-        if w.not_run in h:
-            await self.whole(r)
-            return Result(Outcome.REFUSED, r.status, f"refused by the replica: {r.status}")
-        if h.get("Content-Encoding", "identity").lower() != "identity":
-            r.close()
-            raise Foreign("the answer is encoded")
-        if 200 <= r.status < 300 and w.stamp not in h:
-            r.close()
-            raise Foreign("the answer has no stamp")
-        if 200 <= r.status < 300 and sink.streams:
-            return await self.stream(e, sink, r, progress)
-        if not states_its_end(r):
-            r.close()
-            raise Foreign("an answer without an end")
-        raw = await self.whole(r)
-        if r.status >= 500 or r.status in decision.PROMISES:
-            sink.keep(e.attempt, r.status, end_to_end(h), raw)
-            return Result(Outcome.FAILED, r.status)
+        stated_s = connections.seconds(response.headers.get("Keep-Alive"))
+        protocol = self.needs[attempt].protocol
+        if stated_s is not None and protocol is not None:
+            protocol.keep_s = stated_s
+
+    async def answer(
+        self, attempt: events.Attempt, sink: Sink, response: aiohttp.ClientResponse, progress: Progress
+    ) -> Result:
+        """What a head says, and the body that belongs to it."""
+        names, heads = self.words, response.headers
+        if heads.get(names.request_id) != sink.request_id:
+            raise refused(response, "the answer is of another request")
+        if response.status == SWITCHING:
+            raise refused(response, "nobody asked for another protocol")
+        if response.status == MISDIRECTED:
+            await self.whole(response)
+            held = heads.get(names.replica) == attempt.replica
+            return Result(Outcome.ABSENT if held else Outcome.MOVED, MISDIRECTED)
+        if names.not_run in heads:
+            await self.whole(response)
+            return Result(Outcome.REFUSED, response.status, f"refused by the replica: {response.status}")
+        self.check_body(response)
+        if response.status in OK and sink.streams:
+            return await self.stream(attempt, sink, response, progress)
+        return await self.plain(attempt, sink, response)
+
+    def check_body(self, response: aiohttp.ClientResponse) -> None:
+        """Raises where the body can't be the replica's own and whole."""
+        if response.headers.get("Content-Encoding", "identity").lower() != "identity":
+            raise refused(response, "the answer is encoded")
+        if response.status in OK and self.words.stamp not in response.headers:
+            raise refused(response, "the answer has no stamp")
+        if not states_its_end(response):
+            raise refused(response, "an answer without an end")
+
+    async def plain(self, attempt: events.Attempt, sink: Sink, response: aiohttp.ClientResponse) -> Result:
+        """An answer that is passed on, or kept, once it is whole."""
+        raw = await self.whole(response)
+        status, heads = response.status, end_to_end(response.headers)
+        if status >= decision.SERVER_ERROR or status in decision.PROMISES:
+            sink.keep(attempt.attempt, status, heads, raw)
+            return Result(Outcome.FAILED, status)
         if sink.begun:
-            return Result(Outcome.FAILED, r.status, "a run that should go on does not")
-        await sink.whole(r.status, end_to_end(h), raw)
-        return Result(Outcome.DONE, r.status)
+            return Result(Outcome.FAILED, status, "a run that should go on does not")
+        await sink.whole(status, heads, raw)
+        return Result(Outcome.DONE, status)
 
-    async def whole(self, r):
+    async def whole(self, response: aiohttp.ClientResponse) -> bytes:
         """The whole body, or an error if it ends early; what is over WHOLE is no answer."""
         raw = bytearray()
-        async for c in r.content.iter_any():
-            raw += c
+        async for part in response.content.iter_any():
+            raw += part
             if len(raw) > WHOLE:
-                r.close()
-                raise Foreign("the answer is too long")
+                raise refused(response, "the answer is too long")
         return bytes(raw)
 
-    async def stream(self, e, sink, r, progress):
-        if not states_its_end(r):
-            r.close()
-            raise Foreign("a stream without an end")
-        async for c in r.content.iter_any():
+    async def stream(
+        self, attempt: events.Attempt, sink: Sink, response: aiohttp.ClientResponse, progress: Progress
+    ) -> Result:
+        """An answer that is passed on as it comes."""
+        async for part in response.content.iter_any():
             progress()
-            await sink.part(r.status, r.headers, c)
-        await sink.end(r.status, r.headers)
-        return Result(Outcome.DONE, r.status)
+            await sink.part(response.status, response.headers, part)
+        await sink.end(response.status, response.headers)
+        return Result(Outcome.DONE, response.status)
 
 
-MARK = "X-Basaltport-Attempt"
+def refused(response: aiohttp.ClientResponse, why: str) -> ForeignError:
+    """The error for an answer that is none; its connection is ended."""
+    response.close()
+    return ForeignError(why)
--- a/tests/test_request_bytes_mutations.py
+++ b/tests/test_request_bytes_mutations.py
@@ -61,8 +61,8 @@
 
 
 def _give_as_our_own(self, attempt):
-    _, heads, raw = self.kept[attempt]
-    self.set(self.made(502, heads, raw))
+    kept = self.kept[attempt]
+    self.set(self.made(502, kept.heads, kept.raw))
 
 
 def _shorten_bodies(self, request, body, *rest):
