Relay: annotations, docstrings and whole names in attempts, table and events

What the mixins need of the reducer is a Protocol (relay/needs.py); watch is cut in two. No change of behaviour.

--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -1,21 +1,33 @@
 """Attempts at replicas: launched, watched, and what became of each."""
 
+import typing
+
+import basaltport.kinds as kinds
 import basaltport.relay.budget as budget
 import basaltport.relay.decision as decision
 import basaltport.relay.events as events
+import basaltport.relay.health as health
+import basaltport.relay.needs as needs
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.request as request
 
 Outcome = outcomes.Outcome
 UNSENT = 6
+"""Connections that may fail for one request."""
 ARRIVALS = 4
+"""Attempts that may reach replicas for one request, and one more."""
 SOON = 150
 ABSENT = 1000
 REFUSED = 60
 QUIET = 350
+QUIET_RUNS = 5
 STALL = 1500
+STALL_GAPS = 2
 LEAST = 120
-SERVER_ERROR = 500
+LEAST_URGENT = 9
+MS = 1000
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
 WHY = {
     Outcome.REFUSED: "refused by the replica",
     Outcome.ABSENT: "not held",
@@ -26,54 +38,70 @@
     Outcome.LATE: "the time is over",
 }
 
+if typing.TYPE_CHECKING:
+    Needs = needs.RelayNeeds
+else:
+    Needs = object
 
-class AttemptMixin:
-    """Needs Relay. What is not proven refused may have run; only what can be repeated goes again."""
 
-    def attempts_start(self):
-        self.runs = {}
-        self.run_n = 0
-        self.retries = {}
-
-    def retry_of(self, service):
-        w = self.retries.get(service)
-        if w is None:
-            t = self.timings
-            w = self.retries[service] = budget.Retries(
-                self.born, t["retry_ratio"], int(1000 * t["retry_window_s"]), t["retry_slack"]
-            )
-        return w
+class AttemptMixin(Needs):
+    """What is not proven refused may have run; only what can be repeated goes again."""
 
-    def reserve(self, q):
+    def attempts_start(self) -> None:
+        """No attempts yet."""
+        self.runs: dict[int, request.Run] = {}
+        self.run_n = 0
+        self.retries: dict[str, budget.Retries] = {}
+
+    def retry_of(self, service: str) -> budget.Retries:
+        """The budget of further attempts at a service."""
+        retries = self.retries.get(service)
+        if retries is None:
+            timings = self.timings
+            window = int(MS * timings["retry_window_s"])
+            retries = budget.Retries(self.born, timings["retry_ratio"], window, timings["retry_slack"])
+            self.retries[service] = retries
+        return retries
+
+    def reserve(self, again: request.Request) -> None:
         """A part of the budget is kept for a further arrival until it goes or is given up."""
-        if not q.reserved:
-            q.reserved = True
-            self.retry_of(q.service).reserved += 1
-
-    def release(self, q):
-        if q.reserved:
-            q.reserved = False
-            self.retry_of(q.service).reserved -= 1
-
-    def launch(self, q, r):
-        row, h = self.rows[r], self.health_of(r)
+        if not again.reserved:
+            again.reserved = True
+            self.retry_of(again.service).reserved += 1
+
+    def release(self, again: request.Request) -> None:
+        """Gives back what was reserved."""
+        if again.reserved:
+            again.reserved = False
+            self.retry_of(again.service).reserved -= 1
+
+    def launch(self, waiting: request.Request, replica: kinds.ReplicaId) -> None:
+        """Send a request to a replica."""
+        replica_health = self.health_of(replica)
         self.run_n += 1
-        run = request.Run(self.run_n, q, r, self.now)
-        if q.arrivals:
-            self.release(q)
-            self.retry_of(q.service).spend(self.now)
-        q.run = run
+        run = request.Run(self.run_n, waiting, replica, self.now)
+        if waiting.arrivals:
+            self.release(waiting)
+            self.retry_of(waiting.service).spend(self.now)
+        waiting.run = run
         self.runs[run.id] = run
-        h.running += 1
-        h.cold.sent.add(self.now)
-        left = q.until - self.now
+        replica_health.running += 1
+        replica_health.cold.sent.add(self.now)
+        route = waiting.route
         self.emit(
             events.Attempt(
-                q.id, run.id, r, row["address"], left, min(9, q.route.urgency), q.route.repeatable()
+                waiting.id,
+                run.id,
+                replica,
+                self.rows[replica]["address"],
+                waiting.until - self.now,
+                min(LEAST_URGENT, route.urgency),
+                route.repeatable(),
             )
         )
 
-    def on_progress(self, ev):
+    def on_progress(self, ev: events.Progress) -> None:
+        """Bytes of an answer came."""
         run = self.runs.get(ev.attempt)
         if run is None:
             return
@@ -83,128 +111,141 @@
             run.heard = self.now
             self.took(run)
 
-    def on_ended(self, ev):
+    def on_ended(self, ev: events.Ended) -> None:
+        """An attempt ended."""
         run = self.runs.pop(ev.attempt, None)
         if run is None:
             return
-        h = self.health_of(run.replica)
-        h.running = max(0, h.running - 1)
+        replica_health = self.health_of(run.replica)
+        replica_health.running = max(0, replica_health.running - 1)
         result = ev.result
         label = result.outcome.value
         self.tally[label] = self.tally.get(label, 0) + 1
-        self.learn(run, h, result)
-        q = self.requests.get(run.request)
-        if q is not None and q.run is run:
-            self.settle(q, run, result)
+        self.learn(run, replica_health, result)
+        sent = self.requests.get(run.request)
+        if sent is not None and sent.run is run:
+            self.settle(sent, run, result)
         self.pump()
 
-    def learn(self, run, h, result):
+    def learn(self, run: request.Run, of_replica: health.Health, result: outcomes.Result) -> None:
         """What an attempt's end tells of its replica, whether or not its request is still here."""
         ours = run.aborted in (request.Aborted.CLIENT_LEFT, request.Aborted.PROCESS_ENDS)
         match result.outcome:
             case Outcome.DONE:
-                h.good(self.now)
+                of_replica.good(self.now)
             case Outcome.REFUSED:
-                h.absent[run.item] = self.now + REFUSED
+                of_replica.absent[run.item] = kinds.Millis(self.now + REFUSED)
             case Outcome.ABSENT:
-                h.absent[run.item] = self.now + ABSENT
+                of_replica.absent[run.item] = kinds.Millis(self.now + ABSENT)
             case Outcome.MOVED:
-                h.dead = True
+                of_replica.dead = True
             case Outcome.UNSENT | Outcome.CUT if not ours:
-                h.bad(self.now)
-            case Outcome.FAILED if result.status >= SERVER_ERROR:
-                h.bad(self.now)
+                of_replica.bad(self.now)
+            case Outcome.FAILED if result.status >= decision.SERVER_ERROR:
+                of_replica.bad(self.now)
             case Outcome.BROKEN if not ours:
-                h.bad(self.now)
+                of_replica.bad(self.now)
                 self.after_timeout(run)
             case Outcome.LATE:
                 self.after_timeout(run)
 
-    def settle(self, q, run, result):
+    def settle(self, sent: request.Request, run: request.Run, result: outcomes.Result) -> None:
         """What becomes of a request whose attempt ended."""
-        self.release(q)
+        self.release(sent)
         if result.outcome is Outcome.UNSENT:
-            q.unsent += 1
+            sent.unsent += 1
         else:
-            q.arrivals += 1
-            q.sent_to.add(run.replica)
+            sent.arrivals += 1
+            sent.sent_to.add(run.replica)
         if result.outcome is Outcome.DONE:
-            self.drop(q)
+            self.drop(sent)
             return
-        q.ran = q.ran or result.outcome.may_have_run
-        q.begun = q.begun or result.outcome is Outcome.CUT
-        self.carry_out(decision.decide(self.known(q, result)), q, run, result)
+        sent.ran = sent.ran or result.outcome.may_have_run
+        sent.begun = sent.begun or result.outcome is Outcome.CUT
+        self.carry_out(decision.decide(self.known(sent, result)), sent, run, result)
 
-    def known(self, q, result):
+    def known(self, sent: request.Request, result: outcomes.Result) -> decision.Known:
+        """All that the decision depends on."""
+        within = sent.unsent <= UNSENT and sent.arrivals <= ARRIVALS
         return decision.Known(
             outcome=result.outcome,
-            repeats=q.route.repeats,
+            repeats=sent.route.repeats,
             status=result.status,
             joins=result.resumes,
-            begun=q.begun,
-            ran=q.ran,
-            arrived=q.arrivals > 0,
-            budget=self.retry_of(q.service).room(self.now, self.peers()),
-            replicas=q.spare(),
-            sends=q.unsent <= UNSENT and q.arrivals <= ARRIVALS and not self.ending,
-            time=q.until - self.now >= LEAST,
+            begun=sent.begun,
+            ran=sent.ran,
+            arrived=sent.arrivals > 0,
+            budget=self.retry_of(sent.service).room(self.now, self.peers()),
+            replicas=sent.spare(),
+            sends=within and not self.ending,
+            time=sent.until - self.now >= LEAST,
         )
 
-    def carry_out(self, move, q, run, result):
+    def carry_out(
+        self, move: decision.Move, sent: request.Request, run: request.Run, result: outcomes.Result
+    ) -> None:
+        """Do what was decided."""
         match move:
             case decision.Move.REPEAT | decision.Move.RESUME:
-                self.requeue(q, run)
+                self.requeue(sent, run)
             case decision.Move.PASS:
-                self.drop(q)
-                self.emit(events.Pass(q.id, run.id))
+                self.drop(sent)
+                self.emit(events.Pass(sent.id, run.id))
             case decision.Move.REFUSE:
-                self.refuse(q, result.detail or WHY[result.outcome], SOON)
+                self.refuse(sent, result.detail or WHY[result.outcome], SOON)
             case decision.Move.FAIL:
                 broken = result.outcome in (Outcome.BROKEN, Outcome.FAILED)
-                self.fail(q, 502 if broken else 504, result.detail or WHY[result.outcome])
+                status = BAD_GATEWAY if broken else GATEWAY_TIMEOUT
+                self.fail(sent, status, result.detail or WHY[result.outcome])
             case decision.Move.CUT:
-                self.drop(q)
-                self.emit(events.Cut(q.id))
-
-    def requeue(self, q, run):
-        if q.arrivals:
-            self.reserve(q)
-        q.avoid.add(run.replica)
-        q.run = None
-        self.waiting[q.id] = q
-
-    def fail(self, q, status, detail):
+                self.drop(sent)
+                self.emit(events.Cut(sent.id))
+
+    def requeue(self, sent: request.Request, run: request.Run) -> None:
+        """Back into the queue."""
+        if sent.arrivals:
+            self.reserve(sent)
+        sent.avoid.add(run.replica)
+        sent.run = None
+        self.waiting[sent.id] = sent
+
+    def fail(self, sent: request.Request, status: int, detail: str) -> None:
         """The end of a request that may have run."""
-        self.drop(q)
-        if q.begun:
-            self.emit(events.Cut(q.id))
+        self.drop(sent)
+        if sent.begun:
+            self.emit(events.Cut(sent.id))
             return
-        self.emit(events.Close(q.id, status, detail))
+        self.emit(events.Close(sent.id, status, detail))
 
-    def watch(self):
+    def watch(self) -> None:
         """Replicas that say nothing: what can be repeated goes elsewhere, nothing new goes there."""
         for run in list(self.runs.values()):
-            q = self.requests.get(run.request)
-            if run.aborted or q is None or q.run is not run:
-                continue
-            h = self.health_of(run.replica)
-            wait = self.patience(q, run)
-            if self.now - max(run.last, h.last) < wait:
+            sent = self.requests.get(run.request)
+            if run.aborted or sent is None or sent.run is not run:
                 continue
-            if self.now >= h.down:
-                h.bad(self.now)
-            if not q.route.repeatable() or len(q.sent_to | {run.replica}) >= q.route.attempts:
+            of_replica = self.health_of(run.replica)
+            if self.now - max(run.last, of_replica.last) < self.patience(sent, run):
                 continue
-            if q.until - self.now < 2 * LEAST or not self.retry_of(q.service).room(self.now, self.peers()):
-                continue
-            if not any(x != run.replica for x in self.usable(q)):
-                continue
-            self.reserve(q)
-            run.aborted = request.Aborted.SILENT
-            self.emit(events.Abort(run.id))
-
-    def patience(self, q, run):
+            if self.now >= of_replica.down:
+                of_replica.bad(self.now)
+            if self.better_elsewhere(sent, run):
+                self.reserve(sent)
+                run.aborted = request.Aborted.SILENT
+                self.emit(events.Abort(run.id))
+
+    def better_elsewhere(self, sent: request.Request, run: request.Run) -> bool:
+        """Whether a request at a silent replica may go to another one, and can."""
+        route = sent.route
+        if not route.repeatable() or len(sent.sent_to | {run.replica}) >= route.attempts:
+            return False
+        if sent.until - self.now < 2 * LEAST:
+            return False
+        if not self.retry_of(sent.service).room(self.now, self.peers()):
+            return False
+        return any(replica != run.replica for replica in self.usable(sent))
+
+    def patience(self, sent: request.Request, run: request.Run) -> float:
         """Ms of silence from a replica as a whole that are no longer taken for work."""
-        if run.heard and q.route.kind == "stream":
-            return max(STALL, 2 * q.route.gap)
-        return max(QUIET, 5 * self.typical(q.service))
+        if run.heard and sent.route.kind == "stream":
+            return max(STALL, STALL_GAPS * sent.route.gap)
+        return max(QUIET, QUIET_RUNS * self.typical(sent.service))
--- a/basaltport/relay/events.py
+++ b/basaltport/relay/events.py
@@ -5,10 +5,8 @@
 import basaltport.kinds as kinds
 import basaltport.relay.outcomes as outcomes
 
-_d = dataclasses.dataclass(slots=True)
 
-
-@_d
+@dataclasses.dataclass(slots=True)
 class Arrived:
     """A client's request, read and whole. `deadline`: ms that the client waits, or -1."""
 
@@ -22,7 +20,7 @@
     prefix: str = ""
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Left:
     """The client went away."""
 
@@ -30,14 +28,14 @@
     request: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Finish:
     """The process is about to end: every request that is still here gets its end."""
 
     now: kinds.Millis
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Progress:
     """First bytes, or more of them, came from a replica for an attempt."""
 
@@ -45,7 +43,7 @@
     attempt: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Ended:
     """An attempt ended; see `outcomes.Result` for what is told of it."""
 
@@ -54,7 +52,7 @@
     result: outcomes.Result
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Attempt:
     """Send a request to a replica. `left`: ms until the client gives up."""
 
@@ -67,7 +65,7 @@
     repeatable: bool
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Close:
     """The final word of our own: nothing else goes to this client. `ran`: it may have run."""
 
@@ -77,7 +75,7 @@
     retry_after: int = 0
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Pass:
     """Pass on the kept answer of failure of an attempt as it is."""
 
@@ -85,14 +83,14 @@
     attempt: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Cut:
     """End the client's connection: a part of an answer is out and cannot be completed."""
 
     request: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Abort:
     """Stop an attempt; its end is still told."""
 
--- /dev/null
+++ b/basaltport/relay/needs.py
@@ -0,0 +1,86 @@
+"""What the mixins of the relay's reducer need of it and of each other."""
+
+import collections.abc
+import random
+import typing
+
+import basaltport.kinds as kinds
+import basaltport.member as member
+import basaltport.relay.budget as budget
+import basaltport.relay.health as replica_health
+import basaltport.relay.request as request
+import basaltport.relay.table as table
+
+Row = dict[str, typing.Any]
+
+
+class RelayNeeds(typing.Protocol):
+    """The reducer as its mixins see it: state, hooks and effects."""
+
+    now: kinds.Millis
+    born: kinds.Millis
+    rng: random.Random
+    me: member.Me
+    timings: collections.abc.Mapping[str, float]
+    zones: int
+    ending: bool
+    table: table.Table
+    rows: dict[kinds.ReplicaId, Row]
+    book: Row
+    requests: dict[int, request.Request]
+    waiting: dict[int, request.Request]
+    tally: dict[str, int]
+    health: dict[kinds.ReplicaId, replica_health.Health]
+    first: dict[str, float]
+
+    def emit(self, effect: object) -> None:
+        """An effect of this step."""
+
+    def want(self, items: dict[kinds.Item, int]) -> None:
+        """Ask the leader for items, each with the weight of what waits."""
+
+    def peers(self) -> int:
+        """How many proxies there are."""
+        ...
+
+    def pump(self) -> None:
+        """Launch what can go."""
+
+    def unpark(self) -> None:
+        """Route what was held for the feed."""
+
+    def refuse(self, waiting: request.Request, why: str, retry_after: int) -> None:
+        """Give a request up, with a promise if it never ran."""
+
+    def drop(self, ended: request.Request) -> None:
+        """Forget a request."""
+
+    def retry_of(self, service: str) -> budget.Retries:
+        """The budget of a service."""
+        ...
+
+    def health_of(self, replica: kinds.ReplicaId) -> replica_health.Health:
+        """What is known of a replica."""
+        ...
+
+    def holders(self, service: str, item: kinds.Item) -> collections.abc.Sequence[kinds.ReplicaId]:
+        """Replicas that hold an item."""
+        ...
+
+    def usable(self, waiting: request.Request) -> list[kinds.ReplicaId]:
+        """Replicas that a request may go to now."""
+        ...
+
+    def held(self, waiting: request.Request) -> bool:
+        """Whether an open replica holds a request's item."""
+        ...
+
+    def typical(self, service: str) -> float:
+        """Smoothed ms to first bytes."""
+        ...
+
+    def took(self, run: request.Run) -> None:
+        """First bytes of an attempt came."""
+
+    def after_timeout(self, run: request.Run) -> None:
+        """An attempt was lost without an answer."""
--- a/basaltport/relay/table.py
+++ b/basaltport/relay/table.py
@@ -2,13 +2,21 @@
 of it runs through."""
 
 import bisect
+import collections.abc
 import itertools
+import typing
 
 import basaltport.kinds as kinds
 import basaltport.relay.decision as decision
 
 
+Document = collections.abc.Mapping[str, typing.Any]
+MS = 1000
+
+
 class Route:
+    """A route as its requests need it; times in ms. `shares`: names of services and sums of their weights."""
+
     __slots__ = (
         "name",
         "host",
@@ -26,7 +34,8 @@
         "program",
     )
 
-    def __init__(self, r):
+    def __init__(self, r: Document) -> None:
+        """`r`: as the configuration has it."""
         self.name = r["name"]
         self.host = r["host"]
         self.prefix = r["prefix"]
@@ -42,16 +51,16 @@
         self.gap = kinds.Millis(r.get("gap_target_ms") or 0)
         self.program = ("deadline", "share", "item", "time", "queue") if self.pinned else PLAIN
 
-    def repeatable(self):
+    def repeatable(self) -> bool:
         """Whether a request may run more than once."""
         return self.repeats is not decision.Repeats.NEVER
 
-    def _repeats(self):
+    def _repeats(self) -> decision.Repeats:
         if self.resumable:
             return decision.Repeats.RESUMED
         return decision.Repeats.ALWAYS if self.kind == "safe" else decision.Repeats.NEVER
 
-    def service(self, draw):
+    def service(self, draw: float) -> str:
         """The service for a draw in [0, 1), by weight."""
         names, sums = self.shares
         return names[bisect.bisect(sums, draw * sums[-1])]
@@ -60,11 +69,12 @@
 PLAIN = ("deadline", "share", "queue")
 
 
-def _shares(r):
+def _shares(r: Document) -> tuple[list[str], list[int]]:
     if "shares" not in r or not r["shares"]:
         return [r["service"]], [1]
-    some = [s for s in r["shares"] if s["weight"] > 0]
-    return [s["service"] for s in some], list(itertools.accumulate(s["weight"] for s in some))
+    some = [share for share in r["shares"] if share["weight"] > 0]
+    sums = itertools.accumulate(int(share["weight"]) for share in some)
+    return [share["service"] for share in some], list(sums)
 
 
 class Service:
@@ -72,45 +82,52 @@
 
     __slots__ = ("name", "connections", "cold_rate", "slots", "items", "adapters")
 
-    def __init__(self, s):
+    def __init__(self, s: Document) -> None:
+        """`s`: as the configuration has it."""
         self.name = s["name"]
         self.connections = int(s.get("connections") or 0)
         self.cold_rate = float(s.get("cold_rate_s") or 0)
-        e = s.get("engine")
-        self.slots = int(e.get("slots") or 0) if e else 0
-        self.items = (
-            {m["name"]: 1000 * float(m.get("load_s") or 0) for m in e.get("models", ())} if e else None
-        )
-        self.adapters = {m["name"]: int(m.get("adapters") or 0) for m in e.get("models", ())} if e else {}
-
-    def knows(self, item):
+        engine = s.get("engine")
+        models = engine.get("models", ()) if engine else ()
+        self.slots = int(engine.get("slots") or 0) if engine else 0
+        loads_ms = {m["name"]: MS * float(m.get("load_s") or 0) for m in models}
+        self.items: dict[str, float] | None = loads_ms if engine else None
+        self.adapters: dict[str, int] = {m["name"]: int(m.get("adapters") or 0) for m in models}
+
+    def knows(self, item: str) -> bool:
         """Whether the configuration has this model and, where one is named, this adapter of it."""
         if self.items is None:
             return True
-        m, _, a = item.partition("/")
-        if m not in self.items:
+        model, _, adapter = item.partition("/")
+        if model not in self.items:
             return False
-        return not a or a[:1] == "a" and a[1:].isdigit() and 1 <= int(a[1:]) <= self.adapters[m]
+        if not adapter:
+            return True
+        number = adapter[1:]
+        return adapter[0] == "a" and number.isdigit() and 1 <= int(number) <= self.adapters[model]
 
 
 class Table:
-    def __init__(self, doc):
+    """The configuration that is in force here; `empty` where there is none yet."""
+
+    def __init__(self, doc: Document | None) -> None:
+        """`doc`: the configuration, or None."""
         doc = doc or {}
         self.empty = not doc
         self.edition = doc.get("edition", 0)
-        self.limits = doc.get("limits") or {}
-        self.services = {s["name"]: Service(s) for s in doc.get("services", ())}
-        self.hosts = {}
+        self.limits: dict[str, int] = doc.get("limits") or {}
+        self.services: dict[str, Service] = {s["name"]: Service(s) for s in doc.get("services", ())}
+        self.hosts: dict[str, list[Route]] = {}
         for r in doc.get("routes", ()):
             self.hosts.setdefault(r["host"].lower(), []).append(Route(r))
         for rs in self.hosts.values():
             rs.sort(key=lambda r: -len(r.prefix))
 
-    def match(self, host, path):
+    def match(self, host: str, path: str) -> Route | None:
         """The route of a host whose prefix begins the path and is longest, or None."""
         host = host.lower()
-        rs = self.hosts.get(host) or self.hosts.get(host.rpartition(":")[0], ())
-        for r in rs:
-            if path.startswith(r.prefix):
-                return r
+        routes = self.hosts.get(host) or self.hosts.get(host.rpartition(":")[0], [])
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
         return None
