A proxy's memory is bounded, however slow or large its peers

Cause: bodies, answers and events were gathered without a bound of the process, and a client that stopped reading kept its answer in a socket's buffer for ever. Change: bodies and answers take their bytes from two rooms of an eighth of the machine's memory each (each may be held twice, once in a socket's buffer). A body that finds none is refused, 503 with Retry-After, and goes nowhere; an answer that states its length waits for its room unread. A body that does not come within its client's deadline gets 408; an event over 256 KiB is no event; an answer not taken a second after its client's deadline is cut; refused answers' bodies are not kept; the library's read buffers are 64 KiB. The fake sink of test_relay_connections has a claim too. Tests: tests/test_slow_peers.py, tests/test_relay_memory.py

--- a/basaltport/relay/answer.py
+++ b/basaltport/relay/answer.py
@@ -9,7 +9,7 @@
 
 
 class Sink:
-    def __init__(self, request, body, words, closing):
+    def __init__(self, request, body, words, closing, claim=None):
         self.request = request
         self.method = request.method
         self.path = request.raw_path
@@ -18,6 +18,7 @@
         self.request_id = request.headers.get(words.request_id)
         self.words = words
         self.closing = closing
+        self.claim = claim
         self.done = asyncio.get_running_loop().create_future()
         self.kept = {}
         self.reply = None
--- /dev/null
+++ b/basaltport/relay/intake.py
@@ -0,0 +1,52 @@
+"""Reads clients' bodies, within the configured size, the room in memory and the time that they may take."""
+
+import asyncio
+import enum
+
+import aiohttp.web
+
+import basaltport.relay.memory as memory
+
+LONGEST_MS = 60_000
+"""How long a body may take whose client states no deadline."""
+
+
+class Reason(enum.Enum):
+    """Why a body was not read, and the status that says so."""
+
+    TOO_LARGE = 413
+    NO_ROOM = 503
+    TOO_SLOW = 408
+
+
+class Refused(Exception):
+    """A body was not read; nothing was done with it."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason.name)
+        self.reason = reason
+
+
+async def read(request: aiohttp.web.BaseRequest, limit: int, deadline_ms: int, claim: memory.Claim) -> bytes:
+    """The whole body; `deadline_ms`: how long its client waits, or -1."""
+    if (request.content_length or 0) > limit:
+        raise Refused(Reason.TOO_LARGE)
+    allowed_ms = deadline_ms if deadline_ms >= 0 else LONGEST_MS
+    try:
+        async with asyncio.timeout(max(1, allowed_ms) / 1000):
+            return await pieces(request, limit, claim)
+    except TimeoutError:
+        raise Refused(Reason.TOO_SLOW)
+
+
+async def pieces(request: aiohttp.web.BaseRequest, limit: int, claim: memory.Claim) -> bytes:
+    out: list[bytes] = []
+    size = 0
+    async for piece in request.content.iter_any():
+        size += len(piece)
+        if size > limit:
+            raise Refused(Reason.TOO_LARGE)
+        if not claim.add(len(piece)):
+            raise Refused(Reason.NO_ROOM)
+        out.append(piece)
+    return b"".join(out)
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -17,6 +17,8 @@
 import basaltport.relay.answer as answer
 import basaltport.relay.clients as clients
 import basaltport.relay.events as events
+import basaltport.relay.intake as intake
+import basaltport.relay.memory as memory
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.role as role
 import basaltport.relay.upstream as upstream
@@ -28,6 +30,7 @@
 BODY = 4 << 20
 SWEEP = 5.0
 STALE = 2.0
+DELIVERY = 1000
 
 
 def number(raw, top=10**8):
@@ -63,6 +66,8 @@
         self.member = role.Relay(me, seed, kinds.steady(), s.get("timings"), zones)
         self.pages = pages.Pages(self, "proxy")
         self.upstream = upstream.Upstream(words)
+        self.bodies = memory.room_of(s)
+        self.answers = memory.room_of(s)
         self.wires = wires.Wires(
             s["address"], self.heard, lambda peer, why: logs.note(33, {"peer": peer, "why": why})
         )
@@ -89,6 +94,7 @@
             max_field_size=32_768,
             auto_decompress=False,
             lingering_time=2.0,
+            read_bufsize=upstream.READ_BUFFER,
         )
         self.probe = aiohttp.web.Server(self.readiness, access_log=None)
         host, port = self.settings["listen"].rsplit(":", 1)
@@ -182,18 +188,30 @@
         return aiohttp.web.Response(status=200 if ok else 503)
 
     async def serve(self, request):
+        body = memory.Claim(self.bodies)
+        answered = memory.Claim(self.answers)
         try:
-            body = await request.read()
-        except aiohttp.web.HTTPRequestEntityTooLarge:
-            return aiohttp.web.Response(status=413)
+            return await self.served(request, body, answered)
+        finally:
+            body.free()
+            answered.free()
+
+    async def served(self, request, body_claim, answer_claim):
         w, h = self.words, request.headers
-        self.n += 1
-        n = self.n
-        sink = self.sinks[n] = answer.Sink(request, body, w, lambda: self.stopping)
+        deadline = number(h.get(w.deadline))
+        until = kinds.steady() + (deadline if deadline >= 0 else intake.LONGEST_MS)
+        limit = self.member.table.limits.get("body_bytes") or BODY
+        try:
+            body = await intake.read(request, limit, deadline, body_claim)
+        except intake.Refused as refused:
+            body_claim.free()
+            return self.unread(request, refused.reason)
         path = request.raw_path
         if not path.startswith("/"):
-            del self.sinks[n]
             return aiohttp.web.Response(status=400)
+        self.n += 1
+        n = self.n
+        sink = self.sinks[n] = answer.Sink(request, body, w, lambda: self.stopping, answer_claim)
         tokens = h.get(w.tokens, "").partition(",")[0]
         ev = events.Arrived(
             kinds.steady(),
@@ -201,19 +219,42 @@
             h.get("Host", ""),
             path.partition("?")[0],
             kinds.Item(h.get(w.model, "")),
-            number(h.get(w.deadline)),
+            deadline,
             number(tokens, 10**7),
             h.get(w.prefix, "").rpartition(",")[0],
         )
         try:
             self.step(ev)
-            return await sink.done
+            return await self.deliver(request, await sink.done, until)
         except asyncio.CancelledError:
             self.step(events.Left(kinds.steady(), n))
             raise
         finally:
             self.sinks.pop(n, None)
 
+    def unread(self, request, reason):
+        """Our own answer where a body was not read: nothing ran, nor will."""
+        if reason is not intake.Reason.NO_ROOM:
+            return aiohttp.web.Response(status=reason.value)
+        tally = self.member.tally
+        tally["no-room"] = tally.get("no-room", 0) + 1
+        sink = answer.Sink(request, b"", self.words, lambda: self.stopping)
+        sink.close(reason.value, "no room for the body", role.COME_BACK)
+        return sink.done.result()
+
+    async def deliver(self, request, reply, until):
+        """Waits until a client has taken its answer, until a while after it waits no more; then it is cut."""
+        try:
+            async with asyncio.timeout(max(DELIVERY, until - kinds.steady()) / 1000):
+                await reply.prepare(request)
+                await reply.write_eof()
+        except TimeoutError:
+            if request.transport is not None:
+                request.transport.abort()
+        except (ConnectionError, RuntimeError):
+            pass
+        return reply
+
     # effects
 
     def step(self, ev):
--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -29,6 +29,8 @@
 }
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 WHOLE = 16 << 20
+LONGEST_EVENT = 1 << 18
+READ_BUFFER = 1 << 16
 CONNECT = 0.4
 SWITCHING = 101
 BODILESS = (204, 304)
@@ -76,6 +78,7 @@
             skip_auto_headers=SKIP,
             max_line_size=16_384,
             max_field_size=32_768,
+            read_bufsize=READ_BUFFER,
         )
 
     async def stop(self):
@@ -159,10 +162,10 @@
             r.close()
             raise Foreign("nobody asked for another protocol")
         if r.status == 421:
-            await self.whole(r)
+            await self.discard(r)
             return Result(Outcome.ABSENT if h.get(w.replica) == e.replica else Outcome.MOVED, 421)
         if w.not_run in h:
-            await self.whole(r)
+            await self.discard(r)
             return Result(Outcome.REFUSED, r.status, f"refused by the replica: {r.status}")
         if h.get("Content-Encoding", "identity").lower() != "identity":
             r.close()
@@ -175,7 +178,7 @@
         if not states_its_end(r):
             r.close()
             raise Foreign("an answer without an end")
-        raw = await self.whole(r)
+        raw = await self.whole(r, sink)
         if r.status >= 500 or r.status in decision.PROMISES:
             sink.keep(e.attempt, r.status, end_to_end(h), raw)
             return Result(Outcome.FAILED, r.status)
@@ -184,16 +187,39 @@
         await sink.whole(r.status, end_to_end(h), raw)
         return Result(Outcome.DONE, r.status)
 
-    async def whole(self, r):
-        """The whole body, or an error if it ends early; what is over WHOLE is no answer."""
+    async def whole(self, r, sink):
+        """The whole body, or an error if it ends early; what is over WHOLE, or finds no room in memory, is no
+        answer. One that states its length waits for its room; the replica is not read for as long."""
+        stated = 0 if r.method == "HEAD" else r.content_length or 0
+        if stated > min(WHOLE, sink.claim.room.bound):
+            r.close()
+            raise Foreign("the answer is too long")
+        before = sink.claim.size
+        try:
+            await sink.claim.wait(stated)
+            return await self.gathered(r, sink.claim, stated)
+        except BaseException:
+            sink.claim.give(sink.claim.size - before)
+            raise
+
+    async def gathered(self, r, claim, stated):
         raw = bytearray()
         async for c in r.content.iter_any():
             raw += c
-            if len(raw) > WHOLE:
+            if len(raw) > WHOLE or len(raw) > stated and not claim.add(len(c)):
                 r.close()
                 raise Foreign("the answer is too long")
         return bytes(raw)
 
+    async def discard(self, r):
+        """Reads a body that is not needed, so that its connection can be used again."""
+        size = 0
+        async for c in r.content.iter_any():
+            size += len(c)
+            if size > WHOLE:
+                r.close()
+                raise Foreign("the answer is too long")
+
     async def stream(self, e, sink, r, progress):
         if not states_its_end(r):
             r.close()
@@ -201,6 +227,9 @@
         async for c in r.content.iter_any():
             progress()
             await sink.part(r.status, r.headers, c)
+            if len(sink.pieces.rest) > LONGEST_EVENT:
+                r.close()
+                raise Foreign("an event without an end")
         await sink.end(r.status, r.headers)
         return Result(Outcome.DONE, r.status)
 
--- a/tests/jumping_loop.py
+++ b/tests/jumping_loop.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import selectors
+import time
 import typing
 
 import basaltport.kinds as kinds
@@ -33,20 +34,26 @@
 
 
 class JumpingLoop(asyncio.SelectorEventLoop):
-    def __init__(self) -> None:
+    """`pace`: virtual seconds that also pass in each real one, for what never falls quiet."""
+
+    def __init__(self, pace: float = 0.0) -> None:
         self.virtual_s = START_S
+        self.pace = pace
+        self.started_s = time.monotonic()
         super().__init__(typing.cast(selectors.BaseSelector, JumpingSelector(self)))
 
     def time(self) -> float:
-        return self.virtual_s
+        return self.virtual_s + self.pace * (time.monotonic() - self.started_s)
 
 
 T = typing.TypeVar("T")
 
 
-def run(job: collections.abc.Callable[[], collections.abc.Coroutine[typing.Any, typing.Any, T]]) -> T:
+def run(
+    job: collections.abc.Callable[[], collections.abc.Coroutine[typing.Any, typing.Any, T]], pace: float = 0.0
+) -> T:
     """The result of a coroutine on a fresh loop; the product's own clock is the loop's for as long."""
-    loop = JumpingLoop()
+    loop = JumpingLoop(pace)
     real = kinds.steady
     kinds.steady = lambda: kinds.Millis(int(loop.time() * 1000))
     try:
--- a/tests/relay_stand.py
+++ b/tests/relay_stand.py
@@ -130,11 +130,13 @@
 
 
 class Front:
-    """A relay's shell on 127.0.0.1, told its replicas and configuration directly; no keeper."""
+    """A relay's shell on 127.0.0.1, told its replicas and configuration directly; no keeper. `settings`: more
+    of them."""
 
-    def __init__(self, replicas, doc=None, timings=None):
+    def __init__(self, replicas, doc=None, timings=None, settings=None):
         self.replicas = replicas
         self.doc = doc or document()
+        self.settings = settings or {}
         self.timings = timings or {"retry_slack": 100, "grace_s": 0.2}
 
     async def __aenter__(self):
@@ -150,6 +152,7 @@
             "listen": "127.0.0.1:0",
             "ready": "127.0.0.1:0",
             "timings": self.timings,
+            **self.settings,
         }
         self.shell = shell.RelayShell(s, W)
         self.task = asyncio.get_running_loop().create_task(self.shell.run())
--- a/tests/test_relay_connections.py
+++ b/tests/test_relay_connections.py
@@ -6,6 +6,7 @@
 import pytest
 
 import basaltport.relay.events as events
+import basaltport.relay.memory as memory
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.upstream as upstream
 import tests.relay_stand as stand
@@ -26,6 +27,7 @@
 
     def __init__(self, request_id):
         self.request_id = request_id
+        self.claim = memory.Claim(memory.Room(memory.MIB))
         self.heads = {W.request_id: request_id} if request_id else {}
 
     def resume(self):
--- /dev/null
+++ b/tests/test_relay_memory.py
@@ -0,0 +1,61 @@
+"""Room in memory: taken at once or waited for in order, and given back whatever happens."""
+
+import asyncio
+
+import pytest
+
+import basaltport.relay.memory as memory
+
+
+def test_a_claim_takes_no_more_than_there_is_and_gives_all_back():
+    room = memory.Room(10)
+    one, two = memory.Claim(room), memory.Claim(room)
+    assert one.add(6) and not two.add(5) and two.add(4) and not one.add(1)
+    one.free()
+    assert room.held == 4 and two.add(6)
+    two.free()
+    two.free()
+    assert room.held == 0
+
+
+def test_who_waits_longest_is_served_first_and_a_small_one_does_not_pass_a_large_one():
+    async def go():
+        room = memory.Room(10)
+        room.take(8)
+        order = []
+
+        async def wait(name, size):
+            await room.wait(size)
+            order.append(name)
+
+        tasks = [asyncio.create_task(wait("large", 6)), asyncio.create_task(wait("small", 1))]
+        await asyncio.sleep(0)
+        assert order == []
+        room.give(8)
+        await asyncio.gather(*tasks)
+        return order, room.held
+
+    assert asyncio.run(go()) == (["large", "small"], 7)
+
+
+@pytest.mark.parametrize("granted", [False, True])
+def test_who_stops_waiting_keeps_nothing(granted):
+    async def go():
+        room = memory.Room(10)
+        room.take(10)
+        task = asyncio.create_task(room.wait(5))
+        await asyncio.sleep(0)
+        if granted:
+            room.give(10)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        if not granted:
+            room.give(10)
+        return room.held
+
+    assert asyncio.run(go()) == 0
+
+
+def test_a_room_is_a_part_of_the_machine_s_memory():
+    assert memory.room_of({"limits": {"memory_mb": 160}}).bound == 160 * memory.MIB // memory.SHARE
+    assert memory.room_of({}).bound == memory.ASSUMED_MB * memory.MIB // memory.SHARE
--- a/tests/test_request_bytes_mutations.py
+++ b/tests/test_request_bytes_mutations.py
@@ -34,7 +34,7 @@
     return await _answer(self, e, sink, r, progress)
 
 
-async def _complete_what_was_cut(self, r):
+async def _complete_what_was_cut(self, r, sink):
     raw = bytearray()
     try:
         async for c in r.content.iter_any():
--- /dev/null
+++ b/tests/test_slow_peers.py
@@ -0,0 +1,108 @@
+"""Peers that send much, take little or never end: memory stays bounded, and who gets no place is told so."""
+
+import asyncio
+
+import tests.relay_stand as stand
+import tests.slow_stand as slow_stand
+
+MIB = slow_stand.MIB
+BOUND = slow_stand.MEMORY_MB * MIB // 2
+"""What requests and answers under way may hold: half of the machine's memory."""
+FEW = 2 * MIB
+
+
+async def never(replica, h, w):
+    """Reads a request and keeps its body no longer than it must; answers nothing."""
+    replica.seen[-1] = (*replica.seen[-1][:2], b"")
+
+
+def large(size):
+    async def script(replica, h, w):
+        w.write(stand.head(h, **{"Content-Length": size}))
+        for _ in range(size // 65536):
+            w.write(bytes(65536))
+            await w.drain()
+
+    return script
+
+
+def endless(piece):
+    async def script(replica, h, w):
+        w.write(stand.head(h, **{"Transfer-Encoding": "chunked"}))
+        while True:
+            w.write(stand.chunk(piece))
+            await w.drain()
+
+    return script
+
+
+def test_bodies_at_the_limit_from_many_at_once_are_bounded_and_the_others_refused_in_plain_words():
+    got = slow_stand.play(never, "/once/x", 80, body=bytes(MIB))
+    assert got.peak < BOUND + FEW
+    refused = [e for e in got.ended if e.status() == 503]
+    assert refused and all("retry-after: " in e.heads() for e in refused)
+    assert {e.status() for e in got.ended} == {503, 504}
+    assert got.arrived == 80 - len(refused), "what was refused went nowhere"
+    assert got.after < FEW
+
+
+def test_a_body_over_the_limit_is_told_so_before_it_is_read():
+    got = slow_stand.play(never, "/once/x", 20, body=bytes(4 * MIB))
+    assert {e.status() for e in got.ended} == {413}
+    assert got.peak < 2 * BOUND and got.after < FEW
+
+
+def test_clients_that_stop_reading_hold_a_bounded_part_and_only_until_their_deadline():
+    stays_ms = 3 * slow_stand.DEADLINE_MS
+    got = slow_stand.play(large(2 * MIB), "/safe/x", 60, reads=False, stays_ms=stays_ms)
+    assert got.peak < BOUND + FEW
+    assert got.open_connections == 0 and got.after < FEW
+
+
+def test_clients_that_read_get_large_answers_whole_though_there_is_room_for_a_few_at_a_time():
+    got = slow_stand.play(large(2 * MIB), "/safe/x", 12)
+    assert {e.status() for e in got.ended} == {200}
+    assert got.peak < BOUND + FEW
+
+
+def test_a_stream_to_slow_readers_waits_for_them_until_their_deadline():
+    stays_ms = 3 * slow_stand.DEADLINE_MS
+    script = endless(b"id: 1\ndata: " + bytes(65536) + b"\n\n")
+    for path in ("/single/x", "/stream/x"):
+        got = slow_stand.play(script, path, 30, reads=False, stays_ms=stays_ms)
+        assert got.peak < BOUND + FEW
+        assert got.open_connections == 0 and got.after < FEW
+
+
+def test_an_answer_without_end_is_given_up():
+    got = slow_stand.play(endless(bytes(65536)), "/once/x", 10)
+    assert {e.status() for e in got.ended} == {502}
+    assert got.peak < BOUND + FEW and got.after < FEW
+
+
+def test_an_event_without_end_is_given_up():
+    got = slow_stand.play(endless(b"data: " + bytes(16384)), "/stream/x", 10)
+    statuses = {e.status() for e in got.ended}
+    assert 502 in statuses and statuses <= {502, 504}, "or its time is over by then"
+    assert got.peak < BOUND + FEW and got.after < FEW
+
+
+def test_a_body_that_stops_coming_is_given_up():
+    """Its client's deadline bounds how long it may take."""
+
+    async def stop(port):
+        r, w = await asyncio.open_connection("127.0.0.1", port)
+        w.write(slow_stand.head("/once/x", MIB) + bytes(1000))
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        async with asyncio.timeout(2 * slow_stand.DEADLINE_MS / 1000):
+            raw = await r.read()
+        w.close()
+        return raw, 1000 * (loop.time() - start)
+
+    async def go():
+        async with stand.Front([stand.Replica("i-1", never)], slow_stand.document()) as front:
+            return await stop(front.port)
+
+    raw, took_ms = slow_stand.jumping_loop.run(go)
+    assert raw.startswith(b"HTTP/1.1 408") and took_ms < 1.2 * slow_stand.DEADLINE_MS + 2500
