--- a/basaltport/relay/answer.py
+++ b/basaltport/relay/answer.py
@@ -8,6 +8,7 @@
 import aiohttp.web
 import multidict
 
+import basaltport.relay.memory as memory
 import basaltport.relay.pieces as pieces
 import basaltport.relay.table as table
 import basaltport.relay.upstream as upstream
@@ -37,8 +38,9 @@
         body: bytes,
         header_names: words.Words,
         closing: collections.abc.Callable[[], bool],
+        claim: memory.Claim,
     ) -> None:
-        """`closing`: whether answers now end their connections."""
+        """`closing`: whether answers now end their connections. `claim`: what its answer holds of memory."""
         self.request = request
         self.method = request.method
         self.path = request.raw_path
@@ -47,6 +49,7 @@
         self.request_id = request.headers.get(header_names.request_id)
         self.words = header_names
         self.closing = closing
+        self.claim = claim
         self.done: asyncio.Future[aiohttp.web.StreamResponse] = asyncio.get_running_loop().create_future()
         self.kept: dict[int, Kept] = {}
         self.reply: aiohttp.web.StreamResponse | None = None
