--- /dev/null
+++ b/basaltport/model/troubles.py
@@ -0,0 +1,303 @@
+"""What schedules do to the model's world, trouble by trouble."""
+
+import typing
+
+import basaltport.consensus.quorum as quorum
+import basaltport.model.schedule as schedule
+import basaltport.model.world as model_world
+
+Trouble = schedule.Trouble
+LEAVE_MS = 100
+STOP_MS = 5000
+REPLACES = {Trouble.REPLACE_NEW_FIRST, Trouble.REPLACE_OLD_FIRST, Trouble.REPLACE_CUT}
+FORGETS = REPLACES | {Trouble.WIPE}
+NO_LOSS = {Trouble.NOTHING, Trouble.PROXY, Trouble.CHANGES}
+UNBEARABLE = {Trouble.LOSS, Trouble.SPLIT}
+HALF_CUT = 2
+ZOMBIE_MS = 10_000
+UP_MS = 4500
+
+
+class Player:
+    """Applies the actions of a schedule; one that its mode forbids is passed over and counted."""
+
+    def __init__(self, world: model_world.World) -> None:
+        """Plays into `world`."""
+        self.world = world
+        self.done: dict[str, int] = {}
+        self.passed = 0
+        self.fresh = 0
+        self.gone: set[str] = set()
+
+    def play(self, action: schedule.Action) -> None:
+        """Waits, then does it unless the mode forbids."""
+        w = self.world
+        w.run(action.wait)
+        slot = w.machines.slot_of(w.leader()) if action.slot == schedule.LEADER else action.slot
+        if not self._allowed(action, slot):
+            self.passed += 1
+            return
+        name = action.trouble.value
+        self.done[name] = self.done.get(name, 0) + 1
+        getattr(self, "_do_" + name.replace("-", "_"))(slot, action)
+
+    def _allowed(self, action: schedule.Action, slot: int) -> bool:
+        w, trouble = self.world, action.trouble
+        if trouble in NO_LOSS:
+            return True
+        node = w.nodes[w.machines[slot].node]
+        if node.member is None or node.frozen:
+            return False
+        if trouble in REPLACES and w.machines[slot].replacing:
+            return False
+        if not w.bearable:
+            return trouble not in FORGETS or self.may_forget(slot)
+        if trouble is Trouble.REPLACE_NEW_FIRST:
+            return not w.machines.lost(w.now)
+        if trouble in UNBEARABLE or trouble is Trouble.REPLACE_CUT and action.choice & HALF_CUT:
+            return False
+        return w.machines.bears(slot, w.now)
+
+    def may_forget(self, slot: int) -> bool:
+        """Whether what a machine holds may be lost, of what the newest roster shows."""
+        w = self.world
+        seats = [w.nodes[m.node].seat for m in w.machines.rows]
+        return w.machines.may_forget(slot, {i for i, s in enumerate(seats) if s not in w.checks.roster})
+
+    def _node_of(self, slot: int) -> str:
+        return self.world.machines[slot].node
+
+    def _for_a_while(self, slot: int, lasts: int, end: typing.Callable[..., object], *args: object) -> None:
+        self.world.machines.hit(slot)
+        self.world.later(lasts, self._over, slot, end, args)
+
+    def _over(self, slot: int, end: typing.Callable[..., object], args: tuple[object, ...]) -> None:
+        end(*args)
+        self.world.machines.over(slot, self.world.now)
+
+    # processes
+
+    def _do_nothing(self, slot: int, action: schedule.Action) -> None:
+        pass
+
+    def _do_kill(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self._node_of(slot))
+        self._for_a_while(slot, action.lasts, self._start, self._node_of(slot))
+
+    def _do_power(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self._node_of(slot), power=True)
+        self._for_a_while(slot, action.lasts, self._start, self._node_of(slot))
+
+    def _do_wipe(self, slot: int, action: schedule.Action) -> None:
+        self.world.kill(self._node_of(slot), disk=True)
+        self.world.machines[slot].amnesia = True
+        self._for_a_while(slot, action.lasts, self._start, self._node_of(slot))
+        self.world.later(action.lasts, self.remembered, slot)
+
+    def remembered(self, slot: int) -> None:
+        """The seat that came without memory is agreed, and no replaced one has a seat."""
+        w = self.world
+        leader = w.leader()
+        roster = set(quorum.voters(w.nodes[leader].member.book)) if leader else set()
+        seats = {w.nodes[m.node].seat for m in w.machines.rows}
+        if w.zombies:
+            w.later(50, self.remembered, slot)
+            return
+        if w.nodes[self._node_of(slot)].seat in roster and roster <= seats:
+            w.machines[slot].amnesia = False
+            return
+        w.later(50, self.remembered, slot)
+
+    def _start(self, name: str) -> None:
+        if self.world.nodes[name].member is None and name not in self.gone:
+            self.world.boot(name)
+
+    def _do_freeze(self, slot: int, action: schedule.Action) -> None:
+        name = self._node_of(slot)
+        self.world.freeze(name)
+        self._for_a_while(slot, action.lasts, self._thaw, name, self.world.nodes[name].life)
+
+    def _thaw(self, name: str, life: int) -> None:
+        if self.world.nodes[name].life == life:
+            self.world.freeze(name, False)
+
+    def _do_stop(self, slot: int, action: schedule.Action) -> None:
+        """In good order, and back after a while."""
+        name = self._node_of(slot)
+        self._stop(name)
+        self._for_a_while(slot, STOP_MS + action.lasts, self._start, name)
+
+    def _stop(self, name: str) -> None:
+        node = self.world.nodes[name]
+        self.world.ask_to_stop(node)
+        self.world.later(LEAVE_MS, self._end_once_released, name, node.life)
+
+    def _end_once_released(self, name: str, life: int) -> None:
+        """The process waits until the others need its vote no more."""
+        node = self.world.nodes[name]
+        if node.life != life:
+            return
+        if node.member.released():
+            self.world.kill(name)
+            return
+        self.world.later(50, self._end_once_released, name, life)
+
+    def _do_jump(self, slot: int, action: schedule.Action) -> None:
+        """Its steady clock goes ahead at once, as after a machine's sleep that no message noticed."""
+        self.world.nodes[self._node_of(slot)].skew += action.lasts
+        self._for_a_while(slot, 1, bool)
+
+    # replacement
+
+    def _successor(self, slot: int, own_name: bool) -> str:
+        """A new machine at another address, under its own or its predecessor's name."""
+        w = self.world
+        w.machines[slot].replacing = True
+        self.fresh += 1
+        name = f"n{self.fresh}"
+        node = w.add(name)
+        if not own_name:
+            node.member_name = w.nodes[self._node_of(slot)].member_name
+        return name
+
+    def _enter(self, slot: int, name: str) -> None:
+        w = self.world
+        w.machines[slot].node = name
+        w.machines[slot].replacing = False
+        w.seeds = sorted(w.nodes[m.node].addr for m in w.machines.rows)[:3]
+        if w.nodes[name].member is None:
+            w.boot(name)
+        self.remembered(slot)
+
+    def _do_replace_new_first(self, slot: int, action: schedule.Action) -> None:
+        """Planned: the new one is up for a while, then the old one stops in order and is gone."""
+        old, new = self._node_of(slot), self._successor(slot, own_name=True)
+        self.world.boot(new)
+        self.world.later(UP_MS + action.lasts, self._relieve, slot, old, new)
+
+    def _relieve(self, slot: int, old: str, new: str) -> None:
+        if not self.world.bearable and not self.may_forget(slot):
+            self.world.later(500, self._relieve, slot, old, new)
+            return
+        self.world.machines[slot].amnesia = True
+        self.gone.add(old)
+        if self.world.nodes[old].member is not None and not self.world.nodes[old].frozen:
+            self._stop(old)
+        self._enter(slot, new)
+
+    def _do_replace_old_first(self, slot: int, action: schedule.Action) -> None:
+        """Unplanned: the old one is gone for good, an empty one comes later."""
+        old = self._node_of(slot)
+        self.gone.add(old)
+        self.world.kill(old, power=True)
+        new = self._successor(slot, own_name=bool(action.choice % 2))
+        self.world.machines[slot].amnesia = True
+        self._for_a_while(slot, action.lasts, self._enter, slot, new)
+
+    def _do_replace_cut(self, slot: int, action: schedule.Action) -> None:
+        """The old one lives on for a while, cut off for good, or with HALF_CUT from the leader and the new
+        one alone; the new one bears its name or its own."""
+        w, old = self.world, self._node_of(slot)
+        leader = w.leader()
+        half = False
+        if action.choice & HALF_CUT and leader and leader != old:
+            half = True
+            w.part_links([(old, leader), (leader, old)])
+            w.zombies.add(old)
+        else:
+            self.isolate(old, both=True)
+            w.retired.add(old)
+        w.machines[slot].amnesia = True
+        new = self._successor(slot, own_name=bool(action.choice % 2))
+        if half:
+            w.part_links([(old, new), (new, old)])
+        self.gone.add(old)
+        self._for_a_while(slot, action.lasts, self._enter, slot, new)
+        w.later(action.lasts + ZOMBIE_MS, self._retire, slot, old)
+
+    def _retire(self, slot: int, name: str) -> None:
+        self.world.kill(name)
+        self.world.zombies.discard(name)
+        self.remembered(slot)
+
+    # links
+
+    def isolate(self, name: str, both: bool, inward: bool = False) -> list[tuple[str, str]]:
+        """Cuts all links from a process, or to it, or both; gives the links."""
+        others = [n for n in self.world.nodes if n != name]
+        out = [] if inward else [(name, n) for n in others]
+        back = [(n, name) for n in others] if both or inward else []
+        self.world.part_links(out + back)
+        return out + back
+
+    def _do_cut(self, slot: int, action: schedule.Action) -> None:
+        self._for_a_while(
+            slot, action.lasts, self.world.join_links, self.isolate(self._node_of(slot), both=True)
+        )
+
+    def _do_cut_in(self, slot: int, action: schedule.Action) -> None:
+        pairs = self.isolate(self._node_of(slot), both=False, inward=True)
+        self._for_a_while(slot, action.lasts, self.world.join_links, pairs)
+
+    def _do_cut_out(self, slot: int, action: schedule.Action) -> None:
+        self._for_a_while(
+            slot, action.lasts, self.world.join_links, self.isolate(self._node_of(slot), both=False)
+        )
+
+    def _do_cut_pair(self, slot: int, action: schedule.Action) -> None:
+        w, name = self.world, self._node_of(slot)
+        others = sorted(n.name for n in w.keepers() if n.name != name)
+        if not others:
+            return
+        other = others[action.choice % len(others)]
+        pairs = [(name, other), (other, name)]
+        w.part_links(pairs)
+        self._for_a_while(slot, action.lasts, self.world.join_links, pairs)
+
+    def _do_split(self, slot: int, action: schedule.Action) -> None:
+        """The leader and every second process on one side, the others on the other."""
+        w = self.world
+        names = sorted(n.name for n in w.keepers())
+        left = {n for i, n in enumerate(names) if (action.choice >> i % 3) & 1} | {self._node_of(slot)}
+        pairs = [(a, b) for a in names for b in names if (a in left) != (b in left)]
+        w.part_links(pairs)
+        w.later(action.lasts, w.join_links, pairs)
+
+    def _do_loss(self, slot: int, action: schedule.Action) -> None:
+        self.world.lossy = 0.2
+        self.world.later(action.lasts, setattr, self.world, "lossy", 0.0)
+
+    # disks
+
+    def _do_slow(self, slot: int, action: schedule.Action) -> None:
+        disk = self.world.nodes[self._node_of(slot)].disk
+        disk.slow = 40
+        self._for_a_while(slot, action.lasts, setattr, disk, "slow", 1)
+
+    def _do_stall(self, slot: int, action: schedule.Action) -> None:
+        name = self._node_of(slot)
+        self.world.stall(name)
+        self._for_a_while(slot, action.lasts, self._flow, name)
+
+    def _flow(self, name: str) -> None:
+        self.world.stall(name, False)
+
+    def _do_full(self, slot: int, action: schedule.Action) -> None:
+        disk = self.world.nodes[self._node_of(slot)].disk
+        disk.full = True
+        self._for_a_while(slot, action.lasts, setattr, disk, "full", False)
+
+    # proxies, operators
+
+    def _do_proxy(self, slot: int, action: schedule.Action) -> None:
+        """One more proxy, or one that starts again with nothing."""
+        name = f"p{action.choice % 2}"
+        if name in self.world.nodes:
+            self.world.kill(name)
+            self.world.boot(name)
+            return
+        self.world.proxy(name)
+
+    def _do_changes(self, slot: int, action: schedule.Action) -> None:
+        for operator in self.world.operators:
+            operator.make(1 + action.choice % 4)
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -185,9 +185,9 @@
         self.emit(events.Close(q.id, 503, why, int(retry_after)))
 
     def drop(self, q):
+        self.release(q)
         self.requests.pop(q.id, None)
-        if self.waiting.pop(q.id, None) and q.arrivals:
-            self.retry_of(q.service).release()
+        self.waiting.pop(q.id, None)
 
     def on_left(self, ev):
         self.parked.pop(ev.request, None)
--- a/tests/test_relay_connections.py
+++ b/tests/test_relay_connections.py
@@ -74,7 +74,7 @@
         """As if all kept connections had been released so long ago."""
         for kept in self.upstream.connector._conns.values():
             for protocol, _ in kept:
-                protocol.released -= seconds
+                protocol.released_s -= seconds
 
     def socket(self):
         return self.writers[-1].transport.get_extra_info("socket")
@@ -114,6 +114,21 @@
     assert run(go()) == ((Outcome.DONE, 1), (Outcome.DONE, 2), (Outcome.DONE, 2))
 
 
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_the_connection_of_a_first_attempt_stays_for_other_requests(repeatable):
+    async def go():
+        async with Direct() as d:
+            await d.go(request_id="same")
+            await d.go(repeatable, request_id="same")
+            (kept,) = d.upstream.connector._conns.values()
+            again = await d.go(repeatable, request_id="same")
+            return len(kept), again, await asyncio.gather(d.go(repeatable), d.go(repeatable))
+
+    kept, again, others = run(go())
+    assert kept == 2 and again == (Outcome.DONE, 3)
+    assert [n for _, n in others] == [3, 3]
+
+
 def test_a_late_refusal_is_not_taken_for_the_answer_of_a_second_attempt():
     ran = []
 
@@ -173,7 +188,7 @@
         async with Direct() as d:
             await asyncio.gather(d.go(), d.go())
             (kept,) = d.upstream.connector._conns.values()
-            kept[0][0].released -= 3
+            kept[0][0].released_s -= 3
             newest = kept[1][0]
             await d.go(False)
             return kept[-1][0] is newest, d.replica.connections
