Each sync and precaution of the disk is seen needed: twenty mutations, each found by the search

A file that was never synced itself may now be lost though its folder was, as the stricter of the platform's two sentences can be read. Folders that were lost take what was in them along, also where they are made again.

--- a/tests/crash_files.py
+++ b/tests/crash_files.py
@@ -49,14 +49,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Inode:
-    """Synced contents; changes of which an earlier loss of power kept some; changes of this life."""
+    """Synced contents; changes of which an earlier loss of power kept some; changes of this life. A file
+    that was never synced itself may be lost though its folder was."""
 
     synced: bytes = b""
+    safe: bool = False
     uncertain: tuple[Change, ...] = ()
     changes: tuple[Change, ...] = ()
 
     def after_power_loss(self) -> "Inode":
-        return Inode(self.synced, self.uncertain + self.changes)
+        return Inode(self.synced, self.safe, self.uncertain + self.changes)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,6 +96,7 @@
         self.uncertain: dict[str, tuple[int | None, ...]] = {}
         self.names: dict[str, tuple[int | None, ...]] = {"/": (FOLDER_MARK,)}
         self.inodes: dict[int, Inode] = {}
+        self.fates: dict[str, int | None] = {}
         self.life = 0
         self.dead = False
         self.operations = 0
@@ -136,11 +139,24 @@
         path = posixpath.normpath(os.fsdecode(path))
         if path in self.uncertain:
             options = list(dict.fromkeys(self.uncertain.pop(path)))
+            if None not in options and any(self.may_be_lost(number) for number in options):
+                options.append(None)
             kept = options[self.choose(len(options))] if len(options) > 1 else options[0]
-            lost = path != "/" and self.value(posixpath.dirname(path)) is None
+            lost = path != "/" and self.was_lost(posixpath.dirname(path))
+            self.fates[path] = None if lost else kept
             self.names[path] = (None if lost else kept,)
+            if self.names[path][0] not in (None, FOLDER_MARK):
+                self.inodes[kept] = dataclasses.replace(self.inodes[kept], safe=True)
         return self.names.get(path, (None,))[-1]
 
+    def was_lost(self, folder: str) -> bool:
+        """Whether the last loss of power took a folder, though it may have been made again since."""
+        self.value(folder)
+        return self.fates.get(folder, FOLDER_MARK) is None
+
+    def may_be_lost(self, number: int) -> bool:
+        return number != FOLDER_MARK and not self.inodes[number].safe
+
     def set_name(self, path: str, value: int | None) -> None:
         path = posixpath.normpath(os.fsdecode(path))
         self.value(path)
@@ -195,7 +211,7 @@
                     outcomes = change.outcomes()
                     kept = outcomes[self.choose(len(outcomes))]
                     content = kept.onto(content) if kept else content
-            inode = self.inodes[number] = Inode(content, (), inode.changes)
+            inode = self.inodes[number] = Inode(content, inode.safe, (), inode.changes)
         return inode
 
     def content(self, number: int) -> bytes:
@@ -223,7 +239,7 @@
                 if posixpath.dirname(path) == target:
                     self.names[path] = values[-1:]
         else:
-            self.inodes[target] = Inode(self.content(target))
+            self.inodes[target] = Inode(self.content(target), safe=True)
         self.after(label)
 
     # handles
@@ -327,63 +343,3 @@
         if data:
             self.files.change(self.number, Change(self.at, data), label)
         self.at += len(data)
-
-
-class System:
-    """Stands in for the module `os`, and with its `open` for `io`, on the files that are set."""
-
-    O_RDONLY = os.O_RDONLY
-    error = OSError
-    fsencode = staticmethod(os.fsencode)
-
-    def __init__(self) -> None:
-        self.files = Files()
-        self.path = Paths(self)
-
-    def open(self, path: str, flags: int) -> int:
-        return self.files.open_descriptor(path, flags)
-
-    def close(self, descriptor: int) -> None:
-        pass
-
-    def fsync(self, descriptor: int) -> None:
-        self.files.fsync(descriptor)
-
-    def rename(self, old: str, new: str) -> None:
-        self.files.rename(old, new)
-
-    def remove(self, path: str) -> None:
-        self.files.remove(path)
-
-    unlink = remove
-
-    def listdir(self, folder: str) -> list[str]:
-        return self.files.listdir(folder)
-
-    def makedirs(self, path: str, exist_ok: bool = False) -> None:
-        self.files.makedirs(path, exist_ok)
-
-
-class Paths:
-    join = staticmethod(posixpath.join)
-    dirname = staticmethod(posixpath.dirname)
-    abspath = staticmethod(posixpath.normpath)
-
-    def __init__(self, system: System) -> None:
-        self.system = system
-
-    def exists(self, path: str) -> bool:
-        return self.system.files.value(path) is not None
-
-    def isdir(self, path: str) -> bool:
-        return self.system.files.value(path) == FOLDER_MARK
-
-
-class Streams:
-    """Stands in for the module `io` where dbm.dumb uses it, and for the built-in `open`."""
-
-    def __init__(self, system: System) -> None:
-        self.system = system
-
-    def open(self, *given: typing.Any, **named: typing.Any) -> typing.IO:
-        return self.system.files.open(*given, **named)
--- a/tests/crash_states.py
+++ b/tests/crash_states.py
@@ -17,6 +17,7 @@
 import basaltport.consensus.write_ahead_log as write_ahead_log
 import basaltport.kinds as kinds
 import tests.crash_files as crash_files
+import tests.crash_system as crash_system
 
 FOLDER = "/state"
 FOLDER_OF_FORMAT_1 = {
@@ -29,8 +30,8 @@
 MODULES = (durable_files, journal, member_identity, snapshot_store, write_ahead_log)
 
 
-SYSTEM = crash_files.System()
-STREAMS = crash_files.Streams(SYSTEM)
+SYSTEM = crash_system.System()
+STREAMS = crash_system.Streams(SYSTEM)
 
 
 @contextlib.contextmanager
@@ -234,13 +235,12 @@
 
 def folder_of_format_1(founders: tuple[str, ...] | None) -> crash_files.Files:
     """What the program before this format left: a promise and an entry in frames of their own."""
-    files = crash_files.Files()
+    files = ready()
     contents = dict(FOLDER_OF_FORMAT_1)
     if founders is not None:
         contents["founders"] = json.dumps(founders).encode()
     contents["journal.1"] = record_framing.encode(promise(1)) + record_framing.encode(entry(1, 1))
     with on(files):
-        files.makedirs(FOLDER)
         snapshot_store.write(FOLDER, 1, snapshot_store.empty())
         for name, content in contents.items():
             path = f"{FOLDER}/{name}"
@@ -248,7 +248,6 @@
                 file.write(content)
             durable_files.sync(path)
         durable_files.sync(FOLDER)
-        durable_files.sync("/")
     files.operations = 0
     return files
 
@@ -256,9 +255,16 @@
 Script = typing.Callable[[Session], None]
 
 
+def ready(**options: typing.Any) -> crash_files.Files:
+    """An empty folder, as it is given to a member."""
+    files = crash_files.Files(**options)
+    files.names[FOLDER] = (crash_files.FOLDER_MARK,)
+    return files
+
+
 def play(script: Script, files: crash_files.Files | None = None, **more: typing.Any) -> Session:
     """A script from an empty folder on; a process that is killed in it just ends."""
-    session = Session(files or crash_files.Files(), **more)
+    session = Session(files or ready(), **more)
     with on(session.files):
         with contextlib.suppress(crash_files.Killed):
             script(session)
--- /dev/null
+++ b/tests/test_crash_mutations.py
@@ -0,0 +1,178 @@
+"""Each sync and each precaution of the disk is needed: without it, a search over losses of power finds a
+fault."""
+
+import os
+import unittest.mock
+
+import pytest
+
+import basaltport.consensus.durable_files as durable_files
+import basaltport.consensus.journal as journal
+import basaltport.consensus.member_identity as member_identity
+import basaltport.consensus.record_framing as record_framing
+import basaltport.consensus.snapshot_store as snapshot_store
+import basaltport.consensus.write_ahead_log as write_ahead_log
+import tests.crash_scripts as scripts
+
+Log = write_ahead_log.WriteAheadLog
+Disk = journal.Disk
+_sync, _open, _prepare, _reopen = durable_files.sync, Disk.open, Disk._prepare, Log.reopen
+
+
+def _no_sync(self):
+    pass
+
+
+def _without_sync_of(folder_of, inner):
+    """A method in which the folder is not synced."""
+
+    def method(self, *given):
+        skip = folder_of(self)
+        with unittest.mock.patch.object(durable_files, "sync", lambda path: path == skip or _sync(path)):
+            return inner(self, *given)
+
+    return method
+
+
+def _open_without_sync(self, fresh):
+    synced = []
+
+    def sync(path):
+        if path != self.folder or synced:
+            _sync(path)
+        synced.append(path)
+
+    with unittest.mock.patch.object(durable_files, "sync", sync):
+        return _open(self, fresh)
+
+
+def _rename_only(path):
+    durable_files.os.rename(path + durable_files.NEW, path)
+
+
+def _append_unsynced(self, frames):
+    self.file.write(record_framing.encode_batch(frames))
+
+
+def _create_unsynced(folder, number):
+    return Log(write_ahead_log.open(write_ahead_log._path(folder, number), "w+b", buffering=0))
+
+
+def _reopen_unsynced(folder, number, length):
+    with unittest.mock.patch.object(Log, "sync", _no_sync):
+        return _reopen(folder, number, length)
+
+
+def _reopen_uncut(folder, number, length):
+    file = write_ahead_log.open(write_ahead_log._path(folder, number), "r+b", buffering=0)
+    file.seek(0, os.SEEK_END)
+    return Log(file)
+
+
+def _manifest_unsynced(path, content):
+    with durable_files.open(path + durable_files.NEW, "wb") as file:
+        file.write(content)
+
+
+def _manifest_in_place(path, content):
+    with durable_files.open(path, "wb") as file:
+        file.write(content)
+        file.flush()
+        durable_files.os.fsync(file.fileno())
+
+
+def _same_number_again(self, state):
+    self.last_number = self.number
+    _switch(self, state)
+
+
+_switch = Disk.switch
+
+
+def _old_files_go_first(self, number, state):
+    log = _prepare(self, number, state)
+    self._remove(self._generation_files(lambda other: other == self.number))
+    return log
+
+
+def _takes_broken(self, records, whole):
+    if whole is not None:
+        self.switch(whole)
+    if records:
+        self.log.append([journal.encode(r) if type(r) is dict else r for r in records])
+
+
+def _forgets_founders(self, number):
+    identity = member_identity.Identity(self.identity.seat)
+    return member_identity.Manifest(self.name, number, identity)
+
+
+def _seat_of_this_start(folder, member):
+    return _load(folder, member).map(lambda m: m and member_identity.Manifest(m.member, m.number, None))
+
+
+_load = member_identity.load
+
+
+def _make_folder_unsynced(path):
+    if path != "/":
+        _make_folder_unsynced(os.path.dirname(path))
+    durable_files.os.makedirs(path, exist_ok=True)
+
+
+def _ignore(*given):
+    pass
+
+
+def cuts():
+    for script in (scripts.first_start, scripts.appends, scripts.switches):
+        scripts.lost_at_every_cut(script)
+
+
+def again():
+    scripts.lost_again(scripts.opened_first(scripts.appends), scripts.promise_and_switch)
+
+
+def switch_again():
+    scripts.lost_again(scripts.opened_first(scripts.one_switch), scripts.promise_and_switch)
+
+
+def killed():
+    scripts.killed_everywhere(scripts.switches)
+
+
+def refused():
+    scripts.refused_everywhere(5)
+
+
+CASES = [
+    ("no sync of the folder before the rename", cuts, Disk, "_prepare", None),
+    ("no sync of the folder after the rename", cuts, durable_files, "commit", _rename_only),
+    ("no sync of the folder by a start", killed, Disk, "open", _open_without_sync),
+    ("log not synced before `current`", cuts, Log, "create", staticmethod(_create_unsynced)),
+    ("snapshot data not synced", cuts, snapshot_store, "SYNCED", ("dir",)),
+    ("snapshot index not synced", cuts, snapshot_store, "SYNCED", ("dat",)),
+    ("promise acknowledged before its sync", cuts, Log, "append", _append_unsynced),
+    ("identity kept without sync", cuts, durable_files, "prepare", _manifest_unsynced),
+    ("`current` written in place", cuts, durable_files, "prepare", _manifest_in_place),
+    ("log not synced by a start", killed, Log, "reopen", staticmethod(_reopen_unsynced)),
+    ("torn tail not cut", again, Log, "reopen", staticmethod(_reopen_uncut)),
+    ("number used twice", refused, Disk, "switch", _same_number_again),
+    ("log trusted after a failure", refused, Disk, "write", _takes_broken),
+    ("old files removed before the rename", cuts, Disk, "_prepare", _old_files_go_first),
+    ("records of a batch framed singly", cuts, record_framing, "encode_batch", b"".join),
+    ("a leftover name is written through", switch_again, durable_files, "clear", _ignore),
+    ("files of a failed switch kept", scripts.nearly_full, Disk, "_remove", _ignore),
+    ("folder above not synced", scripts.folder_made, durable_files, "make_folder", _make_folder_unsynced),
+    ("founders forgotten", cuts, Disk, "_manifest", _forgets_founders),
+    ("seat of this start", cuts, member_identity, "load", _seat_of_this_start),
+]
+
+
+@pytest.mark.parametrize("search, holder, name, broken", [c[1:] for c in CASES], ids=[c[0] for c in CASES])
+def test_a_missing_precaution_is_found(monkeypatch, search, holder, name, broken):
+    if broken is None:
+        broken = _without_sync_of(lambda disk: disk.folder, _prepare)
+    monkeypatch.setattr(holder, name, broken)
+    with pytest.raises((AssertionError, OSError)):
+        search()
