--- a/basaltport/simulation/world/virtual_disk.py
+++ b/basaltport/simulation/world/virtual_disk.py
@@ -88,11 +88,11 @@
             self.safe += self._torn(frames[kept])
 
     def _torn(self, raw: bytes) -> bytes:
-        """A prefix, or zeros where the beginning should be: in either case the frame is not whole."""
-        cut = self.rng.randrange(0, max(1, len(raw)))
+        """Nothing, a prefix or all of it, or zeros where the beginning should be."""
+        cut = self.rng.randrange(0, len(raw) + 1)
         if self.rng.random() < 0.5:
             return raw[:cut]
-        return bytes(cut) + raw[cut:] if cut else b""
+        return bytes(cut) + raw[cut:]
 
     def load(self) -> result.Result[tuple[dict[str, typing.Any], kinds.Generation], str]:
         """As a start reads it: Ok((held, promised)) or Err. The cut log can be appended to again."""
