--- a/basaltport/relay/events.py
+++ b/basaltport/relay/events.py
@@ -3,11 +3,10 @@
 import dataclasses
 
 import basaltport.kinds as kinds
+import basaltport.relay.outcomes as outcomes
 
-_d = dataclasses.dataclass(slots=True)
 
-
-@_d
+@dataclasses.dataclass(slots=True)
 class Arrived:
     """A client's request, read and whole. `deadline`: ms that the client waits, or -1."""
 
@@ -21,7 +20,7 @@
     prefix: str = ""
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Left:
     """The client went away."""
 
@@ -29,7 +28,14 @@
     request: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
+class Finish:
+    """The process is about to end: every request that is still here gets its end."""
+
+    now: kinds.Millis
+
+
+@dataclasses.dataclass(slots=True)
 class Progress:
     """First bytes, or more of them, came from a replica for an attempt."""
 
@@ -37,26 +43,16 @@
     attempt: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Ended:
-    """An attempt ended.
-
-    done: the whole answer went to the client. refused: the replica says that it never ran. absent: so, as
-    it does not hold the item. moved: another replica has the address. unsent: no byte of it went out.
-    failed: a whole answer of failure, kept by the shell, not passed on. broken: lost after it was sent,
-    nothing passed on. cut: lost after a part was passed on; `resumes`: whether it can be taken up. late: the
-    time is over. gone: the client takes no more.
-    """
+    """An attempt ended; see `outcomes.Result` for what is told of it."""
 
     now: kinds.Millis
     attempt: int
-    outcome: str
-    status: int = 0
-    detail: str = ""
-    resumes: bool = False
+    result: outcomes.Result
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Attempt:
     """Send a request to a replica. `left`: ms until the client gives up."""
 
@@ -69,7 +65,7 @@
     repeatable: bool
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Close:
     """The final word of our own: nothing else goes to this client. `ran`: it may have run."""
 
@@ -79,7 +75,7 @@
     retry_after: int = 0
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Pass:
     """Pass on the kept answer of failure of an attempt as it is."""
 
@@ -87,14 +83,14 @@
     attempt: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Cut:
     """End the client's connection: a part of an answer is out and cannot be completed."""
 
     request: int
 
 
-@_d
+@dataclasses.dataclass(slots=True)
 class Abort:
     """Stop an attempt; its end is still told."""
 
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -4,6 +4,7 @@
 import basaltport.kinds as kinds
 import basaltport.member as member
 import basaltport.relay.attempts as attempts
+import basaltport.relay.decision as decision
 import basaltport.relay.events as events
 import basaltport.relay.pick as pick
 import basaltport.relay.readiness as readiness
@@ -24,6 +25,7 @@
 COME_BACK = 1000
 BOUND = 2000
 ASSUMED = 16
+ENDING = "this proxy ends"
 
 
 class Relay(
@@ -48,6 +50,7 @@
         self.tally = {}
         self.used = {}
         self.stopped = False
+        self.ending = False
         self.readiness_start()
         self.attempts_start()
         self.pick_start()
@@ -78,6 +81,9 @@
     # requests
 
     def on_arrived(self, ev):
+        if self.ending:
+            self.emit(events.Close(ev.request, 503, ENDING, attempts.SOON))
+            return
         if self.table.empty or not self.rows:
             self.park(ev)
             return
@@ -171,7 +177,7 @@
 
     def refuse(self, q, why, retry_after):
         """Given up: a promise where it never ran; else no more than its end."""
-        if q.ran:
+        if decision.give_up(q.begun, q.ran) is not decision.Move.REFUSE:
             self.fail(q, 504, why)
             return
         self.drop(q)
@@ -179,12 +185,10 @@
         self.emit(events.Close(q.id, 503, why, int(retry_after)))
 
     def drop(self, q):
+        self.release(q)
         self.requests.pop(q.id, None)
         self.waiting.pop(q.id, None)
 
-    def finish(self, q):
-        self.drop(q)
-
     def on_left(self, ev):
         self.parked.pop(ev.request, None)
         q = self.requests.get(ev.request)
@@ -192,7 +196,7 @@
             return
         self.drop(q)
         if q.run and q.run.id in self.runs:
-            q.run.aborted = "gone"
+            q.run.aborted = request.Aborted.CLIENT_LEFT
             self.emit(events.Abort(q.run.id))
 
     def on_tick(self, ev):
@@ -223,3 +227,15 @@
 
     def on_stop(self, ev):
         self.stopped = True
+
+    def on_finish(self, ev):
+        """What waits is refused; attempts under way are stopped, and their ends tell what may be promised."""
+        self.ending = True
+        for request_id in self.parked:
+            self.emit(events.Close(request_id, 503, ENDING, attempts.SOON))
+        self.parked = {}
+        for q in list(self.waiting.values()):
+            self.refuse(q, ENDING, attempts.SOON)
+        for q in self.requests.values():
+            q.run.aborted = request.Aborted.PROCESS_ENDS
+            self.emit(events.Abort(q.run.id))
