The wait before the first vote counts from the beginning of the process

Change: the process notes the steady clock before it imports the rest; its machine's former process was over by then, and so was whatever it acknowledged.

--- a/basaltport/keeper/role.py
+++ b/basaltport/keeper/role.py
@@ -30,13 +30,16 @@
     member.Member,
 ):
     """`placement`: as `placement.machine.Placement`; `lease_ms`: how long a replica is left alone between the
-    orders of two executors."""
+    orders of two executors; `began`: when the process began, after the end of its machine's last one."""
 
     TICKS = ("tick_disk", "tick_hello", "tick_elect", "tick_lead", "tick_desk", "tick_duties", "tick_place")
     durable = True
 
-    def __init__(self, me, seed, now, held=None, promised=seat.NONE, placement=None, lease_ms=LEASE):
+    def __init__(
+        self, me, seed, now, held=None, promised=seat.NONE, placement=None, lease_ms=LEASE, began=None
+    ):
         member.Member.__init__(self, me, seed, now)
+        self.began = now if began is None else began
         self.placement = machine.Placement(self.rng) if placement is None else placement
         self.placement.hold_ms = HOLD
         self.placement.may_order = self.may_order
--- a/basaltport/keeper/shell.py
+++ b/basaltport/keeper/shell.py
@@ -18,6 +18,7 @@
 import basaltport.logs as logs
 import basaltport.member as member
 import basaltport.shell as shell
+import basaltport.started as started
 import basaltport.wires as wires
 
 TICK = 0.05
@@ -101,7 +102,13 @@
         lease = s.get("timings", {}).get("lease_ms", role.LEASE)
         seed = random.SystemRandom().getrandbits(64)
         self.member = role.Keeper(
-            self.me, seed, kinds.steady(), recovered.held, recovered.promised, lease_ms=lease
+            self.me,
+            seed,
+            kinds.steady(),
+            recovered.held,
+            recovered.promised,
+            lease_ms=lease,
+            began=kinds.Millis(started.AT_MS),
         )
         g, n = self.member.head()
         logs.note(20, {"serial": int(n), "generation": g.text(), "seat": self.me.seat})
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Changes of the roster: members replaced while they live, losses beside a change, leases across restarts."""
 
+import pathlib
+
 import pytest
 
 import basaltport.consensus.book as book
@@ -11,6 +13,7 @@
 import basaltport.kinds as kinds
 import basaltport.member as member
 import basaltport.messages as messages
+import basaltport.started as started
 import tests.keepers as keepers
 
 others = keepers.others
@@ -211,3 +214,19 @@
     assert quorum.has_majority(b, {"a", "c", "c2"})
     del b["former"]
     assert quorum.has_majority(b, {"b", "c2"})
+
+
+def test_the_wait_for_an_old_lease_counts_from_the_beginning_of_the_process():
+    w = world(1, 3)
+    n = w.nodes[others(w)[0]]
+    held, promised = n.disk.load().ok_value
+    for began, votes in ((w.now, False), (w.now - timing.VOTE_REFUSAL, True)):
+        keeper = role.Keeper(n.member.me, 7, w.now, held, promised, w.placement(), began=began)
+        assert keeper.may_vote() is votes
+
+
+def test_programs_note_when_they_began_before_they_import_the_rest():
+    began = kinds.Millis(started.AT_MS)
+    assert 0 < began <= kinds.steady()
+    text = (pathlib.Path(__file__).parent.parent / "platform" / "run.py").read_text()
+    assert text.index("import basaltport.started") < text.index("import asyncio")
