--- a/basaltport/consensus/snapshot_store.py
+++ b/basaltport/consensus/snapshot_store.py
@@ -16,6 +16,7 @@
 BOOK = "book/"
 CHECKSUMS = "sum"
 SYNCED = ("dat", "dir")
+ALL_FILES = ("dat", "dir", "bak")
 
 State = dict[str, typing.Any]
 
@@ -50,11 +51,14 @@
 
 
 def write(folder: str, number: int, state: State) -> None:
-    """Write and sync the files of a snapshot; their names are safe once the folder is synced."""
+    """Write and sync the files of a snapshot; their names are safe once the folder is synced. Leftovers are
+    removed here, since dbm.dumb goes on with an index whose removal was refused."""
     values = parts(state)
     checksums = {key: zlib.crc32(value) for key, value in values.items()}
     values[CHECKSUMS] = json.dumps(checksums).encode()
     path = _path(folder, number)
+    for extension in ALL_FILES:
+        durable_files.clear(f"{path}.{extension}")
     with Database(path, "n") as database:
         for key, value in values.items():
             database[key] = value
--- a/tests/crash_files.py
+++ b/tests/crash_files.py
@@ -101,6 +101,7 @@
         self.dead = False
         self.operations = 0
         self.kill_at: int | None = None
+        self.kill_before: list[str] = []
         self.refused: range = range(0)
         self.after: typing.Callable[[str], None] = lambda label: None
         self.descriptors: dict[int, str | int] = {}
@@ -121,11 +122,14 @@
 
     def restart(self) -> None:
         """A new process on what the ended one left, synced or not."""
-        self.dead, self.kill_at = False, None
+        self.dead, self.kill_at, self.kill_before = False, None, []
         self.life += 1
 
     def operate(self, label: str) -> None:
         """Called before each operation that changes something."""
+        if self.kill_before and label.startswith(self.kill_before[0]):
+            self.kill_before.pop(0)
+            self.dead = not self.kill_before
         if self.dead or self.operations == self.kill_at:
             self.dead = True
             raise Killed
--- a/tests/crash_scripts.py
+++ b/tests/crash_scripts.py
@@ -114,6 +114,35 @@
     return tally
 
 
+def leftover_and_refused(start, length):
+    def script(session):
+        session.open()
+        session.append(promise(1), entry(1, 1), entry(2, 1), entry(3, 1))
+        session.files.kill_before = ["rename /state/current.new"]
+        try:
+            session.switch()
+        except crash_files.Killed:
+            session.kill()
+        session.open()
+        first = session.files.operations + start
+        session.files.refused = range(first, first + length)
+        session.append(entry(4, 1))
+        session.switch(entry(5, 5))
+        while session.failed:
+            session.switch()
+
+    return opened_first(script)
+
+
+def refused_beside_leftovers(length):
+    """As refusals from every operation on, where files of an interrupted switch have the names of the next
+    one."""
+    tally = crash_states.Tally()
+    for start in range(40):
+        crash_states.check(crash_states.play(leftover_and_refused(start, length)), tally=tally)
+    return tally
+
+
 def nearly_full():
     """The disk holds two snapshots and a bit: however often a third is tried, those in force stay whole and
     the next switch finds room once there is some."""
--- a/tests/crash_states.py
+++ b/tests/crash_states.py
@@ -91,6 +91,8 @@
         manifest = {"edition": self.serial, "text": "x" * 40}
         changes = {f"c{self.serial}": self.serial}
         b = {"serial": self.serial, "manifest": manifest, "changes": changes}
+        if self.serial % 2:
+            b["slices"] = {}
         tail = [entry(*held)["entry"] for held in self.tail]
         return {"book": b, "tail": tail, "promised": [self.promised, "n" if self.promised else ""]}
 
--- a/tests/test_crash.py
+++ b/tests/test_crash.py
@@ -35,6 +35,11 @@
     print(scripts.refused_everywhere(length))
 
 
+@pytest.mark.parametrize("length", [1, 3])
+def test_the_disk_refuses_operations_where_an_interrupted_switch_left_files(length):
+    print(scripts.refused_beside_leftovers(length))
+
+
 def test_after_a_refused_switch_room_is_given_back():
     print(scripts.nearly_full())
 
--- a/tests/test_crash_mutations.py
+++ b/tests/test_crash_mutations.py
@@ -143,6 +143,10 @@
     scripts.killed_everywhere(scripts.switches)
 
 
+def refused_beside_leftovers():
+    scripts.refused_beside_leftovers(1)
+
+
 def refused():
     scripts.refused_everywhere(5)
 
@@ -179,6 +183,14 @@
     ),
     ("records of a batch framed singly", "bad record", cuts, record_framing, "encode_batch", b"".join),
     ("a leftover name is written through", "garbled", switch_again, durable_files, "clear", _ignore),
+    (
+        "leftovers of a snapshot left to dbm.dumb",
+        "checksum differs",
+        refused_beside_leftovers,
+        snapshot_store,
+        "ALL_FILES",
+        (),
+    ),
     ("files of a failed switch kept", "room", scripts.nearly_full, Disk, "_remove", _ignore),
     (
         "folder above not synced",
--- a/tests/test_crash_random.py
+++ b/tests/test_crash_random.py
@@ -6,7 +6,16 @@
 import tests.crash_files as crash_files
 import tests.crash_states as crash_states
 
-STEPS = ("promise", "entries", "switch", "mixed", "refuse", "kill", "power", "power")
+STEPS = ("promise", "entries", "switch", "mixed", "refuse", "kill", "kill early", "power", "power")
+MOMENTS = (
+    ["write"],
+    ["sync"],
+    ["sync", "sync"],
+    ["rename"],
+    ["rename", "sync"],
+    ["rename", "remove"],
+    ["cut"],
+)
 
 
 class Life:
@@ -33,6 +42,8 @@
             session.files.refused = range(start, start + 1 + self.choose(6))
         elif name == "kill":
             session.files.kill_at = session.files.operations + self.choose(60)
+        elif name == "kill early":
+            session.files.kill_before = list(self.data.draw(st.sampled_from(MOMENTS)))
         elif name == "power":
             self.lose_power()
         else:
