--- a/basaltport/relay/needs.py
+++ b/basaltport/relay/needs.py
@@ -63,7 +63,7 @@
         """What is known of a replica."""
         ...
 
-    def holders(self, service: str, item: kinds.Item) -> collections.abc.Sequence[kinds.ReplicaId]:
+    def holders(self, service: str, item: str) -> collections.abc.Sequence[kinds.ReplicaId]:
         """Replicas that hold an item."""
         ...
 
--- a/basaltport/relay/pick.py
+++ b/basaltport/relay/pick.py
@@ -1,129 +1,163 @@
 """Which replica a request goes to: usable ones that hold its item, the near and little used first."""
 
+import collections.abc
+import typing
+
 import basaltport.failure_detection.duties as duties
+import basaltport.kinds as kinds
 import basaltport.relay.budget as budget
 import basaltport.relay.health as health
+import basaltport.relay.needs as needs
+import basaltport.relay.request as request
 
 FAR = 0.3
 KNEE = 16
 FAILED = 0.5
 SLOW = 0.3
+SLOW_TIMES = 2
 LEAN = 0.12
 AFFINE = 1000
+TRIED = 10
+MOST_SLOWNESS = 2.0
+DRAW = 0.01
 DEFAULT_SLOTS = 8
+LEAST_CAP = 4
+UNBOUNDED = 10**6
+
+Row = needs.Row
+
+if typing.TYPE_CHECKING:
+    Needs = needs.RelayNeeds
+else:
+    Needs = object
 
 
-class PickMixin:
-    """Needs Relay. An item of "" stands for the whole service."""
+class PickMixin(Needs):
+    """An item of "" stands for the whole service."""
 
-    def pick_start(self):
-        self.health = {}
-        self.indexed = None
-        self.by_item = {}
+    def pick_start(self) -> None:
+        """No replicas yet."""
+        self.health: dict[kinds.ReplicaId, health.Health] = {}
+        self.indexed: dict[kinds.ReplicaId, Row] | None = None
+        self.by_item: dict[tuple[str, str], list[kinds.ReplicaId]] = {}
 
-    def rows_changed(self, ids):
-        for r in [r for r in self.health if r not in self.rows and not self.health[r].running]:
-            del self.health[r]
-        for r in ids:
-            row = self.rows.get(r)
+    def rows_changed(self, ids: collections.abc.Iterable[kinds.ReplicaId]) -> None:
+        """Rows of these ids came, changed or went."""
+        for replica in [r for r in self.health if r not in self.rows and not self.health[r].running]:
+            del self.health[replica]
+        for replica in ids:
+            row = self.rows.get(replica)
             if row and row.get("cold_ms"):
-                self.health_of(r).cold_until = self.now + row["cold_ms"]
-            if row and r in self.health:
-                h = self.health[r]
-                h.absent = {i: t for i, t in h.absent.items() if t > self.now}
+                self.health_of(replica).cold_until = kinds.Millis(self.now + row["cold_ms"])
+            if row and replica in self.health:
+                known = self.health[replica]
+                known.absent = {i: t for i, t in known.absent.items() if t > self.now}
         self.unpark()
         self.pump()
 
-    def holders(self, service, item):
+    def holders(self, service: str, item: str) -> collections.abc.Sequence[kinds.ReplicaId]:
         """Ids of the replicas that hold an item, by the rows as they are now."""
         if self.indexed is not self.rows:
             self.index()
         return self.by_item.get((service, item), ())
 
-    def index(self):
-        self.indexed, out = self.rows, {}
-        for r, row in self.rows.items():
-            out.setdefault((row["service"], ""), []).append(r)
-            for m, adapters in row["models"].items():
-                out.setdefault((row["service"], m), []).append(r)
-                for a in adapters:
-                    out.setdefault((row["service"], f"{m}/{a}"), []).append(r)
-        self.by_item = out
-
-    def health_of(self, r):
-        h = self.health.get(r)
-        if h is None:
-            h = self.health[r] = health.Health(budget.Cold())
-        return h
-
-    def slots_of(self, row):
-        s = self.table.services.get(row["service"])
-        return row.get("slots") or (s.slots if s else 0) or DEFAULT_SLOTS
-
-    def cap(self, row):
+    def index(self) -> None:
+        """Replicas by service and item, anew."""
+        out: dict[tuple[str, str], list[kinds.ReplicaId]] = {}
+        for replica, row in self.rows.items():
+            service = row["service"]
+            out.setdefault((service, ""), []).append(replica)
+            for model, adapters in row["models"].items():
+                out.setdefault((service, model), []).append(replica)
+                for adapter in adapters:
+                    out.setdefault((service, f"{model}/{adapter}"), []).append(replica)
+        self.indexed, self.by_item = self.rows, out
+
+    def health_of(self, replica: kinds.ReplicaId) -> health.Health:
+        """What is known of a replica."""
+        known = self.health.get(replica)
+        if known is None:
+            known = self.health[replica] = health.Health(budget.Cold())
+        return known
+
+    def slots_of(self, row: Row) -> int:
+        """How many requests a replica works on at once."""
+        service = self.table.services.get(row["service"])
+        return row.get("slots") or (service.slots if service else 0) or DEFAULT_SLOTS
+
+    def cap(self, row: Row) -> int:
         """How many attempts of this node a replica may run: twice an even share, at least four."""
-        return max(4, 2 * self.slots_of(row) // max(1, self.peers() // max(1, self.zones)))
-
-    def cold_share(self, r, row):
-        s = self.table.services.get(row["service"])
-        if s is None or not s.cold_rate:
-            return 10**6
-        total = s.cold_rate * self.timings["cold_excess"] + self.timings["cold_slack"]
-        return budget.Cold.share(total, self.peers(), self.me.name, r)
-
-    def open(self, r, row):
+        nodes = max(1, self.peers() // max(1, self.zones))
+        return max(LEAST_CAP, 2 * self.slots_of(row) // nodes)
+
+    def cold_share(self, replica: kinds.ReplicaId, row: Row) -> int:
+        """Requests that this node may send a cold replica in a second."""
+        service = self.table.services.get(row["service"])
+        if service is None or not service.cold_rate:
+            return UNBOUNDED
+        total = service.cold_rate * self.timings["cold_excess"] + self.timings["cold_slack"]
+        return budget.Cold.share(total, self.peers(), self.me.name, replica)
+
+    def open(self, replica: kinds.ReplicaId, row: Row) -> bool:
         """Whether new requests may go there at all."""
         if row["state"] != "ready" or row["zone"] in self.book["drains"]:
             return False
-        h = self.health.get(r)
-        return h is None or not h.dead
+        known = self.health.get(replica)
+        return known is None or not known.dead
 
-    def usable(self, q):
-        return [r for r in self.holders(q.service, q.item) if self.fits(q, r)]
+    def usable(self, waiting: request.Request) -> list[kinds.ReplicaId]:
+        """Replicas that a request may go to now."""
+        return [r for r in self.holders(waiting.service, waiting.item) if self.fits(waiting, r)]
 
-    def held(self, q):
+    def held(self, waiting: request.Request) -> bool:
         """Whether a replica that is open holds the item, free or not."""
-        for r in self.holders(q.service, q.item):
-            h = self.health.get(r)
-            if self.open(r, self.rows[r]) and (
-                h is None or not h.lacks(q.item, self.now) and self.now >= h.down
-            ):
+        for replica in self.holders(waiting.service, waiting.item):
+            if not self.open(replica, self.rows[replica]):
+                continue
+            known = self.health.get(replica)
+            if known is None or not known.lacks(waiting.item, self.now) and self.now >= known.down:
                 return True
         return False
 
-    def fits(self, q, r):
-        row = self.rows[r]
-        if not self.open(r, row) or r not in q.sent_to and not q.spare():
+    def fits(self, waiting: request.Request, replica: kinds.ReplicaId) -> bool:
+        """Whether a request may go to a replica now."""
+        row = self.rows[replica]
+        if not self.open(replica, row):
             return False
-        h = self.health_of(r)
-        if self.now < h.down or h.lacks(q.item, self.now) or h.running >= self.cap(row):
+        if replica not in waiting.sent_to and not waiting.spare():
             return False
-        if self.now < h.cold_until and not h.cold.room(self.now, self.cold_share(r, row)):
+        known = self.health_of(replica)
+        if self.now < known.down or known.lacks(waiting.item, self.now) or known.running >= self.cap(row):
             return False
-        return True
-
-    def pick(self, q):
-        best, score = None, None
-        for r in self.usable(q):
-            s = self.score(q, r)
-            if score is None or s < score:
-                best, score = r, s
+        if self.now >= known.cold_until:
+            return True
+        return known.cold.room(self.now, self.cold_share(replica, row))
+
+    def pick(self, waiting: request.Request) -> kinds.ReplicaId | None:
+        """The usable replica of the lowest score."""
+        best, least = None, 0.0
+        for replica in self.usable(waiting):
+            score = self.score(waiting, replica)
+            if best is None or score < least:
+                best, least = replica, score
         return best
 
-    def score(self, q, r):
-        row, h = self.rows[r], self.health_of(r)
+    def score(self, waiting: request.Request, replica: kinds.ReplicaId) -> float:
+        """How far a replica is from being the best; see docs/relay.md."""
+        row, known = self.rows[replica], self.health_of(replica)
         share = max(1.0, min(KNEE, self.slots_of(row)) * self.zones / self.peers())
-        s = h.running / share + min(2.0, h.first / max(1, q.route.target))
+        score = known.running / share + min(MOST_SLOWNESS, known.first / max(1, waiting.route.target))
         if row["zone"] != self.me.zone:
-            s += FAR
-        if r in q.avoid:
-            s += 10
-        if h.fails:
-            s += FAILED
-        if h.first and self.typical(q.service) and h.first > 2 * self.typical(q.service):
-            s += SLOW
-        if q.tokens >= AFFINE:
-            s += LEAN * (duties.weight(f"{q.item}|{q.prefix}", r) / 2**64)
-        else:
-            s += 0.01 * self.rng.random()
-        return s
+            score += FAR
+        if replica in waiting.avoid:
+            score += TRIED
+        if known.fails:
+            score += FAILED
+        typical = self.typical(waiting.service)
+        if known.first and typical and known.first > SLOW_TIMES * typical:
+            score += SLOW
+        if waiting.tokens >= AFFINE:
+            return score + LEAN * (
+                duties.weight(f"{waiting.item}|{waiting.prefix}", replica) / budget.Cold.HASHES
+            )
+        return score + DRAW * self.rng.random()
--- a/basaltport/relay/readiness.py
+++ b/basaltport/relay/readiness.py
@@ -1,98 +1,124 @@
 """ADR 0041 for routes: the keeper's facts of an item, one shared wait for it here, polls at its spacing."""
 
+import collections.abc
+import typing
+
+import basaltport.kinds as kinds
 import basaltport.readiness.limits as limits
+import basaltport.relay.needs as needs
+import basaltport.relay.request as request
 
 AGAIN = 250
 WEIGHT = 4
+FAR_MORE = 2
+RUN_KEPT = 0.9
+LONG_AGO = kinds.Millis(-(10**9))
+
+if typing.TYPE_CHECKING:
+    Needs = needs.RelayNeeds
+else:
+    Needs = object
 
 
 class Fact:
-    """What the keeper last said of an item; `asked`: when it was last asked; `next`: when it may be again."""
+    """What the keeper last said of an item; `asked`: when it was last asked; `next`: when it may be again;
+    `told`: the weight of what waited then."""
 
     __slots__ = ("state", "expected", "retry", "asked", "next", "told")
 
-    def __init__(self):
+    def __init__(self) -> None:
+        """It was not asked yet."""
         self.state = ""
         self.expected = 0
         self.retry = AGAIN
-        self.asked = -(10**9)
-        self.next = 0
+        self.asked = LONG_AGO
+        self.next = kinds.Millis(0)
         self.told = 0
 
 
-class ReadinessMixin:
-    """Needs Relay. A held item stands in the feed, which is the keeper's word; only others are asked for."""
+class ReadinessMixin(Needs):
+    """A held item stands in the feed, which is the keeper's word; only others are asked for."""
 
-    def readiness_start(self):
-        self.facts = {}
-        self.first = {}
+    def readiness_start(self) -> None:
+        """Nothing is known yet."""
+        self.facts: dict[kinds.Item, Fact] = {}
+        self.first: dict[str, float] = {}
 
-    def fact(self, item):
-        f = self.facts.get(item)
-        if f is None:
-            f = self.facts[item] = Fact()
-        return f
+    def fact(self, item: kinds.Item) -> Fact:
+        """What the keeper last said of an item."""
+        fact = self.facts.get(item)
+        if fact is None:
+            fact = self.facts[item] = Fact()
+        return fact
 
-    def expected(self, q):
+    def expected(self, waiting: request.Request) -> float:
         """Ms that a load of a request's item is expected to take."""
-        f = self.facts.get(q.item)
-        if f and f.expected:
-            return f.expected
-        s = self.table.services.get(q.service)
-        m, _, a = q.item.partition("/")
-        if s is None or s.items is None or a and self.holders(q.service, m):
+        fact = self.facts.get(waiting.item)
+        if fact and fact.expected:
+            return fact.expected
+        service = self.table.services.get(waiting.service)
+        if service is None or service.items is None:
+            return 0
+        model, _, adapter = waiting.item.partition("/")
+        if adapter and self.holders(waiting.service, model):
             return 0
-        return s.items.get(m, 0)
+        return service.items.get(model, 0)
 
-    def limit(self, q):
+    def limit(self, waiting: request.Request) -> float:
         """When the shared wait ends for a request: the source's limit, never past the client's deadline."""
-        return min(q.until, q.born + limits.limit(0, self.expected(q)))
+        longest: float = limits.limit(0, self.expected(waiting))
+        return min(waiting.until, waiting.born + longest)
 
-    def ask_missing(self):
+    def ask_missing(self) -> None:
         """Ask the keeper, which also orders loads, for all items that requests wait for and nobody holds.
         What waits is told by weight: one urgent request counts as several that can wait."""
-        missing = {}
-        for q in self.waiting.values():
-            if q.item and not self.held(q):
-                missing[q.item] = missing.get(q.item, 0) + max(1, WEIGHT - q.route.urgency)
+        missing: dict[kinds.Item, int] = {}
+        for waiting in self.waiting.values():
+            if waiting.item and not self.held(waiting):
+                weight = max(1, WEIGHT - waiting.route.urgency)
+                missing[waiting.item] = missing.get(waiting.item, 0) + weight
         due = {i: n for i, n in missing.items() if self.due(self.fact(i), n)}
         if not due:
             return
-        for i, n in due.items():
-            f = self.fact(i)
-            f.asked, f.told = self.now, n
-            f.next = self.now + max(limits.POLL, f.retry)
+        for item, weight in due.items():
+            fact = self.fact(item)
+            fact.asked, fact.told = self.now, weight
+            fact.next = kinds.Millis(self.now + max(limits.POLL, fact.retry))
         self.want(due)
 
-    def due(self, f, n):
+    def due(self, fact: Fact, weight: int) -> bool:
         """At the keeper's spacing; sooner where far more wait than it was told."""
-        return self.now >= f.next or n >= 2 * f.told and self.now - f.asked >= limits.POLL
-
-    def on_facts(self, items):
-        for i, d in items.items():
-            f = self.fact(i)
-            f.state = d["state"]
-            f.expected = d.get("expected_ms", 0)
-            f.retry = max(limits.POLL, d.get("retry_after_ms", AGAIN))
-            f.next = max(f.next, f.asked + f.retry)
-            if f.state in ("loaded", "loading"):
+        if self.now >= fact.next:
+            return True
+        return weight >= FAR_MORE * fact.told and self.now - fact.asked >= limits.POLL
+
+    def on_facts(self, items: collections.abc.Mapping[kinds.Item, needs.Row]) -> None:
+        """The keeper's facts came."""
+        for item, told in items.items():
+            fact = self.fact(item)
+            fact.state = told["state"]
+            fact.expected = told.get("expected_ms", 0)
+            fact.retry = max(limits.POLL, told.get("retry_after_ms", AGAIN))
+            fact.next = kinds.Millis(max(fact.next, fact.asked + fact.retry))
+            if fact.state in ("loaded", "loading"):
                 continue
-            for q in [q for q in self.waiting.values() if q.item == i and not self.held(q)]:
-                self.refuse(q, "unavailable", f.retry)
+            for waiting in [w for w in self.waiting.values() if w.item == item and not self.held(w)]:
+                self.refuse(waiting, "unavailable", fact.retry)
         self.pump()
 
-    def after_timeout(self, run):
+    def after_timeout(self, run: request.Run) -> None:
         """The keeper is asked once of the item, without waiting for its spacing."""
         if run.item:
-            self.fact(run.item).next = 0
+            self.fact(run.item).next = kinds.Millis(0)
             self.want({run.item: 0})
 
-    def typical(self, service):
+    def typical(self, service: str) -> float:
         """Smoothed ms to the first bytes of a service's answers, 0 if unknown."""
         return self.first.get(service, 0)
 
-    def took(self, run):
-        t = self.now - run.sent
-        self.health_of(run.replica).took(t)
+    def took(self, run: request.Run) -> None:
+        """First bytes of an attempt came."""
+        ms = self.now - run.sent
+        self.health_of(run.replica).took(ms)
         was = self.first.get(run.service, 0)
-        self.first[run.service] = t if not was else 0.9 * was + 0.1 * t
+        self.first[run.service] = ms if not was else RUN_KEPT * was + (1 - RUN_KEPT) * ms
