--- a/basaltport/relay/budget.py
+++ b/basaltport/relay/budget.py
@@ -20,14 +20,14 @@
         self.steps: collections.deque[list[int]] = collections.deque()
         self.sum = 0
 
-    def add(self, now: kinds.Millis) -> None:
-        """One more."""
+    def add(self, now: kinds.Millis, number: int = 1) -> None:
+        """So many more."""
         step = now // STEP_MS
         if self.steps and self.steps[-1][0] == step:
-            self.steps[-1][1] += 1
+            self.steps[-1][1] += number
         else:
-            self.steps.append([step, 1])
-        self.sum += 1
+            self.steps.append([step, number])
+        self.sum += number
 
     def count(self, now: kinds.Millis) -> int:
         """How many there were within the span; what is past is let go of."""
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -1,11 +1,16 @@
 """The node that relays requests: one reducer over all its events."""
 
+import collections.abc
+import dataclasses
+
+import basaltport.events as base
 import basaltport.fleet.follow as follow
 import basaltport.kinds as kinds
 import basaltport.member as member
 import basaltport.relay.attempts as attempts
 import basaltport.relay.decision as decision
 import basaltport.relay.events as events
+import basaltport.relay.needs as needs
 import basaltport.relay.pick as pick
 import basaltport.relay.readiness as readiness
 import basaltport.relay.request as request
@@ -25,9 +30,29 @@
 COME_BACK = 1000
 BOUND = 2000
 ASSUMED = 16
+NO_ROUTE = 404
+REFUSED = 503
+CONFIGURED = 42
+STARTS = "no configuration yet"
 ENDING = "this proxy ends"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is not taken, and when its client may come back, in ms."""
+
+    why: str
+    retry_after: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parked:
+    """A request that is held until the feed is there, until then at most."""
+
+    until: float
+    arrived: events.Arrived
+
+
 class Relay(
     readiness.ReadinessMixin,
     attempts.AttemptMixin,
@@ -35,207 +60,252 @@
     follow.FollowMixin,
     member.Member,
 ):
-    """`zones`: how many zones there are. `timings`: the deployment's bounds, see docs/platform.md."""
+    """A proxy: requests wait, go to replicas, and have one end each."""
 
-    def __init__(self, me, seed, now, timings=None, zones=1):
+    def __init__(
+        self,
+        me: member.Me,
+        seed: int,
+        now: kinds.Millis,
+        timings: collections.abc.Mapping[str, float] | None = None,
+        zones: int = 1,
+    ) -> None:
+        """`zones`: how many zones there are; `timings`: the deployment's bounds, see docs/platform.md."""
         member.Member.__init__(self, me, seed, now)
         self.born = now
         self.timings = {**TIMINGS, **(timings or {})}
         self.zones = max(1, zones)
         self.table = table.Table(None)
-        self.table_of = None
-        self.requests = {}
-        self.waiting = {}
-        self.parked = {}
-        self.tally = {}
-        self.used = {}
+        self.table_of: needs.Row | None = None
+        self.requests: dict[int, request.Request] = {}
+        self.waiting: dict[int, request.Request] = {}
+        self.parked: dict[int, Parked] = {}
+        self.tally: dict[str, int] = {}
+        self.used: dict[kinds.Item, int] = {}
         self.stopped = False
         self.ending = False
         self.readiness_start()
         self.attempts_start()
         self.pick_start()
-        self.follow_start()
+        follow.FollowMixin.follow_start(self)
 
-    def peers(self):
+    def peers(self) -> int:
+        """How many proxies share limits that hold over all of them."""
         return self.proxies or ASSUMED
 
-    def ready(self):
+    def ready(self) -> bool:
+        """Whether it takes clients."""
         return not self.stopped and not self.table.empty and bool(self.rows)
 
     # the feed
 
-    def followed(self):
-        m = self.book["manifest"]
-        if m is not self.table_of:
-            self.table_of = m
-            self.table = table.Table(m)
-            self.note(42, serial=int(self.book["mserial"]), lines=sum(map(len, self.table.hosts.values())))
+    def followed(self) -> None:
+        """The agreed book changed."""
+        manifest = self.book["manifest"]
+        if manifest is not self.table_of:
+            self.table_of = manifest
+            self.table = table.Table(manifest)
+            lines = sum(map(len, self.table.hosts.values()))
+            self.emit(base.Note(CONFIGURED, {"serial": int(self.book["mserial"]), "lines": lines}))
         self.unpark()
         self.pump()
 
-    def usage(self):
+    def usage(self) -> tuple[dict[kinds.Item, int], dict[kinds.ReplicaId, int]]:
         """What came since the last report, by item, and what runs now, by replica."""
         used, self.used = self.used, {}
-        return used, {r: h.running for r, h in self.health.items() if h.running}
+        return used, {r: known.running for r, known in self.health.items() if known.running}
 
     # requests
 
-    def on_arrived(self, ev):
+    def on_arrived(self, ev: events.Arrived) -> None:
+        """A client's request, read and whole."""
         if self.ending:
-            self.emit(events.Close(ev.request, 503, ENDING, attempts.SOON))
+            self.emit(events.Close(ev.request, REFUSED, ENDING, attempts.SOON))
             return
         if self.table.empty or not self.rows:
             self.park(ev)
             return
         route = self.table.match(ev.host, ev.path)
         if route is None:
-            self.emit(events.Close(ev.request, 404, "no route"))
+            self.emit(events.Close(ev.request, NO_ROUTE, "no route"))
+            return
+        arrived = request.Request(ev.request, route, ev)
+        refusal = self.admit(arrived, ev)
+        if refusal is not None:
+            self.refused_here()
+            self.emit(events.Close(arrived.id, REFUSED, refusal.why, refusal.retry_after))
             return
-        q = request.Request(ev.request, route, ev)
-        for op in route.program:
-            bad = getattr(self, "do_" + op)(q, ev)
-            if bad:
-                self.tally["refused-here"] = self.tally.get("refused-here", 0) + 1
-                self.emit(events.Close(q.id, 503, *bad))
-                return
         self.pump()
 
+    def admit(self, arrived: request.Request, ev: events.Arrived) -> Refusal | None:
+        """The program of its route, up to the queue."""
+        for step in arrived.route.program:
+            refusal: Refusal | None = getattr(self, "do_" + step)(arrived, ev)
+            if refusal is not None:
+                return refusal
+        return None
+
+    def refused_here(self) -> None:
+        """Counts a refusal of our own."""
+        self.tally["refused-here"] = self.tally.get("refused-here", 0) + 1
+
     # a node that just started
 
-    def park(self, ev):
+    def park(self, ev: events.Arrived) -> None:
         """What comes before the feed did is held for a part of its time: a start takes a second or two."""
         if len(self.parked) >= BOUND:
-            self.emit(events.Close(ev.request, 503, "no configuration yet", STARTING))
+            self.emit(events.Close(ev.request, REFUSED, STARTS, STARTING))
             return
         left = PARKED if ev.deadline < 0 else min(PARKED, ev.deadline * 2 // 3)
-        self.parked[ev.request] = (self.now + left, ev)
+        self.parked[ev.request] = Parked(self.now + left, ev)
 
-    def unpark(self):
+    def unpark(self) -> None:
+        """Route what was held, once there is something to route by."""
         if not self.parked or self.table.empty or not self.rows:
             return
-        evs, self.parked = self.parked, {}
-        for _, ev in evs.values():
-            self.on_arrived(ev)
-
-    def expire_parked(self):
-        for n, (until, _) in list(self.parked.items()):
-            if self.now >= until:
-                del self.parked[n]
-                self.emit(events.Close(n, 503, "no configuration yet", STARTING))
-
-    def do_deadline(self, q, ev):
-        left = q.route.deadline if ev.deadline < 0 else min(ev.deadline, q.route.deadline)
-        q.until = ev.now + left
-        left = q.until - self.now
-        if left <= 0:
-            return "no time is left", COME_BACK
-
-    def do_share(self, q, ev):
-        q.service = q.route.service(self.rng.random())
-
-    def do_item(self, q, ev):
-        s = self.table.services.get(q.service)
-        if s is None or s.items is None:
-            q.item = kinds.Item("")
+        parked, self.parked = self.parked, {}
+        for held in parked.values():
+            self.on_arrived(held.arrived)
+
+    def expire_parked(self) -> None:
+        """Refuse what was held for long enough."""
+        for request_id, held in list(self.parked.items()):
+            if self.now >= held.until:
+                del self.parked[request_id]
+                self.emit(events.Close(request_id, REFUSED, STARTS, STARTING))
+
+    # the steps of routes' programs
+
+    def do_deadline(self, arrived: request.Request, ev: events.Arrived) -> Refusal | None:
+        """The smaller of the client's deadline and the route's."""
+        longest = arrived.route.deadline
+        left = longest if ev.deadline < 0 else min(ev.deadline, longest)
+        arrived.until = kinds.Millis(ev.now + left)
+        return None if arrived.until > self.now else Refusal("no time is left", COME_BACK)
+
+    def do_share(self, arrived: request.Request, ev: events.Arrived) -> Refusal | None:
+        """The service, by weight."""
+        arrived.service = arrived.route.service(self.rng.random())
+        return None
+
+    def do_item(self, arrived: request.Request, ev: events.Arrived) -> Refusal | None:
+        """The item, if its service has items and knows it."""
+        service = self.table.services.get(arrived.service)
+        if service is None or service.items is None:
+            arrived.item = kinds.Item("")
             return None
-        if not s.knows(q.item):
-            return "unknown model or adapter", COME_BACK
-        self.used[q.item] = self.used.get(q.item, 0) + 1
+        if not service.knows(arrived.item):
+            return Refusal("unknown model or adapter", COME_BACK)
+        self.used[arrived.item] = self.used.get(arrived.item, 0) + 1
+        return None
 
-    def do_time(self, q, ev):
+    def do_time(self, arrived: request.Request, ev: events.Arrived) -> Refusal | None:
         """Fails before sending where the time left cannot cover the expected load."""
-        if not q.item or self.held(q):
+        if not arrived.item or self.held(arrived):
+            return None
+        expected = self.expected(arrived)
+        if not expected or arrived.until - self.now >= expected:
             return None
-        e = self.expected(q)
-        if e and q.until - self.now < e:
-            return "a load takes longer than the time that is left", int(e)
+        return Refusal("a load takes longer than the time that is left", int(expected))
 
-    def do_queue(self, q, ev):
+    def do_queue(self, arrived: request.Request, ev: events.Arrived) -> Refusal | None:
+        """Into the queue."""
         if len(self.waiting) >= BOUND:
-            return "the queue is full", COME_BACK
-        self.requests[q.id] = self.waiting[q.id] = q
-        self.retry_of(q.service).first(self.now)
+            return Refusal("the queue is full", COME_BACK)
+        self.requests[arrived.id] = self.waiting[arrived.id] = arrived
+        self.retry_of(arrived.service).first(self.now)
+        return None
 
-    def pump(self):
+    # the queue
+
+    def pump(self) -> None:
         """Launch what can go, the most urgent and then the oldest first."""
         if not self.waiting:
             return
         full = set()
-        for q in sorted(self.waiting.values(), key=lambda q: q.key):
-            k = q.service, q.item
-            if k in full and not q.avoid:
-                continue
-            r = self.pick(q)
-            if r is None:
-                if not q.avoid:
-                    full.add(k)
+        for waiting in sorted(self.waiting.values(), key=lambda w: w.key):
+            place = waiting.service, waiting.item
+            if place in full and not waiting.avoid:
                 continue
-            del self.waiting[q.id]
-            self.launch(q, r)
+            replica = self.pick(waiting)
+            if replica is not None:
+                del self.waiting[waiting.id]
+                self.launch(waiting, replica)
+            elif not waiting.avoid:
+                full.add(place)
         if self.waiting:
             self.ask_missing()
 
-    def refuse(self, q, why, retry_after):
+    def refuse(self, waiting: request.Request, why: str, retry_after: int) -> None:
         """Given up: a promise where it never ran; else no more than its end."""
-        if decision.give_up(q.begun, q.ran) is not decision.Move.REFUSE:
-            self.fail(q, 504, why)
+        if decision.give_up(waiting.begun, waiting.ran) is not decision.Move.REFUSE:
+            self.fail(waiting, attempts.GATEWAY_TIMEOUT, why)
             return
-        self.drop(q)
-        self.tally["refused-here"] = self.tally.get("refused-here", 0) + 1
-        self.emit(events.Close(q.id, 503, why, int(retry_after)))
+        self.drop(waiting)
+        self.refused_here()
+        self.emit(events.Close(waiting.id, REFUSED, why, int(retry_after)))
 
-    def drop(self, q):
-        self.release(q)
-        self.requests.pop(q.id, None)
-        self.waiting.pop(q.id, None)
+    def drop(self, ended: request.Request) -> None:
+        """Forget a request."""
+        self.release(ended)
+        self.requests.pop(ended.id, None)
+        self.waiting.pop(ended.id, None)
 
-    def on_left(self, ev):
+    def on_left(self, ev: events.Left) -> None:
+        """The client went away: its attempt is stopped."""
         self.parked.pop(ev.request, None)
-        q = self.requests.get(ev.request)
-        if q is None:
+        left = self.requests.get(ev.request)
+        if left is None:
             return
-        self.drop(q)
-        if q.run and q.run.id in self.runs:
-            q.run.aborted = request.Aborted.CLIENT_LEFT
-            self.emit(events.Abort(q.run.id))
+        self.drop(left)
+        if left.run and left.run.id in self.runs:
+            left.run.aborted = request.Aborted.CLIENT_LEFT
+            self.emit(events.Abort(left.run.id))
 
-    def on_tick(self, ev):
-        self.tick_follow()
+    def on_tick(self, ev: base.Tick) -> None:
+        """What time alone brings about."""
+        follow.FollowMixin.tick_follow(self)
         self.expire_parked()
         self.expire()
         self.watch()
         if self.waiting:
             self.pump()
 
-    def expire(self):
+    def expire(self) -> None:
         """What can no longer be answered in time is refused as soon as that is known."""
-        for q in list(self.waiting.values()):
-            least = max(attempts.LEAST, self.typical(q.service) // 2)
-            if self.stranded(q):
-                self.refuse(q, "refused by the replica that it may go to", self.come_back(q))
-            elif self.now >= self.limit(q) - least:
-                self.refuse(q, "it could not be answered in time", self.come_back(q))
-
-    def stranded(self, q):
+        for waiting in list(self.waiting.values()):
+            least = max(attempts.LEAST, self.typical(waiting.service) // 2)
+            if self.stranded(waiting):
+                self.refuse(waiting, "refused by the replica that it may go to", self.come_back(waiting))
+            elif self.now >= self.limit(waiting) - least:
+                self.refuse(waiting, "it could not be answered in time", self.come_back(waiting))
+
+    def stranded(self, waiting: request.Request) -> bool:
         """Whether it may go only to replicas that hold its item no more, or take nothing new."""
-        if q.spare():
+        if waiting.spare():
             return False
-        return not any(r in q.sent_to and self.open(r, self.rows[r]) for r in self.holders(q.service, q.item))
+        holders = self.holders(waiting.service, waiting.item)
+        return not any(r in waiting.sent_to and self.open(r, self.rows[r]) for r in holders)
+
+    def come_back(self, waiting: request.Request) -> int:
+        """When a refused client may come back, in ms."""
+        return max(attempts.SOON, self.fact(waiting.item).retry if waiting.item else 0)
 
-    def come_back(self, q):
-        return max(attempts.SOON, self.fact(q.item).retry if q.item else 0)
+    # the end
 
-    def on_stop(self, ev):
+    def on_stop(self, ev: base.Stop) -> None:
+        """Not ready from here on; what comes is still served."""
         self.stopped = True
 
-    def on_finish(self, ev):
+    def on_finish(self, ev: events.Finish) -> None:
         """What waits is refused; attempts under way are stopped, and their ends tell what may be promised."""
         self.ending = True
         for request_id in self.parked:
-            self.emit(events.Close(request_id, 503, ENDING, attempts.SOON))
+            self.emit(events.Close(request_id, REFUSED, ENDING, attempts.SOON))
         self.parked = {}
-        for q in list(self.waiting.values()):
-            self.refuse(q, ENDING, attempts.SOON)
-        for q in self.requests.values():
-            q.run.aborted = request.Aborted.PROCESS_ENDS
-            self.emit(events.Abort(q.run.id))
+        for waiting in list(self.waiting.values()):
+            self.refuse(waiting, ENDING, attempts.SOON)
+        for run in self.runs.values():
+            if run.request in self.requests:
+                run.aborted = request.Aborted.PROCESS_ENDS
+                self.emit(events.Abort(run.id))
--- a/basaltport/relay/view.py
+++ b/basaltport/relay/view.py
@@ -112,7 +112,7 @@
     d = {"service": service, "part": part, "item": q.item, "ahead": ahead}
     d["candidates"] = candidates(x, q)
     if bad:
-        return {**d, "outcome": "refused", "status": 503, "why": bad[0], "retry_after_ms": bad[1]}
+        return {**d, "outcome": "refused", "status": 503, "why": bad.why, "retry_after_ms": bad.retry_after}
     r = x.pick(q)
     if r is not None:
         return {**d, "outcome": "sent", "replica": r, "address": x.rows[r]["address"]}
