--- a/basaltport/relay/needs.py
+++ b/basaltport/relay/needs.py
@@ -35,9 +35,11 @@
 
     def emit(self, effect: object) -> None:
         """An effect of this step."""
+        return None
 
     def want(self, items: dict[kinds.Item, int]) -> None:
         """Ask the leader for items, each with the weight of what waits."""
+        return None
 
     def peers(self) -> int:
         """How many proxies there are."""
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -62,6 +62,9 @@
 ):
     """A proxy: requests wait, go to replicas, and have one end each."""
 
+    book: needs.Row
+    rows: dict[kinds.ReplicaId, needs.Row]
+
     def __init__(
         self,
         me: member.Me,
--- a/basaltport/relay/view.py
+++ b/basaltport/relay/view.py
@@ -1,182 +1,253 @@
 """What operators are shown of a proxy: pure functions of the reducer's state, which they never change.
 
-`m` is the Relay, `now` in ms."""
+`now` is in ms."""
 
 import collections
+import collections.abc
 import copy
 import random
+import typing
 
+import basaltport.fleet.follow as follow
 import basaltport.kinds as kinds
 import basaltport.relay.events as events
+import basaltport.relay.health as health
+import basaltport.relay.needs as needs
 import basaltport.relay.request as request
+import basaltport.relay.role as role
+import basaltport.relay.table as table
 
+Doc = dict[str, typing.Any]
+Sample = tuple[str, str, str, tuple[str, ...], collections.abc.Sequence[tuple[tuple[str, ...], float]]]
+MS = 1000
+PART_DIGITS = 4
+SCORE_DIGITS = 3
 
-def queue(m, now):
+
+def queue(relay: role.Relay, now: kinds.Millis) -> list[Doc]:
     """Waiting requests by service and item, the longest wait first."""
-    by = {}
-    for q in m.waiting.values():
-        row = by.setdefault((q.service, q.item), {"waiting": 0, "oldest_ms": 0})
-        row["waiting"] += 1
-        row["oldest_ms"] = max(row["oldest_ms"], now - q.born)
-    rows = [{"service": s, "item": i, **r} for (s, i), r in by.items()]
-    return sorted(rows, key=lambda r: -r["oldest_ms"])
+    waits: dict[tuple[str, str], list[int]] = {}
+    for waiting in relay.waiting.values():
+        waits.setdefault((waiting.service, waiting.item), []).append(now - waiting.born)
+    rows = [
+        {"service": service, "item": item, "waiting": len(ms), "oldest_ms": max(0, *ms)}
+        for (service, item), ms in waits.items()
+    ]
+    return sorted(rows, key=lambda row: -row["oldest_ms"])
 
 
-def retries(m, now):
+def retries(relay: role.Relay, now: kinds.Millis) -> dict[str, dict[str, int]]:
     """By service: further attempts in the window, and how many more there may be."""
     out = {}
-    for s, w in m.retries.items():
-        left = w.left(now, m.peers())
-        out[s] = {"first": w.firsts.peek(now), "further": w.further.peek(now), "left": left}
+    for service, window in relay.retries.items():
+        left = window.left(now, relay.peers())
+        out[service] = {"first": window.firsts.peek(now), "further": window.further.peek(now), "left": left}
     return out
 
 
-def replica(m, now, r):
-    row, h = m.rows[r], m.health.get(r)
-    d = {"id": r, "service": row["service"], "zone": row["zone"], "state": row["state"]}
-    if h is None:
-        return {**d, "running": 0, "down_ms": 0, "failures": 0, "first_ms": 0, "cold_ms": 0, "lacks": []}
-    d |= {"running": h.running, "down_ms": max(0, h.down - now), "failures": h.fails}
-    d |= {"first_ms": round(h.first), "cold_ms": max(0, h.cold_until - now)}
-    d |= {"lacks": sorted(i for i in h.absent if h.lacks(i, now))}
-    return {**d, "state": "moved"} if h.dead else d
-
-
-def status(m, now):
-    d = {"role": "proxy", "name": m.me.name, "zone": m.me.zone, "ready": m.ready()}
-    heard = m.led_at > 0
-    d |= {"led": m.led(), "leader_address": m.leader_address or None}
-    d |= {"rows_age_ms": now - m.led_at if heard else None, "generation": m.feed_gen.text()}
-    d |= {"serial": int(m.book["serial"]), "edition": m.table.edition, "proxies": m.proxies}
-    d |= {"evacuated": sorted(m.book["drains"]), "queue": queue(m, now), "requests": len(m.requests)}
-    d |= {"runs": {r: h.running for r, h in sorted(m.health.items()) if h.running}}
-    d |= {"replicas": [replica(m, now, r) for r in sorted(m.rows)]}
-    return {**d, "tally": dict(sorted(m.tally.items())), "retries": retries(m, now)}
+def replica(relay: role.Relay, now: kinds.Millis, replica_id: kinds.ReplicaId) -> Doc:
+    """A replica as this proxy sees it."""
+    row, known = relay.rows[replica_id], relay.health.get(replica_id)
+    doc = {"id": replica_id, "service": row["service"], "zone": row["zone"], "state": row["state"]}
+    if known is None:
+        return {**doc, "running": 0, "down_ms": 0, "failures": 0, "first_ms": 0, "cold_ms": 0, "lacks": []}
+    doc |= {"running": known.running, "down_ms": max(0, known.down - now), "failures": known.fails}
+    doc |= {"first_ms": round(known.first), "cold_ms": max(0, known.cold_until - now)}
+    doc |= {"lacks": sorted(item for item in known.absent if known.lacks(item, now))}
+    return {**doc, "state": "moved"} if known.dead else doc
+
+
+def status(relay: role.Relay, now: kinds.Millis) -> Doc:
+    """The page of a proxy."""
+    me, heard = relay.me, relay.led_at > 0
+    return {
+        "role": "proxy",
+        "name": me.name,
+        "zone": me.zone,
+        "ready": relay.ready(),
+        "led": follow.FollowMixin.led(relay),
+        "leader_address": relay.leader_address or None,
+        "rows_age_ms": now - relay.led_at if heard else None,
+        "generation": relay.feed_gen.text(),
+        "serial": int(relay.book["serial"]),
+        "edition": relay.table.edition,
+        "proxies": relay.proxies,
+        "evacuated": sorted(relay.book["drains"]),
+        "queue": queue(relay, now),
+        "requests": len(relay.requests),
+        "runs": {r: known.running for r, known in sorted(relay.health.items()) if known.running},
+        "replicas": [replica(relay, now, r) for r in sorted(relay.rows)],
+        "tally": dict(sorted(relay.tally.items())),
+        "retries": retries(relay, now),
+    }
 
 
 # what would become of a request
 
 
-def apart(m, now):
+def apart(relay: role.Relay, now: kinds.Millis) -> role.Relay:
     """A copy whose steps leave the original, its counts and its chance as they are."""
-    x = copy.copy(m)
-    x.now, x.rng, x.out = now, random.Random(0), []
-    x.health = {r: _health(h) for r, h in m.health.items() if r in m.rows}
-    x.requests, x.waiting, x.retries = dict(m.requests), dict(m.waiting), {}
-    x.used, x.tally, x.facts = {}, {}, {i: copy.copy(f) for i, f in m.facts.items()}
-    return x
+    out = copy.copy(relay)
+    out.now, out.rng, out.out = now, random.Random(0), []
+    out.health = {r: _health(known) for r, known in relay.health.items() if r in relay.rows}
+    out.requests, out.waiting, out.retries = dict(relay.requests), dict(relay.waiting), {}
+    out.used, out.tally = {}, {}
+    out.facts = {item: copy.copy(fact) for item, fact in relay.facts.items()}
+    return out
 
 
-def _health(h):
-    h = copy.copy(h)
-    h.cold = copy.copy(h.cold)
-    h.cold.sent = copy.copy(h.cold.sent)
-    h.cold.sent.steps = h.cold.sent.steps.copy()
-    return h
+def _health(known: health.Health) -> health.Health:
+    out = copy.copy(known)
+    out.cold = copy.copy(out.cold)
+    out.cold.sent = copy.copy(out.cold.sent)
+    out.cold.sent.steps = out.cold.sent.steps.copy()
+    return out
 
 
-def explain(m, now, host, path, item="", deadline=-1, tokens=0):
+def explain(
+    relay: role.Relay,
+    now: kinds.Millis,
+    host: str,
+    path: str,
+    item: str = "",
+    deadline: int = -1,
+    tokens: int = 0,
+) -> Doc:
     """What would become of a request that came now: {"route", "outcomes": one for each service that it may
     go to, with its part of the draw}."""
-    d = {"host": host, "path": path, "item": item, "edition": m.table.edition}
-    route = m.table.match(host, path)
+    doc: Doc = {"host": host, "path": path, "item": item, "edition": relay.table.edition}
+    route = relay.table.match(host, path)
     if route is None:
-        d["outcome"] = "refused" if m.table.empty else "no route"
-        return {**d, "status": 503 if m.table.empty else 404, "route": None, "outcomes": []}
-    ev = events.Arrived(now, 0, host, path, kinds.Item(item), deadline, tokens, "")
-    outs = [outcome(apart(m, now), route, ev, s, part) for s, part in parts(route)]
-    return {**d, "route": described(route), "outcomes": outs}
+        empty = relay.table.empty
+        doc["outcome"] = "refused" if empty else "no route"
+        return {**doc, "status": role.REFUSED if empty else role.NO_ROUTE, "route": None, "outcomes": []}
+    arrived = events.Arrived(now, 0, host, path, kinds.Item(item), deadline, tokens, "")
+    outcomes = [outcome(apart(relay, now), route, arrived, *share) for share in parts(route)]
+    return {**doc, "route": described(route), "outcomes": outcomes}
 
 
-def described(route):
-    d = {k: getattr(route, k) for k in ("name", "prefix", "kind", "urgency", "attempts", "pinned")}
-    return {**d, "deadline_ms": int(route.deadline), "target_ms": int(route.target)}
+def described(route: table.Route) -> Doc:
+    """A route as operators know it."""
+    names = ("name", "prefix", "kind", "urgency", "attempts", "pinned")
+    doc = {name: getattr(route, name) for name in names}
+    return {**doc, "deadline_ms": int(route.deadline), "target_ms": int(route.target)}
 
 
-def parts(route):
+def parts(route: table.Route) -> collections.abc.Iterator[tuple[str, float]]:
+    """A route's services, each with its part of the draw."""
     names, sums = route.shares
-    was = 0
-    for s, n in zip(names, sums, strict=True):
-        yield s, round((n - was) / sums[-1], 4)
-        was = n
-
-
-def outcome(x, route, ev, service, part):
-    """`x` is a copy that may be changed."""
-    q = request.Request(0, route, ev)
-    q.service = service
-    ahead = sum((w.service, w.item) == (service, q.item) for w in x.waiting.values())
-    bad = None
-    for op in route.program:
-        bad = bad or op != "share" and getattr(x, "do_" + op)(q, ev)
-    d = {"service": service, "part": part, "item": q.item, "ahead": ahead}
-    d["candidates"] = candidates(x, q)
-    if bad:
-        return {**d, "outcome": "refused", "status": 503, "why": bad.why, "retry_after_ms": bad.retry_after}
-    r = x.pick(q)
-    if r is not None:
-        return {**d, "outcome": "sent", "replica": r, "address": x.rows[r]["address"]}
-    f = x.facts.get(q.item)
-    held = not q.item or x.held(q)
+    before = 0
+    for name, total in zip(names, sums, strict=True):
+        yield name, round((total - before) / sums[-1], PART_DIGITS)
+        before = total
+
+
+def outcome(relay: role.Relay, route: table.Route, arrived: events.Arrived, service: str, part: float) -> Doc:
+    """What would become of a request that goes to a service. `relay` is a copy that may be changed."""
+    asked = request.Request(0, route, arrived)
+    asked.service = service
+    ahead = sum((w.service, w.item) == (service, asked.item) for w in relay.waiting.values())
+    refusal = admit(relay, asked, arrived)
+    doc = {"service": service, "part": part, "item": asked.item, "ahead": ahead}
+    doc["candidates"] = candidates(relay, asked)
+    if refusal is not None:
+        refused = {"outcome": "refused", "status": role.REFUSED, "why": refusal.why}
+        return {**doc, **refused, "retry_after_ms": refusal.retry_after}
+    picked = relay.pick(asked)
+    if picked is not None:
+        return {**doc, "outcome": "sent", "replica": picked, "address": relay.rows[picked]["address"]}
+    fact = relay.facts.get(asked.item)
+    held = not asked.item or relay.held(asked)
     why = "every replica that holds it is busy" if held else "no replica that is open holds it"
-    d |= {"outcome": "waits", "why": why, "at_most_ms": int(x.limit(q) - x.now)}
-    return {**d, "fact": f.state if f else "", "expected_ms": int(x.expected(q)) if q.item else 0}
+    doc |= {"outcome": "waits", "why": why, "at_most_ms": int(relay.limit(asked) - relay.now)}
+    expected_ms = int(relay.expected(asked)) if asked.item else 0
+    return {**doc, "fact": fact.state if fact else "", "expected_ms": expected_ms}
 
 
-def candidates(x, q):
+def admit(relay: role.Relay, asked: request.Request, arrived: events.Arrived) -> role.Refusal | None:
+    """The program of its route, with the service that is given."""
+    for step in asked.route.program:
+        if step == "share":
+            continue
+        refusal: role.Refusal | None = getattr(relay, "do_" + step)(asked, arrived)
+        if refusal is not None:
+            return refusal
+    return None
+
+
+def candidates(relay: role.Relay, asked: request.Request) -> list[Doc]:
+    """The replicas of a request's service, the best first, and why each may not be used."""
     out = []
-    for r, row in sorted(x.rows.items()):
-        if row["service"] != q.service:
+    for replica_id, row in sorted(relay.rows.items()):
+        if row["service"] != asked.service:
             continue
-        v = verdict(x, q, r, row)
-        score = round(x.score(q, r), 3) if v == "usable" else None
-        out.append({"replica": r, "zone": row["zone"], "verdict": v, "score": score})
+        said = verdict(relay, asked, replica_id, row)
+        score = round(relay.score(asked, replica_id), SCORE_DIGITS) if said == "usable" else None
+        out.append({"replica": replica_id, "zone": row["zone"], "verdict": said, "score": score})
     return sorted(out, key=lambda c: (c["score"] is None, c["score"] or 0, c["verdict"], c["replica"]))
 
 
-def verdict(x, q, r, row):
-    h = x.health_of(r)
-    if r not in x.holders(q.service, q.item):
-        return "loads it" if q.item in row.get("loading", ()) else "does not hold it"
+def verdict(relay: role.Relay, asked: request.Request, replica_id: kinds.ReplicaId, row: needs.Row) -> str:
+    """Whether a request may go to a replica now, or why not."""
+    if replica_id not in relay.holders(asked.service, asked.item):
+        return "loads it" if asked.item in row.get("loading", ()) else "does not hold it"
     if row["state"] != "ready":
-        return row["state"]
-    if row["zone"] in x.book["drains"]:
+        return str(row["state"])
+    if row["zone"] in relay.book["drains"]:
         return "its zone is evacuated"
-    if h.dead:
+    return verdict_of_health(relay, asked, replica_id, row)
+
+
+def verdict_of_health(
+    relay: role.Relay, asked: request.Request, replica_id: kinds.ReplicaId, row: needs.Row
+) -> str:
+    """The same for a replica that is open by the feed."""
+    now, known = relay.now, relay.health_of(replica_id)
+    if known.dead:
         return "another replica has its address"
-    if x.now < h.down:
-        return f"out for {h.down - x.now} ms after {h.fails} failures"
-    if h.lacks(q.item, x.now):
-        return f"said it is full or lacks it; asked again in {h.absent[q.item] - x.now} ms"
-    if h.running >= x.cap(row):
-        return f"busy: {h.running} of {x.cap(row)} of this proxy"
-    return "usable" if x.fits(q, r) else f"cold for {h.cold_until - x.now} ms: its share is used up"
+    if now < known.down:
+        return f"out for {known.down - now} ms after {known.fails} failures"
+    if known.lacks(asked.item, now):
+        return f"said it is full or lacks it; asked again in {known.absent[asked.item] - now} ms"
+    if known.running >= relay.cap(row):
+        return f"busy: {known.running} of {relay.cap(row)} of this proxy"
+    if relay.fits(asked, replica_id):
+        return "usable"
+    return f"cold for {known.cold_until - now} ms: its share is used up"
 
 
-def samples(m, now):
-    """As of keeper.view."""
+# metrics
+
+
+def gauge(name: str, text: str, value: float) -> Sample:
+    """One figure without labels."""
+    return f"basaltport_{name}", "gauge", text, (), [((), value)]
 
-    def one(name, help, value):
-        return f"basaltport_{name}", "gauge", help, (), [((), value)]
-
-    yield one("ready", "1 where this proxy takes clients", int(m.ready()))
-    yield one("led", "1 where a leader is heard", int(m.led()))
-    yield one("serial", "Serial of the agreed book", int(m.book["serial"]))
-    yield one("edition", "Edition of the configuration in force", m.table.edition)
-    if m.led_at > 0:
-        yield one("rows_age_seconds", "Since replicas' rows were last confirmed", (now - m.led_at) / 1000)
-    yield one("requests", "Requests here, waiting or sent", len(m.requests))
-    yield one("runs", "Attempts under way", len(m.runs))
-    yield one("waiting", "Requests that wait", len(m.waiting))
-    oldest = max((now - q.born for q in m.waiting.values()), default=0)
-    yield one("wait_seconds", "The longest of the waits", oldest / 1000)
-    rows = [((k,), n) for k, n in sorted(m.tally.items())]
-    yield "basaltport_outcomes", "counter", "Ends of attempts and own refusals", ("outcome",), rows
-    rows = [((s,), r["left"]) for s, r in sorted(retries(m, now).items())]
-    yield "basaltport_retries_left", "gauge", "Further attempts that there may be now", ("service",), rows
-    by = collections.Counter()
-    for r in m.rows:
-        d = replica(m, now, r)
-        by[d["service"], d["zone"], "down" if d["down_ms"] else d["state"]] += 1
+
+def samples(relay: role.Relay, now: kinds.Millis) -> collections.abc.Iterator[Sample]:
+    """As of keeper.view."""
+    yield gauge("ready", "1 where this proxy takes clients", int(relay.ready()))
+    yield gauge("led", "1 where a leader is heard", int(follow.FollowMixin.led(relay)))
+    yield gauge("serial", "Serial of the agreed book", int(relay.book["serial"]))
+    yield gauge("edition", "Edition of the configuration in force", relay.table.edition)
+    if relay.led_at > 0:
+        age_s = (now - relay.led_at) / MS
+        yield gauge("rows_age_seconds", "Since replicas' rows were last confirmed", age_s)
+    yield gauge("requests", "Requests here, waiting or sent", len(relay.requests))
+    yield gauge("runs", "Attempts under way", len(relay.runs))
+    yield gauge("waiting", "Requests that wait", len(relay.waiting))
+    oldest = max((now - waiting.born for waiting in relay.waiting.values()), default=0)
+    yield gauge("wait_seconds", "The longest of the waits", oldest / MS)
+    ends = [((label,), number) for label, number in sorted(relay.tally.items())]
+    yield "basaltport_outcomes", "counter", "Ends of attempts and own refusals", ("outcome",), ends
+    left = [((service,), row["left"]) for service, row in sorted(retries(relay, now).items())]
+    text = "Further attempts that there may be now"
+    yield "basaltport_retries_left", "gauge", text, ("service",), left
+    states = collections.Counter(place(replica(relay, now, r)) for r in relay.rows)
     labels = ("service", "zone", "state")
-    yield "basaltport_replicas", "gauge", "Replicas as this proxy sees them", labels, sorted(by.items())
+    yield "basaltport_replicas", "gauge", "Replicas as this proxy sees them", labels, sorted(states.items())
+
+
+def place(seen: Doc) -> tuple[str, str, str]:
+    """What replicas are counted by."""
+    return seen["service"], seen["zone"], "down" if seen["down_ms"] else seen["state"]
