--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import random
 
 import basaltport.events as base
 import basaltport.fleet.follow as follow
@@ -62,6 +63,9 @@
 ):
     """A proxy: requests wait, go to replicas, and have one end each."""
 
+    me: member.Me
+    now: kinds.Millis
+    rng: random.Random
     book: needs.Row
     rows: dict[kinds.ReplicaId, needs.Row]
 
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -1,12 +1,17 @@
 """The shell round the relay's reducer: clients' HTTP, readiness, attempts at replicas, the feed."""
 
 import asyncio
+import collections.abc
 import gc
 import inspect
 import os
 import random
 import signal
+import typing
 
+import aiohttp
+import aiohttp.abc
+import aiohttp.http
 import aiohttp.web
 
 import basaltport.events as base
@@ -20,114 +25,138 @@
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.role as role
 import basaltport.relay.upstream as upstream
+import basaltport.relay.words as words
 import basaltport.wires as wires
 
-TICK = 0.05
-NOTICED = 2.6
-LAST = 0.8
-BODY = 4 << 20
-SWEEP = 5.0
-STALE = 2.0
-
-
-def number(raw, top=10**8):
+TICK_S = 0.05
+NOTICED_S = 2.6
+LAST_S = 0.8
+BODY_BYTES = 4 << 20
+SWEEP_MS = 5000
+STALE_MS = 2000
+MS = 1000
+LINGER_S = 2.0
+BACKLOG = 1024
+PROBE_BACKLOG = 128
+TOP = 10**8
+TOP_TOKENS = 10**7
+DIGITS = 11
+OK = 200
+BAD_REQUEST = 400
+TOO_LARGE = 413
+UNREADY = 503
+STARTED, STOPPING, REFUSED_PEER, STEP_FAILED = 1, 2, 33, 81
+
+Settings = collections.abc.Mapping[str, typing.Any]
+Reload = collections.abc.Callable[[], collections.abc.Sequence[str] | None]
+
+
+def number(raw: str | None, top: int = TOP) -> int:
     """A whole number of a header, or -1."""
-    return min(int(raw), top) if raw and raw.isascii() and raw.isdigit() and len(raw) < 12 else -1
+    if not raw or not raw.isascii() or not raw.isdigit() or len(raw) > DIGITS:
+        return -1
+    return min(int(raw), top)
 
 
 class RelayShell:
-    """`reload`: called on SIGHUP and when no keeper was heard of for a while; gives the seeds, or None."""
-
-    def __init__(self, settings, words, reload=None):
-        self.settings = s = settings
-        self.words = words
+    """A proxy as a process: what its reducer decides is done on sockets."""
+
+    end: asyncio.Event
+    server: aiohttp.web.Server
+    probe: aiohttp.web.Server
+    listener: asyncio.Server
+    prober: asyncio.Server
+
+    def __init__(self, settings: Settings, header_names: words.Words, reload: Reload | None = None) -> None:
+        """`reload`: called on SIGHUP and when no keeper was heard of for a while; gives seeds or None."""
+        self.settings = settings
+        self.words = header_names
         self.reload = reload
         self.stopping = False
         self.n = 0
-        self.sinks = {}
-        self.tasks = {}
+        self.sinks: dict[int, answer.Sink] = {}
+        self.tasks: dict[int, asyncio.Task[None]] = {}
         self.rest_limit = clients.RestLimit()
-        me = member.Me(
-            s["house"],
-            s["name"],
-            f"{s['name']}-{os.urandom(4).hex()}",
-            "proxy",
-            s["zone"],
-            s["address"],
-            "",
-            s["seeds"],
-            0,
-        )
         seed = random.SystemRandom().getrandbits(64)
-        zones = len(s.get("zones") or ()) or 1
-        self.member = role.Relay(me, seed, kinds.steady(), s.get("timings"), zones)
+        zones = len(settings.get("zones") or ()) or 1
+        me = identity(settings)
+        self.member = role.Relay(me, seed, kinds.steady(), settings.get("timings"), zones)
         self.pages = pages.Pages(self, "proxy")
-        self.upstream = upstream.Upstream(words)
-        self.wires = wires.Wires(
-            s["address"], self.heard, lambda peer, why: logs.note(33, {"peer": peer, "why": why})
-        )
+        self.upstream = upstream.Upstream(header_names)
+        self.wires = wires.Wires(settings["address"], self.heard, refused_peer)
 
-    def reseed(self, seeds):
+    def reseed(self, seeds: collections.abc.Sequence[str]) -> None:
+        """Other keepers to ask."""
         self.member.me.seeds = list(seeds)
 
-    async def run(self):
+    async def run(self) -> None:
+        """Serves until SIGTERM and its grace time."""
         loop = asyncio.get_running_loop()
         logs.open_log("-")
         self.end = asyncio.Event()
-        for s in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(s, self.end.set)
+        for stop in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(stop, self.end.set)
         loop.add_signal_handler(signal.SIGHUP, self.hup)
         await self.upstream.start()
         await self.wires.start()
+        await self.listen()
+        logs.note(STARTED, self.member.me.row())
+        gc.collect()
+        gc.freeze()
+        ticker = loop.create_task(self.tick())
+        await self.end.wait()
+        await self.finish()
+        ticker.cancel()
+
+    async def listen(self) -> None:
+        """Takes clients, and the platform's probes."""
+        loop = asyncio.get_running_loop()
         self.server = aiohttp.web.Server(
             self.serve,
             request_factory=self.request,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=clients.LIBRARY_LIMIT_S,
-            max_line_size=16_384,
-            max_field_size=32_768,
+            max_line_size=upstream.LINE_BYTES,
+            max_field_size=upstream.FIELD_BYTES,
             auto_decompress=False,
-            lingering_time=2.0,
+            lingering_time=LINGER_S,
         )
         self.probe = aiohttp.web.Server(self.readiness, access_log=None)
         host, port = self.settings["listen"].rsplit(":", 1)
-        self.listener = await loop.create_server(self.server, host, int(port), backlog=1024)
+        self.listener = await loop.create_server(self.server, host, int(port), backlog=BACKLOG)
         host, port = self.settings["ready"].rsplit(":", 1)
-        self.prober = await loop.create_server(self.probe, host, int(port), backlog=128)
-        logs.note(1, self.member.me.row())
-        gc.collect()
-        gc.freeze()
-        ticker = loop.create_task(self.tick())
-        await self.end.wait()
-        await self.finish()
-        ticker.cancel()
+        self.prober = await loop.create_server(self.probe, host, int(port), backlog=PROBE_BACKLOG)
 
-    def hup(self):
+    def hup(self) -> None:
+        """Reads the settings again."""
         seeds = self.reload() if self.reload else None
         if seeds:
             self.reseed(seeds)
 
-    async def finish(self):
+    async def finish(self) -> None:
         """Not ready at once; what still comes is served. Once no new clients come, what runs is finished, and
         what can't be is told so."""
-        logs.note(2, {"name": self.member.me.name})
+        logs.note(STOPPING, {"name": self.member.me.name})
         self.stopping = True
         self.step(base.Stop(kinds.steady()))
-        grace = self.member.timings["grace_s"]
-        await asyncio.sleep(min(NOTICED, grace / 2))
+        grace_s = self.member.timings["grace_s"]
+        noticed_s = min(NOTICED_S, grace_s / 2)
+        await asyncio.sleep(noticed_s)
         self.listener.close()
-        until = kinds.steady() + 1000 * (grace - min(NOTICED, grace / 2) - LAST)
-        while self.close_idle() and kinds.steady() < until:
-            await asyncio.sleep(TICK)
+        until = kinds.steady() + MS * (grace_s - noticed_s - LAST_S)
+        await self.quiet(until)
         self.step(events.Finish(kinds.steady()))
-        until += 1000 * LAST / 2
-        while self.close_idle() and kinds.steady() < until:
-            await asyncio.sleep(TICK)
+        await self.quiet(until + MS * LAST_S / 2)
         await self.wires.stop()
         await self.upstream.stop()
 
-    def close_idle(self):
+    async def quiet(self, until: float) -> None:
+        """Until nothing is on any connection, or the time is over."""
+        while self.close_idle() and kinds.steady() < until:
+            await asyncio.sleep(TICK_S)
+
+    def close_idle(self) -> int:
         """Ends connections that no request is on; gives how many are left.
 
         Others end with their answer, which says so. The library's own close() is not used: it leaves idle
@@ -141,143 +170,186 @@
                 busy += 1
         return busy or len(self.sinks)
 
-    def end_rested(self):
+    def end_rested(self) -> None:
         """Ends connections that have rested for longer than clients may."""
-        limit = self.rest_limit.seconds(self.member.table.limits)
-        now = asyncio.get_running_loop().time()
+        limit_s = self.rest_limit.seconds(self.member.table.limits)
+        now_s = asyncio.get_running_loop().time()
         for connection in self.server.connections:
-            if clients.rested_s(connection, now) >= limit and clients.at_rest(connection):
+            if clients.rested_s(connection, now_s) >= limit_s and clients.at_rest(connection):
                 connection.force_close()
 
-    async def tick(self):
+    async def tick(self) -> None:
+        """What time alone brings about."""
         asked = swept = kinds.steady()
         while True:
             now = kinds.steady()
             try:
                 self.step(base.Tick(now))
-            except Exception as e:
-                logs.note(81, {"why": f"{type(e).__name__}: {e}"})
-            if now - asked > 1000 * STALE and now - self.member.led_at > 1000 * STALE:
+            except Exception as error:
+                step_failed(error)
+            if now - asked > STALE_MS and now - self.member.led_at > STALE_MS:
                 asked = now
                 self.hup()
-            if now - swept > 1000 * SWEEP:
+            if now - swept > SWEEP_MS:
                 swept = now
                 self.end_rested()
-            await asyncio.sleep(TICK)
+            await asyncio.sleep(TICK_S)
 
-    def heard(self, src, msg):
+    def heard(self, src: str, msg: object) -> None:
+        """A member's message came."""
         self.step(base.Heard(kinds.steady(), src, msg))
 
     # clients
 
-    def request(self, message, payload, protocol, writer, task):
+    def request(
+        self,
+        message: aiohttp.http.RawRequestMessage,
+        payload: aiohttp.StreamReader,
+        protocol: clients.Connection,
+        writer: aiohttp.abc.AbstractStreamWriter,
+        task: "asyncio.Task[None]",
+    ) -> aiohttp.web.BaseRequest:
+        """The library's request, with the bound that is in force for bodies."""
         loop = asyncio.get_running_loop()
-        size = self.member.table.limits.get("body_bytes") or BODY
+        size = self.member.table.limits.get("body_bytes") or BODY_BYTES
         return aiohttp.web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=size)
 
-    async def readiness(self, request):
+    async def readiness(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.StreamResponse:
+        """The platform's probes, and operators' pages."""
         if request.path.startswith(pages.PREFIX):
-            return await self.pages.serve(request)
-        ok = request.path == self.words.ready_path and self.member.ready() and not self.stopping
-        return aiohttp.web.Response(status=200 if ok else 503)
+            page: aiohttp.web.StreamResponse = await self.pages.serve(request)
+            return page
+        ready = request.path == self.words.ready_path and self.member.ready() and not self.stopping
+        return aiohttp.web.Response(status=OK if ready else UNREADY)
 
-    async def serve(self, request):
+    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.StreamResponse:
+        """A client's request, from its last byte to the one answer."""
         try:
             body = await request.read()
         except aiohttp.web.HTTPRequestEntityTooLarge:
-            return aiohttp.web.Response(status=413)
-        w, h = self.words, request.headers
+            return aiohttp.web.Response(status=TOO_LARGE)
+        if not request.raw_path.startswith("/"):
+            return aiohttp.web.Response(status=BAD_REQUEST)
         self.n += 1
-        n = self.n
-        sink = self.sinks[n] = answer.Sink(request, body, w, lambda: self.stopping)
-        path = request.raw_path
-        if not path.startswith("/"):
-            del self.sinks[n]
-            return aiohttp.web.Response(status=400)
-        tokens = h.get(w.tokens, "").partition(",")[0]
-        ev = events.Arrived(
-            kinds.steady(),
-            n,
-            h.get("Host", ""),
-            path.partition("?")[0],
-            kinds.Item(h.get(w.model, "")),
-            number(h.get(w.deadline)),
-            number(tokens, 10**7),
-            h.get(w.prefix, "").rpartition(",")[0],
-        )
+        request_id = self.n
+        sink = self.sinks[request_id] = answer.Sink(request, body, self.words, lambda: self.stopping)
         try:
-            self.step(ev)
+            self.step(self.arrived(request_id, request))
             return await sink.done
         except asyncio.CancelledError:
-            self.step(events.Left(kinds.steady(), n))
+            self.step(events.Left(kinds.steady(), request_id))
             raise
         finally:
-            self.sinks.pop(n, None)
-
-    # effects
-
-    def step(self, ev):
-        for e in self.member.step(ev):
-            getattr(self, "do_" + type(e).__name__.lower())(e)
-
-    def do_send(self, e):
-        self.wires.send(e.addr, e.msg)
-
-    def do_note(self, e):
-        logs.note(e.number, e.fields)
+            self.sinks.pop(request_id, None)
 
-    def do_close(self, e):
-        s = self.sinks.get(e.request)
-        if s:
-            s.close(e.status, e.detail, e.retry_after)
-
-    def do_pass(self, e):
-        s = self.sinks.get(e.request)
-        if s:
-            s.give(e.attempt)
+    def arrived(self, request_id: int, request: aiohttp.web.BaseRequest) -> events.Arrived:
+        """What the reducer is told of a request."""
+        names, heads = self.words, request.headers
+        tokens = heads.get(names.tokens, "").partition(",")[0]
+        return events.Arrived(
+            kinds.steady(),
+            request_id,
+            heads.get("Host", ""),
+            request.raw_path.partition("?")[0],
+            kinds.Item(heads.get(names.model, "")),
+            number(heads.get(names.deadline)),
+            number(tokens, TOP_TOKENS),
+            heads.get(names.prefix, "").rpartition(",")[0],
+        )
 
-    def do_cut(self, e):
-        s = self.sinks.get(e.request)
-        if s:
-            s.cut()
+    # effects
 
-    def do_abort(self, e):
-        task = self.tasks.get(e.attempt)
+    def step(self, event: object) -> None:
+        """One step of the reducer, and what it asks for."""
+        for effect in member.Member.step(self.member, event):
+            getattr(self, "do_" + type(effect).__name__.lower())(effect)
+
+    def do_send(self, effect: base.Send) -> None:
+        """A message to a member."""
+        self.wires.send(effect.addr, effect.msg)
+
+    def do_note(self, effect: base.Note) -> None:
+        """An event for the log."""
+        logs.note(effect.number, effect.fields)
+
+    def do_close(self, effect: events.Close) -> None:
+        """An answer of our own."""
+        sink = self.sinks.get(effect.request)
+        if sink:
+            sink.close(effect.status, effect.detail, effect.retry_after)
+
+    def do_pass(self, effect: events.Pass) -> None:
+        """A replica's kept failure."""
+        sink = self.sinks.get(effect.request)
+        if sink:
+            sink.give(effect.attempt)
+
+    def do_cut(self, effect: events.Cut) -> None:
+        """The end of the client's connection."""
+        sink = self.sinks.get(effect.request)
+        if sink:
+            sink.cut()
+
+    def do_abort(self, effect: events.Abort) -> None:
+        """An attempt is stopped; its end is still told."""
+        task = self.tasks.get(effect.attempt)
         if task is None:
             return
         task.cancel()
-        if inspect.getcoroutinestate(task.get_coro()) == inspect.CORO_CREATED:
-            self.never_begun(e.attempt)
+        begun = typing.cast("collections.abc.Coroutine[None, None, None]", task.get_coro())
+        if inspect.getcoroutinestate(begun) == inspect.CORO_CREATED:
+            self.never_begun(effect.attempt)
 
-    def never_begun(self, attempt):
+    def never_begun(self, attempt: int) -> None:
         """Tells the end of an attempt none of which ran: a task that is stopped before its first step runs
         nothing, its `finally` neither."""
         self.tasks.pop(attempt, None)
         result = outcomes.Result(outcomes.Outcome.UNSENT, 0, "stopped")
         asyncio.get_running_loop().call_soon(self.step, events.Ended(kinds.steady(), attempt, result))
 
-    def do_attempt(self, e):
-        s = self.sinks.get(e.request)
-        if s is None:
-            self.never_begun(e.attempt)
+    def do_attempt(self, effect: events.Attempt) -> None:
+        """A request goes to a replica."""
+        sink = self.sinks.get(effect.request)
+        if sink is None:
+            self.never_begun(effect.attempt)
             return
-        q = self.member.requests.get(e.request)
-        if s.pieces is None:
-            s.route(q.route)
-        self.tasks[e.attempt] = asyncio.get_running_loop().create_task(self.attempt(e, s))
+        if sink.pieces is None:
+            sink.route(self.member.requests[effect.request].route)
+        task = asyncio.get_running_loop().create_task(self.attempt(effect, sink))
+        self.tasks[effect.attempt] = task
 
-    async def attempt(self, e, sink):
+    async def attempt(self, effect: events.Attempt, sink: answer.Sink) -> None:
+        """One attempt, and what the reducer is told of its end."""
         result = None
         try:
-            result = await self.upstream.run(e, sink, lambda: self.progress(e.attempt))
+            result = await self.upstream.run(effect, sink, lambda: self.progress(effect.attempt))
         except Exception as error:
-            logs.note(81, {"why": f"{type(error).__name__}: {error}"})
+            step_failed(error)
         finally:
             if result is None:
                 outcome = outcomes.Outcome.CUT if sink.begun else outcomes.Outcome.BROKEN
                 result = outcomes.Result(outcome, 0, "fault")
-            self.tasks.pop(e.attempt, None)
-            self.step(events.Ended(kinds.steady(), e.attempt, result))
+            self.tasks.pop(effect.attempt, None)
+            self.step(events.Ended(kinds.steady(), effect.attempt, result))
 
-    def progress(self, attempt):
+    def progress(self, attempt: int) -> None:
+        """Bytes of an answer came."""
         self.step(events.Progress(kinds.steady(), attempt))
+
+
+def identity(settings: Settings) -> member.Me:
+    """Who this proxy is among the members, new with every start."""
+    name = settings["name"]
+    seat = f"{name}-{os.urandom(4).hex()}"
+    place = settings["zone"], settings["address"]
+    return member.Me(settings["house"], name, seat, "proxy", *place, "", settings["seeds"], 0)
+
+
+def refused_peer(peer: str, why: str) -> None:
+    """Logs a connection of a peer that was not taken."""
+    logs.note(REFUSED_PEER, {"peer": peer, "why": why})
+
+
+def step_failed(error: Exception) -> None:
+    """Logs a fault of our own."""
+    logs.note(STEP_FAILED, {"why": f"{type(error).__name__}: {error}"})
