--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -238,7 +238,7 @@
             return aiohttp.web.Response(status=reason.value)
         tally = self.member.tally
         tally["no-room"] = tally.get("no-room", 0) + 1
-        sink = answer.Sink(request, b"", self.words, lambda: self.stopping)
+        sink = answer.Sink(request, b"", self.words, lambda: self.stopping, memory.Claim(self.answers))
         sink.close(reason.value, "no room for the body", role.COME_BACK)
         return sink.done.result()
 
