--- a/basaltport/relay/answer.py
+++ b/basaltport/relay/answer.py
@@ -8,6 +8,7 @@
 import aiohttp.web
 import multidict
 
+import basaltport.relay.memory as memory
 import basaltport.relay.pieces as pieces
 import basaltport.relay.table as table
 import basaltport.relay.upstream as upstream
@@ -16,6 +17,8 @@
 MS = 1000
 LEAST_RETRY_S = 0.01
 BAD_GATEWAY = 502
+LONGEST_EVENT = 1 << 18
+"""Bytes of a stream's longest event."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,8 +40,9 @@
         body: bytes,
         header_names: words.Words,
         closing: collections.abc.Callable[[], bool],
+        claim: memory.Claim,
     ) -> None:
-        """`closing`: whether answers now end their connections."""
+        """`closing`: whether answers now end their connections; `claim`: what its answers hold in memory."""
         self.request = request
         self.method = request.method
         self.path = request.raw_path
@@ -47,6 +51,7 @@
         self.request_id = request.headers.get(header_names.request_id)
         self.words = header_names
         self.closing = closing
+        self.claim = claim
         self.done: asyncio.Future[aiohttp.web.StreamResponse] = asyncio.get_running_loop().create_future()
         self.kept: dict[int, Kept] = {}
         self.reply: aiohttp.web.StreamResponse | None = None
@@ -119,6 +124,8 @@
         out = self.stream().take(raw)
         if out is None:
             raise upstream.ForeignError("the run does not go on where it should")
+        if len(self.stream().rest) > LONGEST_EVENT:
+            raise upstream.ForeignError("an event without an end")
         if out:
             await self.write(status, heads, out)
 
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -21,7 +21,10 @@
 import basaltport.member as member
 import basaltport.relay.answer as answer
 import basaltport.relay.clients as clients
+import basaltport.relay.delivery as delivery
 import basaltport.relay.events as events
+import basaltport.relay.intake as intake
+import basaltport.relay.memory as memory
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.role as role
 import basaltport.relay.upstream as upstream
@@ -43,7 +46,6 @@
 DIGITS = 11
 OK = 200
 BAD_REQUEST = 400
-TOO_LARGE = 413
 UNREADY = 503
 STARTED, STOPPING, REFUSED_PEER, STEP_FAILED = 1, 2, 33, 81
 
@@ -83,6 +85,8 @@
         self.member = role.Relay(me, seed, kinds.steady(), settings.get("timings"), zones)
         self.pages = pages.Pages(self, "proxy")
         self.upstream = upstream.Upstream(header_names)
+        self.bodies = memory.room_of(settings)
+        self.answers = memory.room_of(settings)
         self.wires = wires.Wires(settings["address"], self.heard, refused_peer)
 
     def reseed(self, seeds: collections.abc.Sequence[str]) -> None:
@@ -121,6 +125,7 @@
             max_field_size=upstream.FIELD_BYTES,
             auto_decompress=False,
             lingering_time=LINGER_S,
+            read_bufsize=upstream.READ_BUFFER,
         )
         self.probe = aiohttp.web.Server(self.readiness, access_log=None)
         host, port = self.settings["listen"].rsplit(":", 1)
@@ -223,26 +228,43 @@
         return aiohttp.web.Response(status=OK if ready else UNREADY)
 
     async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.StreamResponse:
-        """A client's request, from its last byte to the one answer."""
+        """A client's request, from its head to its answer's last byte, with what it holds in memory."""
+        body = memory.Claim(self.bodies)
+        answered = memory.Claim(self.answers)
         try:
-            body = await request.read()
-        except aiohttp.web.HTTPRequestEntityTooLarge:
-            return aiohttp.web.Response(status=TOO_LARGE)
+            return await self.served(request, body, answered)
+        finally:
+            body.free()
+            answered.free()
+
+    async def served(
+        self, request: aiohttp.web.BaseRequest, body_claim: memory.Claim, answer_claim: memory.Claim
+    ) -> aiohttp.web.StreamResponse:
+        """The same, with the claims that it may use."""
+        deadline = number(request.headers.get(self.words.deadline))
+        until = kinds.steady() + (deadline if deadline >= 0 else intake.LONGEST_MS)
+        limit = self.member.table.limits.get("body_bytes") or BODY_BYTES
+        try:
+            body = await intake.read(request, limit, deadline, body_claim)
+        except intake.RefusedError as refused:
+            body_claim.free()
+            return self.unread(request, refused.reason)
         if not request.raw_path.startswith("/"):
             return aiohttp.web.Response(status=BAD_REQUEST)
         self.n += 1
         request_id = self.n
-        sink = self.sinks[request_id] = answer.Sink(request, body, self.words, lambda: self.stopping)
+        sink = answer.Sink(request, body, self.words, lambda: self.stopping, answer_claim)
+        self.sinks[request_id] = sink
         try:
-            self.step(self.arrived(request_id, request))
-            return await sink.done
+            self.step(self.arrived(request_id, request, deadline))
+            return await delivery.deliver(request, await sink.done, until - kinds.steady())
         except asyncio.CancelledError:
             self.step(events.Left(kinds.steady(), request_id))
             raise
         finally:
             self.sinks.pop(request_id, None)
 
-    def arrived(self, request_id: int, request: aiohttp.web.BaseRequest) -> events.Arrived:
+    def arrived(self, request_id: int, request: aiohttp.web.BaseRequest, deadline: int) -> events.Arrived:
         """What the reducer is told of a request."""
         names, heads = self.words, request.headers
         tokens = heads.get(names.tokens, "").partition(",")[0]
@@ -252,11 +274,21 @@
             heads.get("Host", ""),
             request.raw_path.partition("?")[0],
             kinds.Item(heads.get(names.model, "")),
-            number(heads.get(names.deadline)),
+            deadline,
             number(tokens, TOP_TOKENS),
             heads.get(names.prefix, "").rpartition(",")[0],
         )
 
+    def unread(self, request: aiohttp.web.BaseRequest, reason: intake.Reason) -> aiohttp.web.StreamResponse:
+        """Our own answer where a body was not read: nothing ran, nor will."""
+        if reason is not intake.Reason.NO_ROOM:
+            return aiohttp.web.Response(status=reason.value)
+        tally = self.member.tally
+        tally["no-room"] = tally.get("no-room", 0) + 1
+        sink = answer.Sink(request, b"", self.words, lambda: self.stopping, memory.Claim(self.answers))
+        sink.close(reason.value, "no room for the body", role.COME_BACK)
+        return sink.done.result()
+
     # effects
 
     def step(self, event: object) -> None:
--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -11,6 +11,7 @@
 import basaltport.relay.connections as connections
 import basaltport.relay.decision as decision
 import basaltport.relay.events as events
+import basaltport.relay.memory as memory
 import basaltport.relay.outcomes as outcomes
 import basaltport.relay.words as words
 import basaltport.replica_client.adapter as adapter
@@ -37,6 +38,8 @@
 CONNECT_S = 0.4
 LINE_BYTES = 16_384
 FIELD_BYTES = 32_768
+READ_BUFFER = 1 << 16
+"""Bytes that the library reads of a connection before it waits until they are taken."""
 MS = 1000
 MARK = "X-Basaltport-Attempt"
 """Bears an attempt's number up to its connection; it is never sent."""
@@ -80,6 +83,7 @@
     body: bytes
     heads: multidict.CIMultiDict[str]
     request_id: str | None
+    claim: memory.Claim
     streams: bool
     begun: bool
 
@@ -134,6 +138,7 @@
             skip_auto_headers=SKIP,
             max_line_size=LINE_BYTES,
             max_field_size=FIELD_BYTES,
+            read_bufsize=READ_BUFFER,
         )
 
     async def stop(self) -> None:
@@ -224,11 +229,11 @@
         if response.status == SWITCHING:
             raise refused(response, "nobody asked for another protocol")
         if response.status == MISDIRECTED:
-            await self.whole(response)
+            await self.discard(response)
             held = heads.get(names.replica) == attempt.replica
             return Result(Outcome.ABSENT if held else Outcome.MOVED, MISDIRECTED)
         if names.not_run in heads:
-            await self.whole(response)
+            await self.discard(response)
             return Result(Outcome.REFUSED, response.status, f"refused by the replica: {response.status}")
         self.check_body(response)
         if response.status in OK and sink.streams:
@@ -246,7 +251,7 @@
 
     async def plain(self, attempt: events.Attempt, sink: Sink, response: aiohttp.ClientResponse) -> Result:
         """An answer that is passed on, or kept, once it is whole."""
-        raw = await self.whole(response)
+        raw = await self.whole(response, sink)
         status, heads = response.status, end_to_end(response.headers)
         if status >= decision.SERVER_ERROR or status in decision.PROMISES:
             sink.keep(attempt.attempt, status, heads, raw)
@@ -256,15 +261,37 @@
         await sink.whole(status, heads, raw)
         return Result(Outcome.DONE, status)
 
-    async def whole(self, response: aiohttp.ClientResponse) -> bytes:
-        """The whole body, or an error if it ends early; what is over WHOLE is no answer."""
+    async def whole(self, response: aiohttp.ClientResponse, sink: Sink) -> bytes:
+        """The whole body, or an error if it ends early; what is over WHOLE, or finds no room in memory, is no
+        answer. One that states its length waits for its room; the replica is not read for as long."""
+        stated = 0 if response.method == "HEAD" else response.content_length or 0
+        if stated > min(WHOLE, sink.claim.room.bound):
+            raise refused(response, "the answer is too long")
+        before = sink.claim.size
+        try:
+            await sink.claim.wait(stated)
+            return await self.gathered(response, sink.claim, stated)
+        except BaseException:
+            sink.claim.give(sink.claim.size - before)
+            raise
+
+    async def gathered(self, response: aiohttp.ClientResponse, claim: memory.Claim, stated: int) -> bytes:
+        """The whole body; `stated` bytes of it have their room."""
         raw = bytearray()
         async for part in response.content.iter_any():
             raw += part
-            if len(raw) > WHOLE:
+            if len(raw) > WHOLE or len(raw) > stated and not claim.add(len(part)):
                 raise refused(response, "the answer is too long")
         return bytes(raw)
 
+    async def discard(self, response: aiohttp.ClientResponse) -> None:
+        """Reads a body that is not needed, so that its connection can be used again."""
+        size = 0
+        async for part in response.content.iter_any():
+            size += len(part)
+            if size > WHOLE:
+                raise refused(response, "the answer is too long")
+
     async def stream(
         self, attempt: events.Attempt, sink: Sink, response: aiohttp.ClientResponse, progress: Progress
     ) -> Result:
