--- a/basaltport/relay/memory.py
+++ b/basaltport/relay/memory.py
@@ -15,6 +15,7 @@
     """Takes at most `bound` bytes."""
 
     def __init__(self, bound: int) -> None:
+        """`bound`: bytes."""
         self.bound = bound
         self.held = 0
         self.waiting: collections.deque[tuple[int, asyncio.Future[None]]] = collections.deque()
@@ -52,6 +53,7 @@
     """What one request holds of a room; all of it is given back at once."""
 
     def __init__(self, room: Room) -> None:
+        """It holds nothing yet."""
         self.room = room
         self.size = 0
 
@@ -73,6 +75,7 @@
         self.room.give(size)
 
     def free(self) -> None:
+        """Gives all of it back."""
         self.give(self.size)
 
 
--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -13,7 +13,6 @@
 import basaltport.relay.events as events
 import basaltport.relay.memory as memory
 import basaltport.relay.outcomes as outcomes
-import basaltport.relay.pieces as event_pieces
 import basaltport.relay.words as words
 import basaltport.replica_client.adapter as adapter
 
@@ -36,13 +35,11 @@
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 WHOLE = 16 << 20
 """Bytes of the longest answer that is passed on whole."""
-LONGEST_EVENT = 1 << 18
-"""Bytes of a stream's event that is not yet whole; one that is longer is no event."""
-READ_BUFFER = 1 << 16
-"""Bytes that the library reads ahead."""
 CONNECT_S = 0.4
 LINE_BYTES = 16_384
 FIELD_BYTES = 32_768
+READ_BUFFER = 1 << 16
+"""Bytes that the library reads of a connection before it waits until they are taken."""
 MS = 1000
 MARK = "X-Basaltport-Attempt"
 """Bears an attempt's number up to its connection; it is never sent."""
@@ -86,10 +83,9 @@
     body: bytes
     heads: multidict.CIMultiDict[str]
     request_id: str | None
+    claim: memory.Claim
     streams: bool
     begun: bool
-    claim: memory.Claim
-    pieces: event_pieces.Pieces | None
 
     def resume(self) -> str:
         """The id that a stream's next run goes on from, or ""."""
@@ -255,7 +251,7 @@
 
     async def plain(self, attempt: events.Attempt, sink: Sink, response: aiohttp.ClientResponse) -> Result:
         """An answer that is passed on, or kept, once it is whole."""
-        raw = await self.whole(response, sink.claim)
+        raw = await self.whole(response, sink)
         status, heads = response.status, end_to_end(response.headers)
         if status >= decision.SERVER_ERROR or status in decision.PROMISES:
             sink.keep(attempt.attempt, status, heads, raw)
@@ -265,22 +261,22 @@
         await sink.whole(status, heads, raw)
         return Result(Outcome.DONE, status)
 
-    async def whole(self, response: aiohttp.ClientResponse, claim: memory.Claim) -> bytes:
+    async def whole(self, response: aiohttp.ClientResponse, sink: Sink) -> bytes:
         """The whole body, or an error if it ends early; what is over WHOLE, or finds no room in memory, is no
         answer. One that states its length waits for its room; the replica is not read for as long."""
         stated = 0 if response.method == "HEAD" else response.content_length or 0
-        if stated > min(WHOLE, claim.room.bound):
+        if stated > min(WHOLE, sink.claim.room.bound):
             raise refused(response, "the answer is too long")
-        before = claim.size
+        before = sink.claim.size
         try:
-            await claim.wait(stated)
-            return await self.gathered(response, claim, stated)
+            await sink.claim.wait(stated)
+            return await self.gathered(response, sink.claim, stated)
         except BaseException:
-            claim.give(claim.size - before)
+            sink.claim.give(sink.claim.size - before)
             raise
 
     async def gathered(self, response: aiohttp.ClientResponse, claim: memory.Claim, stated: int) -> bytes:
-        """The body's bytes; what comes beyond the stated length takes its room as it comes."""
+        """The whole body; `stated` bytes of it have their room."""
         raw = bytearray()
         async for part in response.content.iter_any():
             raw += part
@@ -303,8 +299,6 @@
         async for part in response.content.iter_any():
             progress()
             await sink.part(response.status, response.headers, part)
-            if sink.pieces is not None and len(sink.pieces.rest) > LONGEST_EVENT:
-                raise refused(response, "an event without an end")
         await sink.end(response.status, response.headers)
         return Result(Outcome.DONE, response.status)
 
