Events of the log have names

The catalogue is an IntEnum in a module of its own; what is logged is as before, and a number is still taken, so call sites move package by package: all have but consensus, keeper and relay. Tests hold catalogue and page equal, and that no other package logs a bare number.

--- a/basaltport/admin/desk.py
+++ b/basaltport/admin/desk.py
@@ -4,6 +4,7 @@
 import basaltport.configuration.patch as patch
 import basaltport.events as events
 import basaltport.consensus.book as book
+import basaltport.log_events as log_events
 import basaltport.messages as messages
 
 CHANGES = ("apply", "patch", "drain", "undrain", "leaving", "platform")
@@ -102,7 +103,7 @@
             self.respond(None, c, 504, {"outcome": "unknown", "change": change, "advice": "ask by change id"})
 
     def refuse_change(self, src, call, change, status, findings):
-        self.note(40, change=change, findings=len(findings))
+        self.note(log_events.Event.CHANGE_REFUSED, change=change, findings=len(findings))
         self.respond(src, call, status, {"outcome": "refused", "change": change, "findings": findings})
 
     def heard_gen(self):
@@ -209,7 +210,7 @@
 
     def acknowledge(self, w):
         b = {"outcome": "acknowledged", "serial": int(w["serial"]), "change": w["change"]}
-        self.note(41, serial=int(w["serial"]), change=w["change"])
+        self.note(log_events.Event.CHANGE_ACKNOWLEDGED, serial=int(w["serial"]), change=w["change"])
         self.respond(w["src"], w["call"], 200, b)
 
     def unknown(self, w):
--- a/basaltport/anti_entropy/keep.py
+++ b/basaltport/anti_entropy/keep.py
@@ -6,6 +6,7 @@
 
 import basaltport.configuration.rules as rules
 import basaltport.kinds as kinds
+import basaltport.log_events as log_events
 import basaltport.member as member
 import basaltport.messages as messages
 import basaltport.anti_entropy.ranges as ranges
@@ -156,7 +157,12 @@
             if j.has_most() or self.blank_left(j) <= 0:
                 self.whole[i] = j.at
                 del self.joins[i]
-                self.note(70, range=int(i), copied=len(j.got), records=len(self.kept[int(i)]))
+                self.note(
+                    log_events.Event.KEYS_WHOLE,
+                    range=int(i),
+                    copied=len(j.got),
+                    records=len(self.kept[int(i)]),
+                )
             elif self.now >= j.next:
                 self.ask_keepers(int(i), j)
         self.swept = (self.swept + 1) % ranges.RANGES
--- a/basaltport/failure_detection/duties.py
+++ b/basaltport/failure_detection/duties.py
@@ -7,6 +7,7 @@
 
 import basaltport.consensus.seat as seat
 import basaltport.kinds as kinds
+import basaltport.log_events as log_events
 
 GONE = 1500
 UNHEARD = 4000
@@ -96,7 +97,7 @@
         owners = {k: pick(k, live) for k in every if self.lacks_owner(t["duties"].get(k))}
         if not owners:
             return
-        self.note(18, owners=owners)
+        self.note(log_events.Event.DUTIES_HANDED, owners=owners)
         op: Row = {"op": "duty", "owners": owners}
         if self.fresh and set(owners) == set(every):
             op["fresh"] = True
--- a/basaltport/host.py
+++ b/basaltport/host.py
@@ -9,6 +9,7 @@
 import aiohttp.web
 
 import basaltport.admin.http as http
+import basaltport.log_events as log_events
 import basaltport.replica_client.adapter as adapter
 import basaltport.events as events
 import basaltport.kinds as kinds
@@ -73,15 +74,17 @@
         self.disk = journal.Disk(self.settings["data"], self.settings["name"])
         got = self.disk.open(member_identity.Identity(self.me.seat))
         if got.is_err():
-            logs.note(21, {"folder": self.settings["data"], "why": got.err_value})
+            logs.note(log_events.Event.DISK_REFUSED, {"folder": self.settings["data"], "why": got.err_value})
             return got.err_value
         recovered = got.ok_value
         self.me.seat = kinds.Seat(recovered.identity.seat)
         self.member = ledger.Ledger(self.me, seed, now, recovered.held, recovered.promised)
         if recovered.new_seat:
-            logs.note(22, {"folder": self.settings["data"], "seat": self.me.seat})
+            logs.note(log_events.Event.SEAT_UNKNOWN, {"folder": self.settings["data"], "seat": self.me.seat})
         g, n = self.member.head()
-        logs.note(20, {"serial": int(n), "generation": g.text(), "seat": self.me.seat})
+        logs.note(
+            log_events.Event.DISK_OPENED, {"serial": int(n), "generation": g.text(), "seat": self.me.seat}
+        )
         return None
 
     async def run(self):
@@ -102,12 +105,12 @@
         ip, port = self.me.http.split(":")
         await aiohttp.web.TCPSite(self.runner, ip, int(port), backlog=1024).start()
         await self.wires.start()
-        logs.note(1, self.me.row())
+        logs.note(log_events.Event.STARTED, self.me.row())
         self.ticker = asyncio.get_running_loop().create_task(self.tick())
 
     async def finish(self):
         """Takes no more, finishes what runs, within bounds."""
-        logs.note(2, {"name": self.me.name})
+        logs.note(log_events.Event.STOPPING, {"name": self.me.name})
         self.stopping = True
         await self.drain()
         self.step(events.Stop(kinds.steady()))
--- /dev/null
+++ b/basaltport/log_events.py
@@ -0,0 +1,99 @@
+"""The events of the log: each has a number, a name and a meaning, which docs/events.md lists too."""
+
+import enum
+
+
+class Event(enum.IntEnum):
+    """Numbers are never given a second meaning."""
+
+    STARTED = 1
+    STOPPING = 2
+    SETTINGS_REFUSED = 3
+    LEADER_HEARD = 10
+    CAMPAIGN = 11
+    FOUNDING = 12
+    LEADING = 13
+    LEDGERS_LOST = 14
+    STEPPED_DOWN = 15
+    SEAT_ADDED = 16
+    SEAT_DROPPED = 17
+    DUTIES_HANDED = 18
+    SEATS_MISSING = 19
+    DISK_OPENED = 20
+    DISK_REFUSED = 21
+    SEAT_UNKNOWN = 22
+    DISK_FAILED = 23
+    OVERRIDE = 24
+    MEMBER_MET = 30
+    STRANGER = 31
+    NAME_TWICE = 32
+    FRAME_REFUSED = 33
+    OLD_GENERATION = 34
+    FRAME_REPLAYED = 35
+    CHANGE_REFUSED = 40
+    CHANGE_ACKNOWLEDGED = 41
+    MANIFEST_IN_FORCE = 42
+    LOAD_WAITED = 50
+    LOAD_DONE = 51
+    TIMEOUT_CLASSIFIED = 52
+    DUTY_TAKEN = 60
+    REPLICA_MET = 61
+    REPLICA_DARK = 62
+    FENCE_PASSED = 63
+    ORDER = 64
+    ORDER_FAILED = 65
+    STORE_DUTY_TAKEN = 66
+    KEYS_WHOLE = 70
+    PORT_CALL_FAILED = 80
+    STEP_FAILED = 81
+
+    @property
+    def label(self) -> str:
+        """The name as logs and pages show it."""
+        return self.name.lower().replace("_", "-")
+
+
+MEANINGS: dict[Event, str] = {
+    Event.STARTED: "A process is up: its name, seat, role, zone and addresses.",
+    Event.STOPPING: "A process was asked to stop: it takes no more and finishes what runs.",
+    Event.SETTINGS_REFUSED: "The settings file has findings; nothing was started.",
+    Event.LEADER_HEARD: "This member follows a leader of a new generation.",
+    Event.CAMPAIGN: "A ledger heard no leader and asks all seats for their promise.",
+    Event.FOUNDING: "Enough of the expected seats are here and none holds anything: the house is founded.",
+    Event.LEADING: "This ledger leads from now on.",
+    Event.LEDGERS_LOST: "Most ledgers are gone: a new generation goes on with those that live.",
+    Event.STEPPED_DOWN: "This ledger leads no more; the reason is given.",
+    Event.SEAT_ADDED: "A member was given a seat in the roster.",
+    Event.SEAT_DROPPED: "A seat was silent too long and left the roster.",
+    Event.DUTIES_HANDED: "Duties were given to owners under a new fence.",
+    Event.SEATS_MISSING: "No leader for five seconds: these members' promises are missing.",
+    Event.DISK_OPENED: "The data folder was read; what was held is given.",
+    Event.DISK_REFUSED: "The data folder cannot be used: the reason is given. Nothing was changed in it.",
+    Event.SEAT_UNKNOWN: (
+        "The data folder cannot prove the seat that voted here: this is a new seat without a vote."
+    ),
+    Event.DISK_FAILED: "A write to the data folder failed.",
+    Event.OVERRIDE: "An operator gave members up for lost: the house may go on without them.",
+    Event.MEMBER_MET: "A member became known, or came back with a new seat.",
+    Event.STRANGER: "A frame came from another house; it was ignored.",
+    Event.NAME_TWICE: "Another process uses this member's name; it was ignored.",
+    Event.FRAME_REFUSED: "A garbled, oversize or wrong-version frame came; its wire was closed.",
+    Event.OLD_GENERATION: "A leader of a generation that was given up still beats; it is told to step down.",
+    Event.FRAME_REPLAYED: "A beat long past came again; it lengthens no lease and changes nothing.",
+    Event.CHANGE_REFUSED: "A change was refused; it is never in force.",
+    Event.CHANGE_ACKNOWLEDGED: "A change is agreed, kept and in force at every leased node.",
+    Event.MANIFEST_IN_FORCE: "This node now works by the manifest of the serial given.",
+    Event.LOAD_WAITED: "A shared wait for a cold model began.",
+    Event.LOAD_DONE: "A shared wait ended: the model is loaded; the measured wait is given.",
+    Event.TIMEOUT_CLASSIFIED: "A dispatch timed out; the controller's word names the phase.",
+    Event.DUTY_TAKEN: "This node is the steward of a zone under a new fence.",
+    Event.REPLICA_MET: "A replica answered its steward, or came back as a new start.",
+    Event.REPLICA_DARK: "A replica stopped answering its steward.",
+    Event.FENCE_PASSED: "A replica saw a higher fence: this steward gives it no more orders.",
+    Event.ORDER: "A steward orders a replica to load or unload.",
+    Event.ORDER_FAILED: "An order was refused or its outcome is unknown.",
+    Event.STORE_DUTY_TAKEN: "This node grants the weight store's permits.",
+    Event.KEYS_WHOLE: "This node is whole as a keeper of a range of senders' keys.",
+    Event.PORT_CALL_FAILED: "A call of this keeper to its platform broke; the reason is given.",
+    Event.STEP_FAILED: "A step of this process broke; the reason is given. It goes on.",
+}
--- a/basaltport/member.py
+++ b/basaltport/member.py
@@ -92,7 +92,7 @@
         self.out.append(events.Send(addr, msg))
 
     def note(self, number, **fields):
-        self.out.append(events.Note(number, fields))
+        self.out.append(events.Note(int(number), fields))
 
     def on_tick(self, ev):
         self.ticks += 1
--- a/basaltport/query_proxy/role.py
+++ b/basaltport/query_proxy/role.py
@@ -4,6 +4,7 @@
 import basaltport.admin.desk as desk
 import basaltport.configuration.rules as rules
 import basaltport.consensus.seat as seat
+import basaltport.log_events as log_events
 import basaltport.member as member
 import basaltport.messages as messages
 import basaltport.readiness.routine as routine
@@ -79,7 +80,11 @@
             self.rules = rules.compile(m, self.book["mserial"], self.compiled, self.rules)
             self.compiled = m
             self.rules_serial = self.book["mserial"]
-            self.note(42, serial=int(self.book["mserial"]), lines=len(self.rules.lines))
+            self.note(
+                log_events.Event.MANIFEST_IN_FORCE,
+                serial=int(self.book["mserial"]),
+                lines=len(self.rules.lines),
+            )
             self.recheck()
         self.take_duties()
         self.join_ranges()
--- a/basaltport/readiness/routine.py
+++ b/basaltport/readiness/routine.py
@@ -1,6 +1,7 @@
 """ADR 0041 in a router node: the cache, the shared wait, the error phases, one resend after readiness."""
 
 import basaltport.failure_detection.duties as duties
+import basaltport.log_events as log_events
 import basaltport.messages as messages
 import basaltport.readiness.limits as limits
 import basaltport.query_proxy.interp as interp
@@ -178,13 +179,13 @@
             del self.waits[m.item]
             if w.began:
                 f.load = (w.since, self.now - w.since)
-                self.note(51, item=m.item, waited_ms=self.now - w.since)
+                self.note(log_events.Event.LOAD_DONE, item=m.item, waited_ms=self.now - w.since)
             self.now_ready(m.item)
             return
         if m.state == "loading":
             if not w.began:
                 w.began = True
-                self.note(50, item=m.item, zone=m.zone, expected_ms=m.expected)
+                self.note(log_events.Event.LOAD_WAITED, item=m.item, zone=m.zone, expected_ms=m.expected)
             w.next = self.now + min(limits.spacing(m.retry_after), MAX_SPREAD)
             self.check_deadlines(m.item, f)
             return
@@ -291,7 +292,7 @@
             since = f.serving_since
             cold = f.state not in ("loaded", "") or (since is not None and since > run.sent)
         code = "cold-load-timeout" if cold else "request-timeout"
-        self.note(52, query=q.id, item=q.item, phase=code)
+        self.note(log_events.Event.TIMEOUT_CLASSIFIED, query=q.id, item=q.item, phase=code)
         if not self.resend(q, code):
             self.give_up(q, 504, code, f"{q.item} on {run.replica} after {self.now - run.sent} ms")
 
--- a/basaltport/shell.py
+++ b/basaltport/shell.py
@@ -5,6 +5,7 @@
 import basaltport.consensus.journal as journal
 import basaltport.events as events
 import basaltport.kinds as kinds
+import basaltport.log_events as log_events
 import basaltport.logs as logs
 
 
@@ -27,7 +28,7 @@
         self.step(events.Heard(kinds.steady(), src, msg))
 
     def refused(self, peer, why):
-        logs.note(33, {"peer": peer, "why": why})
+        logs.note(log_events.Event.FRAME_REFUSED, {"peer": peer, "why": why})
 
     def step(self, ev):
         for e in self.member.step(ev):
--- a/basaltport/zone_controller/store.py
+++ b/basaltport/zone_controller/store.py
@@ -2,6 +2,7 @@
 
 import basaltport.failure_detection.duties as duties
 import basaltport.kinds as kinds
+import basaltport.log_events as log_events
 import basaltport.messages as messages
 import basaltport.zone_controller.zone as zone
 
@@ -66,7 +67,7 @@
         if self.accounts_fence != sd["fence"]:
             self.accounts_fence = sd["fence"]
             self.accounts = {}
-            self.note(66, fence=sd["fence"])
+            self.note(log_events.Event.STORE_DUTY_TAKEN, fence=sd["fence"])
 
     def hear_permitask(self, src, m):
         sd = self.store_duty()
--- a/basaltport/zone_controller/zone.py
+++ b/basaltport/zone_controller/zone.py
@@ -2,6 +2,7 @@
 
 import basaltport.events as events
 import basaltport.kinds as kinds
+import basaltport.log_events as log_events
 import basaltport.messages as messages
 import basaltport.readiness.limits as limits
 import basaltport.zone_controller.homes as homes
@@ -93,7 +94,7 @@
             if z not in self.duties:
                 self.duties[z] = Duty(z, f, self.now)
                 self.list_replicas(self.duties[z])
-                self.note(60, zone=z, fence=int(f))
+                self.note(log_events.Event.DUTY_TAKEN, zone=z, fence=int(f))
 
     def tick_steward(self):
         if not self.leased():
@@ -125,7 +126,7 @@
     def darken(self, p):
         if p.up:
             p.up = False
-            self.note(62, replica=p.id)
+            self.note(log_events.Event.REPLICA_DARK, replica=p.id)
 
     def unheard(self, d, grace):
         """Whether a new duty should still wait for the first word of some replica."""
@@ -146,7 +147,7 @@
 
     def take_state(self, d, p, st):
         if st.get("fence", 0) > d.fence:
-            self.note(63, replica=p.id, fence=int(d.fence), seen=st["fence"])
+            self.note(log_events.Event.FENCE_PASSED, replica=p.id, fence=int(d.fence), seen=st["fence"])
             return
         if st["epoch"] == p.epoch and st["n"] <= p.n:
             return
@@ -155,7 +156,7 @@
             p.epoch = st["epoch"]
             p.fresh = self.now - st["up_ms"]
             p.ordering = {}
-            self.note(61, replica=p.id, epoch=p.epoch)
+            self.note(log_events.Event.REPLICA_MET, replica=p.id, epoch=p.epoch)
         p.heard, p.up, p.at, p.misses = True, True, self.now, 0
         p.room = min(st["room"], self.rules.groups.get(p.group, {"room": 0})["room"])
         p.running = st["running"]
@@ -312,7 +313,7 @@
         self.order_n += 1
         self.orders[self.order_n] = (d.zone, p.id, body)
         body = {**body, "fence": int(d.fence)}
-        self.note(64, replica=p.id, **{k: v for k, v in body.items() if k != "fence"})
+        self.note(log_events.Event.ORDER, replica=p.id, **{k: v for k, v in body.items() if k != "fence"})
         self.emit(events.Order(self.order_n, p.id, f"{p.url}/order", body))
 
     def on_ordered(self, ev):
@@ -322,7 +323,12 @@
         if p is None:
             return
         if not ev.ok:
-            self.note(65, replica=r, item=body["item"], why=str(ev.state.get("error", "")))
+            self.note(
+                log_events.Event.ORDER_FAILED,
+                replica=r,
+                item=body["item"],
+                why=str(ev.state.get("error", "")),
+            )
             if ev.state.get("ran") == "no":
                 p.ordering.pop(body["item"], None)
         if "held" in ev.state:
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -5,6 +5,8 @@
 import re
 import tomllib
 
+import basaltport.log_events as log_events
+
 ROOT = pathlib.Path(__file__).parent.parent
 GLOBS = ("basaltport/**/*.py", "platform/*.py", "tests/*.py")
 FILES = [f for g in GLOBS for f in sorted(ROOT.glob(g))]
@@ -82,3 +84,15 @@
     for file in done_files():
         found = [n for n, line in enumerate(file.read_text().splitlines(), 1) if excuse.search(line)]
         assert not found, (file, found)
+
+
+def test_events_are_logged_by_name_and_numbers_that_are_left_are_of_the_catalogue():
+    by_number = {}
+    for file in ROOT.glob("basaltport/**/*.py"):
+        for node in ast.walk(ast.parse(file.read_text())):
+            is_note = isinstance(node, ast.Call) and getattr(node.func, "attr", "") == "note" and node.args
+            if is_note and isinstance(node.args[0], ast.Constant) and isinstance(node.args[0].value, int):
+                by_number.setdefault(file.parent.name, set()).add(node.args[0].value)
+    assert set(by_number) <= {"consensus", "keeper", "relay"}
+    assert set().union(*by_number.values()) <= set(log_events.Event)
+    assert set(log_events.MEANINGS) == set(log_events.Event)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-import basaltport.logs as logs
+import basaltport.log_events as log_events
 import basaltport.main as main
 import basaltport.simulation.planner as planner
 import basaltport.simulation.world.stage as stage
@@ -131,5 +131,5 @@
             assert f"  {v}" in out
             assert call(capsys, v, "--help")[0] == 0
     page = (EXAMPLES.parent.parent / "docs" / "events.md").read_text()
-    rows = [f"| {n} | {name} | {text} |" for n, (name, text) in logs.CATALOGUE.items()]
+    rows = [f"| {int(e)} | {e.label} | {log_events.MEANINGS[e]} |" for e in log_events.Event]
     assert [r for r in page.split("\n") if r.startswith("| ") and r[2].isdigit()] == rows
