The stand's cold replica counts its requests one by one

Window.add takes one request at a time now; the stand still added 99 in one call: TypeError, 1 failed and 1 error in tests/test_fleet_cli.py. It adds the same 99; all 19 pass.

--- a/tests/fleet_stand.py
+++ b/tests/fleet_stand.py
@@ -159,7 +159,8 @@
     m.health["r3"].running = 99
     m.health["r4"].cold_until = now + 800
     m.health["r4"].cold.sent.add(now - 9000)
-    m.health["r4"].cold.sent.add(now, 99)
+    for _ in range(99):
+        m.health["r4"].cold.sent.add(now)
     m.health["r5"] = m.health_of("r5")
     m.health["r5"].dead = True
     m.retry_of("write").first(now)
