--- a/basaltport/consensus/voters.py
+++ b/basaltport/consensus/voters.py
@@ -18,8 +18,9 @@
     LEASE = LEASE
 
     def seat_start(self, held=None, promised=seat.NONE):
-        """Acks are numbered apart from those of an earlier life of the same seat. `vote_from`: when the lease of
-        a leader that was acknowledged in an earlier life is over; that life ended before this process began."""
+        """Acks are numbered apart from those of an earlier life of the same seat. `vote_from`: when the lease
+        of a leader that was acknowledged in an earlier life is over; that life ended before this process
+        began."""
         super().seat_start(held, promised)
         self.ack_k = self.rng.getrandbits(30) << seat.LIFE
         self.past = {}
--- a/basaltport/started.py
+++ b/basaltport/started.py
@@ -1,4 +1,4 @@
-"""When this process began, on the steady clock of `kinds.steady`. Programs import this module before all else."""
+"""When this process began, on the clock of `kinds.steady`. Programs import this module before all else."""
 
 import time
 
