A term is of a seat, not of a name: two members of one name never lead one term

Cause, found by the model: a replacing member may bear the former one's name while that lives. Both asked for the term (3, k5); a voter gives its vote for a term again to whoever asks, so both led it. Change: the term names the candidate's seat, which is unique to a disk. Pages show the seat in it; the approved page of the fleet's status has it masked, the name before it stands as it was.

--- a/basaltport/consensus/campaign.py
+++ b/basaltport/consensus/campaign.py
@@ -134,6 +134,10 @@
         heard = {p.me["addr"] for p in self.camp["got"].values()}
         return [events.Send(a, m) for a in self.voices() if a not in heard]
 
+    def next_term(self):
+        """A term that no other member can ask for: of this seat, since two may bear one name."""
+        return kinds.Generation(max(self.promised.count, self.top) + 1, self.me.seat)
+
     def campaign(self):
         if self.stopped or not self.may_stand() or not self.may_vote():
             return
@@ -143,7 +147,7 @@
         if self.now - self.told_missing >= elect.OVERRIDE:
             self.told_missing = self.now
             self.note(19, missing=self.missing())
-        gen = kinds.Generation(max(self.promised.count, self.top) + 1, self.me.name)
+        gen = self.next_term()
         self.promised = gen
         got = {self.me.seat: self.promise(gen, True)}
         self.camp = {"gen": gen, "got": got, "at": self.now, "asked": self.now, "fetched": -(10**9)}
--- a/basaltport/kinds.py
+++ b/basaltport/kinds.py
@@ -73,7 +73,7 @@
 
 
 class Generation(typing.NamedTuple):
-    """The term of a leader; ordered by count, then by the candidate's name."""
+    """The term of a leader; ordered by count, then by the candidate's name or seat."""
 
     count: int = 0
     name: str = ""
--- a/tests/test_fleet_cli.py
+++ b/tests/test_fleet_cli.py
@@ -44,6 +44,7 @@
 
 def tidy(text):
     text = re.sub(r"127\.0\.0\.1:\d+", "IP:PORT", text)
+    text = re.sub(r"\b(k\d)-[0-9a-f]{8}\b", r"\1-SEAT", text)
     return "\n".join(re.sub(r"  +", "  ", x).rstrip() for x in text.split("\n"))
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -230,3 +230,18 @@
     assert 0 < began <= kinds.steady()
     text = (pathlib.Path(__file__).parent.parent / "platform" / "run.py").read_text()
     assert text.index("import basaltport.started") < text.index("import asyncio")
+
+
+def test_two_candidates_of_one_name_ask_for_two_terms_and_one_gets_the_vote():
+    w = world(5, 3)
+    voter, other = (w.nodes[k].member for k in others(w))
+    name = other.me.name
+    me = member.Me("house", name, "twin", "ledger", "z", "10.9.9.9:1", "", w.seeds, 0, voters="ledgers")
+    twin = role.Keeper(me, 7, w.now, other.copy(), other.promised, w.placement())
+    terms = [other.next_term(), twin.next_term()]
+    assert terms[0].count == terms[1].count and terms[0] != terms[1]
+    voter.heard_at = voter.now - timing.ELECTION_TIMEOUT
+    for term, candidate in zip(sorted(terms, reverse=True), (other, twin), strict=True):
+        campaign = messages.Campaign(term, candidate.me.seat, candidate.me.name, candidate.me.addr)
+        voter.step(events.Heard(w.now, "", campaign))
+    assert voter.promised == max(terms)
