--- a/basaltport/relay/upstream.py
+++ b/basaltport/relay/upstream.py
@@ -13,6 +13,7 @@
 import basaltport.relay.events as events
 import basaltport.relay.memory as memory
 import basaltport.relay.outcomes as outcomes
+import basaltport.relay.pieces as event_pieces
 import basaltport.relay.words as words
 import basaltport.replica_client.adapter as adapter
 
@@ -35,6 +36,10 @@
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 WHOLE = 16 << 20
 """Bytes of the longest answer that is passed on whole."""
+LONGEST_EVENT = 1 << 18
+"""Bytes of a stream's event that is not yet whole; one that is longer is no event."""
+READ_BUFFER = 1 << 16
+"""Bytes that the library reads ahead."""
 CONNECT_S = 0.4
 LINE_BYTES = 16_384
 FIELD_BYTES = 32_768
@@ -83,9 +88,10 @@
     body: bytes
     heads: multidict.CIMultiDict[str]
     request_id: str | None
-    claim: memory.Claim
     streams: bool
     begun: bool
+    claim: memory.Claim
+    pieces: event_pieces.Pieces | None
 
     def resume(self) -> str:
         """The id that a stream's next run goes on from, or ""."""
@@ -251,7 +257,7 @@
 
     async def plain(self, attempt: events.Attempt, sink: Sink, response: aiohttp.ClientResponse) -> Result:
         """An answer that is passed on, or kept, once it is whole."""
-        raw = await self.whole(response, sink)
+        raw = await self.whole(response, sink.claim)
         status, heads = response.status, end_to_end(response.headers)
         if status >= decision.SERVER_ERROR or status in decision.PROMISES:
             sink.keep(attempt.attempt, status, heads, raw)
@@ -261,22 +267,22 @@
         await sink.whole(status, heads, raw)
         return Result(Outcome.DONE, status)
 
-    async def whole(self, response: aiohttp.ClientResponse, sink: Sink) -> bytes:
+    async def whole(self, response: aiohttp.ClientResponse, claim: memory.Claim) -> bytes:
         """The whole body, or an error if it ends early; what is over WHOLE, or finds no room in memory, is no
         answer. One that states its length waits for its room; the replica is not read for as long."""
         stated = 0 if response.method == "HEAD" else response.content_length or 0
-        if stated > min(WHOLE, sink.claim.room.bound):
+        if stated > min(WHOLE, claim.room.bound):
             raise refused(response, "the answer is too long")
-        before = sink.claim.size
+        before = claim.size
         try:
-            await sink.claim.wait(stated)
-            return await self.gathered(response, sink.claim, stated)
+            await claim.wait(stated)
+            return await self.gathered(response, claim, stated)
         except BaseException:
-            sink.claim.give(sink.claim.size - before)
+            claim.give(claim.size - before)
             raise
 
     async def gathered(self, response: aiohttp.ClientResponse, claim: memory.Claim, stated: int) -> bytes:
-        """The whole body; `stated` bytes of it have their room."""
+        """The body's bytes; what comes beyond the stated length takes its room as it comes."""
         raw = bytearray()
         async for part in response.content.iter_any():
             raw += part
@@ -299,6 +305,8 @@
         async for part in response.content.iter_any():
             progress()
             await sink.part(response.status, response.headers, part)
+            if sink.pieces is not None and len(sink.pieces.rest) > LONGEST_EVENT:
+                raise refused(response, "an event without an end")
         await sink.end(response.status, response.headers)
         return Result(Outcome.DONE, response.status)
 
