--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -28,6 +28,7 @@
 
     def send(self, addr: str, msg: object) -> None:
         """Send a message to an address."""
+        return None
 
 
 if typing.TYPE_CHECKING:
--- a/basaltport/relay/answer.py
+++ b/basaltport/relay/answer.py
@@ -42,7 +42,7 @@
         closing: collections.abc.Callable[[], bool],
         claim: memory.Claim,
     ) -> None:
-        """`closing`: whether answers now end their connections. `claim`: what its answer holds of memory."""
+        """`closing`: whether answers now end their connections; `claim`: what its answers hold in memory."""
         self.request = request
         self.method = request.method
         self.path = request.raw_path
--- a/basaltport/relay/events.py
+++ b/basaltport/relay/events.py
@@ -58,7 +58,7 @@
 
     request: int
     attempt: int
-    replica: kinds.ReplicaId
+    replica: str
     address: str
     left: int
     priority: int
--- a/basaltport/relay/readiness.py
+++ b/basaltport/relay/readiness.py
@@ -41,10 +41,10 @@
 
     def readiness_start(self) -> None:
         """Nothing is known yet."""
-        self.facts: dict[kinds.Item, Fact] = {}
+        self.facts: dict[str, Fact] = {}
         self.first: dict[str, float] = {}
 
-    def fact(self, item: kinds.Item) -> Fact:
+    def fact(self, item: str) -> Fact:
         """What the keeper last said of an item."""
         fact = self.facts.get(item)
         if fact is None:
@@ -72,7 +72,7 @@
     def ask_missing(self) -> None:
         """Ask the keeper, which also orders loads, for all items that requests wait for and nobody holds.
         What waits is told by weight: one urgent request counts as several that can wait."""
-        missing: dict[kinds.Item, int] = {}
+        missing: dict[str, int] = {}
         for waiting in self.waiting.values():
             if waiting.item and not self.held(waiting):
                 weight = max(1, WEIGHT - waiting.route.urgency)
@@ -92,7 +92,7 @@
             return True
         return weight >= FAR_MORE * fact.told and self.now - fact.asked >= limits.POLL
 
-    def on_facts(self, items: collections.abc.Mapping[kinds.Item, needs.Row]) -> None:
+    def on_facts(self, items: collections.abc.Mapping[str, needs.Row]) -> None:
         """The keeper's facts came."""
         for item, told in items.items():
             fact = self.fact(item)
--- a/basaltport/relay/role.py
+++ b/basaltport/relay/role.py
@@ -67,7 +67,7 @@
     now: kinds.Millis
     rng: random.Random
     book: needs.Row
-    rows: dict[kinds.ReplicaId, needs.Row]
+    rows: dict[str, needs.Row]
 
     def __init__(
         self,
@@ -88,7 +88,7 @@
         self.waiting: dict[int, request.Request] = {}
         self.parked: dict[int, Parked] = {}
         self.tally: dict[str, int] = {}
-        self.used: dict[kinds.Item, int] = {}
+        self.used: dict[str, int] = {}
         self.stopped = False
         self.ending = False
         self.readiness_start()
@@ -117,7 +117,7 @@
         self.unpark()
         self.pump()
 
-    def usage(self) -> tuple[dict[kinds.Item, int], dict[kinds.ReplicaId, int]]:
+    def usage(self) -> tuple[dict[str, int], dict[str, int]]:
         """What came since the last report, by item, and what runs now, by replica."""
         used, self.used = self.used, {}
         return used, {r: known.running for r, known in self.health.items() if known.running}
--- a/basaltport/relay/view.py
+++ b/basaltport/relay/view.py
@@ -45,7 +45,7 @@
     return out
 
 
-def replica(relay: role.Relay, now: kinds.Millis, replica_id: kinds.ReplicaId) -> Doc:
+def replica(relay: role.Relay, now: kinds.Millis, replica_id: str) -> Doc:
     """A replica as this proxy sees it."""
     row, known = relay.rows[replica_id], relay.health.get(replica_id)
     doc = {"id": replica_id, "service": row["service"], "zone": row["zone"], "state": row["state"]}
@@ -187,7 +187,7 @@
     return sorted(out, key=lambda c: (c["score"] is None, c["score"] or 0, c["verdict"], c["replica"]))
 
 
-def verdict(relay: role.Relay, asked: request.Request, replica_id: kinds.ReplicaId, row: needs.Row) -> str:
+def verdict(relay: role.Relay, asked: request.Request, replica_id: str, row: needs.Row) -> str:
     """Whether a request may go to a replica now, or why not."""
     if replica_id not in relay.holders(asked.service, asked.item):
         return "loads it" if asked.item in row.get("loading", ()) else "does not hold it"
@@ -198,9 +198,7 @@
     return verdict_of_health(relay, asked, replica_id, row)
 
 
-def verdict_of_health(
-    relay: role.Relay, asked: request.Request, replica_id: kinds.ReplicaId, row: needs.Row
-) -> str:
+def verdict_of_health(relay: role.Relay, asked: request.Request, replica_id: str, row: needs.Row) -> str:
     """The same for a replica that is open by the feed."""
     now, known = relay.now, relay.health_of(replica_id)
     if known.dead:
