--- a/basaltport/relay/attempts.py
+++ b/basaltport/relay/attempts.py
@@ -75,7 +75,7 @@
             again.reserved = False
             self.retry_of(again.service).reserved -= 1
 
-    def launch(self, waiting: request.Request, replica: kinds.ReplicaId) -> None:
+    def launch(self, waiting: request.Request, replica: str) -> None:
         """Send a request to a replica."""
         replica_health = self.health_of(replica)
         self.run_n += 1
--- a/basaltport/relay/needs.py
+++ b/basaltport/relay/needs.py
@@ -25,19 +25,19 @@
     zones: int
     ending: bool
     table: table.Table
-    rows: dict[kinds.ReplicaId, Row]
+    rows: dict[str, Row]
     book: Row
     requests: dict[int, request.Request]
     waiting: dict[int, request.Request]
     tally: dict[str, int]
-    health: dict[kinds.ReplicaId, replica_health.Health]
+    health: dict[str, replica_health.Health]
     first: dict[str, float]
 
     def emit(self, effect: object) -> None:
         """An effect of this step."""
         return None
 
-    def want(self, items: dict[kinds.Item, int]) -> None:
+    def want(self, items: dict[str, int]) -> None:
         """Ask the leader for items, each with the weight of what waits."""
         return None
 
@@ -61,15 +61,15 @@
         """The budget of a service."""
         ...
 
-    def health_of(self, replica: kinds.ReplicaId) -> replica_health.Health:
+    def health_of(self, replica: str) -> replica_health.Health:
         """What is known of a replica."""
         ...
 
-    def holders(self, service: str, item: str) -> collections.abc.Sequence[kinds.ReplicaId]:
+    def holders(self, service: str, item: str) -> collections.abc.Sequence[str]:
         """Replicas that hold an item."""
         ...
 
-    def usable(self, waiting: request.Request) -> list[kinds.ReplicaId]:
+    def usable(self, waiting: request.Request) -> list[str]:
         """Replicas that a request may go to now."""
         ...
 
--- a/basaltport/relay/pick.py
+++ b/basaltport/relay/pick.py
@@ -37,11 +37,11 @@
 
     def pick_start(self) -> None:
         """No replicas yet."""
-        self.health: dict[kinds.ReplicaId, health.Health] = {}
-        self.indexed: dict[kinds.ReplicaId, Row] | None = None
-        self.by_item: dict[tuple[str, str], list[kinds.ReplicaId]] = {}
+        self.health: dict[str, health.Health] = {}
+        self.indexed: dict[str, Row] | None = None
+        self.by_item: dict[tuple[str, str], list[str]] = {}
 
-    def rows_changed(self, ids: collections.abc.Iterable[kinds.ReplicaId]) -> None:
+    def rows_changed(self, ids: collections.abc.Iterable[str]) -> None:
         """Rows of these ids came, changed or went."""
         for replica in [r for r in self.health if r not in self.rows and not self.health[r].running]:
             del self.health[replica]
@@ -55,7 +55,7 @@
         self.unpark()
         self.pump()
 
-    def holders(self, service: str, item: str) -> collections.abc.Sequence[kinds.ReplicaId]:
+    def holders(self, service: str, item: str) -> collections.abc.Sequence[str]:
         """Ids of the replicas that hold an item, by the rows as they are now."""
         if self.indexed is not self.rows:
             self.index()
@@ -63,7 +63,7 @@
 
     def index(self) -> None:
         """Replicas by service and item, anew."""
-        out: dict[tuple[str, str], list[kinds.ReplicaId]] = {}
+        out: dict[tuple[str, str], list[str]] = {}
         for replica, row in self.rows.items():
             service = row["service"]
             out.setdefault((service, ""), []).append(replica)
@@ -73,7 +73,7 @@
                     out.setdefault((service, f"{model}/{adapter}"), []).append(replica)
         self.indexed, self.by_item = self.rows, out
 
-    def health_of(self, replica: kinds.ReplicaId) -> health.Health:
+    def health_of(self, replica: str) -> health.Health:
         """What is known of a replica."""
         known = self.health.get(replica)
         if known is None:
@@ -90,7 +90,7 @@
         nodes = max(1, self.peers() // max(1, self.zones))
         return max(LEAST_CAP, 2 * self.slots_of(row) // nodes)
 
-    def cold_share(self, replica: kinds.ReplicaId, row: Row) -> int:
+    def cold_share(self, replica: str, row: Row) -> int:
         """Requests that this node may send a cold replica in a second."""
         service = self.table.services.get(row["service"])
         if service is None or not service.cold_rate:
@@ -98,14 +98,14 @@
         total = service.cold_rate * self.timings["cold_excess"] + self.timings["cold_slack"]
         return budget.Cold.share(total, self.peers(), self.me.name, replica)
 
-    def open(self, replica: kinds.ReplicaId, row: Row) -> bool:
+    def open(self, replica: str, row: Row) -> bool:
         """Whether new requests may go there at all."""
         if row["state"] != "ready" or row["zone"] in self.book["drains"]:
             return False
         known = self.health.get(replica)
         return known is None or not known.dead
 
-    def usable(self, waiting: request.Request) -> list[kinds.ReplicaId]:
+    def usable(self, waiting: request.Request) -> list[str]:
         """Replicas that a request may go to now."""
         return [r for r in self.holders(waiting.service, waiting.item) if self.fits(waiting, r)]
 
@@ -119,7 +119,7 @@
                 return True
         return False
 
-    def fits(self, waiting: request.Request, replica: kinds.ReplicaId) -> bool:
+    def fits(self, waiting: request.Request, replica: str) -> bool:
         """Whether a request may go to a replica now."""
         row = self.rows[replica]
         if not self.open(replica, row):
@@ -133,7 +133,7 @@
             return True
         return known.cold.room(self.now, self.cold_share(replica, row))
 
-    def pick(self, waiting: request.Request) -> kinds.ReplicaId | None:
+    def pick(self, waiting: request.Request) -> str | None:
         """The usable replica of the lowest score."""
         best, least = None, 0.0
         for replica in self.usable(waiting):
@@ -142,7 +142,7 @@
                 best, least = replica, score
         return best
 
-    def score(self, waiting: request.Request, replica: kinds.ReplicaId) -> float:
+    def score(self, waiting: request.Request, replica: str) -> float:
         """How far a replica is from being the best; see docs/relay.md."""
         row, known = self.rows[replica], self.health_of(replica)
         share = max(1.0, min(KNEE, self.slots_of(row)) * self.zones / self.peers())
--- a/basaltport/relay/request.py
+++ b/basaltport/relay/request.py
@@ -54,8 +54,8 @@
         self.run: Run | None = None
         self.arrivals = 0
         self.unsent = 0
-        self.avoid: set[kinds.ReplicaId] = set()
-        self.sent_to: set[kinds.ReplicaId] = set()
+        self.avoid: set[str] = set()
+        self.sent_to: set[str] = set()
         self.begun = False
         self.ran = False
         self.reserved = False
@@ -71,7 +71,7 @@
 
     __slots__ = ("id", "request", "replica", "item", "service", "sent", "until", "heard", "last", "aborted")
 
-    def __init__(self, run_id: int, request: Request, replica: kinds.ReplicaId, now: kinds.Millis) -> None:
+    def __init__(self, run_id: int, request: Request, replica: str, now: kinds.Millis) -> None:
         """An attempt that goes now."""
         self.id = run_id
         self.request = request.id
