--- a/tests/request_cases.py
+++ b/tests/request_cases.py
@@ -125,6 +125,7 @@
         name = f"{letter}{n:04}"
         replica = request_stand.Replica(name, service_of(n, shared), list(behaviours), played.log)
         replica.zone = zone
+        replica.small_buffer = len(case.body) > len(BODY)
         replica.events = ROUTES[case.route]["kind"] == "stream"
         out.append(replica)
     return out
--- a/tests/request_stand.py
+++ b/tests/request_stand.py
@@ -15,6 +15,7 @@
 """An address of this process alone: what others send to ports that were theirs is no part of a case."""
 LINGER_RESET = struct.pack("ii", 1, 0)
 EVENTS = 4
+SMALL_BUFFER = 4096
 
 
 class Kind(enum.Enum):
@@ -119,12 +120,15 @@
         self.log = log
         self.zone = "z1"
         self.events = False
+        self.small_buffer = False
         self.taken = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> "Replica":
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.small_buffer:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
         self.listener.setblocking(False)
         self.listener.bind((HOST, 0))
         self.listener.listen(64)
--- a/tests/request_sweeps.py
+++ b/tests/request_sweeps.py
@@ -16,6 +16,8 @@
 ANY_NAME = "n0000"
 BREAKS = (End.CLOSE, End.RESET, End.SILENT, End.HALF_CLOSE)
 STREAMS = ("stream", "single")
+LARGE = 200_000
+"""Bytes of a body that two sockets with small buffers do not take at once."""
 EARLY_ENDS = (End.KEEP, End.CLOSE, End.RESET)
 
 
@@ -176,3 +178,19 @@
     """Many requests of one service that fail wherever they go."""
     bad = (Behaviour(kind),)
     return [Case(f"{kind.name} {n}", "safe", bad, bad) for n in range(120)]
+
+
+def written_in_part(route: str, kind: Kind, end: End, sent: int | None) -> list[Case]:
+    """As `requests`, with a body that does not fit into the sockets' buffers: its rest is not written yet."""
+    head = request_size() - len(request_cases.BODY)
+    steps = (0, 1, head, head + 1, 4096, 65_536, 150_000, LARGE - 1)
+    return [
+        Case(
+            f"{route} {kind.name} {end.name} after reading {k} of a large body",
+            route,
+            (Behaviour(kind, k, sent, end), *good(route)),
+            good(route),
+            body=bytes(LARGE),
+        )
+        for k in steps
+    ]
--- a/tests/test_request_bytes.py
+++ b/tests/test_request_bytes.py
@@ -1,7 +1,10 @@
 """Every event at every byte boundary of a request and its answer: see docs/request-sweep.md."""
 
+import socket
+
 import pytest
 
+import basaltport.sockets as sockets
 import tests.request_cases as request_cases
 import tests.request_checks as request_checks
 import tests.request_stand as request_stand
@@ -57,6 +60,22 @@
         hold(request_sweeps.requests(route, kind, end, None))
 
 
+@pytest.mark.parametrize("route", ROUTES)
+def test_a_replica_that_ends_while_a_large_body_is_still_written(monkeypatch, route):
+    bound = sockets.bound
+
+    def small(sock):
+        bound(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, request_stand.SMALL_BUFFER)
+
+    monkeypatch.setattr(sockets, "bound", small)
+    for end in request_sweeps.BREAKS:
+        hold(request_sweeps.written_in_part(route, Kind.OK, end, 0))
+    for kind in EARLY_KINDS:
+        for end in request_sweeps.EARLY_ENDS:
+            hold(request_sweeps.written_in_part(route, kind, end, None))
+
+
 @pytest.mark.parametrize("end", request_sweeps.BREAKS)
 @pytest.mark.parametrize("route", ROUTES)
 def test_two_requests_and_an_event_at_each_byte_of_an_answer(route, end):
