--- a/basaltport/main.py
+++ b/basaltport/main.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import typing
 
 import basaltport.admin.cli as cli
 import basaltport.admin.fleet_cli as fleet_cli
@@ -14,8 +15,11 @@
 import basaltport.simulation.planner as planner
 import basaltport.simulation.play as play
 import basaltport.scale.cli as scale
+import basaltport.verbs as verbs
 
-GROUPS = [
+BAD_INPUT = 2
+
+GROUPS: list[tuple[str, dict[str, verbs.Verb]]] = [
     ("Roles", daemon.VERBS),
     ("Operators' verbs, at any node", cli.VERBS),
     ("Of a fleet behind routes", {**fleet_cli.VERBS, **local_fleet.VERBS}),
@@ -27,11 +31,12 @@
 ]
 
 
-def usage():
+def usage() -> str:
+    """The list of all verbs."""
     out = ["usage: basaltport VERB [--flag=value ...] [argument ...]", ""]
-    for title, verbs in GROUPS:
+    for title, group in GROUPS:
         out.append(title + ":")
-        out += [f"  {k:<15} {v.help}" for k, v in verbs.items()]
+        out += [f"  {k:<15} {v.help}" for k, v in group.items()]
         out.append("")
     out += [
         "`basaltport VERB --help` tells a verb's flags.",
@@ -40,17 +45,18 @@
     return "\n".join(out)
 
 
-def run(argv=None):
-    argv = list(sys.argv if argv is None else argv)
-    if len(argv) < 2 or argv[1] in ("-h", "--help", "help"):
+def run(argv: list[str] | None = None) -> typing.NoReturn:
+    """Run the verb that is the first argument, and exit with its code."""
+    words = list(sys.argv if argv is None else argv)[1:]
+    if not words or words[0] in ("-h", "--help", "help"):
         print(usage())
-        sys.exit(0 if len(argv) > 1 else 2)
-    verbs = {k: v for _, vs in GROUPS for k, v in vs.items()}
-    if argv[1] not in verbs:
-        print(f"no verb {argv[1]!r}\n\n{usage()}", file=sys.stderr)
-        sys.exit(2)
+        sys.exit(0 if words else BAD_INPUT)
+    known = {k: v for _, group in GROUPS for k, v in group.items()}
+    if words[0] not in known:
+        print(f"no verb {words[0]!r}\n\n{usage()}", file=sys.stderr)
+        sys.exit(BAD_INPUT)
     try:
-        code = verbs[argv[1]].call(argv[1:]) or 0
+        code = known[words[0]].call(words) or 0
         sys.stdout.flush()
     except BrokenPipeError:
         os.dup2(os.open(os.devnull, os.O_WRONLY), 1)
--- a/basaltport/member.py
+++ b/basaltport/member.py
@@ -1,111 +1,137 @@
 """The reducer's base: one step per event, effects as data, handlers found by name in the mixins."""
 
+import collections.abc
+import dataclasses
 import random
+import typing
 
 import basaltport.events as events
 import basaltport.kinds as kinds
 import basaltport.text as text
 
 
+@dataclasses.dataclass(slots=True, eq=False)
 class Me:
     """Who a member is: its place from the settings and its seat, new with every start without memory.
     `voters`: "seats" where all members vote, "ledgers" where those with disks alone do; then `founders` are
     the addresses that may found, and `first_start` is true where nothing can have been agreed before."""
 
-    __slots__ = (
-        "house",
-        "name",
-        "seat",
-        "role",
-        "zone",
-        "addr",
-        "http",
-        "seeds",
-        "expected",
-        "ledgers",
-        "voters",
-        "first_start",
-        "founders",
-    )
-
-    def __init__(
-        self,
-        house,
-        name,
-        seat,
-        role,
-        zone,
-        addr,
-        http,
-        seeds,
-        expected,
-        ledgers=3,
-        voters="seats",
-        first_start=False,
-        founders=None,
-    ):
-        self.house = house
-        self.name = kinds.Name(name)
-        self.seat = kinds.Seat(seat)
-        self.role = role
-        self.zone = kinds.Zone(zone)
-        self.addr = addr
-        self.http = http
-        self.seeds = list(seeds)
-        self.expected = expected
-        self.ledgers = ledgers
-        self.voters = voters
-        self.first_start = first_start
-        self.founders = list(seeds if founders is None else founders)
-
-    def row(self):
+    house: str
+    name: kinds.Name
+    seat: kinds.Seat
+    role: str
+    zone: kinds.Zone
+    addr: str
+    http: str
+    seeds: list[str]
+    expected: int
+    ledgers: int = 3
+    voters: str = "seats"
+    first_start: bool = False
+    founders: list[str] | None = None
+
+    def __post_init__(self) -> None:
+        """Small types of names, and lists of its own."""
+        self.name = kinds.Name(self.name)
+        self.seat = kinds.Seat(self.seat)
+        self.zone = kinds.Zone(self.zone)
+        self.founders = list(self.seeds if self.founders is None else self.founders)
+        self.seeds = list(self.seeds)
+
+    def row(self) -> dict[str, str]:
+        """What other members and the log are told."""
         return {k: str(getattr(self, k)) for k in ("name", "seat", "role", "zone", "addr", "http")}
 
 
+class Event(typing.Protocol):
+    """What every event of `events` has."""
+
+    now: kinds.Millis
+
+
+class Durable(typing.Protocol):
+    """What a member whose records are kept has besides; see `consensus.seat`."""
+
+    now: kinds.Millis
+    ticks: int
+    durable: bool
+    bad: bool
+    token: int
+    out: list[object]
+    after: dict[int, tuple[object, list[object], bool]]
+    stalled: dict[int, tuple[kinds.Millis, int, int]]
+    promised: kinds.Generation
+    synced_promise: list[kinds.Generation]
+
+    def head(self) -> object:
+        """How far its log goes."""
+
+    def durable_head(self, head: object, promise: kinds.Generation) -> None:
+        """Records up to a head, and a promise, are on the disk."""
+
+    def disk_failed(self) -> None:
+        """A write failed."""
+
+    def emit(self, e: object) -> None:
+        """Add an effect."""
+
+
 class Member:
     """State is owned by the reducer and changed only inside `step`; no clock, wire, disk or chance here."""
 
-    TICKS = ()
+    TICKS: tuple[str, ...] = ()
     durable = False
 
-    def __init__(self, me, seed, now):
+    def __init__(self, me: Me, seed: int, now: kinds.Millis) -> None:
+        """`seed` is that of all its chance."""
         self.me = me
         self.now = now
         self.rng = random.Random(seed)
-        self.out = []
+        self.out: list[object] = []
         self.token = 0
-        self.after = {}
-        self.stalled = {}
+        self.after: dict[int, tuple[object, list[object], bool]] = {}
+        self.stalled: dict[int, tuple[kinds.Millis, int, int]] = {}
         self.ticks = 0
         self.bad = False
 
-    def step(self, ev):
+    def step(self, ev: Event) -> list[object]:
+        """Take an event; the effects."""
         self.now = max(self.now, ev.now)
         self.out = []
         getattr(self, "on_" + type(ev).__name__.lower())(ev)
         return self.out
 
-    def emit(self, e):
+    def emit(self, e: object) -> None:
+        """Add an effect."""
         self.out.append(e)
 
-    def send(self, addr, msg):
+    def send(self, addr: str, msg: object) -> None:
+        """Send a message to an address."""
         self.out.append(events.Send(addr, msg))
 
-    def note(self, number, **fields):
+    def note(self, number: int, **fields: object) -> None:
+        """Log an event."""
         self.out.append(events.Note(int(number), fields))
 
-    def on_tick(self, ev):
+    def on_tick(self, ev: events.Tick) -> None:
+        """Do all that is done in time."""
         self.ticks += 1
         for t in self.TICKS:
             getattr(self, t)()
 
-    def on_heard(self, ev):
+    def on_heard(self, ev: events.Heard) -> None:
+        """Give a message to its handler, if there is one."""
         f = getattr(self, "hear_" + type(ev.msg).__name__.lower(), None)
         if f is None:
             return
         f(ev.src, ev.msg)
 
-    def write(self, records, whole=None, then=()):
+    def write(
+        self: Durable,
+        records: list[typing.Any],
+        whole: dict[str, typing.Any] | None = None,
+        then: collections.abc.Iterable[object] = (),
+    ) -> None:
         """Ask for records to be synced; `then` are effects held back until they are."""
         if not self.durable:
             self.out.extend(then)
@@ -116,7 +142,7 @@
         self.synced_promise.append(self.promised)
         self.emit(events.Write(self.token, records, whole))
 
-    def on_synced(self, ev):
+    def on_synced(self: Durable, ev: events.Synced) -> None:
         """After a failed write only a whole snapshot counts again: what lay between may be lost."""
         head, then, whole = self.after.pop(ev.token)
         promise = self.synced_promise.pop(0)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -22,7 +22,7 @@
         "admin consensus keeper query_proxy readiness relay scale simulation zone_controller"
     ).split()),
     *(f"basaltport/{name}.py" for name in (
-        "daemon host kinds main member shell"
+        "host kinds shell"
     ).split()),
     "platform/**",
     "tests/**",
