--- a/basaltport/replica_client/adapter.py
+++ b/basaltport/replica_client/adapter.py
@@ -36,6 +36,7 @@
     auto_decompress: bool
     max_line_size: int
     max_field_size: int
+    read_bufsize: int
 
 
 class ConnectorOptions(typing.TypedDict, total=False):
