Types of the feed and of members fit the relay and the model that use them

Rows, ids and items of the feed bear the small types of kinds; an event is what has a time. No behaviour changed.

--- a/basaltport/fleet/messages.py
+++ b/basaltport/fleet/messages.py
@@ -1,5 +1,7 @@
 """What keepers and proxies say to each other; numbers from 40."""
 
+import typing
+
 import basaltport.kinds as kinds
 import basaltport.messages as messages
 
@@ -15,8 +17,8 @@
     gen: kinds.Generation
     serial: kinds.Serial
     seen: int
-    use: messages.Document
-    load: messages.Document
+    use: dict[kinds.Item, int]
+    load: dict[kinds.ReplicaId, int]
 
 
 @messages.message(41)
@@ -35,8 +37,8 @@
     full: bool
     base: int
     n: int
-    rows: messages.Document
-    gone: list[str]
+    rows: dict[kinds.ReplicaId, messages.Document]
+    gone: list[kinds.ReplicaId]
     proxies: int
 
 
@@ -57,11 +59,11 @@
     name: kinds.Name
     zone: kinds.Zone
     address: str
-    items: messages.Document
+    items: dict[kinds.Item, typing.Any]
 
 
 @messages.message(44)
 class Facts:
     """The leader's answer to a `Want`: how each item stands, as Placement tells it."""
 
-    items: messages.Document
+    items: dict[kinds.Item, typing.Any]
--- a/basaltport/member.py
+++ b/basaltport/member.py
@@ -46,7 +46,9 @@
 class Event(typing.Protocol):
     """What every event of `events` has."""
 
-    now: kinds.Millis
+    @property
+    def now(self) -> kinds.Millis:
+        """When it happened."""
 
 
 class Durable(typing.Protocol):
--- a/basaltport/relay/shell.py
+++ b/basaltport/relay/shell.py
@@ -291,7 +291,7 @@
 
     # effects
 
-    def step(self, event: object) -> None:
+    def step(self, event: member.Event) -> None:
         """One step of the reducer, and what it asks for."""
         for effect in member.Member.step(self.member, event):
             getattr(self, "do_" + type(effect).__name__.lower())(effect)
@@ -372,7 +372,7 @@
 def identity(settings: Settings) -> member.Me:
     """Who this proxy is among the members, new with every start."""
     name = settings["name"]
-    seat = f"{name}-{os.urandom(4).hex()}"
+    seat = kinds.Seat(f"{name}-{os.urandom(4).hex()}")
     place = settings["zone"], settings["address"]
     return member.Me(settings["house"], name, seat, "proxy", *place, "", settings["seeds"], 0)
 
