--- a/basaltport/relay/answer.py
+++ b/basaltport/relay/answer.py
@@ -17,6 +17,8 @@
 MS = 1000
 LEAST_RETRY_S = 0.01
 BAD_GATEWAY = 502
+LONGEST_EVENT = 1 << 18
+"""Bytes of a stream's longest event."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +42,7 @@
         closing: collections.abc.Callable[[], bool],
         claim: memory.Claim,
     ) -> None:
-        """`closing`: whether answers now end their connections. `claim`: what its answer holds of memory."""
+        """`closing`: whether answers now end their connections; `claim`: what its answers hold in memory."""
         self.request = request
         self.method = request.method
         self.path = request.raw_path
@@ -122,6 +124,8 @@
         out = self.stream().take(raw)
         if out is None:
             raise upstream.ForeignError("the run does not go on where it should")
+        if len(self.stream().rest) > LONGEST_EVENT:
+            raise upstream.ForeignError("an event without an end")
         if out:
             await self.write(status, heads, out)
 
--- a/basaltport/relay/intake.py
+++ b/basaltport/relay/intake.py
@@ -19,10 +19,11 @@
     TOO_SLOW = 408
 
 
-class Refused(Exception):
+class RefusedError(Exception):
     """A body was not read; nothing was done with it."""
 
     def __init__(self, reason: Reason) -> None:
+        """`reason`: why."""
         super().__init__(reason.name)
         self.reason = reason
 
@@ -30,23 +31,24 @@
 async def read(request: aiohttp.web.BaseRequest, limit: int, deadline_ms: int, claim: memory.Claim) -> bytes:
     """The whole body; `deadline_ms`: how long its client waits, or -1."""
     if (request.content_length or 0) > limit:
-        raise Refused(Reason.TOO_LARGE)
+        raise RefusedError(Reason.TOO_LARGE)
     allowed_ms = deadline_ms if deadline_ms >= 0 else LONGEST_MS
     try:
         async with asyncio.timeout(max(1, allowed_ms) / 1000):
             return await pieces(request, limit, claim)
     except TimeoutError:
-        raise Refused(Reason.TOO_SLOW)
+        raise RefusedError(Reason.TOO_SLOW)
 
 
 async def pieces(request: aiohttp.web.BaseRequest, limit: int, claim: memory.Claim) -> bytes:
+    """The body as it comes; RefusedError where it is too large or there is no room for it."""
     out: list[bytes] = []
     size = 0
     async for piece in request.content.iter_any():
         size += len(piece)
         if size > limit:
-            raise Refused(Reason.TOO_LARGE)
+            raise RefusedError(Reason.TOO_LARGE)
         if not claim.add(len(piece)):
-            raise Refused(Reason.NO_ROOM)
+            raise RefusedError(Reason.NO_ROOM)
         out.append(piece)
     return b"".join(out)
