A term is of one disk: campaigns bear the seat, not the name that two members may share

Cause: a term was (count, name); a replacing member may bear the name of one that lives, and a voter gives its vote again to a campaign of the term that it promised, whoever asks. Change: the term bears the seat, which is unique to a disk.

--- a/basaltport/consensus/campaign.py
+++ b/basaltport/consensus/campaign.py
@@ -143,7 +143,7 @@
         if self.now - self.told_missing >= elect.OVERRIDE:
             self.told_missing = self.now
             self.note(19, missing=self.missing())
-        gen = kinds.Generation(max(self.promised.count, self.top) + 1, self.me.name)
+        gen = kinds.Generation(max(self.promised.count, self.top) + 1, kinds.Name(self.me.seat))
         self.promised = gen
         got = {self.me.seat: self.promise(gen, True)}
         self.camp = {"gen": gen, "got": got, "at": self.now, "asked": self.now, "fetched": -(10**9)}
--- a/basaltport/consensus/voters.py
+++ b/basaltport/consensus/voters.py
@@ -72,7 +72,7 @@
         return p
 
     def hear_campaign(self, src, m):
-        if m.gen == self.promised and m.name != self.me.name:
+        if m.gen == self.promised and m.seat != self.me.seat:
             if not self.durable or self.dur_promised == self.promised:
                 self.send(m.addr, self.promise(m.gen, True))
             return
