--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -1,5 +1,6 @@
 """A proxy's side of the feed: what it knows, kept also while no leader is heard; never older than it was."""
 
+import collections.abc
 import typing
 
 import basaltport.consensus.book as book
@@ -15,8 +16,8 @@
 LONG_AGO = -(10**9)
 
 Row = dict[str, typing.Any]
-Rows = dict[kinds.ReplicaId, Row]
-Ids = set[kinds.ReplicaId]
+Rows = dict[str, Row]
+Ids = collections.abc.Collection[str]
 
 
 class FollowNeeds(typing.Protocol):
@@ -64,10 +65,10 @@
     def rows_changed(self, ids: Ids) -> None:
         """Rows of these ids came, changed or went."""
 
-    def on_facts(self, items: dict[kinds.Item, Row]) -> None:
+    def on_facts(self, items: Row) -> None:
         """Facts by item, as Placement gives them."""
 
-    def usage(self) -> tuple[dict[kinds.Item, int], dict[kinds.ReplicaId, int]]:
+    def usage(self) -> tuple[dict[str, int], dict[str, int]]:
         """(use, load) since the last call; see Follow."""
         return {}, {}
 
@@ -94,13 +95,13 @@
         for a in self.addresses():
             self.send(a, self.follow_of(use, load))
 
-    def follow_of(self, use: dict[kinds.Item, int], load: dict[kinds.ReplicaId, int]) -> messages.Follow:
+    def follow_of(self, use: Row, load: Row) -> messages.Follow:
         """Where the leader's address is not known, it is to tell all anew."""
         m, s = self.me, book.serial(self.book)
         gen = self.feed_gen if self.leader_address else kinds.Generation()
         return messages.Follow(m.name, m.zone, m.addr, gen, s, self.feed_n, use, load)
 
-    def want(self, items: dict[kinds.Item, int]) -> None:
+    def want(self, items: dict[str, int]) -> None:
         """Tell the leader how many requests wait for items."""
         for a in self.addresses():
             self.send(a, messages.Want(self.me.name, self.me.zone, self.me.addr, items))
@@ -136,7 +137,7 @@
             if e["s"] == self.book["serial"] + 1:
                 self.book = book.apply(self.book, e)
 
-    def take_rows(self, m: messages.Update) -> Ids:
+    def take_rows(self, m: messages.Update) -> set[str]:
         """Ids whose rows are not as they were."""
         if m.n < 0 or m.n <= self.feed_n:
             return set()
--- a/basaltport/fleet/messages.py
+++ b/basaltport/fleet/messages.py
@@ -1,7 +1,5 @@
 """What keepers and proxies say to each other; numbers from 40."""
 
-import typing
-
 import basaltport.kinds as kinds
 import basaltport.messages as messages
 
@@ -17,8 +15,8 @@
     gen: kinds.Generation
     serial: kinds.Serial
     seen: int
-    use: dict[kinds.Item, int]
-    load: dict[kinds.ReplicaId, int]
+    use: messages.Document
+    load: messages.Document
 
 
 @messages.message(41)
@@ -37,8 +35,8 @@
     full: bool
     base: int
     n: int
-    rows: dict[kinds.ReplicaId, messages.Document]
-    gone: list[kinds.ReplicaId]
+    rows: messages.Document
+    gone: list[str]
     proxies: int
 
 
@@ -59,11 +57,11 @@
     name: kinds.Name
     zone: kinds.Zone
     address: str
-    items: dict[kinds.Item, typing.Any]
+    items: messages.Document
 
 
 @messages.message(44)
 class Facts:
     """The leader's answer to a `Want`: how each item stands, as Placement tells it."""
 
-    items: dict[kinds.Item, typing.Any]
+    items: messages.Document
--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -22,7 +22,6 @@
 
 
 Row = dict[str, typing.Any]
-Rows = dict[kinds.ReplicaId, Row]
 
 
 class BookPart(typing.NamedTuple):
@@ -37,8 +36,8 @@
 
     full: bool
     base: int
-    rows: Rows
-    gone: list[kinds.ReplicaId]
+    rows: Row
+    gone: list[str]
 
 
 class Proxy:
@@ -79,8 +78,8 @@
 class Placed(typing.Protocol):
     """The rows of replicas, and the ids of those changed since they were last published."""
 
-    rows: Rows
-    changed: set[kinds.ReplicaId]
+    rows: Row
+    changed: set[str]
 
 
 class PublishNeeds(typing.Protocol):
@@ -104,7 +103,7 @@
     def hears_leader(self) -> bool:
         """Whether the leader was heard lately."""
 
-    def heard_use(self, zone: str, use: dict[kinds.Item, int], load: dict[kinds.ReplicaId, int]) -> None:
+    def heard_use(self, zone: str, use: Row, load: Row) -> None:
         """A proxy's use of items and replicas."""
 
 
@@ -130,7 +129,7 @@
         self.proxies: dict[str, Proxy] = {}
         self.rows_known = False
         self.feed_n = 0
-        self.feed_at: dict[kinds.ReplicaId, int] = {}
+        self.feed_at: dict[str, int] = {}
         self.rows_sent = LONG_AGO
         self.published: tuple[int, int] | None = None
         self.looked = LONG_AGO
@@ -187,7 +186,7 @@
         if p.lost("seen", m.seen, self.now):
             p.seen = m.seen
 
-    def tell_facts(self, address: str, facts: dict[kinds.Item, Row]) -> None:
+    def tell_facts(self, address: str, facts: Row) -> None:
         """Answer a `Want`."""
         self.send(address, messages.Facts(facts))
 
--- a/basaltport/model/standins.py
+++ b/basaltport/model/standins.py
@@ -88,10 +88,10 @@
         member.Member.__init__(self, me, seed, now)
         start: typing.Callable[[], None] = self.follow_start
         start()
-        self.heard_facts: dict[kinds.Item, Row] = {}
+        self.heard_facts: Row = {}
         self.changes: list[set[str]] = []
 
-    def on_facts(self, items: dict[kinds.Item, Row]) -> None:
+    def on_facts(self, items: Row) -> None:
         """Keeps them."""
         self.heard_facts.update(items)
 
@@ -99,6 +99,6 @@
         """Keeps which."""
         self.changes.append(set(ids))
 
-    def usage(self) -> tuple[dict[kinds.Item, int], dict[kinds.ReplicaId, int]]:
+    def usage(self) -> tuple[dict[str, int], dict[str, int]]:
         """Always the same."""
-        return {kinds.Item("m"): 1}, {}
+        return {"m": 1}, {}
