Orders that go irregular, and corrections of what a replica holds, are logged by the leader

Cause: the record of the incident can't tell its hypotheses apart: neither an order without an answer, nor one that is refused, nor a list or report that changes the belief of a replica left a line. Change: events 67 order-unanswered, 68 order-refused, 69 held-models-corrected, with replica, item, what is held and ages; orders that go as planned leave none. No logic changes.

--- a/basaltport/log_events.py
+++ b/basaltport/log_events.py
@@ -43,6 +43,9 @@
     ORDER_SENT = 64
     ORDER_FAILED = 65
     STORE_ROLE_TAKEN = 66
+    ORDER_UNANSWERED = 67
+    ORDER_REFUSED = 68
+    HELD_MODELS_CORRECTED = 69
     KEY_RANGE_COMPLETE = 70
     PORT_CALL_FAILED = 80
     STEP_FAILED = 81
@@ -97,6 +100,11 @@
     Event.ORDER_SENT: "A zone's controller orders a replica to load or unload.",
     Event.ORDER_FAILED: "An order was refused or its outcome is unknown.",
     Event.STORE_ROLE_TAKEN: "This node grants the weight store's load permits.",
+    Event.ORDER_UNANSWERED: "An order got no answer; it may have been taken, and may still arrive.",
+    Event.ORDER_REFUSED: "A replica or the owner of its shard refused an order; what it answered is given.",
+    Event.HELD_MODELS_CORRECTED: (
+        "A list or report changed what the leader takes a replica to hold, other than by an order's outcome."
+    ),
     Event.KEY_RANGE_COMPLETE: "This node holds all claims on a range of clients' keys.",
     Event.PORT_CALL_FAILED: "A call of this controller to its platform broke; the reason is given.",
     Event.STEP_FAILED: "A step of this process broke; the reason is given. It goes on.",
--- a/basaltport/placement/effects.py
+++ b/basaltport/placement/effects.py
@@ -1,8 +1,9 @@
 """What Placement asks of its owner. Each effect is answered by a call: `List` by `listed` or `list_failed`,
-`Order` by `ordered`, `Report` by `reported`."""
+`Order` by `ordered`, `Report` by `reported`; but for `events.Note`, which is logged."""
 
 import typing
 
+import basaltport.events as events
 import basaltport.identifiers as identifiers
 import basaltport.placement.order_types as order_types
 
@@ -36,4 +37,4 @@
     address: str
 
 
-Effect = List | Order | Report
+Effect = List | Order | Report | events.Note
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -5,6 +5,7 @@
 import typing
 
 import basaltport.identifiers as identifiers
+import basaltport.log_events as log_events
 import basaltport.placement.effects as effects
 import basaltport.placement.order_types as order_types
 import basaltport.placement.replica_choice as replica_choice
@@ -208,6 +209,7 @@
             return []
         step.order = 0
         result = order_types.OrderOutcome(outcome)
+        self.note_irregular(replica, step, result)
         if result is order_types.OrderOutcome.FENCED:
             self.deposed = True
             return self.stop()
@@ -218,6 +220,24 @@
             self.place()
         return self.out
 
+    def note_irregular(
+        self, replica: replica_state.Replica, step: replica_state.Step, outcome: order_types.OrderOutcome
+    ) -> None:
+        """Log an order that was refused or not answered."""
+        if outcome in (order_types.OrderOutcome.ACCEPTED, order_types.OrderOutcome.DONE):
+            return
+        unanswered = outcome is order_types.OrderOutcome.UNKNOWN
+        event = log_events.Event.ORDER_UNANSWERED if unanswered else log_events.Event.ORDER_REFUSED
+        self.note(
+            event,
+            replica,
+            order=f"{step.kind} {step.item}",
+            outcome=outcome.value,
+            accepted=step.accepted,
+            uncertain=step.uncertain,
+            waited_ms=self.now - step.sent_at,
+        )
+
     def outcome_handlers(
         self,
     ) -> dict[
--- a/basaltport/placement/replica_inventory.py
+++ b/basaltport/placement/replica_inventory.py
@@ -6,7 +6,9 @@
 
 import typing
 
+import basaltport.events as events
 import basaltport.identifiers as identifiers
+import basaltport.log_events as log_events
 import basaltport.placement.effects as effects
 import basaltport.placement.replica_rows as replica_rows
 import basaltport.placement.replica_state as replica_state
@@ -44,6 +46,11 @@
     list_known: bool
     needs_placing: bool
 
+    def note(self, event: log_events.Event, replica: replica_state.Replica, **fields: object) -> None:
+        """Log an event about a replica, with what it is taken to hold."""
+        held = sorted(replica.items())
+        self.out.append(events.Note(int(event), {"replica": replica.id, "held": held, **fields}))
+
     # the list
 
     def request_list(self) -> None:
@@ -111,6 +118,7 @@
     ) -> None:
         """Take what a list or report of `as_of` says of what was not changed since; what it lacks goes once
         it was missed more than `tolerated` times in a row."""
+        held_before = replica.items()
         busy = {step.model for step in replica.steps()}
         for model, adapters in models.items():
             self.note_weights_on_disk(replica, model)
@@ -124,6 +132,20 @@
             else:
                 replica.missed[model, adapter] = times
         replica.changed_at = {item: at for item, at in replica.changed_at.items() if at > as_of}
+        if replica.listed_before:
+            self.note_correction(replica, held_before, "list" if tolerated else "report", as_of)
+        replica.listed_before = True
+
+    def note_correction(
+        self, replica: replica_state.Replica, held_before: set[str], source: str, as_of: int
+    ) -> None:
+        """Log what a list or report changed, if it changed anything; `source`: which of them it was."""
+        held = replica.items()
+        if held == held_before:
+            return
+        gained, lost = sorted(held - held_before), sorted(held_before - held)
+        event = log_events.Event.HELD_MODELS_CORRECTED
+        self.note(event, replica, source=source, age_ms=self.now - as_of, gained=gained, lost=lost)
 
     def take_model(self, replica: replica_state.Replica, model: str, adapters: list[str], as_of: int) -> None:
         """A replica holds a model, and those adapters of it that were not changed since."""
--- a/basaltport/placement/replica_state.py
+++ b/basaltport/placement/replica_state.py
@@ -82,6 +82,7 @@
         *("id", "listed", "service", "address", "zone", "state", "leaves_in_ms", "slots", "has_engine"),
         *("models", "disk_models", "changed_at", "missed", "verified", "plan", "unanswered"),
         *("report_at", "report_backoff_ms", "report_requested_at", "barred_until", "running", "running_at"),
+        "listed_before",
     )
 
     def __init__(self, replica_id: identifiers.ReplicaId) -> None:
@@ -113,6 +114,8 @@
         self.running = 0.0
         """Requests that run there, smoothed, as of `running_at`."""
         self.running_at = 0
+        self.listed_before = False
+        """Whether a list or report told of its models before."""
 
     def take_listing(self, listed: replica_rows.ListedReplica, has_engine: bool) -> None:
         """What a row of the list says of all but its models."""
@@ -130,6 +133,13 @@
         """The step that is due; there must be one."""
         return self.steps()[0]
 
+    def items(self) -> set[str]:
+        """The models and adapters that it holds, as `MODEL` and `MODEL/ADAPTER`."""
+        held = set(self.models)
+        for model, loaded in self.models.items():
+            held.update(f"{model}/{adapter}" for adapter in loaded.adapters)
+        return held
+
     def adapters_held(self) -> int:
         """How many adapters it holds."""
         return sum(len(loaded.adapters) for loaded in self.models.values())
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+import basaltport.log_events as log_events
 import basaltport.placement.catalog as catalog
 import basaltport.placement.demand as demand
 import basaltport.placement.effects as effects
@@ -82,6 +83,9 @@
     def stop(self) -> Effects:
         """Send nothing any more."""
 
+    def note(self, event: log_events.Event, replica: replica_state.Replica, **fields: object) -> None:
+        """Log an event about a replica."""
+
     def place(self) -> None:
         """Begin plans for what requests wait for."""
 
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -4,6 +4,7 @@
 import heapq
 import random
 
+import basaltport.events as events
 import basaltport.placement.effects as effects
 import basaltport.placement.machine as machine
 import basaltport.simulation.routes.engine as engine
@@ -46,6 +47,7 @@
         self.lossy, self.omit = 0.0, None
         self.fence, self.drains, self.list_fails = 5, set(), False
         self.first_order = None
+        self.notes = []
         self.after(0, self.begin)
 
     def begin(self):
@@ -125,6 +127,8 @@
                     self.after(3, self.of, p, lambda p, rows=rows: p.listed(self.now, rows))
             elif isinstance(e, effects.Report):
                 self.after(2, self.report, e, self.p)
+            elif isinstance(e, events.Note):
+                self.notes.append((self.now, e))
             else:
                 self.first_order = self.first_order or self.now
                 self.orders[e.kind + ("/" if e.adapter else "")] += 1
