--- a/basaltport/simulation/routes/engine.py
+++ b/basaltport/simulation/routes/engine.py
@@ -96,6 +96,8 @@
         self.fence = order.fence
         if self.job:
             return "accepted" if self.job.is_of(order) else "busy"
+        if order.expected is not None and order.expected != self.taken:
+            return "busy"
         there = self.holds(order.model, order.adapter)
         if there == (order.kind == "load"):
             return "done"
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -45,6 +45,7 @@
         self.unserved = 0
         self.exact = kw.get("exact", True)
         self.lossy, self.omit = 0.0, None
+        self.late, self.late_orders = 0.0, 0
         self.fence, self.drains, self.list_fails = 5, set(), False
         self.first_order = None
         self.notes = []
@@ -154,6 +155,11 @@
         self.of(p, lambda p: p.reported(self.now, e.replica, True, body | {"orders": s.taken}))
 
     def arrive(self, e, p):
+        if self.rng.random() < self.late:
+            self.late_orders += 1
+            self.after(self.rng.randrange(1000, 8000), self.arrive_late, e)
+            self.after(1000, self.of, p, lambda p: p.ordered(self.now, e.order, "unknown", 1000))
+            return
         s = self.sims.get(e.replica)
         lost = self.rng.random() < self.lossy
         if s is None or s.dark or lost and self.rng.random() < 0.5:
@@ -163,6 +169,12 @@
             said = "unknown" if lost else said
         self.after(self.net, self.of, p, lambda p: p.ordered(self.now, e.order, said, 2))
 
+    def arrive_late(self, e):
+        """An order whose sender waits for it no more reaches its replica all the same."""
+        s = self.sims.get(e.replica)
+        if s is not None and not s.dark:
+            s.order(e)
+
     # requests
 
     def ask(self, zone, item):
