Orders to replicas name the count of orders they were planned on: a late one is refused

Nothing bound it to the state that it was planned on, so what the leader believed of a replica's room could be wrong without its knowing, until a list or report put it right; any load in between could be one too many. Change: what a replica holds is known together with its count of orders (placement/order_count.py). Every order names that count, through the owner of the shard as well (a field at the end of the message, which older releases read past). Of all orders sent on one count at most one is taken. A refusal asks for a report, which is believed whole, with its count. Lists no longer take anything out of the belief: they only have a report asked for. A model that is no longer configured counts as all of a replica's room (before: as the largest that is left), and what came under larger sizes keeps them. Invariants of orders are checked as they leave, counted in the metrics, logged (82), and raise in tests. load_durations.py is moved out of plan_execution.py unchanged. Changed tests: the mutation of room breaks the new check as well, since that alone now stops it; the fixture of an order request has a default for the field that was added.

--- a/basaltport/controller/messages.py
+++ b/basaltport/controller/messages.py
@@ -4,6 +4,8 @@
 import basaltport.messages as messages
 import basaltport.placement.order_types as order_types
 
+NO_COUNT = -1
+
 
 @messages.message(50)
 class OrderRequest:
@@ -26,6 +28,9 @@
     """Empty where the order is about the model itself."""
     fence: identifiers.Fence
     """The fencing token of the shard's ownership."""
+    expected: int = NO_COUNT
+    """The replica's count of orders that the order was planned on. Leaders of earlier releases do not give
+    it, and owners of earlier releases do not read it."""
 
 
 @messages.message(51)
--- a/basaltport/controller/metrics.py
+++ b/basaltport/controller/metrics.py
@@ -5,12 +5,14 @@
 import typing
 
 import basaltport.controller.status_view as status_view
+import basaltport.placement.order_invariants as order_invariants
 
 if typing.TYPE_CHECKING:
     import basaltport.controller.node as controller_node
 
 PREFIX = "basaltport_"
 GAUGE = "gauge"
+COUNTER = "counter"
 
 Node: typing.TypeAlias = "controller_node.Controller"
 
@@ -45,12 +47,21 @@
     yield gauge("serial", "Index of the last agreed log entry", int(node.book.log_index))
     yield gauge("edition", "Edition of the configuration in force", status_view.edition(node))
     yield gauge("unsettled", "Reasons why this controller is not settled", len(reasons))
+    yield _invariant_family(node)
     if node.leading:
         yield from _leader_families(node, now, listed_at)
     if node.leading and node.placement_fence is not None:
         yield from _placement_families(node, now)
 
 
+def _invariant_family(node: Node) -> Family:
+    """Violations since the process began, of each invariant, also where it leads no longer."""
+    violations = status_view.placement_of(node).invariants.violations
+    samples = [((invariant.value,), violations[invariant]) for invariant in order_invariants.OrderInvariant]
+    help_text = "Violations of what must hold of every order"
+    return Family(PREFIX + "invariant_violations", COUNTER, help_text, ("invariant",), samples)
+
+
 def _leader_families(node: Node, now: int, listed_at: int | None) -> Families:
     rows = status_view.controllers(node, now)
     votes = sum(row["votes"] for row in rows)
--- a/basaltport/controller/order_execution.py
+++ b/basaltport/controller/order_execution.py
@@ -92,6 +92,7 @@
             request.adapter or None,
             self.me.name,
             request.fence,
+            None if request.expected == messages.NO_COUNT else request.expected,
         )
         self.carry_out(request.address, request.gen, order)
 
@@ -146,7 +147,7 @@
         owner, fence = row.owner, identifiers.Fence(row.fence)
         self.routed[order.order] = self.now
         if owner == self.me.seat:
-            own = order._replace(holder=self.me.name, fence=fence, expected=None)
+            own = order._replace(holder=self.me.name, fence=fence)
             self.carry_out(self.me.addr, self.current_term, own)
             return
         request = messages.OrderRequest(
@@ -160,6 +161,7 @@
             order.model,
             order.adapter or "",
             fence,
+            messages.NO_COUNT if order.expected is None else order.expected,
         )
         self.send(self.address_of(owner) or self.tip_book.members[owner].address, request)
 
--- a/basaltport/frames.py
+++ b/basaltport/frames.py
@@ -98,13 +98,21 @@
 
 
 class _Field(typing.NamedTuple):
-    """A message's field: its class without parameters, its form on the wire, and for values that are sent as
-    documents of another form the conversion."""
+    """A message's field: its class without parameters, its form on the wire, for values that are sent as
+    documents of another form the conversion, and its default.
+
+    Last fields that have their default are left out, and older releases read past those they do not know: so
+    a field with a default may be added at the end of a message."""
 
     name: str
     type: type
     form: construct.Construct
     conversion: _Conversion | None
+    default: object = dataclasses.MISSING
+
+    def is_optional(self) -> bool:
+        """Whether a frame may end before it."""
+        return self.default is not dataclasses.MISSING
 
 
 @functools.cache
@@ -114,10 +122,21 @@
     for field in dataclasses.fields(typing.cast(messages.MessageType, cls)):
         conversion = _CONVERSIONS.get(field.type)
         plain = object if conversion else typing.cast(type, typing.get_origin(field.type) or field.type)
-        out.append(_Field(field.name, plain, _form(plain), conversion))
+        form = _form(plain)
+        if field.default is not dataclasses.MISSING:
+            form = construct.Optional(form)
+        out.append(_Field(field.name, plain, form, conversion, field.default))
     return tuple(out)
 
 
+def _sent_fields(msg: object) -> list[_Field]:
+    """The fields of a message that are sent: without the last ones that have their default."""
+    fields = list(_layout(typing.cast(collections.abc.Hashable, type(msg))))
+    while fields and fields[-1].is_optional() and getattr(msg, fields[-1].name) == fields[-1].default:
+        fields.pop()
+    return fields
+
+
 @functools.cache
 def _body(cls: collections.abc.Hashable) -> construct.Struct:
     return construct.Struct(*[field.name / field.form for field in _layout(cls)])
@@ -127,13 +146,13 @@
     """A frame as its parts; large documents are not copied on the way."""
     cls = typing.cast(messages.MessageType, type(msg))
     out: list[bytes] = []
-    for name, _, form, conversion in _layout(cls):
-        value = getattr(msg, name)
-        if form is _DOC:
-            raw = text.dumps(conversion.encode(value) if conversion else value)
+    for field in _sent_fields(msg):
+        value = getattr(msg, field.name)
+        if field.form is _DOC:
+            raw = text.dumps(field.conversion.encode(value) if field.conversion else value)
             out += [construct.VarInt.build(len(raw)), raw]
             continue
-        out.append(form.build(value))
+        out.append(field.form.build(value))
     crc = 0
     for part in out:
         crc = zlib.crc32(part, crc)
@@ -174,6 +193,8 @@
 
 
 def _value(field: _Field, value: object) -> object:
+    if value is None and field.is_optional():
+        return field.default
     if field.conversion is not None:
         return field.conversion.decode(value)
     t = field.type
--- a/basaltport/log_events.py
+++ b/basaltport/log_events.py
@@ -49,6 +49,7 @@
     KEY_RANGE_COMPLETE = 70
     PORT_CALL_FAILED = 80
     STEP_FAILED = 81
+    INVARIANT_VIOLATED = 82
 
     @property
     def label(self) -> str:
@@ -108,6 +109,7 @@
     Event.KEY_RANGE_COMPLETE: "This node holds all claims on a range of clients' keys.",
     Event.PORT_CALL_FAILED: "A call of this controller to its platform broke; the reason is given.",
     Event.STEP_FAILED: "A step of this process broke; the reason is given. It goes on.",
+    Event.INVARIANT_VIOLATED: "What must hold of every order does not: which invariant, of what, is given.",
 }
 
 
--- a/basaltport/placement/catalog.py
+++ b/basaltport/placement/catalog.py
@@ -58,16 +58,15 @@
         return any(not adapter or adapter in s.models[model].adapters for s in services)
 
     def size_mb(self, service_name: str, model_name: str, adapter: str = "") -> float:
-        """The size of a model or adapter; one that isn't configured counts as the service's largest."""
+        """The size of a model or adapter. What is not configured may be of any size: a model counts as all
+        that a replica has room for, so that it is unloaded before anything is loaded beside it."""
         service = self.services.get(service_name)
         if service is None:
             return 0.0
         model = service.models.get(model_name)
         if model is not None:
             return model.adapter_mb if adapter else model.weights_mb
-        if adapter:
-            return max((m.adapter_mb for m in service.models.values()), default=0.0)
-        return max((m.weights_mb for m in service.models.values()), default=service.memory_mb)
+        return 0.0 if adapter else service.memory_mb
 
 
 def read_service(name: str, engine: Document) -> Service:
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -10,7 +10,9 @@
 
 import basaltport.placement.catalog as catalog
 import basaltport.placement.demand as demand
+import basaltport.placement.load_durations as load_durations
 import basaltport.placement.model_status as model_status
+import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.order_types as order_types
 import basaltport.placement.plan_execution as plan_execution
 import basaltport.placement.replica_choice as replica_choice
@@ -38,6 +40,7 @@
 
 class Placement(
     plan_execution.PlanExecutionMixin,
+    load_durations.LoadDurationsMixin,
     replica_inventory.ReplicaInventoryMixin,
     replica_choice.ReplicaChoiceMixin,
     demand.DemandMixin,
@@ -56,6 +59,7 @@
         self.list_interval_ms = list_ms
         self.catalog = catalog.Catalog()
         self.evacuated_zones: set[str] = set()
+        self.invariants = order_invariants.InvariantChecks()
         self.load_durations: dict[tuple[str, str], list[int]] = {}
         self.last_order = 0
         self.now = 0
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -7,15 +7,12 @@
 import basaltport.identifiers as identifiers
 import basaltport.log_events as log_events
 import basaltport.placement.effects as effects
+import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.order_types as order_types
 import basaltport.placement.replica_choice as replica_choice
 import basaltport.placement.replica_state as replica_state
 import basaltport.placement.state as state
 
-UNLOAD_FIRST_MS = 15
-UNLOAD_RETRY_MS = 30
-ADAPTER_FIRST_MS = 8
-ADAPTER_RETRY_MS = 15
 RETRY_MOST_MS = 250
 """Retries that back off wait no longer than this, unless they began with more."""
 RETRY_GROWTH = 1.4
@@ -28,12 +25,6 @@
 """For so long a permit of the store's counts for a load that is sent again."""
 FAILED_BAR_MS = 5000
 MOVED_BAR_MS = 1000
-DURATIONS_KEPT = 20
-FIRST_LOAD_SHARE = 0.97
-"""A load is asked about first after this share of what one in four takes less than."""
-LOAD_RETRY_SHARE = 0.05
-LOAD_RETRY_LEAST_MS = 15
-LOAD_RETRY_MOST_MS = 120
 
 
 class Verdict(enum.StrEnum):
@@ -97,8 +88,7 @@
                 self.drop_plan(replica)
                 return
             if verdict == Verdict.GO:
-                if self.take_permit(replica, step):
-                    self.send_order(replica, step)
+                self.send_if_allowed(replica, step)
                 return
             replica.plan.steps.pop(0)
             if step.kind == order_types.OrderKind.LOAD:
@@ -155,6 +145,22 @@
         step.due_at = bucket.ready_at(self.now) or self.now + RETRY_MOST_MS
         return False
 
+    def send_if_allowed(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
+        """Send the order of a step unless an invariant forbids it, or the store's rate."""
+        if step.first_sent_at is None and not self.invariants_hold(replica, step):
+            self.give_up_plan(replica, step)
+        elif self.take_permit(replica, step):
+            self.send_order(replica, step)
+
+    def invariants_hold(self, replica: replica_state.Replica, step: replica_state.Step) -> bool:
+        """Whether the invariants of orders hold for one that is sent for the first time."""
+        invariant = order_invariants.OrderInvariant
+        what = f"{step.kind} {step.item} on {replica.id}"
+        room = order_invariants.fits(replica, step, self.catalog)
+        return self.require(invariant.VERIFIED, replica.verified, replica, what) and self.require(
+            invariant.ROOM, room, replica, what
+        )
+
     def send_order(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
         """Send the order of a step."""
         self.last_order += 1
@@ -173,6 +179,7 @@
             step.adapter or None,
             self.holder,
             identifiers.Fence(self.fence),
+            replica.count.expected(step.accepted),
         )
         self.out.append(order)
 
@@ -248,7 +255,7 @@
         return {
             order_types.OrderOutcome.ACCEPTED: self.order_accepted,
             order_types.OrderOutcome.DONE: self.order_done,
-            order_types.OrderOutcome.BUSY: self.order_refused_as_busy,
+            order_types.OrderOutcome.BUSY: self.order_refused_for_count,
             order_types.OrderOutcome.FAILED: self.order_failed,
             order_types.OrderOutcome.UNKNOWN: self.order_unanswered,
             order_types.OrderOutcome.MOVED: self.order_for_another,
@@ -268,15 +275,22 @@
         step.due_at = self.now + int(step.retry_ms)
         step.retry_ms = min(max(RETRY_MOST_MS, step.retry_ms), step.retry_ms * RETRY_GROWTH)
 
-    def order_refused_as_busy(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
-        """Another order runs there: this one's former sending, or one that is not known here."""
-        if step.accepted or step.uncertain:
-            step.retry_ms = step.retry_ms or UNLOAD_RETRY_MS
-            self.back_off(step)
+    def order_refused_for_count(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
+        """The replica took an order since the count that this one names. It was this one's former sending if
+        that had no answer and no other can have come between; else it is one that is not known here."""
+        if step.uncertain and not step.accepted and replica.count.settled:
+            step.accepted, step.due_at = True, self.now
             return
-        self.distrust(replica)
+        replica.count = replica.count.after_refusal(step.accepted)
+        self.give_up_plan(replica, step, at_once=True)
+
+    def give_up_plan(
+        self, replica: replica_state.Replica, step: replica_state.Step, at_once: bool = False
+    ) -> None:
+        """Nothing is ordered there until a report tells what became of a step; `at_once`: ask for it now."""
         if step.kind == order_types.OrderKind.UNLOAD:
             self.show_item(replica, step)
+        self.distrust(replica, at_once)
         self.drop_plan(replica)
 
     def order_unanswered(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
@@ -293,10 +307,8 @@
         replica.barred_until[step.item] = self.now + FAILED_BAR_MS
         if replica.plan:
             replica.barred_until[replica.plan.goal] = self.now + FAILED_BAR_MS
-        if step.kind == order_types.OrderKind.UNLOAD:
-            self.show_item(replica, step)
-        self.distrust(replica)
-        self.drop_plan(replica)
+        replica.count = replica.count.unsettled(step.accepted)
+        self.give_up_plan(replica, step)
 
     def order_for_another(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
         """Another replica has the address, or the model of the adapter is not there."""
@@ -304,13 +316,14 @@
             self.remove(replica)
             return
         replica.barred_until[step.item] = self.now + MOVED_BAR_MS
-        self.show_item(replica, step)
-        self.distrust(replica)
-        self.drop_plan(replica)
+        replica.count = replica.count.unsettled(step.accepted)
+        self.give_up_plan(replica, step)
 
     def order_done(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
         """The order is done."""
         replica.steps().pop(0)
+        if step.accepted:
+            replica.count = replica.count.after_order()
         replica.changed_at[step.item] = self.now
         if step.kind == order_types.OrderKind.LOAD:
             if step.accepted and not step.uncertain and step.first_sent_at is not None:
@@ -322,41 +335,6 @@
         self.update_row(replica)
         self.continue_plan(replica)
 
-    # how long loads take
-
-    def load_class(self, service: str, step: replica_state.Step) -> tuple[str, str]:
-        """Loads of one class take about as long."""
-        weights = "disk" if step.from_disk else "store"
-        return service, "adapter" if step.adapter else weights
-
-    def note_duration(
-        self, replica: replica_state.Replica, step: replica_state.Step, duration_ms: int
-    ) -> None:
-        """Keep how long a load took."""
-        durations = self.load_durations.setdefault(self.load_class(replica.service, step), [])
-        durations.append(duration_ms)
-        del durations[:-DURATIONS_KEPT]
-
-    def first_wait_ms(self, replica: replica_state.Replica, step: replica_state.Step) -> int:
-        """When to ask first for the end of an order."""
-        if step.kind == order_types.OrderKind.UNLOAD:
-            return UNLOAD_FIRST_MS
-        if step.adapter:
-            return ADAPTER_FIRST_MS
-        durations = sorted(self.load_durations.get(self.load_class(replica.service, step), ()))
-        if durations:
-            return int(durations[len(durations) // 4] * FIRST_LOAD_SHARE)
-        return int(self.load_ms(replica.service, step.model, step.from_disk))
-
-    def retry_wait_ms(self, replica: replica_state.Replica, step: replica_state.Step) -> float:
-        """How long to wait before asking again."""
-        if step.kind == order_types.OrderKind.UNLOAD:
-            return UNLOAD_RETRY_MS
-        if step.adapter:
-            return ADAPTER_RETRY_MS
-        wait_ms = self.load_ms(replica.service, step.model, step.from_disk) * LOAD_RETRY_SHARE
-        return min(LOAD_RETRY_MOST_MS, max(LOAD_RETRY_LEAST_MS, wait_ms))
-
     def continue_plans(self) -> None:
         """Send orders that are due again, also those that the owner has not answered for too long."""
         for replica in list(self.working.values()):
--- a/basaltport/placement/replica_choice.py
+++ b/basaltport/placement/replica_choice.py
@@ -154,9 +154,7 @@
         total = 0.0
         unloads: list[str] = []
         for cost, _, model in candidates:
-            adapters = len(replica.models[model].adapters)
-            adapter_mb = self.catalog.size_mb(replica.service, model, "*")
-            free_mb += self.catalog.size_mb(replica.service, model) + adapters * adapter_mb
+            free_mb += replica.model_mb(self.catalog, model)
             total += cost + EVICTION_COST
             unloads.append(model)
             if free_mb >= needed_mb:
@@ -229,7 +227,7 @@
         for cost, name, adapter in self.adapter_losses(replica):
             if free_mb >= model.adapter_mb and free_slots >= 1:
                 break
-            free_mb += self.catalog.size_mb(replica.service, name, adapter)
+            free_mb += replica.adapter_mb(self.catalog, name)
             free_slots += 1
             total += cost + EVICTION_COST
             unloads.append(replica_state.Step(order_types.OrderKind.UNLOAD, name, adapter))
--- a/basaltport/placement/replica_inventory.py
+++ b/basaltport/placement/replica_inventory.py
@@ -1,7 +1,9 @@
 """What each replica holds, by the platform's list and the replicas' reports, and how far they are believed.
 
-A list or report tells what was true some time before it came. It is believed of all that no order has changed
-since; what it lacks is taken away once two lists in a row, or one report, lacked it.
+Either tells what was true some time before it came. A report tells besides how many orders had been taken by
+then: it is believed whole, and orders that are planned on it name that count. A list does not: what it has
+more is believed where no order has changed it since, and where two lists in a row lack something, the replica
+is asked for a report.
 """
 
 import typing
@@ -10,6 +12,7 @@
 import basaltport.identifiers as identifiers
 import basaltport.log_events as log_events
 import basaltport.placement.effects as effects
+import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.replica_rows as replica_rows
 import basaltport.placement.replica_state as replica_state
 import basaltport.placement.state as state
@@ -17,6 +20,8 @@
 LIST_INTERVAL_MS = 700
 LIST_LAG_MS = 1500
 """A list may be as old as this."""
+LISTS_LACKING = 2
+"""So many lists in a row must lack something before the replica is asked for a report."""
 REPORT_LAG_MS = 600
 """A report may be as old as this."""
 ANSWER_LIMIT_MS = 3000
@@ -51,6 +56,19 @@
         held = sorted(replica.items())
         self.out.append(events.Note(int(event), {"replica": replica.id, "held": held, **fields}))
 
+    def require(
+        self,
+        invariant: order_invariants.OrderInvariant,
+        holds: bool,
+        replica: replica_state.Replica,
+        what: str,
+    ) -> bool:
+        """Whether an invariant of orders holds; where not, it is counted and logged."""
+        if not self.invariants.require(invariant, holds, what):
+            event = log_events.Event.INVARIANT_VIOLATED
+            self.note(event, replica, invariant=invariant.value, what=what)
+        return holds
+
     # the list
 
     def request_list(self) -> None:
@@ -100,7 +118,7 @@
         replica = known or self.add_replica(listed.id, as_of)
         replica.take_listing(listed, listed.service in self.catalog.services)
         if replica.has_engine and not replica.report_requested_at:
-            self.take_models(replica, listed.models, as_of, 1 if known else 0)
+            self.take_listed_models(replica, listed.models, as_of)
         self.update_row(replica)
 
     def add_replica(self, replica_id: identifiers.ReplicaId, as_of: int) -> replica_state.Replica:
@@ -113,11 +131,11 @@
         replica.running_at = self.now
         return replica
 
-    def take_models(
-        self, replica: replica_state.Replica, models: replica_rows.Models, as_of: int, tolerated: int
+    def take_listed_models(
+        self, replica: replica_state.Replica, models: replica_rows.Models, as_of: int
     ) -> None:
-        """Take what a list or report of `as_of` says of what was not changed since; what it lacks goes once
-        it was missed more than `tolerated` times in a row."""
+        """Take what a list of `as_of` has more of what no order has changed since; ask for a report where
+        lists in a row lack something."""
         held_before = replica.items()
         busy = {step.model for step in replica.steps()}
         for model, adapters in models.items():
@@ -125,16 +143,35 @@
             if model not in busy and replica.changed_at.get(model, as_of) <= as_of:
                 self.take_model(replica, model, adapters, as_of)
         before, replica.missed = replica.missed, {}
-        for model, adapter in self.missed_items(replica, models, as_of, busy):
-            times = before.get((model, adapter), 0) + 1
-            if times > tolerated:
-                self.remove_item(replica, model, adapter)
-            else:
-                replica.missed[model, adapter] = times
+        for item in self.missed_items(replica, models, as_of, busy):
+            replica.missed[item] = before.get(item, 0) + 1
         replica.changed_at = {item: at for item, at in replica.changed_at.items() if at > as_of}
         if replica.listed_before:
-            self.note_correction(replica, held_before, "list" if tolerated else "report", as_of)
+            self.note_correction(replica, held_before, "list", as_of)
         replica.listed_before = True
+        if replica.plan is None and replica.verified and LISTS_LACKING in replica.missed.values():
+            self.distrust(replica, at_once=True)
+
+    def adopt_report(self, replica: replica_state.Replica, report: replica_rows.ReplicaReport) -> None:
+        """Take all that a report says, and nothing else, for what the replica holds at that count."""
+        held_before = replica.items()
+        for model, adapters in report.models.items():
+            self.note_weights_on_disk(replica, model)
+            self.take_model(replica, model, adapters, self.now)
+        for model in list(replica.models):
+            for adapter in list(replica.models[model].adapters):
+                if adapter not in report.models.get(model, ()):
+                    self.remove_item(replica, model, adapter)
+            if model not in report.models:
+                self.remove_item(replica, model)
+        self.note_correction(replica, held_before, "report", self.now - REPORT_LAG_MS)
+        if report.taken == replica.count.known > 0:
+            unknown = replica.items() - held_before
+            what = f"{replica.id} holds {sorted(unknown)} unknown at {report.taken} orders"
+            self.require(order_invariants.OrderInvariant.HELD, not unknown, replica, what)
+        replica.missed, replica.changed_at, replica.listed_before = {}, {}, True
+        replica.count = replica.count.after_report(report.taken)
+        replica.verified, replica.distrusted_at = True, None
 
     def note_correction(
         self, replica: replica_state.Replica, held_before: set[str], source: str, as_of: int
@@ -175,10 +212,11 @@
 
     # reports
 
-    def distrust(self, replica: replica_state.Replica) -> None:
-        """Nothing is ordered there until a report, younger than the last order, tells what it holds."""
+    def distrust(self, replica: replica_state.Replica, at_once: bool = False) -> None:
+        """Nothing is ordered there until a report tells what it holds; `at_once`: it may be asked for now."""
         replica.verified, replica.report_requested_at = False, None
-        replica.report_at = self.now + REPORT_LAG_MS
+        replica.distrusted_at = self.now
+        replica.report_at = self.now if at_once else self.now + REPORT_LAG_MS
         replica.report_backoff_ms = replica_state.REPORT_BACKOFF_MS
 
     def request_reports(self) -> None:
@@ -210,14 +248,24 @@
             return []
         replica.unanswered = 0
         found = replica_rows.ReplicaReport.read(report)
-        self.take_models(replica, found.models, requested_at - REPORT_LAG_MS, 0)
-        if not found.busy:
-            replica.verified = True
+        if self.is_believed(replica, found, requested_at):
+            self.adopt_report(replica, found)
             self.needs_placing = True
         self.update_row(replica)
         self.place()
         return self.out
 
+    def is_believed(
+        self, replica: replica_state.Replica, report: replica_rows.ReplicaReport, requested_at: int
+    ) -> bool:
+        """Whether a report is of a time when no order ran, and as far as is known no older than the last one
+        taken. One that is older does no harm: orders that are planned on it are refused for their count."""
+        if report.busy:
+            return False
+        distrusted_at = replica.distrusted_at
+        late = distrusted_at is None or requested_at - distrusted_at >= REPORT_LAG_MS
+        return late or report.taken >= replica.count.least
+
     def remove(self, replica: replica_state.Replica, moved: bool = True) -> None:
         """A replica is gone, or its address is another's; one that `moved` isn't soon taken from a list."""
         if replica.plan:
@@ -242,7 +290,10 @@
         """A replica holds a model or adapter."""
         loaded = replica.models.get(model)
         if loaded is None:
-            loaded = replica.models[model] = replica_state.LoadedModel(self.now)
+            weights_mb = self.catalog.size_mb(replica.service, model)
+            adapter_mb = self.catalog.size_mb(replica.service, model, "*")
+            loaded = replica_state.LoadedModel(self.now, weights_mb, adapter_mb)
+            replica.models[model] = loaded
             self.note_weights_on_disk(replica, model)
         if adapter:
             loaded.adapters[adapter] = self.now
--- a/basaltport/placement/replica_rows.py
+++ b/basaltport/placement/replica_rows.py
@@ -50,11 +50,13 @@
     models: Models
     busy: bool
     """Whether an order runs there."""
+    taken: int
+    """How many orders it has taken since its start."""
 
     @classmethod
     def read(cls, document: Document) -> "ReplicaReport":
-        """A report; KeyError where it names no models."""
-        return cls(document["models"], bool(document.get("busy")))
+        """A report; KeyError where it names no models, or not how many orders were taken."""
+        return cls(document["models"], bool(document.get("busy")), int(document["orders"]))
 
 
 def feed_row(listed: ListedReplica, models: Models, loading: list[str]) -> Document:
--- a/basaltport/placement/replica_state.py
+++ b/basaltport/placement/replica_state.py
@@ -2,6 +2,7 @@
 
 import basaltport.identifiers as identifiers
 import basaltport.placement.catalog as catalog
+import basaltport.placement.order_count as order_count
 import basaltport.placement.order_types as order_types
 import basaltport.placement.replica_rows as replica_rows
 
@@ -13,11 +14,13 @@
 class LoadedModel:
     """A model on a replica: since when, its adapters by name and when each came."""
 
-    __slots__ = ("since", "adapters", "unloading", "unloading_adapters")
+    __slots__ = ("since", "adapters", "unloading", "unloading_adapters", "weights_mb", "adapter_mb")
 
-    def __init__(self, since: int) -> None:
-        """It came at a time."""
+    def __init__(self, since: int, weights_mb: float = 0.0, adapter_mb: float = 0.0) -> None:
+        """It came at a time, of these sizes by the configuration of then; `adapter_mb`: of each adapter."""
         self.since = since
+        self.weights_mb = weights_mb
+        self.adapter_mb = adapter_mb
         self.adapters: dict[str, int] = {}
         self.unloading = False
         self.unloading_adapters: set[str] = set()
@@ -82,7 +85,7 @@
         *("id", "listed", "service", "address", "zone", "state", "leaves_in_ms", "slots", "has_engine"),
         *("models", "disk_models", "changed_at", "missed", "verified", "plan", "unanswered"),
         *("report_at", "report_backoff_ms", "report_requested_at", "barred_until", "running", "running_at"),
-        "listed_before",
+        *("listed_before", "count", "distrusted_at"),
     )
 
     def __init__(self, replica_id: identifiers.ReplicaId) -> None:
@@ -103,6 +106,10 @@
         """How many lists in a row lacked a model and adapter that it should hold."""
         self.verified = False
         """Whether what it holds is known for sure; only then is anything ordered there."""
+        self.count = order_count.OrderCount()
+        """How many orders it took, as of what it is known to hold; one that is new has taken none."""
+        self.distrusted_at: int | None = None
+        """Since when what it holds is not known for sure."""
         self.plan: Plan | None = None
         self.unanswered = 0
         """Orders and reports in a row without an answer."""
@@ -144,13 +151,23 @@
         """How many adapters it holds."""
         return sum(len(loaded.adapters) for loaded in self.models.values())
 
+    def weights_mb(self, models: catalog.Catalog, model: str) -> float:
+        """The size of a model's weights here: as configured, or as when it came if it was larger then."""
+        return max(self.models[model].weights_mb, models.size_mb(self.service, model))
+
+    def adapter_mb(self, models: catalog.Catalog, model: str) -> float:
+        """The size of each adapter of a model here, as of `weights_mb`."""
+        return max(self.models[model].adapter_mb, models.size_mb(self.service, model, "*"))
+
+    def model_mb(self, models: catalog.Catalog, model: str) -> float:
+        """The size of a model here with its adapters."""
+        total = self.weights_mb(models, model)
+        adapters = len(self.models[model].adapters)
+        return total + adapters * self.adapter_mb(models, model) if adapters else total
+
     def used_mb(self, models: catalog.Catalog) -> float:
         """The size of its weights and adapters, with what is being unloaded."""
-        total = 0.0
-        for name, loaded in self.models.items():
-            total += models.size_mb(self.service, name)
-            total += len(loaded.adapters) * models.size_mb(self.service, name, "*") if loaded.adapters else 0
-        return total
+        return sum((self.model_mb(models, name) for name in self.models), 0.0)
 
     def serving(self) -> replica_rows.Models:
         """The models and adapters that requests may go to."""
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -8,6 +8,7 @@
 import basaltport.placement.catalog as catalog
 import basaltport.placement.demand as demand
 import basaltport.placement.effects as effects
+import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.replica_state as replica_state
 import basaltport.placement.token_bucket as token_bucket
 import basaltport.placement.waiting_items as waiting_items
@@ -37,6 +38,8 @@
     """The feed's rows of replicas, by id."""
     changed: set[str]
     """Ids of the rows that changed since the owner last emptied it."""
+    invariants: order_invariants.InvariantChecks
+    """Counts where an invariant of orders did not hold."""
     leading: bool
     deposed: bool
     """Whether a replica knows a higher fencing token."""
@@ -86,6 +89,15 @@
     def note(self, event: log_events.Event, replica: replica_state.Replica, **fields: object) -> None:
         """Log an event about a replica."""
 
+    def require(
+        self,
+        invariant: order_invariants.OrderInvariant,
+        holds: bool,
+        replica: replica_state.Replica,
+        what: str,
+    ) -> bool:
+        """Whether an invariant of orders holds; where not, it is counted and logged."""
+
     def place(self) -> None:
         """Begin plans for what requests wait for."""
 
@@ -113,14 +125,25 @@
     def load_ms(self, service: str, model: str, from_disk: bool) -> float:
         """What a load is likely to take."""
 
+    def note_duration(
+        self, replica: replica_state.Replica, step: replica_state.Step, duration_ms: int
+    ) -> None:
+        """Keep how long a load took."""
+
+    def first_wait_ms(self, replica: replica_state.Replica, step: replica_state.Step) -> int:
+        """When to ask first for the end of an order."""
+
+    def retry_wait_ms(self, replica: replica_state.Replica, step: replica_state.Step) -> float:
+        """How long to wait before asking again."""
+
     def update_row(self, replica: replica_state.Replica) -> None:
         """Make the feed's row of a replica anew."""
 
     def drop_plan(self, replica: replica_state.Replica) -> None:
         """Give up a replica's plan."""
 
-    def distrust(self, replica: replica_state.Replica) -> None:
-        """Order nothing there until a report tells what it holds."""
+    def distrust(self, replica: replica_state.Replica, at_once: bool = False) -> None:
+        """Order nothing there until a report tells what it holds; `at_once`: it may be asked for now."""
 
     def remove(self, replica: replica_state.Replica, moved: bool = True) -> None:
         """A replica is gone, or its address is another's."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,13 @@
-"""Tests that are known to fail for a real fault: KNOWN-RED.txt lists them, and every run prints the list."""
+"""For all tests: the invariants that the running code checks raise where they don't hold. Tests that are known
+to fail for a real fault stand in KNOWN-RED.txt; every run prints the list."""
 
 import pathlib
 
 import pytest
 
+import basaltport.placement.order_invariants as order_invariants
+
+order_invariants.InvariantChecks.strict = True
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
 
--- a/tests/consensus/test_stored_forms.py
+++ b/tests/consensus/test_stored_forms.py
@@ -63,10 +63,12 @@
 
 
 def message_of(kind, values):
-    """A message of the values of its fields."""
+    """A message of the values of its fields; fields that were added since have their defaults."""
     cls = messages.KINDS[kind]
     fields = frames._layout(cls)
-    return cls(*[value_of(field, value) for field, value in zip(fields, values, strict=True)])
+    known, added = fields[: len(values)], fields[len(values) :]
+    assert all(field.is_optional() for field in added)
+    return cls(*[value_of(field, value) for field, value in zip(known, values, strict=True)])
 
 
 def value_of(field, value):
--- a/tests/simulation/test_route_scenarios.py
+++ b/tests/simulation/test_route_scenarios.py
@@ -9,6 +9,7 @@
 import basaltport.controller.shard_ownership as shard_ownership
 import basaltport.placement.replica_choice as replica_choice
 import basaltport.placement.machine as machine
+import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.plan_execution as plan_execution
 import basaltport.placement.token_bucket as token_bucket
 import basaltport.simulation.routes.mayhem as routemayhem
@@ -166,6 +167,7 @@
         "rare-models-at-once",
         [
             (replica_choice.ReplicaChoiceMixin, "make_room", _no_room_needed),
+            (order_invariants, "fits", lambda replica, step, models: True),
             (plan_execution.PlanExecutionMixin, "fit", _go),
         ],
     ),
--- a/tests/support/stored_forms.py
+++ b/tests/support/stored_forms.py
@@ -295,7 +295,7 @@
         cls = messages.KINDS[kind]
         args = [
             identifiers.Term(*value) if plain is identifiers.Term else value
-            for value, (_, plain, _) in zip(values, frames._layout(cls), strict=True)
+            for value, (_, plain, *_) in zip(values, frames._layout(cls)[: len(values)], strict=True)
         ]
         (FRAMES / f"{name}.frame").write_bytes(frames.pack(cls(*args)))
     (FRAMES / "values.json").write_text(json.dumps(frame_values(held), indent=1) + "\n")
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -1,6 +1,9 @@
+import dataclasses
+
 import pytest
 
 import basaltport.consensus.log as log
+import basaltport.controller.messages as controller_messages
 import basaltport.frames as frames
 import basaltport.identifiers as identifiers
 import basaltport.messages as messages
@@ -52,3 +55,13 @@
     body = b"\x05hello"
     head = frames.HEADER.build({"version": 1, "kind": 6, "crc": __import__("zlib").crc32(body), "length": 6})
     assert "garbled body" in frames.unpack(head + body).err_value
+
+
+def test_a_field_that_was_added_with_a_default_is_left_out_and_read_past_by_those_who_know_it_not():
+    order = ["load", "m", "", 7]
+    plain = controller_messages.OrderRequest(identifiers.Term(3, "n"), 1, 2, "a:1", "r", "b:1", *order)
+    bound = dataclasses.replace(plain, expected=41)
+    former, newer = frames.pack(plain), frames.pack(bound)
+    assert frames.unpack(former).ok_value == plain and frames.unpack(newer).ok_value == bound
+    body = former[frames.HEADER_SIZE :]
+    assert newer[frames.HEADER_SIZE :][: len(body)] == body and len(newer) == len(former) + 8
