--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -259,6 +259,10 @@
     def lose_answers(self, p):
         self.f.lossy = p
 
+    @stateful.rule(p=st.sampled_from([0.0, 0.1, 0.5]))
+    def delay_orders(self, p):
+        self.f.late = p
+
     @stateful.rule(k=st.integers(0, 5), how=st.sampled_from(["replace", "dark", "light", "leave"]))
     def trouble(self, k, how):
         s = list(self.f.sims.values())[k]
@@ -301,7 +305,7 @@
         if not hasattr(self, "f"):
             return
         f = self.f
-        f.lossy, f.list_fails, f.omit = 0.0, False, None
+        f.lossy, f.late, f.list_fails, f.omit = 0.0, 0.0, False, None
         f.drain(())
         for s in list(f.sims.values()):
             s.dark = False
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -155,6 +155,7 @@
         self.of(p, lambda p: p.reported(self.now, e.replica, True, body | {"orders": s.taken}))
 
     def arrive(self, e, p):
+        assert e.expected is not None, f"no count: {e}"
         if self.rng.random() < self.late:
             self.late_orders += 1
             self.after(self.rng.randrange(1000, 8000), self.arrive_late, e)
