Owners of shards and the local fleet's stand-ins are held to the count of orders

Change: tests that a leader names it to other owners and in its own orders, and that an owner passes it on, or none where an older leader gave none; the stand-ins of local-fleet compare it.

--- a/basaltport/local_fleet/engine.py
+++ b/basaltport/local_fleet/engine.py
@@ -6,10 +6,11 @@
 
 
 class Outcome(enum.StrEnum):
-    """What became of an order: it runs, or it is over."""
+    """What became of an order: it runs, it is over, or it was not taken."""
 
     ACCEPTED = "accepted"
     DONE = "done"
+    BUSY = "busy"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,9 +32,14 @@
         self.started: dict[Order, float] = {}
         self.orders = 0
 
-    def order(self, order: Order, now: float) -> Outcome:
-        """Start an order, or tell how one that was started before stands at `now` (seconds)."""
+    def order(self, order: Order, now: float, expected: int | None = None) -> Outcome:
+        """Start an order, or tell how one that was started before stands at `now` (seconds). `expected`: how
+        many orders must have been taken so far for this one to be."""
         if order not in self.started:
+            if expected is not None and expected != self.orders:
+                return Outcome.BUSY
+            if self._is_done(order):
+                return Outcome.DONE
             self.started[order] = now
             self.orders += 1
         if now - self.started[order] < self._duration(order):
@@ -53,6 +59,10 @@
         """What a controller reads: the models held, whether an order runs, and how many were taken."""
         return {"models": self.models, "busy": bool(self.started), "orders": self.orders}
 
+    def _is_done(self, order: Order) -> bool:
+        item = f"{order.model}/{order.adapter}" if order.adapter else order.model
+        return self.holds(item) == (order.kind == "load")
+
     def _duration(self, order: Order) -> float:
         is_model_load = order.kind == "load" and order.adapter is None
         return self.load_s if is_model_load else 0.0
--- a/basaltport/local_fleet/port.py
+++ b/basaltport/local_fleet/port.py
@@ -75,7 +75,8 @@
 
     async def order(self, order: effects.Order) -> str:
         """The outcome of an order; `unknown` where the replica did not answer."""
-        body = {"kind": order.kind, "model": order.model, "adapter": order.adapter}
+        body: Document = {"kind": order.kind, "model": order.model, "adapter": order.adapter}
+        body["expected"] = order.expected
         answer = await self._call("POST", f"http://{order.address}{stand_ins.ORDER_PATH}", body)
         return answer["outcome"] if isinstance(answer, dict) else "unknown"
 
--- a/basaltport/local_fleet/stand_ins.py
+++ b/basaltport/local_fleet/stand_ins.py
@@ -53,7 +53,8 @@
         """A controller's order to load or unload."""
         body = await request.json()
         order = engine.Order(body["kind"], body["model"], body["adapter"])
-        return aiohttp.web.json_response({"outcome": self.engine.order(order, time.monotonic())})
+        outcome = self.engine.order(order, time.monotonic(), body.get("expected"))
+        return aiohttp.web.json_response({"outcome": outcome})
 
     async def report(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """What this replica holds, for a controller."""
--- a/tests/controller/test_duties.py
+++ b/tests/controller/test_duties.py
@@ -243,6 +243,32 @@
     assert not does(older, f, k) and not does(gen, f - 1, k) and not does(gen, f, k - 10)
 
 
+@pytest.mark.parametrize(("named", "expected"), [(41, 41), (0, 0), (messages.NO_COUNT, None)])
+def test_an_owner_sends_the_count_that_the_leader_planned_on(named, expected):
+    w = founded()
+    lead, n = w.nodes[w.leader()].member, w.nodes[controllers.others(w)[0]]
+    r = of(w, n.name)[0]
+    fence, echo = lead.book.shards[shard_ownership.shard_of(r)]["fence"], lead.latest_acks[n.seat][0]
+    request = messages.OrderRequest(
+        lead.current_term, 999, echo, lead.me.addr, r, "a:1", "load", "m", "", fence, named
+    )
+    out = n.member.step(events.Heard(w.now, "", request))
+    assert [e.expected for e in out if isinstance(e, effects.Order)] == [expected]
+
+
+def test_a_leader_names_the_count_to_the_owners_and_in_its_own_orders():
+    w = founded()
+    lead = w.nodes[w.leader()].member
+    said = []
+    for owner in [w.leader(), *controllers.others(w)]:
+        order = effects.Order(7, of(w, owner)[0], "a:1", "load", "m", None, lead.me.name, 1, 17)
+        lead.out = []
+        lead.route_order(order)
+        for effect in lead.out:
+            said.append(effect.expected if isinstance(effect, effects.Order) else effect.msg.expected)
+    assert said == [17] * len(w.nodes)
+
+
 def play(seed):
     """Random troubles, one or two at a time; do_order checks."""
     w = World(seed, 3 if seed % 3 else 5)
--- a/tests/project/test_local_fleet.py
+++ b/tests/project/test_local_fleet.py
@@ -186,3 +186,12 @@
         finally:
             started.terminate()
             assert started.wait(BOUND) == 0
+
+
+def test_an_order_that_names_another_count_is_not_taken_and_one_that_is_done_is_not_counted():
+    replica = engine.Engine(load_s=0)
+    assert replica.order(BIRCH, 0, expected=0) is engine.Outcome.DONE and replica.orders == 1
+    unload = engine.Order("unload", "birch")
+    assert replica.order(unload, 0, expected=0) is engine.Outcome.BUSY and replica.holds("birch")
+    assert replica.order(BIRCH, 0, expected=1) is engine.Outcome.DONE and replica.orders == 1
+    assert replica.order(unload, 0, expected=1) is engine.Outcome.DONE and replica.orders == 2
