--- a/basaltport/proxy/admission.py
+++ b/basaltport/proxy/admission.py
@@ -11,6 +11,7 @@
 import basaltport.proxy.request as request
 import basaltport.proxy.retry_budget as retry_budget
 import basaltport.proxy.routing as routing
+import basaltport.proxy.share_draws as share_draws
 
 RETRY_AFTER_MS = 1000
 """When the client of a request that was not taken may come back."""
@@ -40,6 +41,7 @@
         self.readiness = readiness
         self.budgets = budgets
         self.item_uses: dict[str, int] = {}
+        self.share_draws = share_draws.ShareDraws(node.rng)
 
     def admit(
         self, arrived: request.Request, event: events.Arrived, service: str | None = None
@@ -66,7 +68,7 @@
             case routing.AdmissionStep.DEADLINE:
                 return self.set_deadline(arrived, event)
             case routing.AdmissionStep.SERVICE:
-                arrived.service = service or arrived.route.service(self.node.rng.random())
+                arrived.service = service or self.draw_service(arrived.route)
                 return None
             case routing.AdmissionStep.ITEM:
                 return self.check_item(arrived)
@@ -75,6 +77,11 @@
             case routing.AdmissionStep.ENQUEUE:
                 return self.enqueue(arrived)
 
+    def draw_service(self, route: routing.Route) -> str:
+        """The service of a route's next request, by weight."""
+        draw = self.share_draws.next(route.name) if route.is_shared else 0.0
+        return route.service(draw)
+
     def set_deadline(self, arrived: request.Request, event: events.Arrived) -> Rejection | None:
         """The smaller of the client's deadline and the route's, from when the request's head was there."""
         longest_ms = arrived.route.deadline_ms
--- a/basaltport/proxy/routing.py
+++ b/basaltport/proxy/routing.py
@@ -112,6 +112,11 @@
         is_safe = self.kind is Kind.SAFE
         return retry_decision.Repeats.ALWAYS if is_safe else retry_decision.Repeats.NEVER
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether its requests go to several services."""
+        return len(self.shares.names) > 1
+
     def service(self, draw: float) -> str:
         """The service for a draw in [0, 1), by weight."""
         names, weight_sums = self.shares
--- a/basaltport/proxy/server.py
+++ b/basaltport/proxy/server.py
@@ -30,7 +30,9 @@
 NOTICED_S = 2.6
 """How long the platform may take to notice that a proxy is not ready; it takes clients until then."""
 LAST_S = 0.8
-"""What is kept of the grace time for the ends of requests that could not be finished."""
+"""What is kept of the grace time for the ends of requests that could not be finished,"""
+LAST_SHARE = 1 / 6
+"""but no more than this share of it."""
 SWEEP_MS = 5000
 """Connections at rest are looked at so often."""
 STALE_FEED_MS = 2000
@@ -145,10 +147,11 @@
         noticed_s = min(NOTICED_S, grace_s / 2)
         await asyncio.sleep(noticed_s)
         self.clients.listener.close()
-        until = identifiers.steady() + SECOND_MS * (grace_s - noticed_s - LAST_S)
+        last_s = min(LAST_S, grace_s * LAST_SHARE)
+        until = identifiers.steady() + SECOND_MS * (grace_s - noticed_s - last_s)
         await self.wait_until_idle(until)
         self.step(events.Finish(identifiers.steady()))
-        await self.wait_until_idle(until + SECOND_MS * LAST_S / 2)
+        await self.wait_until_idle(until + SECOND_MS * last_s / 2)
         await self.wires.stop()
         await self.replicas.stop()
 
--- a/tests/controller/test_control_safety.py
+++ b/tests/controller/test_control_safety.py
@@ -32,3 +32,14 @@
         named = re.findall(r"`(test_\w+)`", text)
         assert named, key
         assert [name for name in named if f"def {name}(" not in TESTS] == []
+
+
+def test_each_rule_of_the_newest_pages_is_told_with_its_modules_and_tests():
+    table = rows("rule")
+    assert table
+    for row in table:
+        assert len(row) == 4 and all(row), row
+        assert re.search(r"`[a-z_/]+/[a-z_]+\.py`", row[2]), row
+        named = re.findall(r"`(test_\w+)`", row[3])
+        assert named, row
+        assert [name for name in named if f"def {name}(" not in TESTS] == [], row
--- /dev/null
+++ b/tests/proxy/test_kept_connections.py
@@ -0,0 +1,207 @@
+"""Requests on a client's connection that is kept for many.
+
+One that was read and passed on has its whole answer there whatever happens beside it; one that crosses our
+close of the connection goes nowhere."""
+
+import asyncio
+import dataclasses
+import socket
+
+import pytest
+
+import basaltport.fleet.messages as messages
+import basaltport.identifiers as identifiers
+import tests.support.jumping_loop as jumping_loop
+import tests.support.proxy_stand as stand
+import tests.proxy.test_proxy_wire as wire
+
+LONG_REST_S = 10_000
+BODY = b"written whole"
+LONG_MS = 60_000
+BESIDE_S = 4.0
+"""For so long the request runs on beside what happens; in a stop, connections at rest are ended by then."""
+
+
+def end_rested(proxy):
+    """All connections at rest are over their limit."""
+    for side in proxy.shell.clients.server.connections:
+        side._next_keepalive_close_time -= LONG_REST_S
+    proxy.shell.clients.end_rested()
+
+
+def end_idle(proxy):
+    proxy.shell.clients.close_idle()
+
+
+def hang_up(proxy):
+    proxy.shell.reload = lambda: ["127.0.0.1:9"]
+    proxy.shell.reload_settings()
+
+
+def stop(proxy):
+    proxy.shell.end.set()
+
+
+def feed(proxy, document, rows):
+    """The leader's next update, with this configuration and these replicas."""
+    member = proxy.member
+    index = identifiers.LogIndex(member.book.log_index + 1)
+    copy = dataclasses.replace(
+        member.book, configuration=document, configuration_version=index, log_index=index
+    )
+    by_id = {row["id"]: row for row in rows}
+    update = messages.Update(
+        member.feed_gen, "k1", "", [], index, [], copy, True, -1, member.feed_n + 1, by_id, [], 1
+    )
+    proxy.shell.heard("", update)
+    assert member.book is copy and member.rows == by_id
+
+
+def rows_of(proxy, **more):
+    return [{**replica.row(), **more} for replica in proxy.replicas]
+
+
+def shrink_limits(proxy):
+    limits = {"body_bytes": 1, "idle_close_ms": 1, "header_wait_ms": 1}
+    feed(proxy, {**proxy.doc, "limits": limits}, rows_of(proxy))
+    proxy.shell.clients.end_rested()
+
+
+def drop_routes(proxy):
+    feed(proxy, {**proxy.doc, "edition": 2, "routes": [], "services": []}, rows_of(proxy))
+
+
+def move_routes(proxy):
+    routes = [{**route, "service": "else"} for route in proxy.doc["routes"]]
+    feed(proxy, {**proxy.doc, "edition": 2, "routes": routes}, rows_of(proxy))
+
+
+def drain(proxy):
+    feed(proxy, proxy.doc, rows_of(proxy, state="draining"))
+
+
+def list_no_more(proxy):
+    feed(proxy, proxy.doc, [])
+
+
+BESIDE = [end_rested, end_idle, hang_up, stop, shrink_limits, drop_routes, move_routes, drain, list_no_more]
+
+
+class Gated:
+    """A replica's script: answers the first request at once, a later one when `gate` opens; a stream's first
+    event comes at once."""
+
+    def __init__(self):
+        self.gate = asyncio.Event()
+
+    async def __call__(self, replica, headers, writer):
+        if len(replica.seen) == 1:
+            writer.write(stand.whole(headers, b"first"))
+            return
+        if not replica.seen[-1][0].startswith("POST /stream/"):
+            await self.gate.wait()
+            writer.write(stand.whole(headers, BODY))
+            return
+        writer.write(stand.head(headers, **{"Transfer-Encoding": "chunked"}) + stand.chunk(stand.event(1)))
+        await writer.drain()
+        await self.gate.wait()
+        writer.write(stand.chunk(stand.event(2)) + b"0\r\n\r\n")
+
+
+async def turns(until):
+    while not until():
+        await asyncio.sleep(0)
+
+
+async def answer(reader):
+    """Head and body of an answer, read by what its head says of its end."""
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    if b"chunked" in head:
+        return head, stand.dechunk(await reader.readuntil(b"0\r\n\r\n"))
+    length = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
+    return head, await reader.readexactly(length)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x"])
+@pytest.mark.parametrize("beside", BESIDE, ids=lambda beside: beside.__name__)
+def test_a_request_of_a_kept_connection_that_was_passed_on_is_answered_there(beside, path):
+    async def go():
+        gated = Gated()
+        replica = stand.Replica("i-1", gated)
+        document = stand.document(deadline_ms=LONG_MS)
+        async with stand.Front([replica], document, {"grace_s": 8, "retry_slack": 100}) as proxy:
+            reader, writer = await proxy.open()
+            writer.write(proxy.text("/safe/x"))
+            first = await answer(reader)
+            more = {stand.W.request_id: "q2", stand.W.deadline: str(LONG_MS)}
+            writer.write(proxy.text(path, **more))
+            await turns(lambda: len(replica.seen) == 2)
+            beside(proxy)
+            waiting = asyncio.create_task(answer(reader))
+            asyncio.get_running_loop().call_later(BESIDE_S, gated.gate.set)
+            head, body = await waiting
+            writer.close()
+            return first[1], head, body, len(replica.seen)
+
+    first, head, body, seen = jumping_loop.run(go)
+    assert first == b"first" and seen == 2
+    assert head.startswith(b"http/1.1 200") and b": q2\r\n" in head
+    assert body == (stand.event(1) + stand.event(2) if path == "/stream/x" else BODY)
+
+
+def test_the_process_ends_only_once_a_slow_taker_has_its_whole_answer():
+    large = b"x" * 3_000_000
+
+    async def give(replica, headers, writer):
+        writer.write(stand.whole(headers, large))
+
+    async def go():
+        document = stand.document(deadline_ms=LONG_MS)
+        async with stand.Front([stand.Replica("i-1", give)], document, {"grace_s": 8}) as proxy:
+            loop = asyncio.get_running_loop()
+            takes = asyncio.Event()
+            with socket.socket() as client:
+                client.setblocking(False)
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                await loop.sock_connect(client, ("127.0.0.1", proxy.port))
+                await loop.sock_sendall(client, proxy.text("/once/x", **{stand.W.deadline: str(LONG_MS)}))
+                await turns(lambda: proxy.replicas[0].seen)
+                left = []
+                proxy.task.add_done_callback(
+                    lambda _: left.append(len(proxy.shell.clients.server.connections))
+                )
+                proxy.shell.end.set()
+                loop.call_later(BESIDE_S, takes.set)
+                await takes.wait()
+                got = b""
+                while part := await loop.sock_recv(client, 65_536):
+                    got += part
+                await proxy.task
+                return got, left
+
+    got, left = jumping_loop.run(go)
+    assert got.endswith(b"\r\n\r\n" + large) and left == [0]
+
+
+@pytest.mark.parametrize("end", [end_rested, end_idle], ids=lambda end: end.__name__)
+def test_a_request_that_crosses_our_close_of_a_kept_connection_goes_nowhere(end):
+    async def go():
+        replica = stand.Replica("i-1", wire.ok)
+        async with stand.Front([replica]) as proxy:
+            reader, writer = await proxy.open()
+            writer.write(proxy.text("/safe/x"))
+            await answer(reader)
+            (side,) = proxy.shell.clients.server.connections
+            await turns(lambda: side._waiter is not None)
+            end(proxy)
+            writer.write(proxy.text("/once/x", **{stand.W.request_id: "q2"}))
+            try:
+                rest = await reader.read()
+            except ConnectionResetError:
+                rest = b""
+            await turns(lambda: not proxy.shell.clients.server.connections)
+            writer.close()
+            await proxy.ask("/safe/x", **{stand.W.request_id: "q3"})
+            return rest, [headers[stand.W.request_id.lower()] for _, headers, _ in replica.seen]
+
+    assert jumping_loop.run(go) == (b"", ["q1", "q3"])
--- a/tests/proxy/test_request_safety.py
+++ b/tests/proxy/test_request_safety.py
@@ -37,7 +37,8 @@
     "drain",
     "evacuation",
 ]
-TESTS = dict(re.findall(r"^- \[([a-z-]+)\]: `(\S+)`$", PAGE, re.M))
+TESTS = dict(re.findall(r"^- \[([a-z-]+)\]:\s+`(\S+)`$", PAGE, re.M))
+NEWEST = "Rules of the newest pages"
 
 
 def rows(state):
@@ -59,6 +60,16 @@
             assert named and set(named) <= set(TESTS), (state, row)
 
 
+def test_each_rule_of_the_newest_pages_is_told_with_its_modules_and_tests():
+    table = rows(NEWEST)
+    assert table
+    for row in table:
+        assert len(row) == 4 and all(row), row
+        assert re.search(r"`[a-z_]+/[a-z_]+\.py`", row[2]), row
+        named = re.findall(r"\[([a-z-]+)\]", row[3])
+        assert named and set(named) <= set(TESTS), row
+
+
 def test_every_test_named_exists_and_none_is_listed_in_vain():
     for label, test in TESTS.items():
         file, _, name = test.partition("::")
--- /dev/null
+++ b/tests/proxy/test_shares.py
@@ -0,0 +1,120 @@
+"""Each part of a route's `shares` gets its weight's part of the requests, at one proxy and over many."""
+
+import collections
+import random
+
+import pytest
+
+import basaltport.proxy.events as events
+import basaltport.proxy.routing as routing
+import basaltport.proxy.share_draws as share_draws
+import tests.proxy.test_proxy as reducer
+import tests.support.proxy_stand as stand
+
+WINDOW = 200
+MOST_OFF = 0.2
+"""A part's share may lie so far off its weight's in a calm time of `WINDOW` requests."""
+WINDOWS = 20
+SEEDS = range(5)
+WEIGHTS = [(90, 10), (50, 50), (1, 1, 1), (99, 1), (60, 30, 10), (1, 0, 3)]
+
+
+def parts(weights):
+    return {f"part-{n}": weight for n, weight in enumerate(weights)}
+
+
+def document(weights):
+    out = stand.document(pinned=False)
+    (service,) = out["services"]
+    out["services"] = [{**service, "name": name} for name in parts(weights)]
+    shares = [{"service": name, "weight": weight} for name, weight in parts(weights).items()]
+    for route in out["routes"]:
+        del route["service"]
+        route["shares"] = shares
+    return out
+
+
+def proxy(weights, seed):
+    rows = [
+        reducer.row(f"{name}-{zone}", zone, service=name, slots=64)
+        for name in parts(weights)
+        for zone in ("z1", "z2")
+    ]
+    s = reducer.Sim(rows, document(weights))
+    s.m.rng.seed(seed)
+    return s
+
+
+def arrivals(proxies, requests):
+    """The part that each request goes to, which is answered at once."""
+    for n in range(requests):
+        s = proxies[n % len(proxies)]
+        (attempt,) = s.ask(("safe", "once", "stream")[n % 3])
+        assert type(attempt) is events.Attempt
+        s.end(attempt.attempt, "done", status=200)
+        yield attempt.replica.rpartition("-")[0]
+
+
+def most_off(got, weights, window):
+    """The farthest that any part's share lies off its weight's in any window of so many requests."""
+    total, most = sum(weights), 0.0
+    for name, weight in parts(weights).items():
+        hits = [part == name for part in got]
+        inside = sum(hits[:window])
+        most = max(most, abs(inside / window - weight / total))
+        for n in range(window, len(hits)):
+            inside += hits[n] - hits[n - window]
+            most = max(most, abs(inside / window - weight / total))
+    return most
+
+
+@pytest.mark.parametrize("proxies", [1, 6])
+@pytest.mark.parametrize("weights", WEIGHTS, ids=str)
+def test_no_part_lies_far_off_its_weight_in_any_calm_time(weights, proxies):
+    for seed in SEEDS:
+        nodes = [proxy(weights, 100 * seed + n) for n in range(proxies)]
+        got = list(arrivals(nodes, WINDOW * WINDOWS))
+        assert most_off(got, weights, WINDOW) <= MOST_OFF
+        assert collections.Counter(got).keys() == {name for name, w in parts(weights).items() if w}
+
+
+@pytest.mark.parametrize("weights", WEIGHTS, ids=str)
+def test_the_draw_has_each_part_s_weight_exactly(weights):
+    """Evenly laid draws hit each part by its weight."""
+    route = routing.Route(document(weights)["routes"][0])
+    total = sum(weights)
+    got = collections.Counter(route.service((n + 0.5) / total) for n in range(total))
+    assert got == {name: weight for name, weight in parts(weights).items() if weight}
+
+
+def test_a_further_attempt_and_a_refused_one_stay_with_the_part_that_was_drawn():
+    s = proxy((50, 50), 1)
+    for n in range(50):
+        (attempt,) = s.ask("safe")
+        part = attempt.replica.rpartition("-")[0]
+        s.now += 1000
+        again = s.end(attempt.attempt, ("broken", "refused")[n % 2]) + s.wait(200)
+        (second,) = [e for e in again if isinstance(e, events.Attempt)]
+        assert second.replica.rpartition("-")[0] == part
+        s.end(second.attempt, "done", status=200)
+        s.wait(30_000)
+
+
+EVEN_WINDOW = 300
+EVEN_MOST_OFF = 0.03
+"""Independent draws lie up to 0.09 off in such a window."""
+
+
+@pytest.mark.parametrize("proxies", [1, 6])
+@pytest.mark.parametrize("weights", [(90, 10), (50, 50), (60, 30, 10)], ids=str)
+def test_a_few_hundred_requests_give_each_part_its_weight_s_share(weights, proxies):
+    for seed in SEEDS:
+        nodes = [proxy(weights, 100 * seed + n) for n in range(proxies)]
+        assert most_off(list(arrivals(nodes, 3000)), weights, EVEN_WINDOW) <= EVEN_MOST_OFF
+
+
+def test_draws_of_many_routes_are_bounded_and_each_lies_between_0_and_1():
+    draws = share_draws.ShareDraws(random.Random(1))
+    for n in range(3 * share_draws.ROUTES_KEPT):
+        assert 0 <= draws.next(f"route-{n}") < 1
+        assert len(draws.last) <= share_draws.ROUTES_KEPT
--- /dev/null
+++ b/tests/proxy/test_stop_times.py
@@ -0,0 +1,131 @@
+"""How long requests are served on once the process is told to stop, by the grace time of the deployments."""
+
+import asyncio
+
+import pytest
+
+import tests.support.jumping_loop as jumping_loop
+import tests.support.proxy_stand as stand
+
+GRACE_S = 8
+LAST_SIXTH_S = GRACE_S * 5 / 6
+SENT_BY_S = 3.0
+JUST_BEFORE_S = 0.1
+TIMINGS = {"grace_s": GRACE_S, "retry_slack": 100}
+LONG_MS = 60_000
+
+
+def document():
+    return stand.document(deadline_ms=LONG_MS, attempts=1)
+
+
+async def until(at):
+    """The moment `at` of the loop's clock."""
+    loop = asyncio.get_running_loop()
+    moment = loop.create_future()
+    loop.call_at(at, moment.set_result, None)
+    await moment
+
+
+def works_until(at):
+    """A replica's script that answers at the moment that `at` gives."""
+
+    async def work(replica, headers, writer):
+        streamed = replica.seen[-1][0].startswith("POST /s") and "/safe/" not in replica.seen[-1][0]
+        if streamed:
+            writer.write(stand.head(headers, **{"Transfer-Encoding": "chunked"}))
+            writer.write(stand.chunk(stand.event(1)))
+            await writer.drain()
+        await until(at())
+        if streamed:
+            writer.write(stand.chunk(stand.event(2)) + b"0\r\n\r\n")
+        else:
+            writer.write(stand.whole(headers, b"written"))
+
+    return work
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/single/x"])
+@pytest.mark.parametrize("sent_s", [-1.0, 0.0, 2.0, 2.5])
+def test_what_a_replica_ends_before_the_last_sixth_of_the_grace_time_is_answered_whole(sent_s, path):
+    """A replica that falls silent meanwhile ends no answer sooner."""
+
+    async def go():
+        loop = asyncio.get_running_loop()
+        term = loop.time() + 2.0
+        work = works_until(lambda: term + LAST_SIXTH_S - JUST_BEFORE_S)
+        async with stand.Front([stand.Replica("i-1", work)], document(), TIMINGS) as proxy:
+            loop.call_at(term, proxy.shell.end.set)
+            await until(term + sent_s)
+            return await proxy.ask(path, **{stand.W.deadline: str(LONG_MS)})
+
+    status, _, body = jumping_loop.run(go)
+    streamed = path in ("/stream/x", "/single/x")
+    assert (status, body) == (200, stand.event(1) + stand.event(2) if streamed else b"written")
+
+
+def test_no_request_can_be_sent_later_than_three_seconds_after_the_stop():
+    """New connections are refused by then, and kept ones at rest have ended."""
+
+    async def go():
+        loop = asyncio.get_running_loop()
+        term = loop.time() + 1.0
+        work = works_until(lambda: term + LAST_SIXTH_S - JUST_BEFORE_S)
+
+        async def first_at_once(replica, headers, writer):
+            if len(replica.seen) > 1:
+                await work(replica, headers, writer)
+            else:
+                writer.write(stand.whole(headers, b"first"))
+
+        replica = stand.Replica("i-1", first_at_once)
+        async with stand.Front([replica], document(), TIMINGS) as proxy:
+            rests = [await proxy.open() for _ in range(3)]
+            rests[0][1].write(proxy.text("/safe/x"))
+            await rests[0][0].readuntil(b"first")
+            loop.call_at(term, proxy.shell.end.set)
+            busy = asyncio.create_task(proxy.ask("/once/x", **{stand.W.deadline: str(LONG_MS)}))
+            await until(term + SENT_BY_S)
+            ends = [await reader.read() for reader, _ in rests]
+            with pytest.raises(ConnectionRefusedError):
+                await proxy.open()
+            at = loop.time() - term
+            return ends, at, await busy, len(replica.seen)
+
+    ends, at, (status, _, body), seen = jumping_loop.run(go)
+    assert ends == [b""] * 3 and at < SENT_BY_S + JUST_BEFORE_S
+    assert (status, body, seen) == (200, b"written", 2)
+
+
+@pytest.mark.parametrize("path, status", [("/once/x", 502), ("/safe/x", 502), ("/single/x", 200)])
+def test_what_still_runs_in_the_last_sixth_has_its_end_before_the_process_is_killed(path, status):
+    """An answer of our own that promises nothing, or a cut; no connection ends without either."""
+
+    async def go():
+        loop = asyncio.get_running_loop()
+        term = loop.time() + 1.0
+        work = works_until(lambda: term + 10 * GRACE_S)
+        async with stand.Front([stand.Replica("i-1", work)], document(), TIMINGS) as proxy:
+            loop.call_at(term, proxy.shell.end.set)
+            got = await proxy.ask(path, **{stand.W.deadline: str(LONG_MS)})
+            ended_s = loop.time() - term
+            await proxy.task
+            return got, ended_s, loop.time() - term
+
+    (told, _, body), ended_s, gone_s = jumping_loop.run(go)
+    assert told == status and (status != 200 or body is None)
+    assert LAST_SIXTH_S < ended_s < GRACE_S and gone_s < GRACE_S
+
+
+@pytest.mark.parametrize("grace_s", [2, 3, 4, 4.5, 5, 8, 12])
+def test_what_ends_before_the_last_sixth_is_answered_at_any_grace_time(grace_s):
+    async def go():
+        loop = asyncio.get_running_loop()
+        term = loop.time() + 1.0
+        work = works_until(lambda: term + grace_s * 5 / 6 - 0.05)
+        timings = {"grace_s": grace_s, "retry_slack": 100}
+        async with stand.Front([stand.Replica("i-1", work)], document(), timings) as proxy:
+            loop.call_at(term, proxy.shell.end.set)
+            return await proxy.ask("/once/x", **{stand.W.deadline: "60000"})
+
+    assert jumping_loop.run(go)[0] == 200
--- /dev/null
+++ b/tests/proxy/test_unaltered_requests.py
@@ -0,0 +1,103 @@
+"""What a client says of its prompt reaches each replica as it came at every attempt; nothing is made up."""
+
+import asyncio
+
+import pytest
+
+import tests.support.proxy_stand as stand
+import tests.proxy.test_proxy_wire as wire
+
+W = stand.W
+SAID = (W.model, W.tokens, W.prefix)
+PROMPT = {W.model: "birch", W.tokens: "1460,80", W.prefix: "5c1e07a2:800,91bd3f06:410,e4402b7d:250"}
+ADAPTER = {**PROMPT, W.model: "birch/a2"}
+ODD = {**PROMPT, W.tokens: "0001460, 80", W.prefix: "5C1E07A2:0800,,zz:1,e4402b7d:"}
+LONG = {**PROMPT, W.prefix: ",".join(f"{n:08x}:{n}" for n in range(400))}
+SAYS = {"as usual": PROMPT, "an adapter": ADAPTER, "odd values": ODD, "a long prefix": LONG}
+ROWS = {"models": {"birch": ["a1", "a2"]}}
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+async def cut_stream(replica, headers, writer):
+    await wire.stream(2, end=False)(replica, headers, writer)
+
+
+async def whole_stream(replica, headers, writer):
+    await wire.stream(4)(replica, headers, writer)
+
+
+def first_then(first, then):
+    """A script for all replicas together: the first request meets `first`, later ones `then`."""
+    seen = []
+
+    async def script(replica, headers, writer):
+        seen.append(replica)
+        await (first if len(seen) == 1 else then)(replica, headers, writer)
+
+    return script
+
+
+AGAIN = [
+    ("/safe/x", wire.refuse, wire.ok),
+    ("/once/x", wire.refuse, wire.ok),
+    ("/safe/x", wire.absent, wire.ok),
+    ("/safe/x", wire.close, wire.ok),
+    ("/safe/x", wire.foreign, wire.ok),
+    ("/stream/x", cut_stream, whole_stream),
+]
+
+
+def told(replica):
+    return [{name: headers.get(name.lower()) for name in SAID} for _, headers, _ in replica.seen]
+
+
+@pytest.mark.parametrize("says", SAYS)
+@pytest.mark.parametrize("path, first, then", AGAIN, ids=[f"{p} {f.__name__}" for p, f, _ in AGAIN])
+def test_model_tokens_and_prompt_prefix_are_the_client_s_at_every_attempt(path, first, then, says):
+    async def go():
+        script = first_then(first, then)
+        replicas = [stand.Replica("i-1", script, **ROWS), stand.Replica("i-2", script, "z2", **ROWS)]
+        async with stand.Front(replicas) as proxy:
+            status, _, body = await proxy.ask(path, **SAYS[says])
+            return status, body, [row for replica in replicas for row in told(replica)]
+
+    status, body, rows = run(go())
+    assert status == 200 and body is not None
+    assert rows == [SAYS[says]] * 2
+
+
+@pytest.mark.parametrize("left_out", [SAID, (W.tokens, W.prefix), (W.model,), ()])
+def test_what_a_client_leaves_out_is_not_added(left_out):
+    """A service without models takes a request whatever it says of a prompt."""
+
+    async def go():
+        document = stand.document(pinned=False)
+        del document["services"][0]["engine"]
+        script = first_then(wire.refuse, wire.ok)
+        async with stand.Front([stand.Replica("i-1", script)], document) as proxy:
+            raw = proxy.text("/safe/x", Connection="close", **PROMPT)
+            for name in left_out:
+                raw = raw.replace(f"{name}: {PROMPT[name]}\r\n".encode(), b"")
+            got = await proxy.raw(raw)
+            return got, told(proxy.replicas[0])
+
+    got, rows = run(go())
+    assert got.startswith(b"HTTP/1.1 200")
+    assert rows == [{name: None if name in left_out else PROMPT[name] for name in SAID}] * 2
+
+
+def test_a_request_behind_another_on_one_connection_keeps_its_own_prompt():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", wire.ok, **ROWS)]) as proxy:
+            reader, writer = await proxy.open()
+            for n, says in enumerate(SAYS.values()):
+                writer.write(proxy.text("/safe/x", **says, **{W.request_id: f"q{n}"}))
+                await reader.readuntil(b"written")
+            writer.close()
+            return told(proxy.replicas[0]), proxy.replicas[0].connections
+
+    rows, connections = run(go())
+    assert rows == list(SAYS.values()) and connections == 1
