--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -126,7 +126,7 @@
         self.catalog, self.evacuated_zones = catalog.Catalog(document), set(evacuated_zones)
         self.update_buckets()
         for replica in self.replicas.values():
-            replica.has_engine = replica.service in self.catalog.services
+            self.find_engine(replica)
             self.update_row(replica)
         self.find_usable_zones()
         self.needs_placing = True
@@ -134,6 +134,16 @@
             self.place()
         return self.out
 
+    def find_engine(self, replica: replica_state.Replica) -> None:
+        """Whether a replica holds models; of one that does so from now on it is not known which."""
+        had_engine, replica.has_engine = replica.has_engine, replica.service in self.catalog.services
+        if not replica.has_engine or had_engine:
+            return
+        if replica.plan is not None:
+            replica.count = replica.count.after_giving_up(replica.next_step().accepted)
+            self.drop_plan(replica)
+        self.distrust(replica, at_once=True)
+
     def update_buckets(self) -> None:
         """A bucket of permits for each service, at its rate."""
         for service in self.catalog.services.values():
--- a/basaltport/placement/order_count.py
+++ b/basaltport/placement/order_count.py
@@ -15,9 +15,6 @@
     known: int = 0
     least: int = 0
     """The replica has taken at least so many; a report of fewer was made before."""
-    settled: bool = False
-    """Whether no order but the one in flight can still be taken on this count. An order that was taken
-    settles it: whatever was sent before names a lower count."""
 
     def expected(self, accepted: bool) -> int:
         """The count for an order to name; `accepted`: it was taken, and is sent again to hear of its end."""
@@ -25,16 +22,16 @@
 
     def after_order(self) -> "OrderCount":
         """An order that named the count known was taken, and is done."""
-        return OrderCount(self.known + 1, self.known + 1, True)
+        return OrderCount(self.known + 1, self.known + 1)
 
     def after_refusal(self, accepted: bool) -> "OrderCount":
         """An order was refused for its count, or as another runs: one was taken that is not known here."""
-        return OrderCount(self.known, self.known + accepted + 1, False)
+        return OrderCount(self.known, self.known + accepted + 1)
 
-    def unsettled(self, accepted: bool) -> "OrderCount":
+    def after_giving_up(self, accepted: bool) -> "OrderCount":
         """An order was given up that may still be taken, or that runs."""
-        return OrderCount(self.known, self.known + accepted, False)
+        return OrderCount(self.known, self.known + accepted)
 
     def after_report(self, taken: int) -> "OrderCount":
         """A report told what the replica held at this count."""
-        return OrderCount(taken, taken, False)
+        return OrderCount(taken, taken)
--- a/basaltport/placement/order_invariants.py
+++ b/basaltport/placement/order_invariants.py
@@ -9,6 +9,10 @@
 import basaltport.placement.replica_state as replica_state
 
 
+ROUNDING_MB = 1e-3
+"""By so much sums of the same sizes in another order may differ."""
+
+
 class OrderInvariant(enum.StrEnum):
     """The invariants; the values are labels of the metric."""
 
@@ -45,15 +49,17 @@
 
 def fits(replica: replica_state.Replica, step: replica_state.Step, models: catalog.Catalog) -> bool:
     """Whether there is room for what a step loads, counted anew from each thing that the replica holds."""
+    if step.kind is not order_types.OrderKind.LOAD:
+        return True
     service = models.services.get(replica.service)
     if service is None:
         return False
-    if step.kind is not order_types.OrderKind.LOAD:
-        return True
     sizes = [models.size_mb(replica.service, step.model, step.adapter)]
     adapters = int(bool(step.adapter))
     for name, loaded in replica.models.items():
         sizes.append(replica.weights_mb(models, name))
         sizes += [replica.adapter_mb(models, name) for _ in loaded.adapters]
         adapters += len(loaded.adapters)
-    return sum(sizes) <= service.memory_mb and (not step.adapter or adapters <= service.adapter_slots)
+    return sum(sizes) <= service.memory_mb + ROUNDING_MB and (
+        not step.adapter or adapters <= service.adapter_slots
+    )
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -146,8 +146,13 @@
         return False
 
     def send_if_allowed(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
-        """Send the order of a step unless an invariant forbids it, or the store's rate."""
-        if step.first_sent_at is None and not self.invariants_hold(replica, step):
+        """Send the order of a step unless it may exceed the replica's room, or the store's rate. Room is
+        looked at each time until it is known that the order was taken: sizes may have changed since."""
+        resent = step.first_sent_at is not None
+        if resent and not step.accepted and not order_invariants.fits(replica, step, self.catalog):
+            replica.count = replica.count.after_giving_up(False)
+            self.give_up_plan(replica, step)
+        elif not resent and not self.invariants_hold(replica, step):
             self.give_up_plan(replica, step)
         elif self.take_permit(replica, step):
             self.send_order(replica, step)
@@ -168,7 +173,8 @@
         if step.first_sent_at is None:
             step.first_sent_at = self.now
             if step.kind == order_types.OrderKind.UNLOAD:
-                self.hide_item(replica, step)
+                self.hide_item(replica, step.model, step.adapter)
+                self.update_row(replica)
         self.in_flight[step.order] = replica.id
         order = effects.Order(
             step.order,
@@ -183,19 +189,6 @@
         )
         self.out.append(order)
 
-    def hide_item(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
-        """What is to be unloaded gets no requests any more."""
-        loaded = replica.models[step.model]
-        if step.adapter:
-            loaded.unloading_adapters.add(step.adapter)
-            self.stop_serving(replica, step.item)
-        else:
-            loaded.unloading = True
-            for adapter in loaded.adapters:
-                self.stop_serving(replica, f"{step.model}/{adapter}")
-            self.stop_serving(replica, step.model)
-        self.update_row(replica)
-
     def show_item(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
         """What was to be unloaded gets requests again."""
         loaded = replica.models.get(step.model)
@@ -276,11 +269,8 @@
         step.retry_ms = min(max(RETRY_MOST_MS, step.retry_ms), step.retry_ms * RETRY_GROWTH)
 
     def order_refused_for_count(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
-        """The replica took an order since the count that this one names. It was this one's former sending if
-        that had no answer and no other can have come between; else it is one that is not known here."""
-        if step.uncertain and not step.accepted and replica.count.settled:
-            step.accepted, step.due_at = True, self.now
-            return
+        """The replica took an order since the count that this one names, or another runs. It may have been
+        this one's former sending; only a report can tell."""
         replica.count = replica.count.after_refusal(step.accepted)
         self.give_up_plan(replica, step, at_once=True)
 
@@ -288,7 +278,7 @@
         self, replica: replica_state.Replica, step: replica_state.Step, at_once: bool = False
     ) -> None:
         """Nothing is ordered there until a report tells what became of a step; `at_once`: ask for it now."""
-        if step.kind == order_types.OrderKind.UNLOAD:
+        if step.kind == order_types.OrderKind.UNLOAD and not (step.accepted or step.uncertain):
             self.show_item(replica, step)
         self.distrust(replica, at_once)
         self.drop_plan(replica)
@@ -307,7 +297,7 @@
         replica.barred_until[step.item] = self.now + FAILED_BAR_MS
         if replica.plan:
             replica.barred_until[replica.plan.goal] = self.now + FAILED_BAR_MS
-        replica.count = replica.count.unsettled(step.accepted)
+        replica.count = replica.count.after_giving_up(step.accepted)
         self.give_up_plan(replica, step)
 
     def order_for_another(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
@@ -316,7 +306,7 @@
             self.remove(replica)
             return
         replica.barred_until[step.item] = self.now + MOVED_BAR_MS
-        replica.count = replica.count.unsettled(step.accepted)
+        replica.count = replica.count.after_giving_up(step.accepted)
         self.give_up_plan(replica, step)
 
     def order_done(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
--- a/basaltport/placement/replica_choice.py
+++ b/basaltport/placement/replica_choice.py
@@ -162,7 +162,10 @@
         return None
 
     def model_loss(self, replica: replica_state.Replica, model: str) -> float | None:
-        """What it costs to take a model from a replica; None where a hot one would have too few copies."""
+        """What it costs to take a model from a replica; None where a hot one would have too few copies. One
+        that is not configured any more costs nothing."""
+        if self.catalog.model(replica.service, model) is None:
+            return 0.0
         others = len(self.holders.get(model, ())) - (replica.id in self.holders.get(model, ()))
         reload_ms = self.load_ms(replica.service, model, True)
         cost = reload_ms * min(1.0, 3 * self.request_rate(model)) + 100 / (1 + self.idle_ms(model) / 1000)
--- a/basaltport/placement/replica_inventory.py
+++ b/basaltport/placement/replica_inventory.py
@@ -136,6 +136,8 @@
     ) -> None:
         """Take what a list of `as_of` has more of what no order has changed since; ask for a report where
         lists in a row lack something."""
+        if as_of < replica.reported_as_of:
+            return
         held_before = replica.items()
         busy = {step.model for step in replica.steps()}
         for model, adapters in models.items():
@@ -149,8 +151,19 @@
         if replica.listed_before:
             self.note_correction(replica, held_before, "list", as_of)
         replica.listed_before = True
-        if replica.plan is None and replica.verified and LISTS_LACKING in replica.missed.values():
+        self.doubt_lacking_items(replica)
+
+    def doubt_lacking_items(self, replica: replica_state.Replica) -> None:
+        """Where lists in a row lack something, a report is asked for; until it comes, requests for that go
+        elsewhere, but it counts as held."""
+        lacking = [item for item, times in replica.missed.items() if times >= LISTS_LACKING]
+        if not lacking or replica.plan is not None:
+            return
+        if replica.verified:
             self.distrust(replica, at_once=True)
+            return
+        for model, adapter in lacking:
+            self.hide_item(replica, model, adapter)
 
     def adopt_report(self, replica: replica_state.Replica, report: replica_rows.ReplicaReport) -> None:
         """Take all that a report says, and nothing else, for what the replica holds at that count."""
@@ -171,7 +184,27 @@
             self.require(order_invariants.OrderInvariant.HELD, not unknown, replica, what)
         replica.missed, replica.changed_at, replica.listed_before = {}, {}, True
         replica.count = replica.count.after_report(report.taken)
-        replica.verified, replica.distrusted_at = True, None
+        replica.verified, replica.distrusted_at, replica.reported_as_of = True, None, self.now
+        self.show_all(replica)
+
+    def show_all(self, replica: replica_state.Replica) -> None:
+        """Requests may go to all that the replica holds."""
+        for loaded in replica.models.values():
+            loaded.unloading = False
+            loaded.unloading_adapters.clear()
+        self.index_items(replica)
+
+    def hide_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
+        """What is to be unloaded, or may be gone, gets no requests any more."""
+        loaded = replica.models[model]
+        if adapter:
+            loaded.unloading_adapters.add(adapter)
+            self.stop_serving(replica, f"{model}/{adapter}")
+            return
+        loaded.unloading = True
+        for name in loaded.adapters:
+            self.stop_serving(replica, f"{model}/{name}")
+        self.stop_serving(replica, model)
 
     def note_correction(
         self, replica: replica_state.Replica, held_before: set[str], source: str, as_of: int
--- a/basaltport/placement/replica_state.py
+++ b/basaltport/placement/replica_state.py
@@ -85,7 +85,7 @@
         *("id", "listed", "service", "address", "zone", "state", "leaves_in_ms", "slots", "has_engine"),
         *("models", "disk_models", "changed_at", "missed", "verified", "plan", "unanswered"),
         *("report_at", "report_backoff_ms", "report_requested_at", "barred_until", "running", "running_at"),
-        *("listed_before", "count", "distrusted_at"),
+        *("listed_before", "count", "distrusted_at", "reported_as_of"),
     )
 
     def __init__(self, replica_id: identifiers.ReplicaId) -> None:
@@ -110,6 +110,8 @@
         """How many orders it took, as of what it is known to hold; one that is new has taken none."""
         self.distrusted_at: int | None = None
         """Since when what it holds is not known for sure."""
+        self.reported_as_of = 0
+        """When the last report was believed; lists of before tell nothing new."""
         self.plan: Plan | None = None
         self.unanswered = 0
         """Orders and reports in a row without an answer."""
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -154,6 +154,9 @@
     def remove_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
         """A replica holds a model or adapter no more."""
 
+    def hide_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
+        """What is to be unloaded, or may be gone, gets no requests any more."""
+
     def stop_serving(self, replica: replica_state.Replica, item: str) -> None:
         """Requests for an item go there no more."""
 
--- a/tests/placement/test_order_paths.py
+++ b/tests/placement/test_order_paths.py
@@ -72,7 +72,7 @@
     assert sorted(replica.models) == ["m1", "m2", "m4"]
 
 
-def test_an_order_that_was_done_though_its_answer_was_lost_is_found_out_by_the_next_count():
+def test_an_order_that_was_done_though_its_answer_was_lost_is_found_out_by_a_report():
     f = one_replica()
     f.ask("x", "m4")
     f.run(6000)
@@ -95,13 +95,13 @@
     assert f.waits[-1][2] < 1500, (asked_at, f.waits)
 
 
-def test_a_count_is_settled_by_an_order_that_was_taken_and_by_nothing_else():
+def test_a_count_goes_on_by_orders_that_are_done_and_by_reports_and_by_nothing_else():
     count = order_count.OrderCount()
-    assert count.expected(False) == 0 and count.expected(True) == 1 and not count.settled
+    assert count.expected(False) == 0 and count.expected(True) == 1
     done = count.after_order()
-    assert done == (1, 1, True)
-    assert done.after_refusal(False) == (1, 2, False) and done.after_refusal(True) == (1, 3, False)
-    assert done.unsettled(True) == (1, 2, False) and done.after_report(9) == (9, 9, False)
+    assert done == (1, 1) and done.after_report(9) == (9, 9)
+    assert done.after_refusal(False) == (1, 2) and done.after_refusal(True) == (1, 3)
+    assert done.after_giving_up(False) == (1, 1) and done.after_giving_up(True) == (1, 2)
 
 
 # reports and lists
@@ -110,7 +110,7 @@
 def test_a_report_that_is_older_than_the_last_order_is_not_believed():
     f = one_replica()
     replica = replica_of(f)
-    replica.count = order_count.OrderCount(4, 5, False)
+    replica.count = order_count.OrderCount(4, 5)
     f.p.distrust(replica, at_once=True)
     replica.report_requested_at = f.now
     old = {"models": {}, "busy": False, "orders": 4}
@@ -262,7 +262,7 @@
 def test_a_report_of_something_unknown_at_the_count_that_is_known_is_a_violation():
     f = one_replica()
     replica = replica_of(f)
-    replica.count = order_count.OrderCount(3, 3, True)
+    replica.count = order_count.OrderCount(3, 3)
     f.p.distrust(replica, at_once=True)
     replica.report_requested_at = f.now
     report = {"models": {"m1": [], "m2": [], "m9": []}, "busy": False, "orders": 3}
--- /dev/null
+++ b/tests/placement/test_stale_beliefs.py
@@ -0,0 +1,146 @@
+"""What a replica is believed to hold, where lists, reports, answers and configurations come at odd times."""
+
+import random
+
+import pytest
+
+import basaltport.placement.catalog as catalog
+import basaltport.placement.machine as machine
+import basaltport.placement.order_invariants as order_invariants
+import basaltport.placement.order_types as order_types
+import basaltport.placement.replica_state as replica_state
+import basaltport.simulation.routes.engine as engine
+import tests.support.placement_replica as stand
+
+LIST_MS = 700
+LISTS = 40
+THREE = {"m0": [], "m1": [], "m2": []}
+
+
+def ordered_after(placement, now, until=20):
+    """The next orders that ticks give, and when."""
+    for _ in range(until):
+        now += 50
+        out = stand.orders(placement.tick(now))
+        if out:
+            return out, now
+    raise AssertionError("nothing was ordered")
+
+
+def test_what_lists_lack_while_a_plan_runs_is_asked_about_once_it_ended():
+    placement = stand.placed({"m0": [], "m1": []})
+    stand.listed(placement, 5000, {"m0": []})
+    (load,) = stand.orders(placement.requests_waiting(5100, "x", {"m5": 1}))
+    placement.ordered(5110, load.order, "accepted", 5)
+    stand.listed(placement, 5700, {"m0": []})
+    assert placement.replicas["r0"].verified
+    (poll,), now = ordered_after(placement, 5700)
+    placement.ordered(now + 10, poll.order, "done", 5)
+    out = stand.listed(placement, now + LIST_MS, {"m0": [], "m5": []})
+    assert stand.reports(out)
+
+
+def test_what_is_not_verified_and_lists_lack_gets_no_requests_but_counts_as_held():
+    placement = stand.placed(THREE)
+    replica = placement.replicas["r0"]
+    (unload,) = stand.orders(placement.requests_waiting(5000, "x", {"m5": 1}))
+    placement.ordered(5010, unload.order, "accepted", 5)
+    (poll,), now = ordered_after(placement, 5010)
+    placement.ordered(now + 10, poll.order, "failed", 5)
+    placement.waiting.clear()
+    left = {model: [] for model in THREE if model != unload.model}
+    for number in range(LISTS):
+        at = now + LIST_MS * (number + 1)
+        for report in stand.reports(placement.tick(at)):
+            placement.reported(at + 1, report.replica, False, None)
+        stand.listed(placement, at + 10, left)
+        assert unload.model not in placement.rows["r0"]["models"]
+    assert set(replica.models) == set(THREE)
+
+
+def test_a_list_of_before_the_last_report_brings_nothing_back():
+    placement = stand.placed(THREE)
+    (unload,) = stand.orders(placement.requests_waiting(5000, "x", {"m5": 1}))
+    placement.ordered(5010, unload.order, "accepted", 5)
+    (poll,), now = ordered_after(placement, 5010)
+    (load,) = stand.orders(placement.ordered(now + 10, poll.order, "done", 5))
+    placement.ordered(now + 20, load.order, "busy", 5)
+    assert stand.reports(placement.tick(now + 50))
+    placement.waiting.clear()
+    left = {model: [] for model in THREE if model != unload.model}
+    placement.reported(now + 300, "r0", True, {"models": left, "busy": False, "orders": 2})
+    stand.listed(placement, now + 700, THREE)
+    assert unload.model not in placement.rows["r0"]["models"]
+
+
+def test_a_replica_whose_service_gets_an_engine_is_asked_what_it_holds():
+    placement = machine.Placement(random.Random(2), hold_ms=0)
+    placement.configure(0, stand.document(has_engine=False), set())
+    placement.start(0, 5, "k1")
+    placement.list_failed(2500)
+    stand.listed(placement, 2600, THREE)
+    placement.configure(2700, stand.document(), set())
+    out = placement.requests_waiting(2710, "x", {"m5": 1}) + placement.tick(2750)
+    assert not stand.orders(out) and stand.reports(out)
+
+
+@pytest.mark.parametrize("how", ["a-model-grows", "the-room-shrinks"])
+def test_a_load_without_an_answer_is_not_sent_again_where_sizes_leave_no_room_for_it(how):
+    placement = stand.placed({"m0": [], "m1": []})
+    (load,) = stand.orders(placement.requests_waiting(5000, "x", {"m5": 1}))
+    placement.ordered(6000, load.order, "unknown", 1000)
+    sizes, room = stand.SIZES, 200_000.0
+    if how == "a-model-grows":
+        sizes, room = {**stand.SIZES, "m5": 90_000.0}, stand.ROOM
+    placement.configure(6010, stand.document(sizes, room), set())
+    assert not [order for order in stand.orders(placement.tick(6200)) if order.kind == "load"]
+    assert not placement.replicas["r0"].verified
+
+
+def test_an_order_of_an_older_release_that_is_taken_in_between_is_found_out_by_a_report():
+    placement = stand.placed({"m0": [], "m1": []})
+    fleet = stand.EngineFleet()
+    replica = engine.Engine(fleet, "r0", "x", ["m0", "m1"])
+    fleet.now = 5000
+    (load,) = stand.orders(placement.requests_waiting(5000, "x", {"m5": 1}))
+    assert replica.order(load._replace(model="m7", expected=None)) == "accepted"
+    placement.ordered(6000, load.order, "unknown", 1000)
+    fleet.now = 6200
+    (again,) = stand.orders(placement.tick(6200))
+    assert replica.order(again) == "busy"
+    placement.ordered(6210, again.order, "busy", 5)
+    out = placement.tick(6250)
+    assert stand.reports(out) and not stand.orders(out)
+
+
+def test_a_service_that_goes_between_two_unloads_violates_nothing():
+    placement = stand.placed(THREE, stand.document({**stand.SIZES, "m9": 150_000.0}))
+    (unload,) = stand.orders(placement.requests_waiting(5000, "x", {"m9": 1}))
+    assert [step.kind for step in placement.replicas["r0"].steps()].count("unload") > 1
+    placement.ordered(5010, unload.order, "accepted", 5)
+    (poll,), now = ordered_after(placement, 5010)
+    placement.configure(now + 5, stand.document(has_engine=False), set())
+    placement.ordered(now + 10, poll.order, "done", 5)
+    assert not placement.invariants.violations
+
+
+def test_what_is_not_configured_any_more_goes_first_and_nothing_beside_it():
+    placement = stand.placed(THREE)
+    placement.usage_reported(5000, "x", {"m0": 3}, {})
+    placement.configure(5001, stand.document({k: v for k, v in stand.SIZES.items() if k != "m0"}), set())
+    placement.requests_waiting(5010, "x", {"m5": 1})
+    steps = [(step.kind.value, step.item) for step in placement.replicas["r0"].plan.steps]
+    assert steps == [("unload", "m0"), ("load", "m5")]
+
+
+def test_sizes_that_fill_the_room_to_the_last_decimal_fit_in_any_order_of_summing():
+    rng = random.Random(1)
+    for _ in range(5000):
+        sizes = {f"m{n}": rng.randrange(100, 999) / 10 for n in range(3)}
+        models = catalog.Catalog(stand.document(sizes, round(sum(sizes.values()), 1)))
+        replica = replica_state.Replica("r0")
+        replica.service = "s"
+        replica.models = {name: replica_state.LoadedModel(0) for name in ("m0", "m1")}
+        step = replica_state.Step(order_types.OrderKind.LOAD, "m2")
+        has_room = replica.used_mb(models) + models.size_mb("s", "m2") <= models.services["s"].memory_mb
+        assert order_invariants.fits(replica, step, models) or not has_room
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -105,6 +105,7 @@
             rows.append(
                 {"id": s.id, "service": "s", "address": s.id, "zone": s.zone, "slots": 32, "state": s.state}
                 | {"leaves_in_ms": s.leaves, "cold_ms": 0, "models": held, "busy": s.job is not None}
+                | {"taken": s.taken}
             )
         self.past = [x for x in self.past if x[0] > self.now - 900] + [(self.now, rows)]
 
@@ -152,7 +153,7 @@
         if was is None:
             return self.of(p, lambda p: p.reported(self.now, e.replica, False, None))
         body = {"models": was["models"], "busy": was["busy"]}
-        self.of(p, lambda p: p.reported(self.now, e.replica, True, body | {"orders": s.taken}))
+        self.of(p, lambda p: p.reported(self.now, e.replica, True, body | {"orders": was["taken"]}))
 
     def arrive(self, e, p):
         assert e.expected is not None, f"no count: {e}"
