--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,93 @@
+"""The processes of one rig: their settings, and how they start and end."""
+
+import asyncio
+import ctypes
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+
+import tests.soak.plan as plan
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+INNER_PORTS = [7660, 7675]
+SET_DEATH_SIGNAL = 1
+
+
+def die_with_parent() -> None:
+    """Have the kernel kill this process when the rig ends, however it ends."""
+    ctypes.CDLL(None).prctl(SET_DEATH_SIGNAL, signal.SIGKILL)
+
+
+class Fleet:
+    """Three controllers, a proxy and the stand-ins, on a network of their own that is drawn anew."""
+
+    def __init__(self, seed: int, tree: pathlib.Path, folder: pathlib.Path) -> None:
+        """Run the code of `tree`; settings, data and logs go to `folder`."""
+        self.seed, self.tree, self.folder = seed, tree, folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        chance = random.SystemRandom()
+        self.net = f"127.{chance.randrange(16, 250)}.{chance.randrange(1, 250)}"
+        self.plan = plan.Plan(seed, self.net)
+
+    def settings(self, name: str, is_first: bool) -> plan.Document:
+        """The settings of a controller or the proxy."""
+        ips = self.plan.ips
+        document = {
+            "station": name,
+            "ipAddr": ips[name],
+            "firstBoot": is_first,
+            "innerPortRange": INNER_PORTS,
+        }
+        document["seedStations"] = [f"{ips[controller]}:{plan.PORT}" for controller in plan.CONTROLLERS]
+        document["cloudApi"] = {"address": self.plan.listing, "ratePerS": 44.0, "lagAllowMs": 800}
+        document["timings"] = {"retryRatio": 0.2, "retrySlack": 56, "checksFence": True}
+        document |= {"zone": plan.ZONES[0], "zones": dict.fromkeys(plan.ZONES, "here"), "region": "here"}
+        if name == plan.PROXY:
+            return document | {"listenOn": {"counter": self.plan.counter, "readiness": self.plan.ready}}
+        data = self.folder / f"{name}.data"
+        data.mkdir(exist_ok=True)
+        document |= {"zone": plan.ZONES[plan.CONTROLLERS.index(name)], "stateDir": str(data)}
+        return document | {"listenOn": {"controlPort": self.plan.operators[name]}}
+
+    def start_member(self, name: str, is_first: bool = False) -> int:
+        """Start a controller or the proxy; its process id."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self.settings(name, is_first)))
+        command = [str(self.tree / "platform" / "run.py"), "proxy" if name == plan.PROXY else "controller"]
+        return self.spawn(name, command, self.tree, {"BASALTPORT_SETTINGS": str(path)})
+
+    def start_stand_ins(self) -> None:
+        """Start the process of the stand-ins."""
+        command = ["-m", "tests.soak.stand_ins", str(self.seed), self.net, str(self.folder / "orders.jsonl")]
+        self.spawn("stand-ins", command, ROOT, {})
+
+    def spawn(self, name: str, arguments: list[str], folder: pathlib.Path, more: dict[str, str]) -> int:
+        """Start a Python process, whose output goes to NAME.out; its id."""
+        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ} | more
+        command = [sys.executable, *arguments]
+        with open(self.folder / f"{name}.out", "ab") as out:
+            self.processes[name] = subprocess.Popen(
+                command, cwd=folder, env=environment, stdout=out, stderr=out, preexec_fn=die_with_parent
+            )
+        return self.processes[name].pid
+
+    async def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        process = self.processes.pop(name)
+        process.kill()
+        await asyncio.to_thread(process.wait)
+
+    async def stop(self) -> None:
+        """Kill all processes."""
+        for name in list(self.processes):
+            await self.kill(name)
+
+    def failures(self) -> list[str]:
+        """The processes that ended by themselves, and the logs that hold a traceback."""
+        found = [f"ENDED {n} with {p.returncode}" for n, p in self.processes.items() if p.poll() is not None]
+        logs = [path for path in self.folder.glob("*.out") if "Traceback" in path.read_text(errors="replace")]
+        return found + [f"TRACEBACK in {path.name}" for path in logs]
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,51 @@
+"""What the rig and the stand-ins of one seed agree on: addresses, sizes, and the first configuration."""
+
+import typing
+
+import tests.soak.replica_state as replica_state
+
+ZONES = ["z1", "z2", "z3"]
+CONTROLLERS = ["controller-1", "controller-2", "controller-3"]
+PROXY = "proxy-1"
+PORT = 8100
+"""Ports are the same for all, since each process has an address of its own."""
+SERVICE = "soak"
+HOST = "models.example"
+PATHS = {"safe": "/safe/", "stream": "/stream/"}
+MODEL_MB = [100.0, 110.0, 120.0]
+ADAPTER_MB = 4.0
+ADAPTERS = 3
+ROOM_MB = 340.0
+ADAPTER_PLACES = 3
+BERTHS = 32
+
+Document = dict[str, typing.Any]
+
+
+class Plan:
+    """The plan of a seed, on the network `net` of 127.0.0.0/8, of the form 127.1.1."""
+
+    def __init__(self, seed: int, net: str) -> None:
+        """Addresses are `host:port`."""
+        replicas = 4 + seed % 3
+        self.ips = {name: f"{net}.{11 + i}" for i, name in enumerate([*CONTROLLERS, PROXY])}
+        self.operators = {name: f"{self.ips[name]}:{PORT}" for name in CONTROLLERS}
+        self.counter, self.ready = f"{self.ips[PROXY]}:{PORT}", f"{self.ips[PROXY]}:{PORT + 1}"
+        self.listing, self.control = f"{net}.21:{PORT}", f"{net}.22:{PORT}"
+        self.places = [f"{net}.{31 + i}:{PORT}" for i in range(replicas)]
+        self.model_mb = {f"model-{i}": MODEL_MB[i % len(MODEL_MB)] for i in range(3 * replicas + 6)}
+        self.room = replica_state.Room(ROOM_MB, ADAPTER_PLACES, self.model_mb, ADAPTER_MB)
+
+    def configuration(self) -> Document:
+        """The first configuration."""
+        lane = {"host": HOST, "deadlineMs": 6000, "targetMs": 1000, "urgency": 0, "depot": SERVICE}
+        lane |= {"tries": 2, "pinned": True, "resumable": False, "gapTargetMs": 600}
+        lanes = [lane | {"name": kind, "lineKind": kind, "pathPrefix": path} for kind, path in PATHS.items()]
+        sizes = {"loadS": 0.2, "adapters": ADAPTERS, "adapterMb": ADAPTER_MB}
+        models = [{"name": name, "weightsMb": mb, **sizes} for name, mb in self.model_mb.items()]
+        engine = {"berths": BERTHS, "kvTokens": 200_000, "models": models, "weightsMb": ROOM_MB}
+        engine |= {"adapterBerths": ADAPTER_PLACES, "loadsPerS": 20.0}
+        depot = {"name": SERVICE, "healthPath": "/health", "connLimit": 200, "protocol": "h1"}
+        depot |= {"useTls": False, "coldS": 0.0, "coldRateS": 0.0, "engine": engine}
+        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerWaitMs": 3000, "idleCloseMs": 15000}
+        return {"edition": 1, "lanes": lanes, "depots": [depot], "limits": limits}
--- /dev/null
+++ b/tests/soak/rig.py
@@ -0,0 +1,253 @@
+"""One seed from its start to its verdict: a fleet, its traffic, its troubles, and what is seen of them."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import re
+import signal
+import time
+
+import aiohttp
+
+import tests.soak.fleet as fleet
+import tests.soak.plan as plan
+import tests.soak.troubles as troubles
+
+OK = 200
+STALE = 412
+STARTUP_S = 20.0
+PROGRESS_S = 15.0
+CALL_LIMIT = aiohttp.ClientTimeout(total=2)
+CONTROL_LIMIT = aiohttp.ClientTimeout(total=10)
+"""A busy machine may stall the stand-ins for seconds."""
+CLIENTS = 16
+CLIENT_S = 3.0
+SHIFT_S = 3.0
+"""After so long other models are asked for most."""
+WATCH_S = 1.0
+BROKEN = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+VIOLATIONS_METRIC = re.compile(r"^basaltport_invariant_violations(?:_total)?(?:\{.*\})? (\S+)$", re.MULTILINE)
+
+
+def counted_violations(metrics: str) -> float:
+    """The sum of a controller's own counters of broken invariants; 0 where it has none."""
+    return sum(float(value) for value in VIOLATIONS_METRIC.findall(metrics))
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What came of a seed."""
+
+    seed: int
+    troubles: int
+    counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    """What the stand-ins counted of orders."""
+    requests: int = 0
+    served: int = 0
+    violations: list[str] = dataclasses.field(default_factory=list)
+
+    def line(self) -> str:
+        """The verdict in one line."""
+        count = collections.defaultdict(int, self.counts)
+        return (
+            f"seed {self.seed}: troubles {self.troubles}, requests {self.requests} (served {self.served}),"
+            f" orders {count['orders']}, late orders delivered {count['late']} (taken {count['late_taken']}),"
+            f" answers lost {count['lost']}, longest stall {count['stall_ms']} ms,"
+            f" violations {len(self.violations)}"
+        )
+
+
+class Rig:
+    """Runs one seed."""
+
+    def __init__(self, seed: int, seconds: float, tree: pathlib.Path, folder: pathlib.Path) -> None:
+        """Soak the code of `tree` for some seconds; logs go to `folder`."""
+        self.seconds = seconds
+        self.fleet = fleet.Fleet(seed, tree, folder)
+        self.plan = self.fleet.plan
+        self.chance = random.Random(f"traffic {seed}")
+        self.troubles = troubles.draw(seed, seconds, len(plan.CONTROLLERS))
+        self.verdict = Verdict(seed, len(self.troubles))
+        self.edition = 0
+        self.counted: dict[str, float] = {}
+        """By process: the violations that it counts itself."""
+
+    async def run(self) -> Verdict:
+        """The verdict; all processes have ended by then."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(timeout=CALL_LIMIT, connector=connector) as self.session:
+            try:
+                if await self.start():
+                    await self.soak()
+                    await self.check_progress()
+                    await self.collect()
+                else:
+                    self.verdict.violations.append(f"STUCK: not up within {STARTUP_S} s")
+            except (RuntimeError, ExceptionGroup) as error:
+                self.verdict.violations.append(f"RIG: {error!r}")
+            finally:
+                self.verdict.violations += self.fleet.failures()
+                await self.fleet.stop()
+        return self.verdict
+
+    async def start(self) -> bool:
+        """Start all processes; whether the first configuration is in force and the proxy ready in time."""
+        self.fleet.start_stand_ins()
+        for name in [*plan.CONTROLLERS, plan.PROXY]:
+            self.fleet.start_member(name, is_first=True)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STARTUP_S):
+                while not await self.configure("PUT", self.plan.configuration()):
+                    await asyncio.sleep(0.1)
+                while (await self.call("GET", f"{self.plan.ready}/v1/ready"))[0] != OK:
+                    await asyncio.sleep(0.1)
+                return True
+        return False
+
+    async def soak(self) -> None:
+        """Traffic and troubles, until the time is over and all troubles have ended."""
+        async with asyncio.TaskGroup() as group:
+            background = [group.create_task(self.client()) for _ in range(CLIENTS)]
+            background.append(group.create_task(self.watch()))
+            ending = [group.create_task(self.trouble(each)) for each in self.troubles]
+            await asyncio.wait([*ending, group.create_task(asyncio.sleep(self.seconds))])
+            for task in background:
+                task.cancel()
+        if not self.verdict.served:
+            raise RuntimeError("no request was served")
+
+    # calls
+
+    async def call(self, method: str, path: str, body: object = None, match: int = 0) -> tuple[int, str]:
+        """The status and text of an answer, 0 where there was none; `path` begins with the address."""
+        headers = {"If-Match": str(match)}
+        try:
+            async with self.session.request(method, f"http://{path}", json=body, headers=headers) as response:
+                return response.status, await response.text()
+        except BROKEN as error:
+            return 0, repr(error)
+
+    async def control(self, word: str, target: int = 0, value: float = 0) -> plan.Document:
+        """Tell the stand-ins to do something; see `stand_ins.StandIns.control`."""
+        url, body = f"http://{self.plan.control}/", {"do": word, "target": target, "value": value}
+        try:
+            async with self.session.post(url, json=body, timeout=CONTROL_LIMIT) as response:
+                response.raise_for_status()
+                answer: plan.Document = await response.json()
+                return answer
+        except BROKEN as error:
+            raise RuntimeError(f"the stand-ins did not do {body}: {error!r}")
+
+    async def configure(self, method: str, document: plan.Document) -> bool:
+        """Whether one of the controllers acknowledges a change to the next edition."""
+        new = self.edition + self.chance.randrange(1, 4)
+        for address in self.chance.sample([*self.plan.operators.values()], len(self.plan.operators)):
+            path = f"{address}/v1/config"
+            status, _ = await self.call(method, path, document | {"edition": new}, self.edition)
+            if status == OK:
+                self.edition = new
+                return True
+            if status == STALE:
+                status, text = await self.call("GET", path)
+                self.edition = json.loads(text)["edition"] if status == OK else self.edition
+        return False
+
+    async def request(self, item: str, deadline_s: float = CLIENT_S) -> int:
+        """The status of a client's request, 0 where there was none."""
+        url = f"http://{self.plan.counter}{self.chance.choice([*plan.PATHS.values()])}"
+        headers = {"Host": plan.HOST, "Model": item, "Deadline-Ms": str(int(1000 * deadline_s))}
+        headers |= {"Tokens": "10,3", "Tracking-Id": f"{self.chance.getrandbits(64):016x}"}
+        limit = aiohttp.ClientTimeout(total=deadline_s)
+        try:
+            async with self.session.post(url, data=b"x", headers=headers, timeout=limit) as response:
+                await response.read()
+                return response.status
+        except BROKEN:
+            return 0
+
+    # traffic and troubles
+
+    async def client(self) -> None:
+        """Ask for one item after the other, until cancelled; few models are asked for most."""
+        models = [*self.plan.model_mb]
+        while True:
+            first = int(time.monotonic() / SHIFT_S) * 5
+            model = models[(first + int(self.chance.paretovariate(0.8))) % len(models)]
+            adapter = self.chance.randrange(2 * plan.ADAPTERS)
+            status = await self.request(f"{model}/a{adapter}" if 1 <= adapter <= plan.ADAPTERS else model)
+            self.verdict.requests += 1
+            self.verdict.served += status == OK
+            await asyncio.sleep(self.chance.uniform(0.02, 0.1) if status == OK else 0.2)
+
+    async def trouble(self, trouble: troubles.Trouble) -> None:
+        """One trouble, from its beginning to its end."""
+        await asyncio.sleep(trouble.starts_at)
+        kinds, target = troubles.Kind, trouble.target
+        match trouble.kind:
+            case kinds.KILL | kinds.PAUSE:
+                await self.trouble_controller(trouble)
+            case kinds.CUT | kinds.LATE | kinds.LOST:
+                await self.control(trouble.kind, target, trouble.chance)
+                await asyncio.sleep(trouble.length)
+                await self.control("heal" if trouble.kind == kinds.CUT else trouble.kind, target)
+            case kinds.RESTART | kinds.LEAVE:
+                await self.control(trouble.kind, target)
+            case kinds.CONFIGURE:
+                lane = self.plan.configuration()["lanes"][0] | {"targetMs": int(1000 + 1000 * trouble.chance)}
+                more = lane | {"name": "more", "pathPrefix": f"/more-{target}/"}
+                await self.configure("PATCH", {"putItems": {"lanes": [lane, more]}})
+
+    async def trouble_controller(self, trouble: troubles.Trouble) -> None:
+        """Kill a controller and start it again, or stop it for a while."""
+        name = plan.CONTROLLERS[trouble.target]
+        if trouble.kind == troubles.Kind.PAUSE:
+            self.fleet.processes[name].send_signal(signal.SIGSTOP)
+            await asyncio.sleep(trouble.length)
+            self.fleet.processes[name].send_signal(signal.SIGCONT)
+            return
+        await self.fleet.kill(name)
+        await asyncio.sleep(trouble.length)
+        self.fleet.start_member(name)
+
+    # what is seen
+
+    async def watch(self) -> None:
+        """Read the controllers' own counters while they live, until cancelled."""
+        while True:
+            await self.read_counters()
+            await asyncio.sleep(WATCH_S)
+
+    async def read_counters(self) -> None:
+        """Keep the controllers' own counters of violations."""
+        for name, address in self.plan.operators.items():
+            _, text = await self.call("GET", f"{address}/basaltport/metrics")
+            if (counted := counted_violations(text)) and name in self.fleet.processes:
+                self.counted[f"{name} of pid {self.fleet.processes[name].pid}"] = counted
+
+    async def check_progress(self) -> None:
+        """Once all is well, items that no replica holds are served in time."""
+        held = (await self.control("tell"))["held"]
+        models = [model for model in self.plan.model_mb if model not in held][:2]
+        adapters = [f"{model}/a1" for model, names in held.items() if "a1" not in names][:1]
+        await asyncio.gather(*(self.check_served(item) for item in models + adapters))
+
+    async def check_served(self, item: str) -> None:
+        """An item is served in time, as a client asks for it again and again."""
+        ends_at, statuses = time.monotonic() + PROGRESS_S, [0]
+        while statuses[-1] != OK and time.monotonic() < ends_at:
+            statuses.append(await self.request(item, min(CLIENT_S, max(0.1, ends_at - time.monotonic()))))
+            await asyncio.sleep(0.1)
+        if statuses[-1] != OK:
+            self.verdict.violations.append(f"STUCK: {item} not served in {PROGRESS_S} s: {statuses[1:]}")
+
+    async def collect(self) -> None:
+        """All that was counted and broken."""
+        await self.read_counters()
+        state = await self.control("tell")
+        self.verdict.counts = state["counts"]
+        self.verdict.violations += state["violations"]
+        self.verdict.violations += [f"COUNTED {name}: {value:g}" for name, value in self.counted.items()]
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,121 @@
+"""The stand-in answers orders as the platform's replicas do, and one short soak breaks nothing."""
+
+import asyncio
+
+import pytest
+
+import tests.soak.fleet as fleet
+import tests.soak.replica_state as replica_state
+import tests.soak.rig as rig
+import tests.soak.troubles as troubles
+
+BOUND_S = 60
+SEED, SOAK_S = 5, 12
+"""A seed that broke LIMIT when orders did not say how many the replica should have taken."""
+ROOM = replica_state.Room(30.0, 2, {"a": 10.0, "b": 10.0, "c": 9.0, "d": 10.0}, 0.5)
+LOAD_A = replica_state.Order("load", "a", None, "k1", 5)
+LOAD_B = LOAD_A._replace(model="b")
+UNLOAD_A = LOAD_A._replace(kind="unload")
+ADAPTER = LOAD_A._replace(adapter="a1")
+
+
+def replica(*done):
+    """A replica at 100 s, that has done these orders; each job takes a second."""
+    state = replica_state.ReplicaState("i-1", ROOM, lambda order: 1.0, 0.0)
+    for at, order in enumerate(done):
+        assert state.order(order, "i-1", 10.0 * at) == 202
+    state.settle(100.0)
+    return state
+
+
+@pytest.mark.parametrize(
+    "order, status, taken",
+    [
+        (LOAD_B, 202, 3),
+        (LOAD_B._replace(expected=2), 202, 3),
+        (LOAD_B._replace(expected=1), 409, 2),
+        (LOAD_A, 200, 2),
+        (LOAD_A._replace(expected=1), 409, 2),
+        (ADAPTER._replace(expected=2), 200, 2),
+        (ADAPTER._replace(model="b"), 421, 2),
+        (LOAD_B._replace(kind="unload"), 200, 2),
+        (UNLOAD_A._replace(expected=2), 202, 3),
+        (LOAD_B._replace(fence=4), 412, 2),
+        (LOAD_A._replace(fence=6, holder="k2"), 200, 2),
+    ],
+)
+def test_an_idle_replica_answers_by_what_it_holds_and_how_many_it_took(order, status, taken):
+    state = replica(LOAD_A, ADAPTER)
+    assert state.order(order, "i-1", 100.0) == status
+    assert state.orders_taken == taken and not state.violations
+
+
+def test_a_job_under_way_is_acknowledged_again_and_bars_others():
+    state = replica()
+    assert state.order(LOAD_A, "i-1", 100.0) == 202
+    assert state.order(LOAD_A._replace(expected=0, fence=6), "i-1", 100.5) == 202
+    assert state.order(LOAD_B._replace(fence=6), "i-1", 100.5) == 409
+    assert state.order(LOAD_A, "i-1", 100.5) == 412
+    assert state.order(LOAD_A, "i-2", 100.5) == 421
+    assert state.serves("a", None, 100.5) == 503 and state.serves("b", None, 100.5) == 421
+    assert state.serves("a", None, 101.0) == 200 and state.orders_taken == 1
+
+
+def test_a_report_is_a_snapshot_of_a_while_ago():
+    state = replica(LOAD_A)
+    assert state.order(ADAPTER, "i-1", 100.0) == 202
+    assert state.report(100.2) == {**state.report(100.2), "busy": False, "callSeq": 1}
+    assert state.report(100.3)["busy"] and state.report(100.3)["callSeq"] == 2
+    assert state.report(101.2)["models"][0]["adapters"] == []
+    expected = {"models": [{"name": "a", "edition": 1, "adapters": ["a1"]}], "busy": False, "callSeq": 2}
+    assert state.report(101.3) == expected
+
+
+@pytest.mark.parametrize(
+    "held, order",
+    [
+        ([LOAD_A, LOAD_B, LOAD_A._replace(model="d")], LOAD_A._replace(model="c")),
+        ([LOAD_A, ADAPTER, ADAPTER._replace(adapter="a2")], ADAPTER._replace(adapter="a3")),
+        ([LOAD_A, LOAD_B, LOAD_A._replace(model="d")], ADAPTER),
+    ],
+)
+def test_a_load_beyond_the_room_breaks_limit(held, order):
+    state = replica(*held)
+    assert state.order(order, "i-1", 100.0) == 202
+    assert state.has_fallen and len(state.violations) == 1 and state.violations[0].startswith("LIMIT i-1")
+
+
+def test_two_holders_of_one_fence_break_one():
+    state = replica(LOAD_A)
+    state.order(LOAD_B._replace(holder="k2"), "i-1", 100.0)
+    assert len(state.violations) == 1 and state.violations[0].startswith("ONE i-1")
+
+
+def test_what_is_no_order_is_not_taken_for_one():
+    body = {"orderKind": "load", "model": "a", "holder": "k1", "fenceNo": 5}
+    assert replica_state.parse_order(body) == LOAD_A
+    assert replica_state.parse_order({**body, "expectedCount": 0}) == LOAD_A._replace(expected=0)
+    assert [replica_state.parse_order({**body, name: None}) for name in body] == [None] * 4
+
+
+def test_troubles_are_those_of_the_seed_and_overlap():
+    drawn = troubles.draw(7, 30, 3)
+    assert drawn == troubles.draw(7, 30, 3) != troubles.draw(8, 30, 3)
+    assert all(trouble.starts_at + trouble.length <= 30 for trouble in drawn)
+    pairs = [(a, b) for a in drawn for b in drawn if a.starts_at < b.starts_at < a.starts_at + a.length]
+    assert pairs and {trouble.kind for trouble in drawn} >= {troubles.Kind.LATE, troubles.Kind.LOST}
+
+
+def test_counters_of_violations_are_read_with_and_without_labels():
+    name = "basaltport_invariant_violations"
+    text = f'# TYPE {name} counter\n{name}_total{{rule="limit"}} 2.0\n{name} 1.0\n{name}_created 9.0\n'
+    assert rig.counted_violations(text) == 3 and rig.counted_violations("basaltport_leads 1.0\n") == 0
+
+
+def test_a_short_soak_breaks_nothing(tmp_path):
+    async def run():
+        async with asyncio.timeout(BOUND_S):
+            return await rig.Rig(SEED, SOAK_S, fleet.ROOT, tmp_path).run()
+
+    verdict = asyncio.run(run())
+    assert verdict.violations == [], f"{verdict.line()}; logs: {tmp_path}"
