--- a/tests/proxy/test_request_bytes_machine.py
+++ b/tests/proxy/test_request_bytes_machine.py
@@ -106,5 +106,5 @@
     for owner, name, broken in breaks:
         monkeypatch.setattr(owner, name, broken)
     quick = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate], max_examples=2000)
-    with pytest.raises(request_world.Broken, match=rule):
+    with pytest.raises(request_world.BrokenRuleError, match=rule):
         stateful.run_state_machine_as_test(Requests, settings=quick)
--- a/tests/support/request_stand.py
+++ b/tests/support/request_stand.py
@@ -331,6 +331,10 @@
         return plain(arrival, body, Connection="close")
     if kind is Kind.CONTINUE:
         return b"HTTP/1.1 100 Continue\r\n\r\n" + plain(arrival, body)
+    return unexpected_bytes(kind, arrival, other, body)
+
+
+def unexpected_bytes(kind: Kind, arrival: Arrival, other: Arrival, body: bytes) -> bytes:
     if kind is Kind.EXTRA:
         return plain(arrival, body) + plain(arrival, b"extra")
     if kind is Kind.EXTRA_FIRST:
--- a/tests/support/request_world.py
+++ b/tests/support/request_world.py
@@ -40,7 +40,7 @@
     CLIENT_TAKES_NO_MORE = (Outcome.GONE, 0)
 
 
-class Broken(AssertionError):
+class BrokenRuleError(AssertionError):
     """A rule does not hold."""
 
 
@@ -91,7 +91,7 @@
     def must(self, held: bool, rule: str, detail: object = "") -> None:
         if not held:
             self.broken = True
-            raise Broken(f"{rule}: {detail}")
+            raise BrokenRuleError(f"{rule}: {detail}")
 
     def proxy(self) -> node.ProxyNode:
         self.lives += 1
