Sizes count as models were ordered, wherever they are found again; doubts pass once lists show the item

(1) A model that a configuration makes smaller while it is loaded, whose answer is lost, or whose replica a list leaves out, entered the belief at the smaller size. (2) A model that came while it was not configured counted as all the room for good. (3) What lists lacked stayed hidden though lists showed it again, as long as no report came. (4) `due` lay in the past where nothing may be ordered. Change: the largest size that each model can have on a replica is kept, also over its leaving the list, until the model is surely gone; an unconfigured one counts as all the room only while it is that; the rest as above. Left: a false alarm of HELD in a mixed release with a report of over 1 s ago; no wrong order comes of it.

--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -10,6 +10,7 @@
 
 import basaltport.placement.catalog as catalog
 import basaltport.placement.demand as demand
+import basaltport.placement.held_models as held_models
 import basaltport.placement.load_durations as load_durations
 import basaltport.placement.model_status as model_status
 import basaltport.placement.order_invariants as order_invariants
@@ -42,6 +43,7 @@
     plan_execution.PlanExecutionMixin,
     load_durations.LoadDurationsMixin,
     replica_inventory.ReplicaInventoryMixin,
+    held_models.HeldModelsMixin,
     replica_choice.ReplicaChoiceMixin,
     demand.DemandMixin,
     model_status.ModelStatusMixin,
@@ -88,6 +90,7 @@
         self.working: dict[str, replica_state.Replica] = {}
         self.in_flight: dict[int, str] = {}
         self.gone_at: dict[str, int] = {}
+        self.loaded_sizes: dict[str, dict[str, float]] = {}
         self.known_ids: set[str] = set()
         self.usable_zones: set[str] = set()
         self.list_pending, self.list_requested_at = False, NEVER
@@ -134,16 +137,6 @@
             self.place()
         return self.out
 
-    def find_engine(self, replica: replica_state.Replica) -> None:
-        """Whether a replica holds models; of one that does so from now on it is not known which."""
-        had_engine, replica.has_engine = replica.has_engine, replica.service in self.catalog.services
-        if not replica.has_engine or had_engine:
-            return
-        if replica.plan is not None:
-            replica.count = replica.count.after_giving_up(replica.next_step().accepted)
-            self.drop_plan(replica)
-        self.distrust(replica, at_once=True)
-
     def update_buckets(self) -> None:
         """A bucket of permits for each service, at its rate."""
         for service in self.catalog.services.values():
@@ -186,7 +179,8 @@
         times = [list_due]
         times += [s.due_at for r in self.working.values() for s in r.steps()[:1] if not s.order]
         for replica in self.replicas.values():
-            if replica.has_engine and not replica.verified and replica.report_requested_at is None:
+            asked = replica.verified or replica.report_requested_at is not None
+            if replica.has_engine and not asked and self.may_order(replica.id):
                 times.append(replica.report_at)
         if self.waiting and self.free_replicas():
             ready = [bucket.ready_at(self.now) for bucket in self.store_buckets.values()]
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -175,6 +175,8 @@
             if step.kind == order_types.OrderKind.UNLOAD:
                 self.hide_item(replica, step.model, step.adapter)
                 self.update_row(replica)
+        if step.kind == order_types.OrderKind.LOAD and not step.adapter:
+            self.remember_size(replica, step.model)
         self.in_flight[step.order] = replica.id
         order = effects.Order(
             step.order,
@@ -322,6 +324,8 @@
             self.add_item(replica, step.model, step.adapter)
         else:
             self.remove_item(replica, step.model, step.adapter)
+            if not step.adapter:
+                self.forget_size(replica, step.model)
         self.update_row(replica)
         self.continue_plan(replica)
 
--- a/basaltport/placement/replica_inventory.py
+++ b/basaltport/placement/replica_inventory.py
@@ -156,6 +156,9 @@
     def doubt_lacking_items(self, replica: replica_state.Replica) -> None:
         """Where lists in a row lack something, a report is asked for; until it comes, requests for that go
         elsewhere, but it counts as held."""
+        for model, adapter in list(replica.doubted):
+            if (model, "") not in replica.missed and (model, adapter) not in replica.missed:
+                self.show_again(replica, model, adapter)
         lacking = [item for item, times in replica.missed.items() if times >= LISTS_LACKING]
         if not lacking or replica.plan is not None:
             return
@@ -163,7 +166,9 @@
             self.distrust(replica, at_once=True)
             return
         for model, adapter in lacking:
-            self.hide_item(replica, model, adapter)
+            if replica.serves(model, adapter):
+                replica.doubted.add((model, adapter))
+                self.hide_item(replica, model, adapter)
 
     def adopt_report(self, replica: replica_state.Replica, report: replica_rows.ReplicaReport) -> None:
         """Take all that a report says, and nothing else, for what the replica holds at that count."""
@@ -177,6 +182,7 @@
                     self.remove_item(replica, model, adapter)
             if model not in report.models:
                 self.remove_item(replica, model)
+                self.forget_size(replica, model)
         self.note_correction(replica, held_before, "report", self.now - REPORT_LAG_MS)
         if report.taken == replica.count.known > 0:
             unknown = replica.items() - held_before
@@ -187,25 +193,6 @@
         replica.verified, replica.distrusted_at, replica.reported_as_of = True, None, self.now
         self.show_all(replica)
 
-    def show_all(self, replica: replica_state.Replica) -> None:
-        """Requests may go to all that the replica holds."""
-        for loaded in replica.models.values():
-            loaded.unloading = False
-            loaded.unloading_adapters.clear()
-        self.index_items(replica)
-
-    def hide_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
-        """What is to be unloaded, or may be gone, gets no requests any more."""
-        loaded = replica.models[model]
-        if adapter:
-            loaded.unloading_adapters.add(adapter)
-            self.stop_serving(replica, f"{model}/{adapter}")
-            return
-        loaded.unloading = True
-        for name in loaded.adapters:
-            self.stop_serving(replica, f"{model}/{name}")
-        self.stop_serving(replica, model)
-
     def note_correction(
         self, replica: replica_state.Replica, held_before: set[str], source: str, as_of: int
     ) -> None:
@@ -243,6 +230,16 @@
                     out.append((model, adapter))
         return out
 
+    def find_engine(self, replica: replica_state.Replica) -> None:
+        """Whether a replica holds models; of one that does so from now on it is not known which."""
+        had_engine, replica.has_engine = replica.has_engine, replica.service in self.catalog.services
+        if not replica.has_engine or had_engine:
+            return
+        if replica.plan is not None:
+            replica.count = replica.count.after_giving_up(replica.next_step().accepted)
+            self.drop_plan(replica)
+        self.distrust(replica, at_once=True)
+
     # reports
 
     def distrust(self, replica: replica_state.Replica, at_once: bool = False) -> None:
@@ -316,62 +313,3 @@
         if self.rows.pop(replica.id, None) is not None:
             self.changed.add(replica.id)
         self.needs_placing = True
-
-    # what is held
-
-    def add_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
-        """A replica holds a model or adapter."""
-        loaded = replica.models.get(model)
-        if loaded is None:
-            weights_mb = self.catalog.size_mb(replica.service, model)
-            adapter_mb = self.catalog.size_mb(replica.service, model, "*")
-            loaded = replica_state.LoadedModel(self.now, weights_mb, adapter_mb)
-            replica.models[model] = loaded
-            self.note_weights_on_disk(replica, model)
-        if adapter:
-            loaded.adapters[adapter] = self.now
-            loaded.unloading_adapters.discard(adapter)
-        self.index_items(replica)
-
-    def note_weights_on_disk(self, replica: replica_state.Replica, model: str) -> None:
-        """A replica has the weights of a model on its disk."""
-        replica.disk_models.add(model)
-        self.disk_copies.setdefault(model, set()).add(replica.id)
-
-    def remove_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
-        """A replica holds a model or adapter no more."""
-        loaded = replica.models.get(model)
-        if loaded is None:
-            return
-        if adapter:
-            loaded.adapters.pop(adapter, None)
-            loaded.unloading_adapters.discard(adapter)
-            self.stop_serving(replica, f"{model}/{adapter}")
-            return
-        for name in loaded.adapters:
-            self.stop_serving(replica, f"{model}/{name}")
-        del replica.models[model]
-        self.stop_serving(replica, model)
-
-    def index_items(self, replica: replica_state.Replica) -> None:
-        """Requests for what a replica serves may go there."""
-        for model, adapters in replica.serving().items():
-            self.holders.setdefault(model, set()).add(replica.id)
-            for adapter in adapters:
-                self.holders.setdefault(f"{model}/{adapter}", set()).add(replica.id)
-
-    def stop_serving(self, replica: replica_state.Replica, item: str) -> None:
-        """Requests for an item go there no more."""
-        replica_ids = self.holders.get(item)
-        if replica_ids:
-            replica_ids.discard(replica.id)
-            if not replica_ids:
-                del self.holders[item]
-
-    def update_row(self, replica: replica_state.Replica) -> None:
-        """Make the feed's row of a replica anew; times alone do not make it a changed one."""
-        row = replica_rows.feed_row(replica.listed, replica.serving(), replica.loading())
-        former = self.rows.get(replica.id)
-        self.rows[replica.id] = row
-        if former is None or not replica_rows.same_but_for_times(former, row):
-            self.changed.add(replica.id)
--- a/basaltport/placement/replica_state.py
+++ b/basaltport/placement/replica_state.py
@@ -17,7 +17,8 @@
     __slots__ = ("since", "adapters", "unloading", "unloading_adapters", "weights_mb", "adapter_mb")
 
     def __init__(self, since: int, weights_mb: float = 0.0, adapter_mb: float = 0.0) -> None:
-        """It came at a time, of these sizes by the configuration of then; `adapter_mb`: of each adapter."""
+        """It came at a time; `weights_mb`, `adapter_mb`: the largest sizes that it, or each adapter, can have
+        by the configurations of then, 0 where they told none."""
         self.since = since
         self.weights_mb = weights_mb
         self.adapter_mb = adapter_mb
@@ -85,7 +86,7 @@
         *("id", "listed", "service", "address", "zone", "state", "leaves_in_ms", "slots", "has_engine"),
         *("models", "disk_models", "changed_at", "missed", "verified", "plan", "unanswered"),
         *("report_at", "report_backoff_ms", "report_requested_at", "barred_until", "running", "running_at"),
-        *("listed_before", "count", "distrusted_at", "reported_as_of"),
+        *("listed_before", "count", "distrusted_at", "reported_as_of", "doubted"),
     )
 
     def __init__(self, replica_id: identifiers.ReplicaId) -> None:
@@ -110,6 +111,8 @@
         """How many orders it took, as of what it is known to hold; one that is new has taken none."""
         self.distrusted_at: int | None = None
         """Since when what it holds is not known for sure."""
+        self.doubted: set[tuple[str, str]] = set()
+        """Models and adapters that get no requests since lists lack them."""
         self.reported_as_of = 0
         """When the last report was believed; lists of before tell nothing new."""
         self.plan: Plan | None = None
@@ -179,6 +182,13 @@
                 out[name] = sorted(a for a in loaded.adapters if a not in loaded.unloading_adapters)
         return out
 
+    def serves(self, model: str, adapter: str) -> bool:
+        """Whether requests for a model, or for an adapter of it, may go there."""
+        loaded = self.models.get(model)
+        if loaded is None or loaded.unloading:
+            return False
+        return not adapter or adapter in loaded.adapters and adapter not in loaded.unloading_adapters
+
     def loading(self) -> list[str]:
         """The items that its plan loads."""
         return [step.item for step in self.steps() if step.kind == order_types.OrderKind.LOAD]
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -55,6 +55,8 @@
     """The replica of each order that is not answered."""
     gone_at: dict[str, int]
     """When replicas went, so that a list that is late does not bring them back."""
+    loaded_sizes: dict[str, dict[str, float]]
+    """By replica, also by one that went: the largest size in MB that each model there can have."""
     waiting: dict[str, waiting_items.WaitingItem]
     awaited_models: collections.abc.Collection[str]
     """The models of all items that requests wait for."""
@@ -154,9 +156,27 @@
     def remove_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
         """A replica holds a model or adapter no more."""
 
+    def remember_size(self, replica: replica_state.Replica, model: str) -> float:
+        """The largest size that a model can have there."""
+
+    def forget_size(self, replica: replica_state.Replica, model: str) -> None:
+        """A model is surely not there any more."""
+
     def hide_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
         """What is to be unloaded, or may be gone, gets no requests any more."""
 
+    def show_all(self, replica: replica_state.Replica) -> None:
+        """Requests may go to all that the replica holds."""
+
+    def show_again(self, replica: replica_state.Replica, model: str, adapter: str) -> None:
+        """What was hidden for a doubt gets requests again."""
+
+    def note_weights_on_disk(self, replica: replica_state.Replica, model: str) -> None:
+        """A replica has the weights of a model on its disk."""
+
+    def find_engine(self, replica: replica_state.Replica) -> None:
+        """Whether a replica holds models; of one that does so from now on it is not known which."""
+
     def stop_serving(self, replica: replica_state.Replica, item: str) -> None:
         """Requests for an item go there no more."""
 
--- a/tests/placement/test_stale_beliefs.py
+++ b/tests/placement/test_stale_beliefs.py
@@ -144,3 +144,85 @@
         step = replica_state.Step(order_types.OrderKind.LOAD, "m2")
         has_room = replica.used_mb(models) + models.size_mb("s", "m2") <= models.services["s"].memory_mb
         assert order_invariants.fits(replica, step, models) or not has_room
+
+
+SHRUNK = {**stand.SIZES, "m5": 10_000.0}
+BIG = {**stand.SIZES, "m5": 150_000.0}
+
+
+def big_load(placement):
+    """The order to load m5, which is big."""
+    (load,) = stand.orders(placement.requests_waiting(5000, "x", {"m5": 1}))
+    assert (load.kind, load.model) == ("load", "m5")
+    return load
+
+
+def used_mb(placement):
+    return placement.replicas["r0"].used_mb(placement.catalog)
+
+
+def test_a_model_that_is_made_smaller_while_it_is_loaded_counts_as_it_was_ordered():
+    placement = stand.placed({}, stand.document(BIG))
+    placement.ordered(5010, big_load(placement).order, "accepted", 5)
+    placement.configure(5020, stand.document(SHRUNK), set())
+    (poll,), now = ordered_after(placement, 5020)
+    placement.ordered(now + 5, poll.order, "done", 5)
+    assert used_mb(placement) == BIG["m5"]
+
+
+def test_a_model_whose_load_had_no_answer_counts_as_it_was_ordered_where_a_report_shows_it():
+    placement = stand.placed({}, stand.document(BIG))
+    placement.ordered(6000, big_load(placement).order, "unknown", 1000)
+    placement.configure(6010, stand.document(SHRUNK), set())
+    (again,), now = ordered_after(placement, 6010)
+    placement.ordered(now + 5, again.order, "busy", 5)
+    assert stand.reports(placement.tick(now + 50))
+    placement.reported(now + 60, "r0", True, {"models": {"m5": []}, "busy": False, "orders": 1})
+    assert used_mb(placement) == BIG["m5"]
+
+
+def test_a_replica_that_a_list_left_out_keeps_the_sizes_that_its_models_came_with():
+    placement = stand.placed({"m5": []}, stand.document(BIG))
+    placement.configure(5000, stand.document(SHRUNK), set())
+    placement.list_pending, placement.list_requested_at = True, 5000
+    placement.listed(5003, [])
+    assert "r0" not in placement.replicas
+    stand.listed(placement, 9000, {"m5": []})
+    assert used_mb(placement) == BIG["m5"]
+
+
+def test_a_model_that_came_while_it_was_not_configured_has_its_size_once_it_is():
+    without = stand.document({name: size for name, size in stand.SIZES.items() if name != "m5"})
+    placement = stand.placed({})
+    placement.ordered(5010, big_load(placement).order, "accepted", 5)
+    placement.configure(5020, without, set())
+    (poll,), now = ordered_after(placement, 5020)
+    placement.ordered(now + 5, poll.order, "done", 5)
+    assert used_mb(placement) == stand.ROOM
+    placement.configure(now + 10, stand.document(), set())
+    assert used_mb(placement) == stand.SIZES["m5"]
+
+
+def test_what_was_hidden_for_a_doubt_is_shown_again_once_lists_show_it():
+    placement = stand.placed({"m0": [], "m1": ["a1"]}, stand.document(adapters=3))
+    placement.distrust(placement.replicas["r0"])
+    for at, models, shown in (
+        (6000, {"m0": [], "m1": []}, {"m0": [], "m1": ["a1"]}),
+        (6700, {"m0": [], "m1": []}, {"m0": [], "m1": []}),
+        (7400, {"m0": []}, {"m0": [], "m1": []}),
+        (8100, {"m0": []}, {"m0": []}),
+        (8800, {"m0": [], "m1": ["a1"]}, {"m0": [], "m1": ["a1"]}),
+    ):
+        out = stand.listed(placement, at, models)
+        assert placement.rows["r0"]["models"] == shown, at
+        for report in stand.reports(out):
+            placement.reported(at + 10, report.replica, False, None)
+
+
+def test_when_to_tick_next_lies_ahead_for_a_replica_where_nothing_may_be_ordered():
+    placement = stand.placed({"m0": []})
+    placement.may_order = lambda replica_id: False
+    placement.distrust(placement.replicas["r0"], at_once=True)
+    placement.list_failed(5000)
+    placement.tick(5000)
+    assert placement.due() > 5000
