Latency histograms by route and part, refusals and failures by reason, loads by why

Cause: nothing told where requests lose their time, why one was refused, or why a model was loaded. Change: fixed histograms in the proxy's reducer (queue, connect, first byte, gap, whole), counters of refusals and failures by route and reason, loads done by source and reason; a plan has a typed reason in place of a flag, and copies of models have a module of their own.

--- a/basaltport/controller/admin_api.py
+++ b/basaltport/controller/admin_api.py
@@ -15,6 +15,7 @@
 import basaltport.controller.placement_view as placement_view
 import basaltport.controller.status_view as status_view
 import basaltport.identifiers as identifiers
+import basaltport.proxy.latency_histograms as latency_histograms
 import basaltport.proxy.status_pages as proxy_pages
 
 SHADOWED = ("ssl", "http.client", "urllib.request")
@@ -110,7 +111,11 @@
         ProcessCollector=client.ProcessCollector,
         CONTENT_TYPE_LATEST=client.CONTENT_TYPE_LATEST,
         generate_latest=client.generate_latest,
-        families={"gauge": core.GaugeMetricFamily, "counter": core.CounterMetricFamily},
+        families={
+            "gauge": core.GaugeMetricFamily,
+            "counter": core.CounterMetricFamily,
+            "histogram": core.HistogramMetricFamily,
+        },
     )
 
 
@@ -129,9 +134,16 @@
         for name, kind, help, labels, samples in self.families():
             family = self.library.families[kind](name, help, labels=labels)
             for values, value in samples:
-                family.add_metric([str(label) for label in values], value)
+                self.add(family, [str(label) for label in values], value)
             yield family
 
+    def add(self, family: typing.Any, labels: list[str], value: float | latency_histograms.Histogram) -> None:
+        """Add one sample to a family of the library."""
+        if isinstance(value, latency_histograms.Histogram):
+            family.add_metric(labels, buckets=value.buckets(), sum_value=value.sum_s())
+            return
+        family.add_metric(labels, value)
+
 
 class ControllerServer(typing.Protocol):
     """What the pages read of a controller's process."""
--- a/basaltport/controller/metrics.py
+++ b/basaltport/controller/metrics.py
@@ -22,7 +22,7 @@
 
     name: str
     kind: str
-    """`gauge` or `counter`."""
+    """`gauge`, `counter` or `histogram`."""
     help: str
     labels: collections.abc.Sequence[str]
     samples: collections.abc.Sequence[tuple[tuple[object, ...], float]]
@@ -89,4 +89,7 @@
     yield gauge("orders", "Orders under way", len(placement.working))
     yield gauge("models_hot", "Models that are due more than one copy", len(placement.hot_models))
     yield gauge("copies_lacking", "Copies that hot models lack", lacking)
+    loads = sorted(placement.load_counts.items())
+    text = "Loads done, by source and by why they were ordered"
+    yield Family(PREFIX + "loads", COUNTER, text, ("source", "reason"), loads)
     yield Family(PREFIX + "replicas", GAUGE, "Replicas on the list", labels, sorted(by_state.items()))
--- a/basaltport/controller/status_view.py
+++ b/basaltport/controller/status_view.py
@@ -5,6 +5,7 @@
 
 import typing
 
+import basaltport.placement.order_types as order_types
 import basaltport.placement.replica_state as replica_state
 
 if typing.TYPE_CHECKING:
@@ -84,7 +85,11 @@
 
 def _plan_row(replica: replica_state.Replica, now: int) -> Row:
     plan = typing.cast(replica_state.Plan, replica.plan)
-    row: Row = {"replica": replica.id, "goal": plan.goal, "for": "wanted" if plan.on_demand else "copies"}
+    row: Row = {
+        "replica": replica.id,
+        "goal": plan.goal,
+        "for": "wanted" if plan.reason is order_types.LoadReason.AWAITED else "copies",
+    }
     row |= {"age_ms": now - plan.made_at, "steps": len(plan.steps)}
     if plan.steps:
         step = plan.steps[0]
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -5,6 +5,7 @@
 plan at a time: unloads that make room, then one load.
 """
 
+import collections
 import collections.abc
 import random
 
@@ -12,6 +13,7 @@
 import basaltport.placement.demand as demand
 import basaltport.placement.held_models as held_models
 import basaltport.placement.load_durations as load_durations
+import basaltport.placement.model_copies as model_copies
 import basaltport.placement.model_status as model_status
 import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.order_types as order_types
@@ -30,13 +32,8 @@
 SILENT_MS = 600
 """A replica whose order is unanswered for so long is not counted on."""
 COPIES_EVERY_MS = 200
-RESTORE_MS = 5000
-"""For so long a model in use whose only copy was lost is brought back unasked."""
-HOT_PLANS_SHARE = 3
-"""No more than one replica in so many loads copies that hot models lack,"""
-SPARE_PLANS_SHARE = 6
-"""and no more than one in so many copies that are only of use."""
 NEVER = -(10**9)
+AWAITED = order_types.LoadReason.AWAITED
 
 
 class Placement(
@@ -45,6 +42,7 @@
     replica_inventory.ReplicaInventoryMixin,
     held_models.HeldModelsMixin,
     replica_choice.ReplicaChoiceMixin,
+    model_copies.ModelCopiesMixin,
     demand.DemandMixin,
     model_status.ModelStatusMixin,
 ):
@@ -63,6 +61,7 @@
         self.evacuated_zones: set[str] = set()
         self.invariants = order_invariants.InvariantChecks()
         self.load_durations: dict[tuple[str, str], list[int]] = {}
+        self.load_counts: collections.Counter[tuple[str, str]] = collections.Counter()
         self.last_order = 0
         self.now = 0
         self.may_order: collections.abc.Callable[[str], bool] = lambda replica_id: True
@@ -240,7 +239,7 @@
             if not free:
                 return
             if not self.is_loading(model):
-                self.place_model(model, requests, free, True)
+                self.place_model(model, requests, free, AWAITED)
 
     def awaited_by_rank(self, free: list[replica_state.Replica]) -> dict[str, dict[str, float]]:
         """Who waits for models, by zone and in the order of rank; adapters get their plans on the way."""
@@ -271,14 +270,14 @@
         waiting.extra_copy_begun(self.now)
         self.adapter_loads.setdefault(model, demand.Rate(self.now)).add(1, self.now)
         free.remove(choice.replica)
-        self.begin(choice.replica, item, [*choice.unloads, self.load_step(choice.replica, item)], True)
+        self.begin(choice.replica, item, [*choice.unloads, self.load_step(choice.replica, item)], AWAITED)
 
     def place_model(
         self,
         model: str,
         requests: state.RequestsByZone,
         free: list[replica_state.Replica],
-        on_demand: bool,
+        reason: order_types.LoadReason,
         cost_limit: float | None = None,
     ) -> bool:
         """Begin a load of a model on the best replica, if any may take it."""
@@ -290,7 +289,7 @@
         load = self.load_step(replica, model)
         self.permits[replica.service] -= load.from_store
         unloads = [replica_state.Step(order_types.OrderKind.UNLOAD, name) for name in choice.unloads]
-        self.begin(replica, model, [*unloads, load], on_demand)
+        self.begin(replica, model, [*unloads, load], reason)
         return True
 
     def load_step(self, replica: replica_state.Replica, item: str) -> replica_state.Step:
@@ -311,84 +310,3 @@
             and self.may_order(replica.id)
             and not (step.order and self.now - step.sent_at > SILENT_MS)
         )
-
-    # copies
-
-    def plans_not_on_demand(self) -> int:
-        """How many replicas load copies that nobody waits for."""
-        plans = [replica.plan for replica in self.working.values()]
-        return sum(1 for plan in plans if plan and not plan.on_demand)
-
-    def add_hot_copies(self) -> None:
-        """Hot models with too few copies go before what is cold: many wait for each of them."""
-        if self.now < self.orders_from or not self.hot_models:
-            return
-        lacking = self.lacking_copies()
-        if not lacking:
-            return
-        self.count_permits()
-        free = self.free_replicas()
-        left = max(1, len(self.replicas) // HOT_PLANS_SHARE) - self.plans_not_on_demand()
-        for _, model, copies in sorted(lacking, reverse=True):
-            if left < 1 or not free:
-                return
-            served = {replica.zone for replica in self.copies(model)}
-            unserved = [zone for zone in self.hot_models[model].zones if zone not in served]
-            where = self.best_places(unserved, served, free, copies) or free
-            limit = replica_choice.HOT_COST_LIMIT
-            left -= self.place_model(model, self.zone_rates(model), where, False, limit)
-            free = [replica for replica in free if replica.plan is None]
-
-    def lacking_copies(self) -> list[tuple[float, str, int]]:
-        """Hot models with too few copies: requests a second for each copy, name, copies here or coming."""
-        lacking = []
-        for model, hot in self.hot_models.items():
-            loading = [self.replicas[i] for i in self.loading_on.get(model, ())]
-            copies = len(self.copies(model)) + sum(1 for replica in loading if self.answers(replica))
-            if copies < hot.copies_due:
-                lacking.append((hot.rate / (copies + 0.1), model, copies))
-        return lacking
-
-    def add_copies(self) -> None:
-        """Copies of hot models where their demand is, taken from what few ask for."""
-        if self.now < self.orders_from or not (self.hot_models or self.lost_models):
-            return
-        self.count_permits()
-        unserved = any(not self.is_held(i) and not self.is_loading(i) for i in self.waiting)
-        free = self.free_replicas()
-        most = max(1, len(self.replicas) // SPARE_PLANS_SHARE)
-        plans = self.plans_not_on_demand()
-        for model, hot in sorted(self.hot_models.items(), key=lambda entry: -entry[1].rate):
-            copies = self.copies(model)
-            loading = [self.replicas[i] for i in self.loading_on.get(model, ())]
-            served = {replica.zone for replica in copies + loading}
-            if unserved and copies or plans >= most or not free:
-                continue
-            lacking = [zone for zone in hot.zones if zone not in served]
-            total = len(copies) + len(loading)
-            if not lacking and total >= hot.copies_due:
-                continue
-            where = self.best_places(lacking, served, free, total)
-            limit = replica_choice.SPARE_COST_LIMIT
-            plans += self.place_model(model, self.zone_rates(model), where, False, limit)
-            free = [replica for replica in free if replica.plan is None]
-        self.restore_lost_models(free)
-
-    def restore_lost_models(self, free: list[replica_state.Replica]) -> None:
-        """Models in use whose only copy was lost come back before they are asked for."""
-        for model, lost_at in list(self.lost_models.items()):
-            if self.now - lost_at > RESTORE_MS or self.is_held(model) or self.is_loading(model):
-                del self.lost_models[model]
-            elif free and self.place_model(model, {}, free, False, replica_choice.SPARE_COST_LIMIT):
-                del self.lost_models[model]
-
-    def best_places(
-        self, lacking: list[str], served: set[str], free: list[replica_state.Replica], copies: int
-    ) -> list[replica_state.Replica]:
-        """Of the free replicas those where a further copy helps most: in a zone that lacks one, else, as long
-        as there are few copies, in a zone that has none."""
-        if lacking:
-            return [replica for replica in free if replica.zone in lacking]
-        if copies < demand.LEAST_COPIES:
-            return [replica for replica in free if replica.zone not in served] or free
-        return free
--- a/basaltport/placement/order_types.py
+++ b/basaltport/placement/order_types.py
@@ -10,6 +10,19 @@
     UNLOAD = "unload"
 
 
+class LoadReason(enum.StrEnum):
+    """Why a model or adapter is loaded."""
+
+    AWAITED = "awaited"
+    """Requests wait for it; the plan ends when none does any more."""
+    HOT_COPY = "hot copy"
+    """A model that is asked for much has too few copies."""
+    SPARE_COPY = "spare copy"
+    """One more copy is of use, though nothing that is in use gives way to it."""
+    RESTORED = "restored"
+    """The only copy of a model in use was lost."""
+
+
 class OrderOutcome(enum.StrEnum):
     """What a replica answered to an order."""
 
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -48,10 +48,14 @@
     """Sends the orders of plans and takes their outcomes."""
 
     def begin(
-        self, replica: replica_state.Replica, goal: str, steps: list[replica_state.Step], on_demand: bool
+        self,
+        replica: replica_state.Replica,
+        goal: str,
+        steps: list[replica_state.Step],
+        reason: order_types.LoadReason,
     ) -> None:
         """Give a replica a plan and send its first order."""
-        replica.plan = replica_state.Plan(goal, steps, on_demand, self.now)
+        replica.plan = replica_state.Plan(goal, steps, reason, self.now)
         self.working[replica.id] = replica
         for item in replica.loading():
             self.loading_on.setdefault(item, set()).add(replica.id)
@@ -129,7 +133,8 @@
 
     def still_needed(self, plan: replica_state.Plan) -> bool:
         """Whether requests still wait for what an on-demand plan is for."""
-        return not plan.on_demand or plan.goal in self.waiting or plan.goal in self.awaited_models
+        is_awaited = plan.reason is order_types.LoadReason.AWAITED
+        return not is_awaited or plan.goal in self.waiting or plan.goal in self.awaited_models
 
     def take_permit(self, replica: replica_state.Replica, step: replica_state.Step) -> bool:
         """A load that may begin at the store takes a permit, also when it is sent again unanswered. Without
@@ -321,6 +326,7 @@
             if step.accepted and not step.uncertain and step.first_sent_at is not None:
                 self.note_duration(replica, step, self.now - step.first_sent_at)
             self.stop_loading(replica, step.item)
+            self.count_load(replica, step)
             self.add_item(replica, step.model, step.adapter)
         else:
             self.remove_item(replica, step.model, step.adapter)
@@ -329,6 +335,12 @@
         self.update_row(replica)
         self.continue_plan(replica)
 
+    def count_load(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
+        """Count a load that is done, by what was loaded, from where and why."""
+        if replica.plan is not None:
+            _, source = self.load_class(replica.service, step)
+            self.load_counts[source, replica.plan.reason.value] += 1
+
     def continue_plans(self) -> None:
         """Send orders that are due again, also those that the owner has not answered for too long."""
         for replica in list(self.working.values()):
--- a/basaltport/placement/replica_state.py
+++ b/basaltport/placement/replica_state.py
@@ -69,13 +69,13 @@
 class Plan:
     """The steps, in their order, that bring an item to a replica."""
 
-    __slots__ = ("goal", "steps", "on_demand", "made_at")
+    __slots__ = ("goal", "steps", "reason", "made_at")
 
-    def __init__(self, goal: str, steps: list[Step], on_demand: bool, made_at: int) -> None:
-        """`goal`: the item; `on_demand`: requests wait for it, and the plan ends when none does any more."""
+    def __init__(self, goal: str, steps: list[Step], reason: order_types.LoadReason, made_at: int) -> None:
+        """`goal`: the item; `reason`: why it is loaded."""
         self.goal = goal
         self.steps = steps
-        self.on_demand = on_demand
+        self.reason = reason
         self.made_at = made_at
 
 
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -1,5 +1,6 @@
 """What the parts of Placement share: its state, and what they call of each other. Times in ms."""
 
+import collections
 import collections.abc
 import random
 import typing
@@ -9,6 +10,7 @@
 import basaltport.placement.demand as demand
 import basaltport.placement.effects as effects
 import basaltport.placement.order_invariants as order_invariants
+import basaltport.placement.order_types as order_types
 import basaltport.placement.replica_state as replica_state
 import basaltport.placement.token_bucket as token_bucket
 import basaltport.placement.waiting_items as waiting_items
@@ -45,6 +47,8 @@
     """Whether a replica knows a higher fencing token."""
     out: Effects
     replicas: dict[str, replica_state.Replica]
+    load_counts: collections.Counter[tuple[str, str]]
+    """Loads done since this process began, by source (store, disk, adapter) and reason."""
     holders: dict[str, set[str]]
     """The ids of the replicas where requests for an item may go."""
     loading_on: dict[str, set[str]]
@@ -103,6 +107,31 @@
     def place(self) -> None:
         """Begin plans for what requests wait for."""
 
+    def count_permits(self) -> None:
+        """How many loads from each store may be begun now."""
+
+    def free_replicas(self) -> list[replica_state.Replica]:
+        """Replicas that could begin a plan now."""
+
+    def place_model(
+        self,
+        model: str,
+        requests: RequestsByZone,
+        free: list[replica_state.Replica],
+        reason: order_types.LoadReason,
+        cost_limit: float | None = None,
+    ) -> bool:
+        """Begin a load of a model on the best replica, if any may take it."""
+
+    def is_loading(self, item: str) -> bool:
+        """Whether a replica that answers is loading it."""
+
+    def answers(self, replica: replica_state.Replica) -> bool:
+        """Whether a replica with a plan answers its orders."""
+
+    def zone_rates(self, item: str) -> dict[str, float]:
+        """Requests a second in each zone that asks for it."""
+
     def usable(self, replica: replica_state.Replica) -> bool:
         """Whether requests may go to a replica."""
 
@@ -127,6 +156,9 @@
     def load_ms(self, service: str, model: str, from_disk: bool) -> float:
         """What a load is likely to take."""
 
+    def load_class(self, service: str, step: replica_state.Step) -> tuple[str, str]:
+        """Loads of one class take about as long."""
+
     def note_duration(
         self, replica: replica_state.Replica, step: replica_state.Step, duration_ms: int
     ) -> None:
--- a/basaltport/proxy/attempt.py
+++ b/basaltport/proxy/attempt.py
@@ -8,6 +8,7 @@
 import basaltport.proxy.events as events
 import basaltport.proxy.health as health
 import basaltport.proxy.interfaces as interfaces
+import basaltport.proxy.latency_histograms as latency_histograms
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.model_readiness as model_readiness
 import basaltport.proxy.replica_table as replica_table
@@ -55,12 +56,13 @@
     """What attempts need of the node: the requests that they are for, and their ends.
 
     `requests`: all that have no end yet; `queue`: those of them that wait; `outcome_counts`: ends of
-    attempts by outcome.
+    attempts by outcome; `histograms`: how long requests took.
     """
 
     requests: dict[int, request.Request]
     queue: admission_queue.AdmissionQueue
     outcome_counts: dict[str, int]
+    histograms: latency_histograms.LatencyHistograms
     is_ending: bool
 
     def emit(self, effect: object) -> None:
@@ -126,6 +128,7 @@
             self.release_retry(waiting)
             self.budgets.of(waiting.service).spend(now)
         waiting.attempt = attempt
+        self.node.histograms.add(attempt.route, latency_histograms.Part.QUEUE, now - waiting.queued_at)
         self.in_flight[attempt.id] = attempt
         known = self.balancer.health.of(replica.replica_id)
         known.running_attempts += 1
@@ -142,20 +145,30 @@
             )
         )
 
-    def progressed(self, attempt_id: int) -> None:
-        """Bytes of an answer came."""
+    def progressed(self, attempt_id: int, connect_ms: int) -> None:
+        """Bytes of an answer came; `connect_ms`: as of the event."""
         attempt = self.in_flight.get(attempt_id)
         if attempt is None:
             return
         now = self.node.now
         known = self.balancer.health.of(attempt.replica_id)
+        if attempt.first_byte_at:
+            self.node.histograms.add(attempt.route, latency_histograms.Part.GAP, now - attempt.last_byte_at)
         attempt.last_byte_at = known.last_byte_at = now
         if not attempt.first_byte_at:
             attempt.first_byte_at = now
             elapsed_ms = now - attempt.sent_at
+            self.measure_first_byte(attempt, connect_ms, elapsed_ms)
             known.first_bytes_after(elapsed_ms)
             self.balancer.latency.add(attempt.service, elapsed_ms)
 
+    def measure_first_byte(self, attempt: request.Attempt, connect_ms: int, elapsed_ms: int) -> None:
+        """The first bytes of an answer came so long after its attempt began."""
+        histograms = self.node.histograms
+        histograms.add(attempt.route, latency_histograms.Part.FIRST_BYTE, elapsed_ms)
+        if connect_ms >= 0:
+            histograms.add(attempt.route, latency_histograms.Part.CONNECT, connect_ms)
+
     def ended(self, attempt_id: int, result: attempt_outcome.Result) -> bool:
         """An attempt ended; whether it was one that is known here."""
         attempt = self.in_flight.pop(attempt_id, None)
@@ -213,6 +226,8 @@
             sent.sent_attempts += 1
             sent.reached_replicas.add(attempt.replica_id)
         if result.outcome is Outcome.DONE:
+            whole_ms = self.node.now - sent.arrived_at
+            self.node.histograms.add(attempt.route, latency_histograms.Part.WHOLE, whole_ms)
             self.node.forget(sent)
             return
         sent.may_have_run = sent.may_have_run or result.outcome.may_have_run
@@ -267,6 +282,7 @@
             self.reserve_retry(sent)
         sent.tried_replicas.add(attempt.replica_id)
         sent.attempt = None
+        sent.queued_at = self.node.now
         self.node.queue[sent.id] = sent
 
     # stopping
--- a/basaltport/proxy/attempt_runner.py
+++ b/basaltport/proxy/attempt_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import inspect
 import typing
 
@@ -60,7 +61,9 @@
         """One attempt, and what the reducer is told of its end."""
         result = None
         try:
-            result = await self.replicas.run(effect, answer, lambda: self.tell_progress(effect.attempt))
+            result = await self.replicas.run(
+                effect, answer, functools.partial(self.tell_progress, effect.attempt)
+            )
         except Exception as error:
             self.log_fault(error)
         finally:
@@ -69,6 +72,6 @@
             self.tasks.pop(effect.attempt, None)
             self.step(events.Ended(identifiers.steady(), effect.attempt, result))
 
-    def tell_progress(self, attempt_id: int) -> None:
-        """Bytes of an answer came."""
-        self.step(events.Progress(identifiers.steady(), attempt_id))
+    def tell_progress(self, attempt_id: int, connect_ms: int = -1) -> None:
+        """Bytes of an answer came; `connect_ms`: as of the event."""
+        self.step(events.Progress(identifiers.steady(), attempt_id, connect_ms))
--- a/basaltport/proxy/events.py
+++ b/basaltport/proxy/events.py
@@ -39,10 +39,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Progress:
-    """First bytes, or more of them, came from a replica for an attempt."""
+    """First bytes, or more of them, came from a replica for an attempt. `connect_ms`: how long the attempt
+    took to get its connection, -1 where that is not told."""
 
     now: identifiers.Millis
     attempt: int
+    connect_ms: int = -1
 
 
 @dataclasses.dataclass(slots=True)
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -1,5 +1,6 @@
 """The reducer of a proxy: requests wait, go to replicas, and have one end each."""
 
+import collections
 import collections.abc
 import copy
 import random
@@ -16,6 +17,7 @@
 import basaltport.proxy.attempt as attempt
 import basaltport.proxy.events as events
 import basaltport.proxy.health as health
+import basaltport.proxy.latency_histograms as latency_histograms
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.model_readiness as model_readiness
 import basaltport.proxy.replica_table as replica_table
@@ -74,6 +76,11 @@
         self.queue = admission_queue.AdmissionQueue()
         self.held_arrivals = admission_queue.HeldArrivals()
         self.outcome_counts: dict[str, int] = {}
+        self.refusals: collections.Counter[tuple[str, str]] = collections.Counter()
+        """Requests that were refused with a promise, by route and reason."""
+        self.failures: collections.Counter[tuple[str, str]] = collections.Counter()
+        """Requests that ended without an answer though they may have run, by route and reason."""
+        self.histograms = latency_histograms.LatencyHistograms()
         self.stopped = False
         self.is_ending = False
         self.health = health.HealthTable()
@@ -95,6 +102,8 @@
         out = copy.copy(self)
         out.now, out.rng, out.out = now, random.Random(0), []
         out.requests, out.outcome_counts = dict(self.requests), {}
+        out.refusals, out.failures = collections.Counter(), collections.Counter()
+        out.histograms = latency_histograms.LatencyHistograms()
         out.queue = admission_queue.AdmissionQueue(self.queue)
         out.health = self.health.copied(self.rows)
         out.budgets = retry_budget.RetryBudgets(self.budgets.started_at, self.timings)
@@ -128,6 +137,7 @@
         if document is not self.compiled_document:
             self.compiled_document = document
             self.table = routing.RoutingTable(document)
+            self.forget_routes()
             routes = sum(map(len, self.table.hosts.values()))
             version = int(self.book.configuration_version)
             self.emit(
@@ -136,6 +146,14 @@
         self.route_held_arrivals()
         self.pump()
 
+    def forget_routes(self) -> None:
+        """Drop the figures of routes that are configured no more."""
+        names = {route.name for routes in self.table.hosts.values() for route in routes}
+        self.histograms.keep_routes(names)
+        for counts in (self.refusals, self.failures):
+            for key in [key for key in counts if key[0] not in names]:
+                del counts[key]
+
     def rows_changed(self, ids: collections.abc.Iterable[str]) -> None:
         """Rows of these replicas came, changed or went."""
         self.balancer.rows_changed(ids)
@@ -177,15 +195,16 @@
         arrived = request.Request(event.request, route, event)
         rejection = self.admission.admit(arrived, event)
         if rejection is not None:
-            self.count_rejection()
+            self.count_rejection(route.name, rejection.detail)
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
         self.requests[arrived.id] = arrived
         self.pump()
 
-    def count_rejection(self) -> None:
+    def count_rejection(self, route: str, reason: str) -> None:
         """Count a rejection of our own."""
+        self.refusals[route, reason] += 1
         self.outcome_counts[REJECTED_HERE] = self.outcome_counts.get(REJECTED_HERE, 0) + 1
 
     # a node that just started
@@ -242,12 +261,13 @@
             self.fail(ended, attempt.GATEWAY_TIMEOUT, detail)
             return
         self.forget(ended)
-        self.count_rejection()
+        self.count_rejection(ended.route.name, detail)
         self.emit(events.Close(ended.id, UNAVAILABLE, detail, int(retry_after_ms)))
 
     def fail(self, ended: request.Request, status: int, detail: str) -> None:
         """End a request that may have run."""
         self.forget(ended)
+        self.failures[ended.route.name, detail] += 1
         if ended.is_answer_begun:
             self.emit(events.Cut(ended.id))
             return
@@ -271,7 +291,7 @@
 
     def on_progress(self, event: events.Progress) -> None:
         """Bytes of an answer came."""
-        self.attempts.progressed(event.attempt)
+        self.attempts.progressed(event.attempt, event.connect_ms)
 
     def on_ended(self, event: events.Ended) -> None:
         """An attempt ended."""
--- a/basaltport/proxy/request.py
+++ b/basaltport/proxy/request.py
@@ -25,7 +25,7 @@
     `unsent_attempts`: that found no connection. `tried_replicas`: of all its attempts; `reached_replicas`:
     those that it may have reached. `is_answer_begun`: a part of an answer is with the client.
     `may_have_run`: some attempt may have. `holds_retry`: a part of the retry budget is reserved for it.
-    `queue_key`: its place in the queue.
+    `queue_key`: its place in the queue; `queued_at`: since when it waits there.
     """
 
     __slots__ = (
@@ -46,6 +46,7 @@
         "may_have_run",
         "holds_retry",
         "queue_key",
+        "queued_at",
     )
 
     def __init__(self, request_id: int, route: routing.Route, arrived: events.Arrived) -> None:
@@ -67,6 +68,7 @@
         self.may_have_run = False
         self.holds_retry = False
         self.queue_key = (route.urgency, self.arrived_at, request_id)
+        self.queued_at = arrived.now
 
     def may_reach_another(self) -> bool:
         """Whether it may go to a replica that it has not reached."""
@@ -83,6 +85,7 @@
     replica_id: str
     item: identifiers.Item
     service: str
+    route: str
     sent_at: identifiers.Millis
     last_byte_at: identifiers.Millis
     first_byte_at: identifiers.Millis = NOT_YET
@@ -91,4 +94,5 @@
     @classmethod
     def begin(cls, attempt_id: int, request: Request, replica_id: str, now: identifiers.Millis) -> "Attempt":
         """An attempt that goes now."""
-        return cls(attempt_id, request.id, replica_id, request.item, request.service, now, now)
+        route = request.route.name
+        return cls(attempt_id, request.id, replica_id, request.item, request.service, route, now, now)
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -10,13 +10,14 @@
 import basaltport.identifiers as identifiers
 import basaltport.proxy.events as events
 import basaltport.proxy.health as health
+import basaltport.proxy.latency_histograms as latency_histograms
 import basaltport.proxy.node as node
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
 import basaltport.proxy.routing as routing
 
 Document = dict[str, typing.Any]
-LabelledValue = tuple[tuple[str, ...], float]
+LabelledValue = tuple[tuple[str, ...], float | latency_histograms.Histogram]
 Sample = tuple[str, str, str, tuple[str, ...], collections.abc.Sequence[LabelledValue]]
 SECOND_MS = 1000
 PART_DIGITS = 4
@@ -218,6 +219,13 @@
     yield gauge("wait_seconds", "The longest of the waits", oldest / SECOND_MS)
     ends = [((label,), number) for label, number in sorted(proxy.outcome_counts.items())]
     yield "basaltport_outcomes", "counter", "Ends of attempts and own refusals", ("outcome",), ends
+    by_reason = ("route", "reason")
+    refusals, failures = sorted(proxy.refusals.items()), sorted(proxy.failures.items())
+    yield "basaltport_refusals", "counter", "Requests refused here that never ran", by_reason, refusals
+    yield "basaltport_failures", "counter", "Requests that may have run and failed", by_reason, failures
+    durations = [((route, part.value), counted) for (route, part), counted in proxy.histograms.items()]
+    text = "How long requests took, by part of their way"
+    yield "basaltport_duration_seconds", "histogram", text, ("route", "part"), sorted(durations, key=first)
     left = [((service,), row["left"]) for service, row in sorted(retries(proxy, now).items())]
     text = "Further attempts that there may be now"
     yield "basaltport_retries_left", "gauge", text, ("service",), left
@@ -226,6 +234,11 @@
     yield "basaltport_replicas", "gauge", "Replicas as this proxy sees them", labels, sorted(states.items())
 
 
+def first(sample: LabelledValue) -> tuple[str, ...]:
+    """The labels of a sample."""
+    return sample[0]
+
+
 def place(seen: Document) -> tuple[str, str, str]:
     """What replicas are counted by."""
     return seen["service"], seen["zone"], "down" if seen["down_ms"] else seen["state"]
--- a/basaltport/proxy/upstream.py
+++ b/basaltport/proxy/upstream.py
@@ -1,7 +1,6 @@
 """Sends attempts to replicas and tells what is proven of each."""
 
 import asyncio
-import collections.abc
 import typing
 
 import aiohttp
@@ -84,7 +83,11 @@
         ...
 
 
-Progress = collections.abc.Callable[[], None]
+class Progress(typing.Protocol):
+    """Told that bytes of an answer came."""
+
+    def __call__(self, connect_ms: int = -1) -> None:
+        """`connect_ms`: with an answer's head, how long the attempt took to get its connection."""
 
 
 class Upstream:
@@ -182,7 +185,7 @@
         async with self.session.request(
             sink.method, url, headers=headers, data=sink.body or None, allow_redirects=False
         ) as response:
-            progress()
+            progress(self.needs[attempt.attempt].connect_ms)
             self.take_keep_alive(attempt.attempt, response)
             return await self.take_answer(attempt, sink, response, progress)
 
--- a/basaltport/proxy/upstream_pool.py
+++ b/basaltport/proxy/upstream_pool.py
@@ -26,6 +26,7 @@
 MARGIN_S = 0.35
 """A connection is used for so much less than its replica keeps it."""
 LIBRARY_LIMIT_S = 60.0
+MS_PER_SECOND = 1000
 READABLE = select.POLLIN | select.POLLPRI | select.POLLRDHUP
 
 
@@ -61,15 +62,16 @@
 
 class ConnectionNeed:
     """What an attempt asks of its connection. `request_id`: of its request; `runs_once`: it must not run
-    again. `protocol`: the connection's, once it is there."""
+    again. `protocol`: the connection's, once it is there; `connect_ms`: how long that took, until then -1."""
 
-    __slots__ = ("request_id", "runs_once", "protocol")
+    __slots__ = ("request_id", "runs_once", "protocol", "connect_ms")
 
     def __init__(self, request_id: str | None, runs_once: bool) -> None:
         """As of the class."""
         self.request_id = request_id
         self.runs_once = runs_once
         self.protocol: Protocol | None = None
+        self.connect_ms = -1
 
 
 class Connector(aiohttp.TCPConnector):
@@ -95,7 +97,9 @@
     ) -> aiohttp.connector.Connection:
         """A connection for a request: one that is proven quiet, or a new one."""
         self.need = need = self.need_of(req)
+        began_at_s = self._loop.time()
         connection = await super().connect(req, traces, timeout)
+        need.connect_ms = int(MS_PER_SECOND * (self._loop.time() - began_at_s))
         need.protocol = protocol = typing.cast(Protocol, connection.protocol)
         protocol.last_request_id = need.request_id
         self.taken(req)
--- a/tests/placement/test_order_paths.py
+++ b/tests/placement/test_order_paths.py
@@ -243,7 +243,7 @@
     replica = replica_of(f)
     replica.verified = False
     step = replica_state.Step(order_types.OrderKind.LOAD, "m4")
-    f.p.begin(replica, "m4", [step], False)
+    f.p.begin(replica, "m4", [step], order_types.LoadReason.SPARE_COPY)
     assert f.p.invariants.violations == {order_invariants.OrderInvariant.VERIFIED: 1}
     assert replica.plan is None and not [e for e in f.p.out if isinstance(e, effects.Order)]
     assert [note.number for note in f.p.out] == [82]
@@ -256,7 +256,7 @@
     f.p.add_item(replica, "m7")
     step = replica_state.Step(order_types.OrderKind.LOAD, "m4")
     with pytest.raises(order_invariants.InvariantViolationError, match="room: load m4 on r0"):
-        f.p.begin(replica, "m4", [step], False)
+        f.p.begin(replica, "m4", [step], order_types.LoadReason.SPARE_COPY)
 
 
 def test_a_report_of_something_unknown_at_the_count_that_is_known_is_a_violation():
--- /dev/null
+++ b/tests/proxy/test_latency_histograms.py
@@ -0,0 +1,93 @@
+"""What a proxy measures of its requests: each part of their way lands in its own histogram, by route."""
+
+import basaltport.controller.admin_api as admin_api
+import basaltport.proxy.events as events
+import basaltport.proxy.latency_histograms as latency_histograms
+import basaltport.proxy.status_pages as status_pages
+import tests.proxy.test_proxy as test_proxy
+import tests.support.proxy_stand as stand
+
+Part = latency_histograms.Part
+
+
+def progress(s, attempt, connect_ms=-1):
+    s.step(events.Progress(s.now, attempt.attempt, connect_ms))
+
+
+def durations(s, route):
+    return {part: (h.sum_ms, sum(h.counts)) for (name, part), h in s.m.histograms.items() if name == route}
+
+
+def test_each_part_of_a_stream_is_measured_once():
+    s = test_proxy.Sim([test_proxy.row("a")])
+    attempt = s.ask("stream")[0]
+    s.now += 40
+    progress(s, attempt, 3)
+    s.now += 25
+    progress(s, attempt)
+    s.now += 30
+    progress(s, attempt)
+    s.end(attempt.attempt, "done", status=200)
+    route = s.m.table.match("desk.example", "/stream/x").name
+    assert durations(s, route) == {
+        Part.QUEUE: (0, 1),
+        Part.CONNECT: (3, 1),
+        Part.FIRST_BYTE: (40, 1),
+        Part.GAP: (55, 2),
+        Part.WHOLE: (95, 1),
+    }
+
+
+def test_time_in_the_queue_counts_anew_after_an_attempt():
+    s = test_proxy.Sim([test_proxy.row("a")])
+    first = s.ask("safe")[0]
+    s.now += 50
+    s.end(first.attempt, "refused", status=503)
+    s.wait(200)
+    route = s.m.table.match("desk.example", "/safe/x").name
+    waited_ms, attempts = durations(s, route)[Part.QUEUE]
+    assert attempts == 2 and 0 < waited_ms <= 200
+
+
+def test_buckets_are_cumulative_and_end_with_all():
+    histogram = latency_histograms.Histogram()
+    for duration_ms in (5, 6, 100, 99_999):
+        histogram.add(duration_ms)
+    buckets = dict(histogram.buckets())
+    assert buckets["0.005"] == 1 and buckets["0.01"] == 2 and buckets["0.1"] == 3
+    assert buckets["16.0"] == 3 and buckets["+Inf"] == 4
+    assert histogram.sum_s() == (5 + 6 + 100 + 99_999) / 1000
+
+
+def test_refusals_are_counted_by_reason_and_forgotten_with_their_route():
+    s = test_proxy.Sim([test_proxy.row("a", models=())])
+    s.ask("safe", deadline=300)
+    s.wait(400)
+    route = s.m.table.match("desk.example", "/safe/x").name
+    assert sum(s.m.refusals.values()) == 1
+    assert {name for name, _ in s.m.refusals} == {route}
+    samples = {row[0]: row[4] for row in status_pages.samples(s.m, s.now)}
+    assert samples["basaltport_refusals"] == sorted(s.m.refusals.items())
+    stand.fill(s.m, [test_proxy.row("a")], {**stand.document(), "edition": 9, "routes": []})
+    assert not s.m.refusals and not s.m.histograms
+
+
+def test_a_failure_is_counted_apart_from_refusals():
+    s = test_proxy.Sim([test_proxy.row("a")])
+    attempt = s.ask("once")[0] if s.m.table.match("desk.example", "/once/x") else s.ask("stream")[0]
+    s.end(attempt.attempt, "broken")
+    assert sum(s.m.failures.values()) == 1 and not s.m.refusals
+
+
+def test_the_metrics_page_shows_histograms_in_seconds():
+    library = admin_api.metrics_library()
+    histogram = latency_histograms.Histogram()
+    histogram.add(40)
+    family = ("basaltport_duration_seconds", "histogram", "How long", ("route", "part"))
+    collector = admin_api.Collector(library, lambda: [(*family, [(("chat", "queue"), histogram)])])
+    registry = library.CollectorRegistry()
+    registry.register(collector)
+    text = library.generate_latest(registry).decode()
+    assert 'basaltport_duration_seconds_bucket{le="0.05",part="queue",route="chat"} 1.0' in text
+    assert 'basaltport_duration_seconds_bucket{le="0.02",part="queue",route="chat"} 0.0' in text
+    assert 'basaltport_duration_seconds_sum{part="queue",route="chat"} 0.04' in text
--- a/tests/proxy/test_proxy_connections.py
+++ b/tests/proxy/test_proxy_connections.py
@@ -69,7 +69,7 @@
         address = f"127.0.0.1:{self.replica.port}"
         attempt = events.Attempt(self.n, self.n, "i-1", address, 2000, 0, repeatable)
         sink = Sink(request_id or f"q{self.n}")
-        result = await self.upstream.run(attempt, sink, lambda: None)
+        result = await self.upstream.run(attempt, sink, lambda connect_ms=-1: None)
         return result.outcome, self.replica.connections
 
     def age(self, seconds):
