--- a/tests/controller/test_controllers.py
+++ b/tests/controller/test_controllers.py
@@ -171,7 +171,7 @@
     assert w.read() == 2
 
 
-@pytest.mark.parametrize("n,lost", [(3, 1), (5, 2), (2, 1), (4, 2)])
+@pytest.mark.parametrize("n,lost", [(3, 1), (5, 2), (6, 2), (2, 1), (4, 2)])
 @pytest.mark.parametrize("seed", range(4))
 def test_power_lost_with_disks_just_after_an_acknowledgement(seed, n, lost):
     w = world(seed, n, editions=1)
