Hot copies follow a rise at once, and count each model's own running time

Change: a rise beyond what chance explains within a second counts (sure_rise); what runs on a replica is laid to its models, each with its own time.

--- a/basaltport/placement/demand.py
+++ b/basaltport/placement/demand.py
@@ -1,5 +1,6 @@
 """How often items are asked for, by zone, and how many copies of a model that deserves."""
 
+import collections.abc
 import math
 import typing
 
@@ -8,6 +9,10 @@
 
 SLOW_MS = 8000
 FAST_MS = 2000
+RISE_MS = 1000
+"""A rate that rises is told over this time, so that copies are begun before the slow one has followed."""
+RISE_DEVIATIONS = 2
+"""What so many standard deviations of chance explain is no rise."""
 """Rates are smoothed over both times; the lower one counts, so that one falls as soon as requests end."""
 QUIET_RATE = 3000
 """A rate whose last request was t ms ago is at most this over t."""
@@ -32,6 +37,8 @@
 SERVICE_MOST_MS = 10_000
 BEGUN_LEAST = 5
 """Requests that must have begun before how long they run is measured."""
+MODEL_TIME_KEPT = 0.8
+"""The share of the old value when a model's time is measured anew."""
 FORGET_MS = 30_000
 NEVER_USED = -60_000
 IN_USE_LEAST_MS = 300
@@ -51,11 +58,11 @@
 class Rate:
     """Requests a second; one that has been quiet for t s is at most 3 / t."""
 
-    __slots__ = ("slow", "fast", "at", "last_at")
+    __slots__ = ("slow", "fast", "rise", "at", "last_at")
 
     def __init__(self, now: int) -> None:
         """Nothing was asked for yet."""
-        self.slow = self.fast = 0.0
+        self.slow = self.fast = self.rise = 0.0
         self.at = self.last_at = now
 
     def fade(self, now: int) -> None:
@@ -64,6 +71,7 @@
         if elapsed > 0:
             self.slow *= math.exp(-elapsed / SLOW_MS)
             self.fast *= math.exp(-elapsed / FAST_MS)
+            self.rise *= math.exp(-elapsed / RISE_MS)
             self.at = now
 
     def add(self, requests: float, now: int) -> None:
@@ -71,6 +79,7 @@
         self.fade(now)
         self.slow += requests * 1000 / SLOW_MS
         self.fast += requests * 1000 / FAST_MS
+        self.rise += requests * 1000 / RISE_MS
         self.last_at = now
 
     def read(self, now: int) -> float:
@@ -79,6 +88,16 @@
         return min(self.slow, self.fast, QUIET_RATE / max(1, now - self.last_at))
 
 
+def sure_rise(rates: collections.abc.Iterable[Rate], now: int) -> float:
+    """Requests a second that the last second shows beyond chance: requests come as a Poisson process, so the
+    variance of a rate smoothed over a time t is the rate over 2 t."""
+    rate = 0.0
+    for zone_rate in rates:
+        zone_rate.fade(now)
+        rate += zone_rate.rise
+    return rate - RISE_DEVIATIONS * math.sqrt(rate * 1000 / (2 * RISE_MS))
+
+
 class DemandNeeds(typing.Protocol):
     """What `DemandMixin` needs of Placement."""
 
@@ -86,6 +105,7 @@
     catalog: catalog.Catalog
     usable_zones: set[str]
     replicas: dict[str, replica_state.Replica]
+    holders: dict[str, set[str]]
 
     def usable(self, replica: replica_state.Replica) -> bool:
         """Whether requests may go to a replica."""
@@ -109,6 +129,8 @@
         self.hot_models: dict[str, HotModel] = {}
         self.service_ms: float = SERVICE_MS
         self.begun = self.run_ms = 0.0
+        self.model_times_ms: dict[str, float] = {}
+        """How long requests of a model run, in ms, where that was measured."""
         self.service_at = self.now
         self.copies_at = 0
 
@@ -172,18 +194,22 @@
             if all(self.now - rate.last_at > FORGET_MS for rate in by_zone.values()):
                 del self.request_rates[item]
                 continue
-            if "/" in item or sum(rate.slow for rate in by_zone.values()) < COOL_RATE:
+            if "/" in item or sum(max(rate.slow, rate.rise) for rate in by_zone.values()) < COOL_RATE:
                 continue
             found = self.hot_model(item, by_zone)
             if found is not None:
                 hot[item] = found
         self.measure_service_time()
+        self.measure_model_times()
         self.hot_models = self.within_memory(hot)
 
     def hot_model(self, model: str, by_zone: dict[str, Rate]) -> HotModel | None:
         """How hot a model is, None where it is not; one that was hot stays so down to a lower rate."""
         rates = {zone: rate.read(self.now) for zone, rate in by_zone.items()}
-        total = sum(rates.values())
+        steady = sum(rates.values())
+        total = max(steady, sure_rise(by_zone.values(), self.now))
+        if total > steady > 0:
+            rates = {zone: rate * total / steady for zone, rate in rates.items()}
         former = self.hot_models.get(model)
         busy = {
             zone
@@ -221,9 +247,34 @@
         self.run_ms *= fading
         self.service_at = self.now
 
+    def measure_model_times(self) -> None:
+        """How long requests of each model run: what runs on a replica is laid to its models by what each is
+        expected to run there, so that a slow model is not taken for as quick as the others beside it."""
+        rates = {model: rate for model in self.holders if (rate := self.model_rate(model)) >= COOL_RATE}
+        expected = {model: rate * self.model_time_ms(model) for model, rate in rates.items()}
+        running = dict.fromkeys(rates, 0.0)
+        for replica in self.replicas.values():
+            here = {m: expected[m] / len(self.holders[m]) for m in replica.models if m in expected}
+            total = sum(here.values())
+            for model, part in here.items():
+                running[model] += self.running_requests(replica) * part / total
+        for model, rate in rates.items():
+            measured_ms = min(SERVICE_MOST_MS, max(SERVICE_LEAST_MS, 1000 * running[model] / rate))
+            former_ms = self.model_time_ms(model)
+            smoothed_ms = MODEL_TIME_KEPT * former_ms + (1 - MODEL_TIME_KEPT) * measured_ms
+            self.model_times_ms[model] = smoothed_ms
+
+    def model_rate(self, item: str) -> float:
+        """Requests a second for a model; 0 for an adapter, whose requests count for its model."""
+        return 0.0 if "/" in item else self.request_rate(item)
+
+    def model_time_ms(self, model: str) -> float:
+        """How long a request of a model runs; as of all models where that was not measured."""
+        return self.model_times_ms.get(model, self.service_ms)
+
     def copies_due(self, model: str, zones: set[str], rate: float) -> int:
         """One in each zone that asks much, and so many that each copy runs MOST_RUNNING or fewer: far below
         its slots, since what runs together slows all of it."""
         slots = min((s.slots for s in self.catalog.services_of.get(model, ())), default=1)
-        running = rate * min(LONGEST_MS, self.service_ms) / 1000
+        running = rate * min(LONGEST_MS, self.model_time_ms(model)) / 1000
         return max(LEAST_COPIES, len(zones), math.ceil(running / min(MOST_RUNNING, slots)))
--- /dev/null
+++ b/tests/placement/test_demand.py
@@ -0,0 +1,84 @@
+"""How demand is told: rises beyond chance count at once, and each model has a time of its own."""
+
+import random
+
+import basaltport.placement.demand as demand
+import basaltport.placement.machine as machine
+import basaltport.placement.replica_state as replica_state
+
+ZONES = ("x", "y", "z")
+
+
+def poisson(rates, rng, per_s, start, end):
+    """Requests of a Poisson process, counted each 400 ms as proxies report them."""
+    for now in range(start, end, demand.REPORT_MS):
+        for zone in ZONES:
+            mean = per_s / len(ZONES) * demand.REPORT_MS / 1000
+            number = sum(rng.random() < mean / 100 for _ in range(100))
+            if number:
+                rates[zone].add(number, now)
+
+
+def test_a_jump_is_seen_within_a_second_and_chance_is_not_taken_for_one():
+    wrong = 0
+    for seed in range(50):
+        rng = random.Random(seed)
+        rates = {zone: demand.Rate(0) for zone in ZONES}
+        poisson(rates, rng, 10, 0, 30_000)
+        steady = sum(rate.read(30_000) for rate in rates.values())
+        wrong += demand.sure_rise(rates.values(), 30_000) > 1.5 * max(steady, 10)
+        poisson(rates, rng, 90, 30_000, 31_200)
+        slow = sum(rate.read(31_200) for rate in rates.values())
+        assert demand.sure_rise(rates.values(), 31_200) > 35 > slow
+    assert wrong == 0
+
+
+def test_a_rise_alone_makes_a_model_hot_and_due_more_copies():
+    placement = machine.Placement(random.Random(1))
+    placement.usable_zones = set(ZONES)
+    for now in range(10_000, 11_200, demand.REPORT_MS):
+        for zone in ZONES:
+            placement.usage_reported(now, zone, {"birch": 12}, {})
+    rates = placement.request_rates["birch"]
+    placement.now = 11_200
+    found = placement.hot_model("birch", rates)
+    assert found is not None and found.rate > 40 and found.zones == set(ZONES)
+
+
+def fleet(running):
+    """Placement with one replica for each name, which holds that model and runs so many requests."""
+    placement = machine.Placement(random.Random(1))
+    models = [{"name": name, "weights_mb": 10.0, "load_s": 1.0} for name in running]
+    engine = {"slots": 32, "models": models, "weights_mb": 30.0, "loads_per_s": 1.0}
+    placement.configure(0, {"services": [{"name": "write", "engine": engine}]}, set())
+    for model, requests in running.items():
+        replica = placement.replicas[model] = replica_state.Replica(model)
+        replica.models[model] = replica_state.LoadedModel(0)
+        placement.holders[model] = {model}
+        replica.running = requests
+    return placement
+
+
+def measured(placement, per_s):
+    """Report demand for forty seconds, with what runs held as it is."""
+    running = {name: replica.running for name, replica in placement.replicas.items()}
+    for now in range(0, 40_000, demand.REPORT_MS):
+        items = dict.fromkeys(placement.replicas, per_s * demand.REPORT_MS // 1000)
+        placement.usage_reported(now, "x", items, {})
+        for name, requests in running.items():
+            placement.replicas[name].running, placement.replicas[name].running_at = requests, now
+        placement.measure_model_times()
+    return placement.model_times_ms
+
+
+def test_a_slow_model_is_not_taken_for_as_quick_as_the_others():
+    times = measured(fleet({"quick": 2.0, "slow": 16.0}), 20)
+    assert times["quick"] < 150 and times["slow"] > 600
+    assert times["slow"] > 6 * times["quick"]
+
+
+def test_more_copies_are_due_to_the_slow_model_at_the_same_rate():
+    placement = fleet({"quick": 2.0, "slow": 16.0})
+    measured(placement, 20)
+    quick, slow = (placement.copies_due(model, set(), 40.0) for model in ("quick", "slow"))
+    assert quick == demand.LEAST_COPIES < slow
