A proxy's belief of a replica's speed is of now, not of the last seven answers

Cause: 0.85 of the old time to first bytes was kept with each answer; one proxy of 67 gets one answer of a replica in five seconds. Change: what is kept fades with time, times are held against the route's usual one, and an attempt that waits counts as long as it has waited.

--- a/basaltport/proxy/attempt.py
+++ b/basaltport/proxy/attempt.py
@@ -132,6 +132,7 @@
         self.in_flight[attempt.id] = attempt
         known = self.balancer.health.of(replica.replica_id)
         known.running_attempts += 1
+        known.unanswered[attempt.id] = now
         known.slow_start.sent.add(now)
         self.node.emit(
             events.Attempt(
@@ -159,8 +160,11 @@
             attempt.first_byte_at = now
             elapsed_ms = now - attempt.sent_at
             self.measure_first_byte(attempt, connect_ms, elapsed_ms)
-            known.first_bytes_after(elapsed_ms)
-            self.balancer.latency.add(attempt.service, elapsed_ms)
+            latency = self.balancer.latency
+            latency.add(attempt.service, elapsed_ms)
+            latency.add_route(attempt.route, elapsed_ms)
+            known.first_bytes_after(latency.of_any_route(attempt.service, attempt.route, elapsed_ms), now)
+            known.unanswered.pop(attempt_id, None)
 
     def measure_first_byte(self, attempt: request.Attempt, connect_ms: int, elapsed_ms: int) -> None:
         """The first bytes of an answer came so long after its attempt began."""
@@ -176,6 +180,7 @@
             return False
         known = self.balancer.health.of(attempt.replica_id)
         known.running_attempts = max(0, known.running_attempts - 1)
+        known.unanswered.pop(attempt_id, None)
         label, outcome_counts = result.outcome.value, self.node.outcome_counts
         outcome_counts[label] = outcome_counts.get(label, 0) + 1
         self.learn(attempt, known, result)
--- a/basaltport/proxy/health.py
+++ b/basaltport/proxy/health.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import copy
+import math
 
 import basaltport.identifiers as identifiers
 import basaltport.proxy.retry_budget as retry_budget
@@ -11,7 +12,9 @@
 EJECTION_LONGEST_MS = 4000
 EJECTION_MOST_DOUBLINGS = 5
 FIRST_BYTE_KEPT = 0.85
-"""The share of the old value in the smoothed time to first bytes."""
+"""The most that is kept of the old value in the smoothed time to first bytes;"""
+FIRST_BYTE_FADES_MS = 2000
+"""over this time less is: one proxy of many asks a replica only now and then, while its load changes."""
 NO_TIME = identifiers.Millis(0)
 
 
@@ -19,7 +22,8 @@
     """What is known of one replica. Times are in ms on this proxy's clock.
 
     `running_attempts`: of this proxy. `ejected_until`: not used before then. `failures`: in a row.
-    `last_byte_at`: when it last sent anything. `first_byte_ms`: smoothed time to first bytes, 0 if unknown.
+    `last_byte_at`: when it last sent anything. `first_byte_ms`: smoothed time to first bytes, 0 if unknown,
+    as of `measured_at`. `unanswered`: when attempts began that have no first byte yet, the oldest first.
     `slow_start`: what this proxy sends it until `slow_start_until`. `missing_until`: until when items are not
     asked of it. `is_replaced`: another replica has its address.
     """
@@ -30,6 +34,8 @@
         "failures",
         "last_byte_at",
         "first_byte_ms",
+        "measured_at",
+        "unanswered",
         "slow_start",
         "slow_start_until",
         "missing_until",
@@ -43,6 +49,8 @@
         self.failures = 0
         self.last_byte_at = NO_TIME
         self.first_byte_ms = 0.0
+        self.measured_at = NO_TIME
+        self.unanswered: dict[int, identifiers.Millis] = {}
         self.slow_start = retry_budget.SlowStart()
         self.slow_start_until = NO_TIME
         self.missing_until: dict[identifiers.Item, identifiers.Millis] = {}
@@ -59,10 +67,18 @@
         self.failures = 0
         self.ejected_until = NO_TIME
 
-    def first_bytes_after(self, elapsed_ms: int) -> None:
+    def first_bytes_after(self, elapsed_ms: float, now: identifiers.Millis) -> None:
         """First bytes of an attempt came after so long."""
-        smoothed = FIRST_BYTE_KEPT * self.first_byte_ms + (1 - FIRST_BYTE_KEPT) * elapsed_ms
+        kept = min(FIRST_BYTE_KEPT, math.exp((self.measured_at - now) / FIRST_BYTE_FADES_MS))
+        smoothed = kept * self.first_byte_ms + (1 - kept) * elapsed_ms
         self.first_byte_ms = smoothed if self.first_byte_ms else elapsed_ms
+        self.measured_at = now
+
+    def expected_first_byte_ms(self, now: identifiers.Millis) -> float:
+        """What the next first byte is likely to take: as lately, and no less than what the oldest attempt has
+        waited for its own."""
+        oldest = next(iter(self.unanswered.values()), now)
+        return max(self.first_byte_ms, now - oldest)
 
     def is_missing(self, item: identifiers.Item, now: identifiers.Millis) -> bool:
         """Whether it said lately that it does not hold an item, or is full."""
@@ -76,6 +92,7 @@
         """A copy whose changes leave this one as it is."""
         out = copy.copy(self)
         out.slow_start = self.slow_start.copied()
+        out.unanswered = dict(self.unanswered)
         return out
 
 
@@ -109,6 +126,18 @@
     def __init__(self) -> None:
         """Nothing was measured yet."""
         self.first_byte_ms: dict[str, float] = {}
+        self.route_ms: dict[str, float] = {}
+
+    def add_route(self, route: str, elapsed_ms: int) -> None:
+        """First bytes of an answer on a route came after so long."""
+        before = self.route_ms.get(route, elapsed_ms)
+        self.route_ms[route] = self.KEPT * before + (1 - self.KEPT) * elapsed_ms
+
+    def of_any_route(self, service: str, route: str, elapsed_ms: int) -> float:
+        """What first bytes that took so long on one route would take on a usual one of the service: long
+        prompts take longer everywhere, and tell the same of a replica as short ones."""
+        typical_ms, route_ms = self.of(service), self.route_ms.get(route, 0)
+        return elapsed_ms * typical_ms / route_ms if typical_ms and route_ms else elapsed_ms
 
     def of(self, service: str) -> float:
         """The estimate of a service; 0 where nothing was measured."""
--- a/basaltport/proxy/load_balancing.py
+++ b/basaltport/proxy/load_balancing.py
@@ -160,7 +160,8 @@
         node, known = self.node, self.health.of(replica.replica_id)
         slots = min(SLOTS_COUNTED, self.slots_of(replica))
         share = max(1.0, slots * node.zones / node.peers())
-        latency = known.first_byte_ms / max(1, waiting.route.target_ms)
+        first_byte_ms = known.expected_first_byte_ms(node.now)
+        latency = first_byte_ms / max(1, waiting.route.target_ms)
         score = known.running_attempts / share + min(MOST_LATENCY_SCORE, latency)
         if replica.zone != node.me.zone:
             score += OTHER_ZONE_SCORE
@@ -169,7 +170,7 @@
         if known.failures:
             score += FAILED_SCORE
         typical_ms = self.latency.of(waiting.service)
-        if known.first_byte_ms and typical_ms and known.first_byte_ms > SLOW_FACTOR * typical_ms:
+        if first_byte_ms and typical_ms and first_byte_ms > SLOW_FACTOR * typical_ms:
             score += SLOW_SCORE
         return score + self.tie_break(replica, waiting)
 
--- /dev/null
+++ b/tests/proxy/test_recent_latency.py
@@ -0,0 +1,61 @@
+"""What a proxy believes of a replica's speed: lately measured counts, and what is waited for now."""
+
+import basaltport.identifiers as identifiers
+import basaltport.proxy.events as events
+import basaltport.proxy.health as health
+import tests.proxy.test_proxy as test_proxy
+
+Millis = identifiers.Millis
+
+
+def test_a_measurement_after_a_long_time_replaces_the_old_one():
+    known = health.ReplicaHealth()
+    known.first_bytes_after(100, Millis(1000))
+    known.first_bytes_after(500, Millis(1001))
+    assert 100 < known.first_byte_ms < 170
+    known.first_bytes_after(500, Millis(21_000))
+    assert known.first_byte_ms > 495
+
+
+def test_an_attempt_that_waits_longer_than_usual_counts_at_once():
+    known = health.ReplicaHealth()
+    known.first_bytes_after(50, Millis(1000))
+    known.unanswered[1] = Millis(2000)
+    known.unanswered[2] = Millis(2300)
+    assert known.expected_first_byte_ms(Millis(2040)) == 50
+    assert known.expected_first_byte_ms(Millis(2400)) == 400
+
+
+def test_long_prompts_tell_the_same_of_a_replica_as_short_ones():
+    latency = health.LatencyEstimates()
+    for _ in range(50):
+        latency.add("write", 60)
+        latency.add_route("short", 50)
+        latency.add_route("long", 400)
+    assert latency.of_any_route("write", "long", 400) == latency.of_any_route("write", "short", 50)
+    assert latency.of_any_route("write", "long", 800) > latency.of_any_route("write", "long", 400)
+    assert latency.of_any_route("write", "new", 90) == 90
+
+
+def test_requests_go_past_a_replica_that_has_not_answered_for_long():
+    s = test_proxy.Sim([test_proxy.row("a"), test_proxy.row("b")])
+    first = s.ask()[0]
+    for _ in range(3):
+        attempt = s.ask()[0]
+        s.now += 10
+        s.step(events.Progress(s.now, attempt.attempt))
+        s.end(attempt.attempt, "done", status=200)
+    s.now += 340
+    assert {s.ask()[0].replica for _ in range(2)} == {"a", "b"} - {first.replica}
+
+
+def test_nothing_is_left_of_attempts_that_ended():
+    s = test_proxy.Sim([test_proxy.row("a")])
+    attempts = [s.ask()[0] for _ in range(3)]
+    s.step(events.Progress(s.now, attempts[0].attempt))
+    for attempt, outcome in zip(attempts, ("done", "refused", "broken"), strict=True):
+        s.end(attempt.attempt, outcome, status=200)
+    assert all(
+        not known.unanswered or set(known.unanswered) <= set(s.m.attempts.in_flight)
+        for known in s.m.health.values()
+    )
