--- a/basaltport/placement/disk_loads.py
+++ b/basaltport/placement/disk_loads.py
@@ -16,6 +16,9 @@
 else:
     Needs = object
 
+OVERDUE_LOADS = 2
+"""For how many loads from the store a model may wait while shorter loads go first."""
+
 AwaitedModel = tuple[str, state.RequestsByZone]
 
 
@@ -25,10 +28,20 @@
     def disk_loads_first(
         self, awaited: dict[str, dict[str, float]], free: list[replica_state.Replica]
     ) -> list[AwaitedModel]:
-        """Awaited models in the order in which they get replicas: first those that a free one has on disk;
-        otherwise in the order given."""
+        """Awaited models in the order in which they get replicas: first those that a free one has on disk or
+        that are overdue; otherwise in the order given."""
         free_ids = {replica.id for replica in free}
-        return sorted(awaited.items(), key=lambda entry: free_ids.isdisjoint(self.disk_ids(entry[0])))
+        return sorted(
+            awaited.items(),
+            key=lambda entry: free_ids.isdisjoint(self.disk_ids(entry[0])) and not self.is_overdue(entry[0]),
+        )
+
+    def is_overdue(self, model: str) -> bool:
+        """Whether a model has waited for so many loads from the store that no other goes before it for being
+        shorter: it might wait for ever."""
+        services = self.catalog.services_of.get(model, ())
+        store_ms = max((self.load_ms(service.name, model, False) for service in services), default=0)
+        return self.awaited_for_ms(model) >= OVERDUE_LOADS * store_ms
 
     def disk_ids(self, model: str) -> set[str]:
         """The ids of the replicas with a model's weights on their disks."""
@@ -43,10 +56,10 @@
     def is_there_sooner(self, replica: replica_state.Replica, model: str) -> bool:
         """Whether a busy replica's load from its disk would be done before one from the store begun now.
         For a model that has waited as long as a load from the store takes, that counts no more."""
-        store_ms = self.load_ms(replica.service, model, False)
-        if self.awaited_for_ms(model) >= store_ms:
+        if self.is_overdue(model):
             return False
-        return self.busy_for_ms(replica) + self.load_ms(replica.service, model, True) < store_ms
+        disk_ms = self.load_ms(replica.service, model, True)
+        return self.busy_for_ms(replica) + disk_ms < self.load_ms(replica.service, model, False)
 
     def awaited_for_ms(self, model: str) -> int:
         """For how long requests have waited for a model or an adapter of it."""
