--- a/tests/controller/test_control_scenarios.py
+++ b/tests/controller/test_control_scenarios.py
@@ -160,7 +160,7 @@
 
 
 SEEDS = range(1, 4)
-"""A mutation is played on several seeds until its check sees it: what a seed brings about moves with timing."""
+"""A mutation is played on so many seeds until its check sees it: what one brings about moves with timing."""
 
 
 @pytest.mark.parametrize("rule, name, breaks", MUTATIONS, ids=[m[0] for m in MUTATIONS])
