Waiting for a disk copy looks at its replicas once, and at the wait before them

The list of replicas was made twice, and the age of the wait looked up for each of them; the docstring told of a bound that had changed. Same answer in every case: an overdue model never waited.

--- a/basaltport/placement/disk_loads.py
+++ b/basaltport/placement/disk_loads.py
@@ -48,16 +48,17 @@
         return self.disk_copies.get(model, set())
 
     def waits_for_disk_copy(self, model: str) -> bool:
-        """Whether a busy replica's load from its disk is worth waiting for; no free one has the weights."""
-        if any(replica.plan is None for replica in self.with_disk_copy(model)):
+        """Whether a busy replica's load from its disk is worth waiting for: no free one has the weights,
+        and the model is not overdue."""
+        if self.is_overdue(model):
+            return False
+        replicas = self.with_disk_copy(model)
+        if any(replica.plan is None for replica in replicas):
             return False
-        return any(self.is_there_sooner(replica, model) for replica in self.with_disk_copy(model))
+        return any(self.is_there_sooner(replica, model) for replica in replicas)
 
     def is_there_sooner(self, replica: replica_state.Replica, model: str) -> bool:
-        """Whether a busy replica's load from its disk would be done before one from the store begun now.
-        For a model that has waited as long as a load from the store takes, that counts no more."""
-        if self.is_overdue(model):
-            return False
+        """Whether a busy replica's load from its disk would be done before one from the store begun now."""
         disk_ms = self.load_ms(replica.service, model, True)
         return self.busy_for_ms(replica) + disk_ms < self.load_ms(replica.service, model, False)
 
