--- a/basaltport/controller/metrics.py
+++ b/basaltport/controller/metrics.py
@@ -92,4 +92,7 @@
     loads = sorted(placement.load_counts.items())
     text = "Loads done, by source and by why they were ordered"
     yield Family(PREFIX + "loads", COUNTER, text, ("source", "reason"), loads)
+    waits = sorted(((outcome,), float(ended)) for outcome, ended in placement.wait_counts.items())
+    text = "Waits for items that nobody held, by how they ended"
+    yield Family(PREFIX + "load_waits", COUNTER, text, ("outcome",), waits)
     yield Family(PREFIX + "replicas", GAUGE, "Replicas on the list", labels, sorted(by_state.items()))
--- a/basaltport/log_events.py
+++ b/basaltport/log_events.py
@@ -36,6 +36,7 @@
     LOAD_WAIT_STARTED = 50
     LOAD_WAIT_ENDED = 51
     TIMEOUT_CLASSIFIED = 52
+    LOAD_WAIT_ABANDONED = 53
     ZONE_ROLE_TAKEN = 60
     REPLICA_STARTED = 61
     REPLICA_UNREACHABLE = 62
@@ -94,6 +95,9 @@
     Event.TIMEOUT_CLASSIFIED: (
         "An attempt timed out; what the controller says of the model names the phase."
     ),
+    Event.LOAD_WAIT_ABANDONED: (
+        "Nobody asks for an item any more before a replica held it; the loads that overtook it are given."
+    ),
     Event.ZONE_ROLE_TAKEN: "This node is the controller of a zone under a new fencing token.",
     Event.REPLICA_STARTED: ("A replica answered its zone's controller for the first time since its start."),
     Event.REPLICA_UNREACHABLE: "A replica stopped answering its zone's controller.",
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -24,6 +24,7 @@
 import basaltport.placement.replica_state as replica_state
 import basaltport.placement.state as state
 import basaltport.placement.token_bucket as token_bucket
+import basaltport.placement.wait_outcomes as wait_outcomes
 import basaltport.placement.waiting_items as waiting_items
 
 HOLD_MS = 3700
@@ -35,6 +36,8 @@
 COPIES_EVERY_MS = 200
 NEVER = -(10**9)
 AWAITED = order_types.LoadReason.AWAITED
+SERVED = wait_outcomes.WaitOutcome.SERVED
+ABANDONED = wait_outcomes.WaitOutcome.ABANDONED
 
 
 class Placement(
@@ -47,6 +50,7 @@
     disk_loads.DiskLoadsMixin,
     demand.DemandMixin,
     model_status.ModelStatusMixin,
+    wait_outcomes.WaitOutcomesMixin,
 ):
     """Every call gives a list of effects (`effects`). `rows` by replica id; `changed` ids since it was last
     emptied by the owner. Times in ms; `hold_ms` after `start` nothing is ordered, `list_ms` between lists.
@@ -64,6 +68,7 @@
         self.invariants = order_invariants.InvariantChecks()
         self.load_durations: dict[tuple[str, str], list[int]] = {}
         self.load_counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.wait_counts: collections.Counter[str] = collections.Counter()
         self.last_order = 0
         self.now = 0
         self.may_order: collections.abc.Callable[[str], bool] = lambda replica_id: True
@@ -105,6 +110,7 @@
         self.lost_models: dict[str, int] = {}
         self.store_buckets: dict[str, token_bucket.TokenBucket] = {}
         self.permits: dict[str, float] = {}
+        self.start_wait_outcomes()
 
     def start(self, now: int, fence: int, holder: str, hold_ms: int | None = None) -> state.Effects:
         """This controller, of the name `holder`, leads under a fencing token."""
@@ -201,8 +207,7 @@
             waiting = self.waiting.get(item)
             if waiting is None:
                 waiting = self.waiting[item] = waiting_items.WaitingItem(now)
-            waiting.last_at = now
-            waiting.zones[zone] = waiting_items.WaitingCount(requests, now)
+            waiting.asked(now, zone, requests)
         self.place()
         return self.out
 
@@ -210,7 +215,7 @@
         """Drop items that are waited for no more: named no more, or held since."""
         for item, waiting in list(self.waiting.items()):
             if self.now - waiting.last_at > WAITING_MS:
-                del self.waiting[item]
+                self.end_wait(item, SERVED if self.is_held(item) else ABANDONED)
                 continue
             if len(waiting.zones) > 1:
                 waiting.forget_before(self.now - WAITING_MS)
@@ -220,7 +225,7 @@
             elif waiting.needs_extra_copy(self.now) and waiting.last_at > waiting.extra_copy_at:
                 continue
             elif waiting.last_at <= max(self.held_since(replica, item) for replica in copies):
-                del self.waiting[item]
+                self.end_wait(item, SERVED)
         self.awaited_models = {item.partition("/")[0] for item in self.waiting}
 
     def place(self) -> None:
@@ -291,6 +296,7 @@
         load = self.load_step(replica, model)
         self.permits[replica.service] -= load.from_store
         unloads = [replica_state.Step(order_types.OrderKind.UNLOAD, name) for name in choice.unloads]
+        self.note_overtaking(model, wait_outcomes.overtaking_load(reason, load.from_disk))
         self.begin(replica, model, [*unloads, load], reason)
         return True
 
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -49,6 +49,8 @@
     replicas: dict[str, replica_state.Replica]
     load_counts: collections.Counter[tuple[str, str]]
     """Loads done since this process began, by source (store, disk, adapter) and reason."""
+    wait_counts: collections.Counter[str]
+    """Waits that ended since this process began, by outcome."""
     holders: dict[str, set[str]]
     """The ids of the replicas where requests for an item may go."""
     loading_on: dict[str, set[str]]
--- a/basaltport/placement/waiting_items.py
+++ b/basaltport/placement/waiting_items.py
@@ -1,6 +1,8 @@
 """Requests that wait for an item (a model, or an adapter of one) that no replica in reach holds."""
 
+import collections
 import collections.abc
+import enum
 import typing
 
 EXTRA_COPY_MS = 800
@@ -11,6 +13,17 @@
 """More waiting requests than this count no more."""
 
 
+class OvertakingLoad(enum.StrEnum):
+    """The kinds of loads that may be begun before one that has been waited for longer."""
+
+    DISK = "disk"
+    """For other waiting requests, from a replica's own disk."""
+    STORE = "store"
+    """For other waiting requests, from the store of weights."""
+    COPY = "copy"
+    """One more copy, which nobody waits for."""
+
+
 class WaitingCount(typing.NamedTuple):
     """How many requests wait in a zone, as told at a time."""
 
@@ -21,13 +34,29 @@
 class WaitingItem:
     """Requests that wait for one item, by zone. Times in ms."""
 
-    __slots__ = ("first_at", "last_at", "zones", "extra_copy_at", "extra_copy_after_ms")
+    __slots__ = (
+        *("first_at", "last_at", "zones", "extra_copy_at", "extra_copy_after_ms"),
+        *("most_requests", "overtaken"),
+    )
 
     def __init__(self, now: int) -> None:
         """Asked for from now on."""
         self.first_at = self.last_at = self.extra_copy_at = now
         self.zones: dict[str, WaitingCount] = {}
         self.extra_copy_after_ms = EXTRA_COPY_MS
+        self.most_requests = 0
+        """The most requests that waited at once."""
+        self.overtaken: collections.Counter[OvertakingLoad] = collections.Counter()
+
+    def asked(self, now: int, zone: str, requests: int) -> None:
+        """So many requests wait in a zone, as it was told now."""
+        self.last_at = now
+        self.zones[zone] = WaitingCount(requests, now)
+        self.most_requests = max(self.most_requests, self.requests())
+
+    def requests(self) -> int:
+        """How many requests wait, over all zones."""
+        return sum(count.requests for count in self.zones.values())
 
     def needs_extra_copy(self, now: int) -> bool:
         """Whether it is still asked for though it is held: its replicas may be out of reach."""
@@ -40,8 +69,7 @@
 
     def rank(self, now: int) -> int:
         """The product of how long and how many have waited; the highest goes first."""
-        requests = sum(count.requests for count in self.zones.values())
-        return (now - self.first_at + HEAD_START_MS) * min(MOST_COUNTED, requests)
+        return (now - self.first_at + HEAD_START_MS) * min(MOST_COUNTED, self.requests())
 
     def requests_by_zone(self) -> collections.abc.Mapping[str, int]:
         """How many requests wait, by zone."""
