--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -10,6 +10,7 @@
 import basaltport.simulation.routes.engine as engine
 
 ZONES = ("x", "y", "z")
+EXPIRE_EVERY_MS = 100
 
 
 class Fleet:
@@ -43,6 +44,8 @@
         self.counts = collections.defaultdict(collections.Counter)
         self.orders = collections.Counter()
         self.unserved = 0
+        self.deadline_ms = kw.get("deadline_ms")
+        self.expired = collections.Counter()
         self.exact = kw.get("exact", True)
         self.lossy, self.omit = 0.0, None
         self.late, self.late_orders = 0.0, 0
@@ -50,6 +53,8 @@
         self.first_order = None
         self.notes = []
         self.after(0, self.begin)
+        if self.deadline_ms is not None:
+            self.after(EXPIRE_EVERY_MS, self.expire)
 
     def begin(self):
         self.p.configure(self.now, self.doc, self.drains)
@@ -222,6 +227,17 @@
                 for t in ats:
                     self.serve(z, i, r, t)
 
+    def expire(self):
+        """Requests that have waited up to their deadline are answered that they were not served."""
+        for (z, i), ats in list(self.waiting.items()):
+            kept = [t for t in ats if self.now - t < self.deadline_ms]
+            self.expired[i] += len(ats) - len(kept)
+            if kept:
+                self.waiting[z, i] = kept
+            else:
+                del self.waiting[z, i]
+        self.after(EXPIRE_EVERY_MS, self.expire)
+
     def reports(self):
         for z in ZONES:
             items = {i: len(a) for (y, i), a in self.waiting.items() if y == z}
