SHORT: what has waited longest keeps a share of the loads; demand is placed in one pass

Cause: under overload the placement did less the more was asked for. (E) Plans reserve a permit of the store while they still unload, two at most, so that overdue models wait behind plans whose unloads wait for runs. (F) Each question of a proxy had all that waits placed anew, at the square of it; the leader fell behind, executors' leases lapsed, and orders that nobody sent were held against their replicas (bars of 5 s, reports). (A) No wait was bounded: its age went with its requests. Change: one replica in eight, and half of the free ones, load overdue models ahead of all others, those on no disk first, with permits that ordinary plans reserve; the age of an abandoned wait is kept for a minute; passes on demand are spaced by what waits, and ages are looked up once; an order that was not sent drops its plan and holds nothing against the replica.

--- a/basaltport/controller/order_execution.py
+++ b/basaltport/controller/order_execution.py
@@ -173,6 +173,8 @@
         del self.routed[result.order]
         fenced = result.outcome == order_types.OrderOutcome.FENCED
         outcome = order_types.OrderOutcome.FAILED if fenced else result.outcome
+        if result.outcome == order_types.OrderOutcome.FAILED and result.took == NO_TIME:
+            outcome = order_types.OrderOutcome.NOT_SENT
         self.call_placement(self.placement.ordered, result.order, outcome, result.took)
 
     def tick_shards(self) -> None:
@@ -186,7 +188,7 @@
                 self.call_placement(self.placement.ordered, order, order_types.OrderOutcome.UNKNOWN, took)
         orders, self.not_routed = self.not_routed, []
         for order in orders:
-            self.call_placement(self.placement.ordered, order, order_types.OrderOutcome.FAILED, NO_TIME)
+            self.call_placement(self.placement.ordered, order, order_types.OrderOutcome.NOT_SENT, NO_TIME)
         if self.leading and self.holds() and not self.stopped:
             self.executor_since.setdefault(self.me.seat, self.now)
             if not self.pending(log.ShardsAssigned.KIND):
--- a/basaltport/controller/status_view.py
+++ b/basaltport/controller/status_view.py
@@ -5,7 +5,6 @@
 
 import typing
 
-import basaltport.placement.order_types as order_types
 import basaltport.placement.replica_state as replica_state
 
 if typing.TYPE_CHECKING:
@@ -88,7 +87,7 @@
     row: Row = {
         "replica": replica.id,
         "goal": plan.goal,
-        "for": "wanted" if plan.reason is order_types.LoadReason.AWAITED else "copies",
+        "for": "wanted" if plan.reason.is_on_demand else "copies",
     }
     row |= {"age_ms": now - plan.made_at, "steps": len(plan.steps)}
     if plan.steps:
--- a/basaltport/placement/disk_loads.py
+++ b/basaltport/placement/disk_loads.py
@@ -16,9 +16,6 @@
 else:
     Needs = object
 
-OVERDUE_LOADS = 2
-"""For how many loads from the store a model may wait while shorter loads go first."""
-
 AwaitedModel = tuple[str, state.RequestsByZone]
 
 
@@ -36,13 +33,6 @@
             key=lambda entry: free_ids.isdisjoint(self.disk_ids(entry[0])) and not self.is_overdue(entry[0]),
         )
 
-    def is_overdue(self, model: str) -> bool:
-        """Whether a model has waited for so many loads from the store that no other goes before it for being
-        shorter: it might wait for ever."""
-        services = self.catalog.services_of.get(model, ())
-        store_ms = max((self.load_ms(service.name, model, False) for service in services), default=0)
-        return self.awaited_for_ms(model) >= OVERDUE_LOADS * store_ms
-
     def disk_ids(self, model: str) -> set[str]:
         """The ids of the replicas with a model's weights on their disks."""
         return self.disk_copies.get(model, set())
@@ -62,11 +52,6 @@
         disk_ms = self.load_ms(replica.service, model, True)
         return self.busy_for_ms(replica) + disk_ms < self.load_ms(replica.service, model, False)
 
-    def awaited_for_ms(self, model: str) -> int:
-        """For how long requests have waited for a model or an adapter of it."""
-        since = [item.first_at for name, item in self.waiting.items() if name.partition("/")[0] == model]
-        return self.now - min(since, default=self.now)
-
     def with_disk_copy(self, model: str) -> list[replica_state.Replica]:
         """Replicas that may be ordered to load a model from their disks, now or once they are free."""
         listed = [self.replicas[i] for i in self.disk_ids(model) if i in self.replicas]
--- a/basaltport/placement/held_models.py
+++ b/basaltport/placement/held_models.py
@@ -22,6 +22,7 @@
             loaded = replica_state.LoadedModel(self.now, self.remember_size(replica, model))
             replica.models[model] = loaded
             self.note_weights_on_disk(replica, model)
+        self.denied.pop(f"{model}/{adapter}" if adapter else model, None)
         if adapter:
             known = self.catalog.model(replica.service, model)
             loaded.adapter_mb = max(loaded.adapter_mb, known.adapter_mb if known else 0.0)
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -18,11 +18,13 @@
 import basaltport.placement.model_status as model_status
 import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.order_types as order_types
+import basaltport.placement.overdue_loads as overdue_loads
 import basaltport.placement.plan_execution as plan_execution
 import basaltport.placement.replica_choice as replica_choice
 import basaltport.placement.replica_inventory as replica_inventory
 import basaltport.placement.replica_state as replica_state
 import basaltport.placement.state as state
+import basaltport.placement.store_permits as store_permits
 import basaltport.placement.token_bucket as token_bucket
 import basaltport.placement.wait_outcomes as wait_outcomes
 import basaltport.placement.waiting_items as waiting_items
@@ -34,6 +36,8 @@
 SILENT_MS = 600
 """A replica whose order is unanswered for so long is not counted on."""
 COPIES_EVERY_MS = 200
+ITEMS_PLACED_PER_MS = 5
+"""A pass looks at all that waits: for each so many items, those on demand are a millisecond further apart."""
 NEVER = -(10**9)
 AWAITED = order_types.LoadReason.AWAITED
 SERVED = wait_outcomes.WaitOutcome.SERVED
@@ -48,6 +52,8 @@
     replica_choice.ReplicaChoiceMixin,
     model_copies.ModelCopiesMixin,
     disk_loads.DiskLoadsMixin,
+    overdue_loads.OverdueLoadsMixin,
+    store_permits.StorePermitsMixin,
     demand.DemandMixin,
     model_status.ModelStatusMixin,
     wait_outcomes.WaitOutcomesMixin,
@@ -105,7 +111,8 @@
     def clear_waiting(self) -> None:
         """Forget what is asked for, and the permits of the stores."""
         self.waiting: dict[str, waiting_items.WaitingItem] = {}
-        self.awaited_models: collections.abc.Collection[str] = ()
+        self.awaited_models: dict[str, int] = {}
+        self.placed_at = self.asked_at = NEVER
         self.adapter_loads: dict[str, demand.Rate] = {}
         self.lost_models: dict[str, int] = {}
         self.store_buckets: dict[str, token_bucket.TokenBucket] = {}
@@ -144,21 +151,6 @@
             self.place()
         return self.out
 
-    def update_buckets(self) -> None:
-        """A bucket of permits for each service, at its rate."""
-        for service in self.catalog.services.values():
-            if service.name not in self.store_buckets:
-                begins = max(self.now, self.orders_from)
-                self.store_buckets[service.name] = token_bucket.TokenBucket(service.loads_per_s, begins)
-            self.store_buckets[service.name].change_rate(service.loads_per_s, self.now)
-
-    def count_permits(self) -> None:
-        """How many loads from each store may be begun now, beside those already planned."""
-        self.permits = {name: bucket.fill(self.now) for name, bucket in self.store_buckets.items()}
-        for replica in self.working.values():
-            if any(step.from_store and step.permit_at is None for step in replica.steps()):
-                self.permits[replica.service] -= 1
-
     def tick(self, now: int) -> state.Effects:
         """Do what is due by now."""
         self.now, self.out = now, []
@@ -172,7 +164,7 @@
             self.find_hot_models()
             self.place()
             self.add_copies()
-        elif self.waiting or self.needs_placing:
+        elif self.needs_placing or self.waiting and now >= self.next_pass_at():
             self.place()
         return self.out
 
@@ -189,9 +181,13 @@
             asked = replica.verified or replica.report_requested_at is not None
             if replica.has_engine and not asked and self.may_order(replica.id):
                 times.append(replica.report_at)
+            if self.waiting and replica.no_orders_until > self.now:
+                times.append(replica.no_orders_until)
         if self.waiting and self.free_replicas():
             ready = [bucket.ready_at(self.now) for bucket in self.store_buckets.values()]
             times += [time for time in ready if time and time > self.now]
+        if self.asked_at > self.placed_at:
+            times.append(self.next_pass_at())
         return min(times)
 
     # requests that wait
@@ -206,11 +202,17 @@
                 continue
             waiting = self.waiting.get(item)
             if waiting is None:
-                waiting = self.waiting[item] = waiting_items.WaitingItem(now)
+                waiting = self.begin_wait(item)
             waiting.asked(now, zone, requests)
-        self.place()
+        self.asked_at = now
+        if now >= self.next_pass_at():
+            self.place()
         return self.out
 
+    def next_pass_at(self) -> int:
+        """When what was asked for since the last pass is placed."""
+        return self.placed_at + len(self.waiting) // ITEMS_PLACED_PER_MS
+
     def drop_served(self) -> None:
         """Drop items that are waited for no more: named no more, or held since."""
         for item, waiting in list(self.waiting.items()):
@@ -226,23 +228,29 @@
                 continue
             elif waiting.last_at <= max(self.held_since(replica, item) for replica in copies):
                 self.end_wait(item, SERVED)
-        self.awaited_models = {item.partition("/")[0] for item in self.waiting}
+        self.awaited_models = {}
+        for item, waiting in self.waiting.items():
+            model = item.partition("/")[0]
+            self.awaited_models[model] = min(waiting.since, self.awaited_models.get(model, waiting.since))
 
     def place(self) -> None:
         """Begin plans for what is waited for: adapters first, since they take ms, then models by rank."""
         self.needs_placing = False
+        self.placed_at = self.now
         if self.now < self.orders_from:
             return
         self.add_hot_copies()
         if not self.waiting:
-            self.awaited_models = ()
+            self.awaited_models = {}
             return
         self.drop_served()
         free = self.free_replicas()
         if not free:
             return
         self.count_permits()
-        for model, requests in self.disk_loads_first(self.awaited_by_rank(free), free):
+        awaited = self.awaited_by_rank(free)
+        self.place_overdue(awaited, free)
+        for model, requests in self.disk_loads_first(awaited, free):
             if not free:
                 return
             if not self.is_loading(model) and not self.waits_for_disk_copy(model):
--- a/basaltport/placement/order_types.py
+++ b/basaltport/placement/order_types.py
@@ -15,6 +15,8 @@
 
     AWAITED = "awaited"
     """Requests wait for it; the plan ends when none does any more."""
+    OVERDUE = "overdue"
+    """Requests have waited for it longer than for anything else, and for too long."""
     HOT_COPY = "hot copy"
     """A model that is asked for much has too few copies."""
     SPARE_COPY = "spare copy"
@@ -22,6 +24,11 @@
     RESTORED = "restored"
     """The only copy of a model in use was lost."""
 
+    @property
+    def is_on_demand(self) -> bool:
+        """Whether requests wait for what is loaded."""
+        return self in (LoadReason.AWAITED, LoadReason.OVERDUE)
+
 
 class OrderOutcome(enum.StrEnum):
     """What a replica answered to an order."""
@@ -36,6 +43,9 @@
     """The replica knows a higher fencing token; this one was not taken."""
     FAILED = "failed"
     """The order was refused, or surely not taken."""
+    NOT_SENT = "not sent"
+    """The order did not go out: nobody may send it at present. Between controllers it is told as FAILED
+    that took no time."""
     UNKNOWN = "unknown"
     """No answer came: it may have been taken."""
     MOVED = "moved"
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -21,8 +21,11 @@
 UNKNOWN_RETRY_MS = 100
 UNKNOWN_RETRY_MOST_MS = 1000
 UNKNOWN_DOUBLINGS = 4
-PERMIT_MS = 250
-"""For so long a permit of the store's counts for a load that is sent again."""
+NO_ORDERS_MS = 300
+"""For so long a replica gets no plan after an order there could not be sent."""
+NOT_SENT_RETRY_MS = 100
+NOT_SENT_MOST = 20
+"""An order under way whose end nobody may ask for so many times in a row counts as refused."""
 FAILED_BAR_MS = 5000
 MOVED_BAR_MS = 1000
 
@@ -133,22 +136,7 @@
 
     def still_needed(self, plan: replica_state.Plan) -> bool:
         """Whether requests still wait for what an on-demand plan is for."""
-        is_awaited = plan.reason is order_types.LoadReason.AWAITED
-        return not is_awaited or plan.goal in self.waiting or plan.goal in self.awaited_models
-
-    def take_permit(self, replica: replica_state.Replica, step: replica_state.Step) -> bool:
-        """A load that may begin at the store takes a permit, also when it is sent again unanswered. Without
-        one the step is due when the next permit will be there."""
-        if not step.from_store or step.accepted:
-            return True
-        if step.permit_at is not None and self.now - step.permit_at < PERMIT_MS:
-            return True
-        bucket = self.store_buckets[replica.service]
-        if bucket.take(self.now):
-            step.permit_at = self.now
-            return True
-        step.due_at = bucket.ready_at(self.now) or self.now + RETRY_MOST_MS
-        return False
+        return not plan.reason.is_on_demand or plan.goal in self.waiting or plan.goal in self.awaited_models
 
     def send_if_allowed(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
         """Send the order of a step unless it may exceed the replica's room, or the store's rate. Room is
@@ -220,7 +208,9 @@
         if result is order_types.OrderOutcome.FENCED:
             self.deposed = True
             return self.stop()
-        if result is not order_types.OrderOutcome.UNKNOWN:
+        if result is not order_types.OrderOutcome.NOT_SENT:
+            step.not_sent = 0
+        if result not in (order_types.OrderOutcome.UNKNOWN, order_types.OrderOutcome.NOT_SENT):
             replica.unanswered = 0
         self.outcome_handlers()[result](replica, step)
         if self.needs_placing:
@@ -257,6 +247,7 @@
             order_types.OrderOutcome.DONE: self.order_done,
             order_types.OrderOutcome.BUSY: self.order_refused_for_count,
             order_types.OrderOutcome.FAILED: self.order_failed,
+            order_types.OrderOutcome.NOT_SENT: self.order_not_sent,
             order_types.OrderOutcome.UNKNOWN: self.order_unanswered,
             order_types.OrderOutcome.MOVED: self.order_for_another,
         }
@@ -307,6 +298,25 @@
         replica.count = replica.count.after_giving_up(step.accepted)
         self.give_up_plan(replica, step)
 
+    def order_not_sent(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
+        """Nobody could send the order: its sender is not leased at present. That tells nothing of what the
+        replica holds. A plan of which nothing went out is dropped, so that another replica may take it."""
+        if step.accepted or step.uncertain:
+            self.send_again_soon(replica, step)
+            return
+        if step.kind == order_types.OrderKind.UNLOAD:
+            self.show_item(replica, step)
+        replica.no_orders_until = self.now + NO_ORDERS_MS
+        self.drop_plan(replica)
+
+    def send_again_soon(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
+        """A question for the end of an order could not be sent; so many in a row count as a refusal."""
+        step.not_sent += 1
+        if step.not_sent > NOT_SENT_MOST:
+            self.order_failed(replica, step)
+            return
+        step.due_at = self.now + NOT_SENT_RETRY_MS
+
     def order_for_another(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
         """Another replica has the address, or the model of the adapter is not there."""
         if not step.adapter:
--- a/basaltport/placement/replica_choice.py
+++ b/basaltport/placement/replica_choice.py
@@ -81,7 +81,7 @@
             for replica in self.replicas.values()
             if replica.plan is None and replica.verified and replica.has_engine and self.usable(replica)
         ]
-        return [replica for replica in fit if self.may_order(replica.id)]
+        return [r for r in fit if self.now >= r.no_orders_until and self.may_order(r.id)]
 
     def is_held(self, item: str) -> bool:
         """Whether a usable replica serves it."""
--- a/basaltport/placement/replica_state.py
+++ b/basaltport/placement/replica_state.py
@@ -32,7 +32,7 @@
 
     __slots__ = (
         *("kind", "model", "adapter", "from_disk", "first_sent_at", "due_at", "retry_ms", "accepted"),
-        *("uncertain", "order", "sent_at", "permit_at"),
+        *("uncertain", "order", "sent_at", "permit_at", "not_sent"),
     )
 
     def __init__(
@@ -54,6 +54,8 @@
         self.sent_at = 0
         self.permit_at: int | None = None
         """When it last took a permit of the store's rate limit."""
+        self.not_sent = 0
+        """How often in a row nobody could send it."""
 
     @property
     def item(self) -> str:
@@ -86,7 +88,7 @@
         *("id", "listed", "service", "address", "zone", "state", "leaves_in_ms", "slots", "has_engine"),
         *("models", "disk_models", "changed_at", "missed", "verified", "plan", "unanswered"),
         *("report_at", "report_backoff_ms", "report_requested_at", "barred_until", "running", "running_at"),
-        *("listed_before", "count", "distrusted_at", "reported_as_of", "doubted"),
+        *("listed_before", "count", "distrusted_at", "reported_as_of", "doubted", "no_orders_until"),
     )
 
     def __init__(self, replica_id: identifiers.ReplicaId) -> None:
@@ -123,6 +125,8 @@
         self.report_requested_at: int | None = None
         self.barred_until: dict[str, int] = {}
         """Until when an item is not ordered there again."""
+        self.no_orders_until = 0
+        """Until when no plan is begun there, since nobody could send its order."""
         self.running = 0.0
         """Requests that run there, smoothed, as of `running_at`."""
         self.running_at = 0
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -64,8 +64,10 @@
     loaded_sizes: dict[str, dict[str, float]]
     """By replica, also by one that went: the largest size in MB that each model there can have."""
     waiting: dict[str, waiting_items.WaitingItem]
-    awaited_models: collections.abc.Collection[str]
-    """The models of all items that requests wait for."""
+    awaited_models: dict[str, int]
+    """The models of all items that requests wait for, and since when the longest of them was asked for."""
+    denied: dict[str, waiting_items.DeniedItem]
+    """Items that were asked for in vain lately, the oldest first."""
     adapter_loads: dict[str, demand.Rate]
     """How often adapters of a model are loaded."""
     usable_zones: set[str]
@@ -155,6 +157,21 @@
     def in_use(self, item: str) -> bool:
         """Whether runs of it are likely to go on."""
 
+    def disk_ids(self, model: str) -> set[str]:
+        """The ids of the replicas with a model's weights on their disks."""
+
+    def awaited_for_ms(self, model: str) -> int:
+        """For how long requests have waited for a model or an adapter of it."""
+
+    def is_overdue(self, model: str) -> bool:
+        """Whether a model has waited for so long that no other goes before it for being shorter."""
+
+    def unreserved_permits(self) -> dict[str, float]:
+        """The permits that are there now for overdue models."""
+
+    def take_permit(self, replica: replica_state.Replica, step: replica_state.Step) -> bool:
+        """Take a permit of the store's for a load that needs one."""
+
     def load_ms(self, service: str, model: str, from_disk: bool) -> float:
         """What a load is likely to take."""
 
--- a/basaltport/placement/wait_outcomes.py
+++ b/basaltport/placement/wait_outcomes.py
@@ -17,6 +17,8 @@
 
 ABANDONED_LOGGED_PER_S = 10.0
 """No more abandoned waits than this are logged a second; all are counted."""
+DENIED_KEPT_MS = 60_000
+"""For so long the age of an abandoned wait is kept for the next one."""
 
 
 class WaitOutcome(enum.StrEnum):
@@ -37,8 +39,25 @@
 
     def start_wait_outcomes(self) -> None:
         """Nothing was logged yet; counts go on over a change of leader."""
+        self.denied: dict[str, waiting_items.DeniedItem] = {}
+        """The oldest first."""
         self.abandoned_log = token_bucket.TokenBucket(ABANDONED_LOGGED_PER_S, self.now)
 
+    def begin_wait(self, item: str) -> waiting_items.WaitingItem:
+        """Requests wait for an item: a new wait, with the age of one that was abandoned before."""
+        self.forget_denied()
+        denied = self.denied.pop(item, None)
+        since = None if denied is None or self.is_held(item) else denied.since
+        self.waiting[item] = waiting_items.WaitingItem(self.now, since)
+        return self.waiting[item]
+
+    def forget_denied(self) -> None:
+        """Drop what was abandoned too long ago."""
+        for item, denied in list(self.denied.items()):
+            if self.now - denied.abandoned_at <= DENIED_KEPT_MS:
+                return
+            del self.denied[item]
+
     def note_overtaking(self, goal: str, load: waiting_items.OvertakingLoad) -> None:
         """A load of a model is begun for `goal`: count it at each wait that it goes before."""
         model = goal.partition("/")[0]
@@ -52,7 +71,11 @@
         """A wait ends: it is waited for no more."""
         waiting = self.waiting.pop(item)
         self.wait_counts[outcome.value] += 1
-        if outcome is WaitOutcome.ABANDONED and self.abandoned_log.take(self.now):
+        if outcome is not WaitOutcome.ABANDONED:
+            return
+        self.denied.pop(item, None)
+        self.denied[item] = waiting_items.DeniedItem(waiting.since, self.now)
+        if self.abandoned_log.take(self.now):
             self.out.append(self.abandoned_note(item, waiting))
 
     def abandoned_note(self, item: str, waiting: waiting_items.WaitingItem) -> events.Note:
@@ -69,6 +92,6 @@
 
 def overtaking_load(reason: order_types.LoadReason, from_disk: bool) -> waiting_items.OvertakingLoad:
     """Which kind of load this is for those that it goes before."""
-    if reason is not order_types.LoadReason.AWAITED:
+    if not reason.is_on_demand:
         return waiting_items.OvertakingLoad.COPY
     return waiting_items.OvertakingLoad.DISK if from_disk else waiting_items.OvertakingLoad.STORE
--- a/basaltport/placement/waiting_items.py
+++ b/basaltport/placement/waiting_items.py
@@ -31,16 +31,25 @@
     told_at: int
 
 
+class DeniedItem(typing.NamedTuple):
+    """An item that was asked for in vain. Times in ms."""
+
+    since: int
+    """When it was first asked for."""
+    abandoned_at: int
+
+
 class WaitingItem:
     """Requests that wait for one item, by zone. Times in ms."""
 
     __slots__ = (
         *("first_at", "last_at", "zones", "extra_copy_at", "extra_copy_after_ms"),
-        *("most_requests", "overtaken"),
+        *("since", "most_requests", "overtaken"),
     )
 
-    def __init__(self, now: int) -> None:
-        """Asked for from now on."""
+    def __init__(self, now: int, since: int | None = None) -> None:
+        """Asked for from now on; `since`: when it was first asked for in vain, if it was before."""
+        self.since = now if since is None else since
         self.first_at = self.last_at = self.extra_copy_at = now
         self.zones: dict[str, WaitingCount] = {}
         self.extra_copy_after_ms = EXTRA_COPY_MS
