--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,10 +9,11 @@
 import tempfile
 
 import tests.soak.fleet as fleet
+import tests.soak.plan as plan
 import tests.soak.rig as rig
 
 MOST_JOBS = 6
-"""Each takes five processes."""
+"""Each takes four processes and one for each proxy."""
 LONGEST_S = 600.0
 
 
@@ -20,7 +21,7 @@
     """Run a seed when its turn comes, and print its line; the number of violations."""
     async with jobs:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        verdict = await rig.Rig(seed, options.seconds, options.tree.resolve(), folder).run()
+        verdict = await rig.Rig(seed, options.seconds, options.tree.resolve(), folder, options.proxies).run()
     lines = [verdict.line(), *(f"  {violation}" for violation in verdict.violations)]
     if verdict.violations or options.keep:
         lines.append(f"  logs: {folder}")
@@ -44,6 +45,7 @@
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--seconds", type=float, default=30, help="how long each seed has troubles")
     parser.add_argument("--jobs", type=int, default=4, help=f"how many run at once, {MOST_JOBS} at most")
+    parser.add_argument("--proxies", type=int, default=plan.PROXIES, help="how many proxies each has")
     parser.add_argument("--tree", type=pathlib.Path, default=fleet.ROOT, help="the code to run")
     parser.add_argument("--keep", action="store_true", help="keep the logs of all seeds")
     options = parser.parse_args()
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,69 @@
+"""Clients that keep their connection to a proxy, and go on using it until the proxy closes it or is gone."""
+
+import asyncio
+import random
+import time
+
+import aiohttp
+
+import tests.soak.plan as plan
+
+LOST_SLACK_S = 0.5
+"""A connection that ends later than this after a request was sent has been read from: the request is lost."""
+DEADLINE_SHARE = 0.9
+"""What fails later than this share of its deadline has reached it."""
+BROKEN = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
+class KeptConnection:
+    """One client: one connection at a time, to one proxy, until that ends it. `lost`: of each request that a
+    proxy had time to read and whose connection it ended without a word, how long that took."""
+
+    def __init__(self, plan_: plan.Plan, chance: random.Random) -> None:
+        """No connection yet."""
+        self.plan, self.chance = plan_, chance
+        self.proxy = chance.choice(plan_.proxies)
+        self.lost: list[tuple[str, float]] = []
+        self.session: aiohttp.ClientSession | None = None
+
+    async def request(self, item: str, deadline_s: float) -> int:
+        """The status of a request, 0 where there was no answer."""
+        if self.session is None:
+            connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
+            self.session = aiohttp.ClientSession(connector=connector)
+        url = f"http://{self.plan.counters[self.proxy]}{self.chance.choice([*plan.PATHS.values()])}"
+        headers = {"Host": plan.HOST, "Model": item, "Deadline-Ms": str(int(1000 * deadline_s))}
+        headers |= {"Tokens": "10,3", "Tracking-Id": f"{self.chance.getrandbits(64):016x}"}
+        limit, sent_at = aiohttp.ClientTimeout(total=deadline_s), time.monotonic()
+        try:
+            async with self.session.post(url, data=b"x", headers=headers, timeout=limit) as response:
+                await response.read()
+                closes = response.headers.get("Connection", "").lower() == "close"
+                status = response.status
+        except (aiohttp.ClientConnectorError, TimeoutError):
+            closes, status = True, 0
+        except BROKEN:
+            closes, status = True, 0
+            self.note_lost(time.monotonic() - sent_at, deadline_s)
+        if closes:
+            await self.leave()
+        return status
+
+    def note_lost(self, after_s: float, deadline_s: float) -> None:
+        """Keep that a connection ended without an answer, if the request was surely read."""
+        if LOST_SLACK_S < after_s < DEADLINE_SHARE * deadline_s:
+            self.lost.append((self.proxy, after_s))
+
+    async def leave(self) -> None:
+        """End the connection, and go to another proxy."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
+        others = [name for name in self.plan.proxies if name != self.proxy]
+        self.proxy = self.chance.choice(others or self.plan.proxies)
+
+    async def close(self) -> None:
+        """End the connection, also where its client is being cancelled."""
+        if self.session is not None:
+            await asyncio.shield(self.session.close())
+            self.session = None
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,6 +15,8 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 INNER_PORTS = [7660, 7675]
 SET_DEATH_SIGNAL = 1
+STOP_S = 15.0
+"""A process that was asked to stop ends within its grace time (8 s), and some more on a busy machine."""
 
 
 def die_with_parent() -> None:
@@ -23,18 +25,19 @@
 
 
 class Fleet:
-    """Three controllers, a proxy and the stand-ins, on a network of their own that is drawn anew."""
+    """Three controllers, proxies and the stand-ins, on a network of their own that is drawn anew."""
 
-    def __init__(self, seed: int, tree: pathlib.Path, folder: pathlib.Path) -> None:
+    def __init__(self, seed: int, tree: pathlib.Path, folder: pathlib.Path, proxies: int) -> None:
         """Run the code of `tree`; settings, data and logs go to `folder`."""
         self.seed, self.tree, self.folder = seed, tree, folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         chance = random.SystemRandom()
         self.net = f"127.{chance.randrange(16, 250)}.{chance.randrange(1, 250)}"
-        self.plan = plan.Plan(seed, self.net)
+        self.plan = plan.Plan(seed, self.net, proxies)
+        self.unclean_stops: list[str] = []
 
     def settings(self, name: str, is_first: bool) -> plan.Document:
-        """The settings of a controller or the proxy."""
+        """The settings of a controller or a proxy."""
         ips = self.plan.ips
         document = {
             "station": name,
@@ -46,19 +49,32 @@
         document["cloudApi"] = {"address": self.plan.listing, "ratePerS": 44.0, "lagAllowMs": 800}
         document["timings"] = {"retryRatio": 0.2, "retrySlack": 56, "checksFence": True}
         document |= {"zone": plan.ZONES[0], "zones": dict.fromkeys(plan.ZONES, "here"), "region": "here"}
-        if name == plan.PROXY:
-            return document | {"listenOn": {"counter": self.plan.counter, "readiness": self.plan.ready}}
+        if name in self.plan.proxies:
+            listen_on = {"counter": self.plan.counters[name], "readiness": self.plan.readiness[name]}
+            return document | {"listenOn": listen_on}
         data = self.folder / f"{name}.data"
         data.mkdir(exist_ok=True)
         document |= {"zone": plan.ZONES[plan.CONTROLLERS.index(name)], "stateDir": str(data)}
         return document | {"listenOn": {"controlPort": self.plan.operators[name]}}
 
     def start_member(self, name: str, is_first: bool = False) -> int:
-        """Start a controller or the proxy; its process id."""
+        """Start a controller or a proxy; its process id."""
+        path = self.write_settings(name, is_first)
+        role = "proxy" if name in self.plan.proxies else "controller"
+        command = [str(self.tree / "platform" / "run.py"), role]
+        return self.spawn(name, command, self.tree, {"BASALTPORT_SETTINGS": str(path)})
+
+    def write_settings(self, name: str, is_first: bool = False) -> pathlib.Path:
+        """Write the settings of a process as they are now; the file."""
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.settings(name, is_first)))
-        command = [str(self.tree / "platform" / "run.py"), "proxy" if name == plan.PROXY else "controller"]
-        return self.spawn(name, command, self.tree, {"BASALTPORT_SETTINGS": str(path)})
+        return path
+
+    def reload(self, name: str) -> None:
+        """Write the settings anew and say so to the process, if it runs."""
+        if name in self.processes:
+            self.write_settings(name)
+            self.processes[name].send_signal(signal.SIGHUP)
 
     def start_stand_ins(self) -> None:
         """Start the process of the stand-ins."""
@@ -81,6 +97,21 @@
         process.kill()
         await asyncio.to_thread(process.wait)
 
+    async def terminate(self, name: str) -> None:
+        """Ask a process to stop, and wait for its end; one that does not end in time, or says that it
+        failed, is a finding."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(signal.SIGTERM)
+        try:
+            status = await asyncio.to_thread(process.wait, STOP_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            await asyncio.to_thread(process.wait)
+            status = None
+        if status != 0:
+            self.unclean_stops.append(f"STOP {name}: ended with {status} after SIGTERM")
+
     async def stop(self) -> None:
         """Kill all processes."""
         for name in list(self.processes):
@@ -90,4 +121,4 @@
         """The processes that ended by themselves, and the logs that hold a traceback."""
         found = [f"ENDED {n} with {p.returncode}" for n, p in self.processes.items() if p.poll() is not None]
         logs = [path for path in self.folder.glob("*.out") if "Traceback" in path.read_text(errors="replace")]
-        return found + [f"TRACEBACK in {path.name}" for path in logs]
+        return self.unclean_stops + found + [f"TRACEBACK in {path.name}" for path in logs]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -6,7 +6,10 @@
 
 ZONES = ["z1", "z2", "z3"]
 CONTROLLERS = ["controller-1", "controller-2", "controller-3"]
-PROXY = "proxy-1"
+PROXIES = 2
+"""How many proxies a rig has unless it is told otherwise."""
+MOST_PROXIES = 120
+FIRST_PROXY_IP = 101
 PORT = 8100
 """Ports are the same for all, since each process has an address of its own."""
 SERVICE = "soak"
@@ -25,12 +28,15 @@
 class Plan:
     """The plan of a seed, on the network `net` of 127.0.0.0/8, of the form 127.1.1."""
 
-    def __init__(self, seed: int, net: str) -> None:
+    def __init__(self, seed: int, net: str, proxies: int = PROXIES) -> None:
         """Addresses are `host:port`."""
         replicas = 4 + seed % 3
-        self.ips = {name: f"{net}.{11 + i}" for i, name in enumerate([*CONTROLLERS, PROXY])}
+        self.proxies = [f"proxy-{i + 1}" for i in range(min(proxies, MOST_PROXIES))]
+        self.ips = {name: f"{net}.{11 + i}" for i, name in enumerate(CONTROLLERS)}
+        self.ips |= {name: f"{net}.{FIRST_PROXY_IP + i}" for i, name in enumerate(self.proxies)}
         self.operators = {name: f"{self.ips[name]}:{PORT}" for name in CONTROLLERS}
-        self.counter, self.ready = f"{self.ips[PROXY]}:{PORT}", f"{self.ips[PROXY]}:{PORT + 1}"
+        self.counters = {name: f"{self.ips[name]}:{PORT}" for name in self.proxies}
+        self.readiness = {name: f"{self.ips[name]}:{PORT + 1}" for name in self.proxies}
         self.listing, self.control = f"{net}.21:{PORT}", f"{net}.22:{PORT}"
         self.places = [f"{net}.{31 + i}:{PORT}" for i in range(replicas)]
         self.model_mb = {f"model-{i}": MODEL_MB[i % len(MODEL_MB)] for i in range(3 * replicas + 6)}
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+import tests.soak.clients as clients
 import tests.soak.fleet as fleet
 import tests.soak.plan as plan
 import tests.soak.troubles as troubles
@@ -25,6 +26,7 @@
 CONTROL_LIMIT = aiohttp.ClientTimeout(total=10)
 """A busy machine may stall the stand-ins for seconds."""
 CLIENTS = 16
+"""Besides one for each proxy."""
 CLIENT_S = 3.0
 SHIFT_S = 3.0
 """After so long other models are asked for most."""
@@ -64,15 +66,24 @@
 class Rig:
     """Runs one seed."""
 
-    def __init__(self, seed: int, seconds: float, tree: pathlib.Path, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        tree: pathlib.Path,
+        folder: pathlib.Path,
+        proxies: int = plan.PROXIES,
+    ) -> None:
         """Soak the code of `tree` for some seconds; logs go to `folder`."""
         self.seconds = seconds
-        self.fleet = fleet.Fleet(seed, tree, folder)
+        self.fleet = fleet.Fleet(seed, tree, folder, proxies)
         self.plan = self.fleet.plan
         self.chance = random.Random(f"traffic {seed}")
         self.troubles = troubles.draw(seed, seconds, len(plan.CONTROLLERS))
         self.verdict = Verdict(seed, len(self.troubles))
         self.edition = 0
+        self.stopping: set[str] = set()
+        """The proxies that were asked to stop and are not up again."""
         self.counted: dict[str, float] = {}
         """By process: the violations that it counts itself."""
 
@@ -97,21 +108,23 @@
     async def start(self) -> bool:
         """Start all processes; whether the first configuration is in force and the proxy ready in time."""
         self.fleet.start_stand_ins()
-        for name in [*plan.CONTROLLERS, plan.PROXY]:
+        for name in [*plan.CONTROLLERS, *self.plan.proxies]:
             self.fleet.start_member(name, is_first=True)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STARTUP_S):
                 while not await self.configure("PUT", self.plan.configuration()):
                     await asyncio.sleep(0.1)
-                while (await self.call("GET", f"{self.plan.ready}/v1/ready"))[0] != OK:
-                    await asyncio.sleep(0.1)
+                for address in self.plan.readiness.values():
+                    while (await self.call("GET", f"{address}/v1/ready"))[0] != OK:
+                        await asyncio.sleep(0.1)
                 return True
         return False
 
     async def soak(self) -> None:
         """Traffic and troubles, until the time is over and all troubles have ended."""
         async with asyncio.TaskGroup() as group:
-            background = [group.create_task(self.client()) for _ in range(CLIENTS)]
+            number = CLIENTS + len(self.plan.proxies)
+            background = [group.create_task(self.client()) for _ in range(number)]
             background.append(group.create_task(self.watch()))
             ending = [group.create_task(self.trouble(each)) for each in self.troubles]
             await asyncio.wait([*ending, group.create_task(asyncio.sleep(self.seconds))])
@@ -156,29 +169,26 @@
                 self.edition = json.loads(text)["edition"] if status == OK else self.edition
         return False
 
-    async def request(self, item: str, deadline_s: float = CLIENT_S) -> int:
-        """The status of a client's request, 0 where there was none."""
-        url = f"http://{self.plan.counter}{self.chance.choice([*plan.PATHS.values()])}"
-        headers = {"Host": plan.HOST, "Model": item, "Deadline-Ms": str(int(1000 * deadline_s))}
-        headers |= {"Tokens": "10,3", "Tracking-Id": f"{self.chance.getrandbits(64):016x}"}
-        limit = aiohttp.ClientTimeout(total=deadline_s)
-        try:
-            async with self.session.post(url, data=b"x", headers=headers, timeout=limit) as response:
-                await response.read()
-                return response.status
-        except BROKEN:
-            return 0
-
     # traffic and troubles
 
     async def client(self) -> None:
         """Ask for one item after the other, until cancelled; few models are asked for most."""
-        models = [*self.plan.model_mb]
+        models, connection = [*self.plan.model_mb], clients.KeptConnection(self.plan, self.chance)
+        try:
+            await self.ask(models, connection)
+        finally:
+            await connection.close()
+            lost = [f"LOST at {proxy} after {after_s:.2f} s" for proxy, after_s in connection.lost]
+            self.verdict.violations += lost
+
+    async def ask(self, models: list[str], connection: clients.KeptConnection) -> None:
+        """Ask for one item after the other on a client's connection."""
         while True:
             first = int(time.monotonic() / SHIFT_S) * 5
             model = models[(first + int(self.chance.paretovariate(0.8))) % len(models)]
             adapter = self.chance.randrange(2 * plan.ADAPTERS)
-            status = await self.request(f"{model}/a{adapter}" if 1 <= adapter <= plan.ADAPTERS else model)
+            item = f"{model}/a{adapter}" if 1 <= adapter <= plan.ADAPTERS else model
+            status = await connection.request(item, CLIENT_S)
             self.verdict.requests += 1
             self.verdict.served += status == OK
             await asyncio.sleep(self.chance.uniform(0.02, 0.1) if status == OK else 0.2)
@@ -197,9 +207,31 @@
             case kinds.RESTART | kinds.LEAVE:
                 await self.control(trouble.kind, target)
             case kinds.CONFIGURE:
-                lane = self.plan.configuration()["lanes"][0] | {"targetMs": int(1000 + 1000 * trouble.chance)}
-                more = lane | {"name": "more", "pathPrefix": f"/more-{target}/"}
-                await self.configure("PATCH", {"putItems": {"lanes": [lane, more]}})
+                await self.change(trouble.chance, target)
+            case kinds.CHANGES:
+                for number in range(troubles.CHANGES_IN_SERIES):
+                    await self.change(trouble.chance + number, target + number)
+            case kinds.STOP:
+                await self.restart_proxy(trouble)
+            case kinds.RELOAD:
+                for name in [plan.CONTROLLERS[target], *self.plan.proxies[target::3]]:
+                    self.fleet.reload(name)
+
+    async def change(self, chance: float, number: int) -> None:
+        """The operator changes a route and puts another one."""
+        lane = self.plan.configuration()["lanes"][0] | {"targetMs": int(1000 + 1000 * chance)}
+        more = lane | {"name": "more", "pathPrefix": f"/more-{number}/"}
+        await self.configure("PATCH", {"putItems": {"lanes": [lane, more]}})
+
+    async def restart_proxy(self, trouble: troubles.Trouble) -> None:
+        """Ask a proxy to stop, and start it again once it has ended; others take its clients meanwhile."""
+        name = self.plan.proxies[int(100 * trouble.chance) % len(self.plan.proxies)]
+        if name not in self.fleet.processes or len(self.stopping) + 1 >= len(self.plan.proxies):
+            return
+        self.stopping.add(name)
+        await self.fleet.terminate(name)
+        self.fleet.start_member(name)
+        self.stopping.discard(name)
 
     async def trouble_controller(self, trouble: troubles.Trouble) -> None:
         """Kill a controller and start it again, or stop it for a while."""
@@ -209,7 +241,10 @@
             await asyncio.sleep(trouble.length)
             self.fleet.processes[name].send_signal(signal.SIGCONT)
             return
-        await self.fleet.kill(name)
+        if trouble.chance > troubles.STOPPED_ABOVE:
+            await self.fleet.terminate(name)
+        else:
+            await self.fleet.kill(name)
         await asyncio.sleep(trouble.length)
         self.fleet.start_member(name)
 
@@ -238,9 +273,12 @@
     async def check_served(self, item: str) -> None:
         """An item is served in time, as a client asks for it again and again."""
         ends_at, statuses = time.monotonic() + PROGRESS_S, [0]
+        connection = clients.KeptConnection(self.plan, self.chance)
         while statuses[-1] != OK and time.monotonic() < ends_at:
-            statuses.append(await self.request(item, min(CLIENT_S, max(0.1, ends_at - time.monotonic()))))
+            deadline_s = min(CLIENT_S, max(0.1, ends_at - time.monotonic()))
+            statuses.append(await connection.request(item, deadline_s))
             await asyncio.sleep(0.1)
+        await connection.close()
         if statuses[-1] != OK:
             self.verdict.violations.append(f"STUCK: {item} not served in {PROGRESS_S} s: {statuses[1:]}")
 
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -8,7 +8,7 @@
 class Kind(enum.StrEnum):
     """What goes wrong."""
 
-    KILL = "kill"  # a controller is killed, and started again with the data it had
+    KILL = "kill"  # a controller is killed or asked to stop, and started again with the data it had
     PAUSE = "pause"  # a controller is stopped by a signal, and goes on
     CUT = "cut"  # what a controller and some replicas, or the list, say to each other is held
     LATE = "late"  # some orders reach their replica seconds later
@@ -16,6 +16,9 @@
     RESTART = "restart"  # a replica starts again, empty and under another id
     LEAVE = "leave"  # a replica drains and ends, and another one comes
     CONFIGURE = "configure"  # the operator changes the configuration
+    STOP = "stop"  # a proxy is asked to stop, and started again once it has ended
+    RELOAD = "reload"  # some processes are told that their settings changed
+    CHANGES = "changes"  # the operator sends changes in quick succession
 
 
 class Trouble(typing.NamedTuple):
@@ -38,10 +41,15 @@
     length_s: tuple[float, float]
 
 
+STOPPED_ABOVE = 0.4
+"""A controller is asked to stop in place of being killed where the drawn chance is above this."""
+CHANGES_IN_SERIES = 4
+
 LANES = (
     Lane({Kind.KILL: 3, Kind.PAUSE: 4}, (2.0, 6.0), (1.0, 6.0)),
     Lane({Kind.CUT: 3, Kind.LATE: 5}, (0.2, 1.0), (1.5, 6.0)),
     Lane({Kind.LOST: 4, Kind.RESTART: 2, Kind.LEAVE: 1, Kind.CONFIGURE: 2}, (0.2, 1.0), (0.5, 4.0)),
+    Lane({Kind.STOP: 4, Kind.RELOAD: 3, Kind.CHANGES: 3}, (0.2, 1.0), (0.5, 2.0)),
 )
 
 
