Only an order that did not go out is told as one that took no time

Cause: a connection refused within a millisecond would have passed for an order that was not sent, and a dead replica would have been tried each 300 ms. Change: what was sent took at least 1 ms; how the leader takes a result is a function of its own, with tests.

--- a/basaltport/controller/order_execution.py
+++ b/basaltport/controller/order_execution.py
@@ -21,6 +21,25 @@
 """An order without a result by then counts as one without an answer."""
 NEVER = -(10**9)
 NO_TIME = identifiers.Millis(0)
+"""What an order took that was not sent;"""
+LEAST_CALL_MS = 1
+"""one that was sent took at least this, however near its replica is."""
+
+
+def time_taken(elapsed_ms: int, was_sent: bool) -> identifiers.Millis:
+    """What is told of how long an order took."""
+    return identifiers.Millis(max(LEAST_CALL_MS, elapsed_ms)) if was_sent else NO_TIME
+
+
+def outcome_for_placement(result: messages.OrderResult) -> order_types.OrderOutcome:
+    """What a result says of the order. That the owner of the shard was fenced is no word about who leads; a
+    failure that took no time is an order that never went out."""
+    outcome = order_types.OrderOutcome(result.outcome)
+    if outcome is order_types.OrderOutcome.FENCED:
+        return order_types.OrderOutcome.FAILED
+    if outcome is order_types.OrderOutcome.FAILED and result.took == NO_TIME:
+        return order_types.OrderOutcome.NOT_SENT
+    return outcome
 
 
 class Execution(typing.NamedTuple):
@@ -167,14 +186,11 @@
         self.send(self.address_of(owner) or self.tip_book.members[owner].address, request)
 
     def hear_order_result(self, source: str, result: messages.OrderResult) -> None:
-        """What came of an order. That its owner was fenced says nothing of who leads."""
+        """What came of an order."""
         if not self.leading or result.gen != self.current_term or result.order not in self.routed:
             return
         del self.routed[result.order]
-        fenced = result.outcome == order_types.OrderOutcome.FENCED
-        outcome = order_types.OrderOutcome.FAILED if fenced else result.outcome
-        if result.outcome == order_types.OrderOutcome.FAILED and result.took == NO_TIME:
-            outcome = order_types.OrderOutcome.NOT_SENT
+        outcome = outcome_for_placement(result)
         self.call_placement(self.placement.ordered, result.order, outcome, result.took)
 
     def tick_shards(self) -> None:
--- a/basaltport/controller/server.py
+++ b/basaltport/controller/server.py
@@ -15,6 +15,7 @@
 import basaltport.controller.disk_writer as disk_writer
 import basaltport.controller.events as controller_events
 import basaltport.controller.node as node
+import basaltport.controller.order_execution as order_execution
 import basaltport.events as events
 import basaltport.identifiers as identifiers
 import basaltport.log_events as log_events
@@ -235,10 +236,11 @@
         """Send an order to its replica, but not where another may order by now."""
         sent_at = identifiers.steady()
         outcome: str = order_types.OrderOutcome.FAILED
-        if self.may_send(effect):
+        may_send = self.may_send(effect)
+        if may_send:
             outcome = await self.call_port(self.port.order(effect), order_types.OrderOutcome.UNKNOWN.value)
         now = identifiers.steady()
-        took = identifiers.Millis(now - sent_at)
+        took = order_execution.time_taken(now - sent_at, may_send)
         self.step(controller_events.Ordered(now, effect.order, outcome, took))
 
     def may_send(self, effect: effects.Order) -> bool:
--- /dev/null
+++ b/tests/controller/test_order_outcomes.py
@@ -0,0 +1,30 @@
+"""What the leader takes the result of an order for, which its shard's owner tells."""
+
+import pytest
+
+import basaltport.controller.messages as messages
+import basaltport.controller.order_execution as order_execution
+import basaltport.placement.order_types as order_types
+
+OUTCOME = order_types.OrderOutcome
+
+
+@pytest.mark.parametrize(
+    "told, took, taken_for",
+    [
+        (OUTCOME.FAILED, order_execution.NO_TIME, OUTCOME.NOT_SENT),
+        (OUTCOME.FAILED, order_execution.LEAST_CALL_MS, OUTCOME.FAILED),
+        (OUTCOME.FENCED, order_execution.NO_TIME, OUTCOME.FAILED),
+        (OUTCOME.ACCEPTED, order_execution.NO_TIME, OUTCOME.ACCEPTED),
+        (OUTCOME.UNKNOWN, 1000, OUTCOME.UNKNOWN),
+    ],
+)
+def test_only_a_failure_that_took_no_time_is_an_order_that_was_not_sent(told, took, taken_for):
+    result = messages.OrderResult(1, 2, told, took)
+    assert order_execution.outcome_for_placement(result) is taken_for
+
+
+@pytest.mark.parametrize("may_send, least_ms", [(True, order_execution.LEAST_CALL_MS), (False, 0)])
+def test_an_order_that_was_sent_took_some_time_however_near_its_replica_is(may_send, least_ms):
+    assert order_execution.time_taken(0, may_send) == least_ms
+    assert order_execution.time_taken(7, may_send) == (7 if may_send else 0)
