Placement: a replica without a plan is idle; room and slots that are left have names of their own

Cause: free stood for three things in these modules, and is on the list of words that need explaining. Change: names only.

--- a/basaltport/placement/disk_loads.py
+++ b/basaltport/placement/disk_loads.py
@@ -23,14 +23,14 @@
     """Orders the loads that requests wait for. Changes no state."""
 
     def disk_loads_first(
-        self, awaited: dict[str, dict[str, float]], free: list[replica_state.Replica]
+        self, awaited: dict[str, dict[str, float]], idle: list[replica_state.Replica]
     ) -> list[AwaitedModel]:
-        """Awaited models in the order in which they get replicas: first those that a free one has on disk or
+        """Awaited models in the order in which they get replicas: first those that an idle one has on disk or
         that are overdue; otherwise in the order given."""
-        free_ids = {replica.id for replica in free}
+        idle_ids = {replica.id for replica in idle}
         return sorted(
             awaited.items(),
-            key=lambda entry: free_ids.isdisjoint(self.disk_ids(entry[0])) and not self.is_overdue(entry[0]),
+            key=lambda entry: idle_ids.isdisjoint(self.disk_ids(entry[0])) and not self.is_overdue(entry[0]),
         )
 
     def disk_ids(self, model: str) -> set[str]:
@@ -38,7 +38,7 @@
         return self.disk_copies.get(model, set())
 
     def waits_for_disk_copy(self, model: str) -> bool:
-        """Whether a busy replica's load from its disk is worth waiting for: no free one has the weights,
+        """Whether a busy replica's load from its disk is worth waiting for: no idle one has the weights,
         and the model is not overdue."""
         if self.is_overdue(model):
             return False
@@ -53,7 +53,7 @@
         return self.busy_for_ms(replica) + disk_ms < self.load_ms(replica.service, model, False)
 
     def with_disk_copy(self, model: str) -> list[replica_state.Replica]:
-        """Replicas that may be ordered to load a model from their disks, now or once they are free."""
+        """Replicas that may be ordered to load a model from their disks, now or once they are idle."""
         listed = [self.replicas[i] for i in self.disk_ids(model) if i in self.replicas]
         return [replica for replica in listed if self.can_load(replica, model)]
 
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -183,7 +183,7 @@
                 times.append(replica.report_at)
             if self.waiting and replica.no_orders_until > self.now:
                 times.append(replica.no_orders_until)
-        if self.waiting and self.free_replicas():
+        if self.waiting and self.idle_replicas():
             ready = [bucket.ready_at(self.now) for bucket in self.store_buckets.values()]
             times += [time for time in ready if time and time > self.now]
         if self.asked_at > self.placed_at:
@@ -244,19 +244,19 @@
             self.awaited_models = {}
             return
         self.drop_served()
-        free = self.free_replicas()
-        if not free:
+        idle = self.idle_replicas()
+        if not idle:
             return
         self.count_permits()
-        awaited = self.awaited_by_rank(free)
-        self.place_overdue(awaited, free)
-        for model, requests in self.disk_loads_first(awaited, free):
-            if not free:
+        awaited = self.awaited_by_rank(idle)
+        self.place_overdue(awaited, idle)
+        for model, requests in self.disk_loads_first(awaited, idle):
+            if not idle:
                 return
             if not self.is_loading(model) and not self.waits_for_disk_copy(model):
-                self.place_model(model, requests, free, AWAITED)
+                self.place_model(model, requests, idle, AWAITED)
 
-    def awaited_by_rank(self, free: list[replica_state.Replica]) -> dict[str, dict[str, float]]:
+    def awaited_by_rank(self, idle: list[replica_state.Replica]) -> dict[str, dict[str, float]]:
         """Who waits for models, by zone and in the order of rank; adapters get their plans on the way."""
         models: dict[str, dict[str, float]] = {}
         for item, waiting in sorted(self.waiting.items(), key=lambda entry: -entry[1].rank(self.now)):
@@ -265,7 +265,7 @@
                 continue
             model = item.partition("/")[0]
             if model != item and self.is_held(model):
-                self.place_adapter(item, waiting, free)
+                self.place_adapter(item, waiting, idle)
                 continue
             if held:
                 waiting.extra_copy_begun(self.now)
@@ -275,32 +275,32 @@
         return models
 
     def place_adapter(
-        self, item: str, waiting: waiting_items.WaitingItem, free: list[replica_state.Replica]
+        self, item: str, waiting: waiting_items.WaitingItem, idle: list[replica_state.Replica]
     ) -> None:
-        """Begin a load of an adapter where its model is, if a replica there is free."""
-        choice = self.choose_for_adapter(item, waiting.requests_by_zone(), free)
+        """Begin a load of an adapter where its model is, if a replica there is idle."""
+        choice = self.choose_for_adapter(item, waiting.requests_by_zone(), idle)
         if choice is None:
             return
         model = item.partition("/")[0]
         waiting.extra_copy_begun(self.now)
         self.adapter_loads.setdefault(model, demand.Rate(self.now)).add(1, self.now)
-        free.remove(choice.replica)
+        idle.remove(choice.replica)
         self.begin(choice.replica, item, [*choice.unloads, self.load_step(choice.replica, item)], AWAITED)
 
     def place_model(
         self,
         model: str,
         requests: state.RequestsByZone,
-        free: list[replica_state.Replica],
+        idle: list[replica_state.Replica],
         reason: order_types.LoadReason,
         cost_limit: float | None = None,
     ) -> bool:
         """Begin a load of a model on the best replica, if any may take it."""
-        choice = self.choose_for_model(model, requests, free, cost_limit)
+        choice = self.choose_for_model(model, requests, idle, cost_limit)
         if choice is None:
             return False
         replica = choice.replica
-        free.remove(replica)
+        idle.remove(replica)
         load = self.load_step(replica, model)
         self.permits[replica.service] -= load.from_store
         unloads = [replica_state.Step(order_types.OrderKind.UNLOAD, name) for name in choice.unloads]
--- a/basaltport/placement/model_copies.py
+++ b/basaltport/placement/model_copies.py
@@ -40,17 +40,17 @@
         if not lacking:
             return
         self.count_permits()
-        free = self.free_replicas()
+        idle = self.idle_replicas()
         left = max(1, len(self.replicas) // HOT_PLANS_SHARE) - self.plans_not_on_demand()
         for _, model, copies in sorted(lacking, reverse=True):
-            if left < 1 or not free:
+            if left < 1 or not idle:
                 return
             served = {replica.zone for replica in self.copies(model)}
             unserved = [zone for zone in self.hot_models[model].zones if zone not in served]
-            where = self.best_places(unserved, served, free, copies) or free
+            where = self.best_places(unserved, served, idle, copies) or idle
             limit = replica_choice.HOT_COST_LIMIT
             left -= self.place_model(model, self.zone_rates(model), where, HOT_COPY, limit)
-            free = [replica for replica in free if replica.plan is None]
+            idle = [replica for replica in idle if replica.plan is None]
 
     def lacking_copies(self) -> list[tuple[float, str, int]]:
         """Hot models with too few copies: requests a second for each copy, name, copies here or coming."""
@@ -68,40 +68,40 @@
             return
         self.count_permits()
         unserved = any(not self.is_held(i) and not self.is_loading(i) for i in self.waiting)
-        free = self.free_replicas()
+        idle = self.idle_replicas()
         most = max(1, len(self.replicas) // SPARE_PLANS_SHARE)
         plans = self.plans_not_on_demand()
         for model, hot in sorted(self.hot_models.items(), key=lambda entry: -entry[1].rate):
             copies = self.copies(model)
             loading = [self.replicas[i] for i in self.loading_on.get(model, ())]
             served = {replica.zone for replica in copies + loading}
-            if unserved and copies or plans >= most or not free:
+            if unserved and copies or plans >= most or not idle:
                 continue
             lacking = [zone for zone in hot.zones if zone not in served]
             total = len(copies) + len(loading)
             if not lacking and total >= hot.copies_due:
                 continue
-            where = self.best_places(lacking, served, free, total)
+            where = self.best_places(lacking, served, idle, total)
             limit = replica_choice.SPARE_COST_LIMIT
             plans += self.place_model(model, self.zone_rates(model), where, SPARE_COPY, limit)
-            free = [replica for replica in free if replica.plan is None]
-        self.restore_lost_models(free)
+            idle = [replica for replica in idle if replica.plan is None]
+        self.restore_lost_models(idle)
 
-    def restore_lost_models(self, free: list[replica_state.Replica]) -> None:
+    def restore_lost_models(self, idle: list[replica_state.Replica]) -> None:
         """Models in use whose only copy was lost come back before they are asked for."""
         for model, lost_at in list(self.lost_models.items()):
             if self.now - lost_at > RESTORE_MS or self.is_held(model) or self.is_loading(model):
                 del self.lost_models[model]
-            elif free and self.place_model(model, {}, free, RESTORED, replica_choice.SPARE_COST_LIMIT):
+            elif idle and self.place_model(model, {}, idle, RESTORED, replica_choice.SPARE_COST_LIMIT):
                 del self.lost_models[model]
 
     def best_places(
-        self, lacking: list[str], served: set[str], free: list[replica_state.Replica], copies: int
+        self, lacking: list[str], served: set[str], idle: list[replica_state.Replica], copies: int
     ) -> list[replica_state.Replica]:
-        """Of the free replicas those where a further copy helps most: in a zone that lacks one, else, as long
+        """Of the idle replicas those where a further copy helps most: in a zone that lacks one, else, as long
         as there are few copies, in a zone that has none."""
         if lacking:
-            return [replica for replica in free if replica.zone in lacking]
+            return [replica for replica in idle if replica.zone in lacking]
         if copies < demand.LEAST_COPIES:
-            return [replica for replica in free if replica.zone not in served] or free
-        return free
+            return [replica for replica in idle if replica.zone not in served] or idle
+        return idle
--- a/basaltport/placement/overdue_loads.py
+++ b/basaltport/placement/overdue_loads.py
@@ -16,8 +16,8 @@
 """A model is overdue once it has waited for so many loads from the store."""
 OVERDUE_PLANS_SHARE = 8
 """One replica in so many, and at least one, may load overdue models ahead of all others."""
-OVERDUE_FREE_SHARE = 2
-"""Beside these, one in so many of the replicas that are free: no shorter load could use them at present."""
+OVERDUE_IDLE_SHARE = 2
+"""Beside these, one in so many of the replicas that are idle: no shorter load could use them at present."""
 OVERDUE = order_types.LoadReason.OVERDUE
 
 if typing.TYPE_CHECKING:
@@ -46,10 +46,10 @@
         each kind the longest wait first."""
         return bool(self.disk_ids(model)), -self.awaited_for_ms(model)
 
-    def place_overdue(self, awaited: dict[str, dict[str, float]], free: list[replica_state.Replica]) -> None:
+    def place_overdue(self, awaited: dict[str, dict[str, float]], idle: list[replica_state.Replica]) -> None:
         """Begin loads of the longest overdue models, as far as the replicas kept for them allow. A permit of
         the store's that is there is theirs, also where plans that still unload reserve it."""
-        left = self.overdue_plans_left() + len(free) // OVERDUE_FREE_SHARE
+        left = self.overdue_plans_left() + len(idle) // OVERDUE_IDLE_SHARE
         if left < 1:
             return
         overdue = [model for model in awaited if self.is_overdue(model) and not self.is_loading(model)]
@@ -57,9 +57,9 @@
             return
         self.permits = self.unreserved_permits()
         for model in sorted(overdue, key=self.overdue_order):
-            if left < 1 or not free:
+            if left < 1 or not idle:
                 break
-            left -= self.place_model(model, awaited[model], free, OVERDUE)
+            left -= self.place_model(model, awaited[model], idle, OVERDUE)
         self.count_permits()
 
     def overdue_plans_left(self) -> int:
--- a/basaltport/placement/replica_choice.py
+++ b/basaltport/placement/replica_choice.py
@@ -72,7 +72,7 @@
             and replica.unanswered < UNANSWERED_LIMIT
         )
 
-    def free_replicas(self) -> list[replica_state.Replica]:
+    def idle_replicas(self) -> list[replica_state.Replica]:
         """Replicas that could begin a plan now."""
         if self.now < self.orders_from:
             return []
@@ -97,14 +97,14 @@
         self,
         model: str,
         requests: state.RequestsByZone,
-        free: list[replica_state.Replica],
+        idle: list[replica_state.Replica],
         cost_limit: float | None = None,
     ) -> Choice[str] | None:
-        """The cheapest of the free replicas for a model, with the models to unload there, or None.
+        """The cheapest of the idle replicas for a model, with the models to unload there, or None.
         `cost_limit`: nothing is unloaded whose loss costs as much or more."""
         best: Choice[str] | None = None
         total, with_weights = sum(requests.values()), self.disk_copies.get(model, set())
-        for replica in free:
+        for replica in idle:
             from_disk = replica.id in with_weights
             if not from_disk and self.permits.get(replica.service, 0) < 1:
                 continue
@@ -140,8 +140,8 @@
     ) -> Eviction[str] | None:
         """The cheapest models to unload, or None where there is no room. What is fresh stays, and what costs
         `cost_limit` or more, and the model `keep`."""
-        free_mb = self.catalog.services[replica.service].memory_mb - replica.used_mb(self.catalog)
-        if free_mb >= needed_mb:
+        room_mb = self.catalog.services[replica.service].memory_mb - replica.used_mb(self.catalog)
+        if room_mb >= needed_mb:
             return Eviction(0.0, [])
         fresh_ms = COPY_FRESH_MS if cost_limit == SPARE_COST_LIMIT else FRESH_MS
         candidates = []
@@ -154,10 +154,10 @@
         total = 0.0
         unloads: list[str] = []
         for cost, _, model in candidates:
-            free_mb += replica.model_mb(self.catalog, model)
+            room_mb += replica.model_mb(self.catalog, model)
             total += cost + EVICTION_COST
             unloads.append(model)
-            if free_mb >= needed_mb:
+            if room_mb >= needed_mb:
                 return Eviction(total, unloads)
         return None
 
@@ -192,14 +192,14 @@
     # adapters
 
     def choose_for_adapter(
-        self, item: str, requests: state.RequestsByZone, free: list[replica_state.Replica]
+        self, item: str, requests: state.RequestsByZone, idle: list[replica_state.Replica]
     ) -> Choice[replica_state.Step] | None:
-        """The cheapest of the free replicas with the adapter's model, and the unloads there, or None."""
+        """The cheapest of the idle replicas with the adapter's model, and the unloads there, or None."""
         model, _, adapter = item.partition("/")
         best: Choice[replica_state.Step] | None = None
         total = sum(requests.values())
         with_model = self.holders.get(model, set())
-        for replica in free:
+        for replica in idle:
             barred = replica.barred_until.get(item, 0) > self.now
             if replica.id not in with_model or barred or adapter in replica.models[model].adapters:
                 continue
@@ -221,22 +221,22 @@
     ) -> Eviction[replica_state.Step] | None:
         """The cheapest unloads that make room for a model's adapter, or None: of adapters, else of models."""
         service = self.catalog.services[replica.service]
-        free_mb = service.memory_mb - replica.used_mb(self.catalog)
-        free_slots = service.adapter_slots - replica.adapters_held()
+        room_mb = service.memory_mb - replica.used_mb(self.catalog)
+        open_slots = service.adapter_slots - replica.adapters_held()
         total = 0.0
         unloads: list[replica_state.Step] = []
-        if free_mb >= model.adapter_mb and free_slots >= 1:
+        if room_mb >= model.adapter_mb and open_slots >= 1:
             return Eviction(total, unloads)
         for cost, name, adapter in self.adapter_losses(replica):
-            if free_mb >= model.adapter_mb and free_slots >= 1:
+            if room_mb >= model.adapter_mb and open_slots >= 1:
                 break
-            free_mb += replica.adapter_mb(self.catalog, name)
-            free_slots += 1
+            room_mb += replica.adapter_mb(self.catalog, name)
+            open_slots += 1
             total += cost + EVICTION_COST
             unloads.append(replica_state.Step(order_types.OrderKind.UNLOAD, name, adapter))
-        if free_mb >= model.adapter_mb and free_slots >= 1:
+        if room_mb >= model.adapter_mb and open_slots >= 1:
             return Eviction(total, unloads)
-        if free_slots < 1:
+        if open_slots < 1:
             return None
         eviction = self.make_room(replica, model.adapter_mb, None, model.name)
         if eviction is None:
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -114,14 +114,14 @@
     def count_permits(self) -> None:
         """How many loads from each store may be begun now."""
 
-    def free_replicas(self) -> list[replica_state.Replica]:
+    def idle_replicas(self) -> list[replica_state.Replica]:
         """Replicas that could begin a plan now."""
 
     def place_model(
         self,
         model: str,
         requests: RequestsByZone,
-        free: list[replica_state.Replica],
+        idle: list[replica_state.Replica],
         reason: order_types.LoadReason,
         cost_limit: float | None = None,
     ) -> bool:
--- a/tests/placement/test_disk_loads.py
+++ b/tests/placement/test_disk_loads.py
@@ -78,7 +78,7 @@
 def test_what_a_free_replica_has_on_its_disk_goes_before_what_has_waited_longer():
     f = two_replicas()
     with_weights_on_disk(f, "m7")
-    free = f.p.free_replicas()
+    free = f.p.idle_replicas()
     awaited = {"m9": {"x": 5.0}, "m7": {"x": 1.0}}
     assert [model for model, _ in f.p.disk_loads_first(awaited, free)] == ["m7", "m9"]
     assert [model for model, _ in f.p.disk_loads_first(awaited, [])] == ["m9", "m7"]
--- a/tests/placement/test_overdue_loads.py
+++ b/tests/placement/test_overdue_loads.py
@@ -48,11 +48,11 @@
         f.run(f.now + 400)
     f.p.may_order = may_order
     f.p.unreserved_permits = lambda: {"s": 99.0}
-    free = f.p.free_replicas()[:4]
+    free = f.p.idle_replicas()[:4]
     f.p.place_overdue({model: {"x": 1.0} for model in overdue}, free)
     reasons = [r.plan.reason for r in f.p.replicas.values() if r.plan]
     assert reasons == [OVERDUE] * (
-        8 // overdue_loads.OVERDUE_PLANS_SHARE + 4 // overdue_loads.OVERDUE_FREE_SHARE
+        8 // overdue_loads.OVERDUE_PLANS_SHARE + 4 // overdue_loads.OVERDUE_IDLE_SHARE
     )
 
 
