--- a/basaltport/proxy/admission.py
+++ b/basaltport/proxy/admission.py
@@ -104,7 +104,7 @@
         """Fail before sending where the time left cannot cover the expected load (ADR 0041, section 6)."""
         if not arrived.item or self.readiness.on_arrival(arrived) is not cold_start.Arrival.FAIL:
             return None
-        expected_ms = int(self.readiness.expected_load_ms(arrived))
+        expected_ms = int(self.readiness.recently_expected_load_ms(arrived))
         return Rejection("a load takes longer than the time that is left", expected_ms)
 
     def enqueue(self, arrived: request.Request) -> Rejection | None:
--- a/basaltport/proxy/model_readiness.py
+++ b/basaltport/proxy/model_readiness.py
@@ -16,6 +16,9 @@
 import basaltport.proxy.request as request
 
 RETRY_AFTER_DEFAULT_MS = 250
+EXPECTATION_KEPT_MS = 2000
+"""For so long after the placement's answer its expectation may refuse requests. Those that are refused do not
+ask it again, so that nothing else would correct it."""
 LEAST_URGENT_WEIGHT = 4
 """A request of urgency 0 counts as so many in the demand that is told; each step of urgency takes one off."""
 
@@ -26,6 +29,7 @@
 
     state: str = cold_start.LoadState.UNKNOWN
     expected_load_ms: int = 0
+    answered_at: int = 0
     retry_after_ms: int = RETRY_AFTER_DEFAULT_MS
     schedule: cold_start.AskSchedule = cold_start.AskSchedule()
 
@@ -36,7 +40,7 @@
 
     def answered(self, now: int, answer: collections.abc.Mapping[str, typing.Any]) -> None:
         """The placement's answer came."""
-        self.state = answer["state"]
+        self.state, self.answered_at = answer["state"], now
         self.expected_load_ms = answer.get("expected_ms", 0)
         self.retry_after_ms = limits.poll_spacing_ms(answer.get("retry_after_ms", RETRY_AFTER_DEFAULT_MS))
         asked_at, next_ask_at, demand = self.schedule
@@ -70,6 +74,18 @@
         status = self.statuses.get(waiting.item)
         if status and status.expected_load_ms:
             return status.expected_load_ms
+        return self.configured_load_ms(waiting)
+
+    def recently_expected_load_ms(self, arrived: request.Request) -> float:
+        """The same, but for what the placement said too long ago to refuse a request by."""
+        status = self.statuses.get(arrived.item)
+        if status and self.node.now - status.answered_at > EXPECTATION_KEPT_MS:
+            return self.configured_load_ms(arrived)
+        return self.expected_load_ms(arrived)
+
+    def configured_load_ms(self, waiting: request.Request) -> float:
+        """What the configuration says of a load of a request's item; 0 where it says nothing, and for an
+        adapter whose model is held."""
         service = self.node.table.services.get(waiting.service)
         if service is None or service.load_ms is None:
             return 0
@@ -86,7 +102,7 @@
             is_warm=False,
             may_be_held=False,
             remaining_ms=arrived.deadline - self.node.now,
-            expected_load_ms=self.expected_load_ms(arrived),
+            expected_load_ms=self.recently_expected_load_ms(arrived),
         )
 
     def wait_ends_at(self, waiting: request.Request) -> float:
--- a/tests/cold_start/test_adr_0041_routes.py
+++ b/tests/cold_start/test_adr_0041_routes.py
@@ -5,6 +5,7 @@
 import basaltport.cold_start.decision as decision
 import basaltport.cold_start.limits as limits
 import basaltport.proxy.events as events
+import basaltport.proxy.model_readiness as model_readiness
 import tests.support.proxy_stand as stand
 import tests.proxy.test_proxy as proxy_tests
 
@@ -121,6 +122,19 @@
         assert [(e.status, e.retry_after_ms) for e in closed] == [(503, 8000)] * refused
 
 
+def test_an_expectation_that_is_old_refuses_no_request_so_that_the_placement_is_asked_anew():
+    """Nobody asks for an item whose requests are refused: what is expected would stay as it is for ever."""
+    s = sim()
+    s.ask(deadline=LONG_MS)
+    told(s, "loading", expected_ms=4000)
+    assert s.ask(deadline=3000)[0].status == 503
+    asked = len(s.wants)
+    s.now += model_readiness.EXPECTATION_KEPT_MS + 1
+    assert s.ask(deadline=3000) == []
+    s.wait(50)
+    assert len(s.wants) > asked
+
+
 def test_after_a_time_out_the_placement_is_asked_once_and_nothing_is_sent_again():
     s = sim(HOLDS_IT)
     attempt = s.ask()[0].attempt
