Tests: a program's first import tells when it began; a sender's leaving is waited for whole; soak names the error

(1) run.py imports early_signals first, which imports started; the test looked for started in run.py itself. It looks at both now, and that nothing else is imported before. It waits for the request to be gone as well; what it asserts stays. Change: tests only; a lost request of the soak names the client's error.

--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -310,8 +310,12 @@
 def test_programs_note_when_they_began_before_they_import_the_rest():
     began = identifiers.Millis(started.AT_MS)
     assert 0 < began <= identifiers.steady()
-    text = (pathlib.Path(__file__).parent.parent.parent / "platform" / "run.py").read_text()
-    assert text.index("import basaltport.started") < text.index("import asyncio")
+    root = pathlib.Path(__file__).parent.parent.parent
+    program, first = root / "platform" / "run.py", root / "basaltport" / "early_signals.py"
+    imports = [line for line in first.read_text().splitlines() if line.startswith("import ")]
+    assert {line.split()[1] for line in imports} == {"signal", "sys", "types", "basaltport.started"}
+    text = program.read_text()
+    assert text.index("import basaltport.early_signals") < text.index("import asyncio")
 
 
 def test_two_candidates_of_one_name_ask_for_two_terms_and_one_gets_the_vote():
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import typing
 
 import aiohttp
 
@@ -15,15 +16,23 @@
 BROKEN = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
+class LostRequest(typing.NamedTuple):
+    """A request that a proxy had time to read, and whose connection it ended without a whole answer."""
+
+    proxy: str
+    after_s: float
+    error: str
+    """What the client's library said."""
+
+
 class KeptConnection:
-    """One client: one connection at a time, to one proxy, until that ends it. `lost`: of each request that a
-    proxy had time to read and whose connection it ended without a word, how long that took."""
+    """One client: one connection at a time, to one proxy, until that ends it. `lost`: its lost requests."""
 
     def __init__(self, plan_: plan.Plan, chance: random.Random) -> None:
         """No connection yet."""
         self.plan, self.chance = plan_, chance
         self.proxy = chance.choice(plan_.proxies)
-        self.lost: list[tuple[str, float]] = []
+        self.lost: list[LostRequest] = []
         self.session: aiohttp.ClientSession | None = None
 
     async def request(self, item: str, deadline_s: float) -> int:
@@ -42,17 +51,17 @@
                 status = response.status
         except (aiohttp.ClientConnectorError, TimeoutError):
             closes, status = True, 0
-        except BROKEN:
+        except BROKEN as error:
             closes, status = True, 0
-            self.note_lost(time.monotonic() - sent_at, deadline_s)
+            self.note_lost(time.monotonic() - sent_at, deadline_s, type(error).__name__)
         if closes:
             await self.leave()
         return status
 
-    def note_lost(self, after_s: float, deadline_s: float) -> None:
-        """Keep that a connection ended without an answer, if the request was surely read."""
+    def note_lost(self, after_s: float, deadline_s: float, error: str) -> None:
+        """Keep that a connection ended without an answer, if the request was surely read, and how."""
         if LOST_SLACK_S < after_s < DEADLINE_SHARE * deadline_s:
-            self.lost.append((self.proxy, after_s))
+            self.lost.append(LostRequest(self.proxy, after_s, error))
 
     async def leave(self) -> None:
         """End the connection, and go to another proxy."""
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -181,8 +181,10 @@
             await self.ask(models, connection)
         finally:
             await connection.close()
-            lost = [f"LOST at {proxy} after {after_s:.2f} s" for proxy, after_s in connection.lost]
-            self.verdict.violations += lost
+            for lost in connection.lost:
+                self.verdict.violations.append(
+                    f"LOST at {lost.proxy} after {lost.after_s:.2f} s: {lost.error}"
+                )
 
     async def ask(self, models: list[str], connection: clients.KeptConnection) -> None:
         """Ask for one item after the other on a client's connection, until the soak is over. That is looked
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -117,8 +117,8 @@
 def test_a_request_that_was_read_and_got_no_answer_is_a_finding_unless_its_deadline_came():
     connection = clients.KeptConnection(plan.Plan(1, "127.1.1"), random.Random(1))
     for after_s in (0.1, clients.LOST_SLACK_S + 0.1, 2.95):
-        connection.note_lost(after_s, 3.0)
-    assert [after_s for _, after_s in connection.lost] == [clients.LOST_SLACK_S + 0.1]
+        connection.note_lost(after_s, 3.0, "ServerDisconnectedError")
+    assert [lost.after_s for lost in connection.lost] == [clients.LOST_SLACK_S + 0.1]
 
 
 async def terminated(folder, script):
--- a/tests/transport/test_wires.py
+++ b/tests/transport/test_wires.py
@@ -202,7 +202,7 @@
                 await live.until(lambda: m.attempts)
                 assert sum(x.using for x in m.slots.values()) == 1
                 t.cancel()
-                await live.until(lambda: not m.attempts)
+                await live.until(lambda: not m.attempts and not m.requests)
             return sum(x.using for x in m.slots.values()), dict(m.outcome_counts), len(m.requests)
 
     using, tally, left = asyncio.run(run())
