--- a/basaltport/proxy/attempt.py
+++ b/basaltport/proxy/attempt.py
@@ -173,11 +173,11 @@
         if connect_ms >= 0:
             histograms.add(attempt.route, latency_histograms.Part.CONNECT, connect_ms)
 
-    def ended(self, attempt_id: int, result: attempt_outcome.Result) -> bool:
-        """An attempt ended; whether it was one that is known here."""
+    def ended(self, attempt_id: int, result: attempt_outcome.Result) -> request.Attempt | None:
+        """An attempt ended; the attempt, or None where it is not known here."""
         attempt = self.in_flight.pop(attempt_id, None)
         if attempt is None:
-            return False
+            return None
         known = self.balancer.health.of(attempt.replica_id)
         known.running_attempts = max(0, known.running_attempts - 1)
         known.unanswered.pop(attempt_id, None)
@@ -187,7 +187,7 @@
         sent = self.node.requests.get(attempt.request_id)
         if sent is not None and sent.attempt is attempt:
             self.finish(sent, attempt, result)
-        return True
+        return attempt
 
     def learn(
         self, attempt: request.Attempt, known: health.ReplicaHealth, result: attempt_outcome.Result
--- a/basaltport/proxy/load_balancing.py
+++ b/basaltport/proxy/load_balancing.py
@@ -94,6 +94,11 @@
         proxies_near = max(1, self.node.peers() // max(1, self.node.zones))
         return max(LEAST_ATTEMPTS, 2 * self.slots_of(replica) // proxies_near)
 
+    def has_room(self, replica: ReplicaRow) -> bool:
+        """Whether this proxy may run one more attempt at a replica."""
+        running = self.health.of(replica.replica_id).running_attempts
+        return running < LEAST_ATTEMPTS or running < self.most_attempts(replica)
+
     def slow_start_share(self, replica: ReplicaRow) -> int:
         """Requests that this proxy may send a replica in its slow start in a second."""
         node = self.node
@@ -112,12 +117,16 @@
 
     def is_held(self, waiting: request.Request) -> bool:
         """Whether a replica that is open holds a request's item, free or not."""
+        return self.has_holder(waiting.service, waiting.item)
+
+    def has_holder(self, service: str, item: identifiers.Item) -> bool:
+        """Whether a replica of a service that is open holds an item, free or not."""
         now, replicas = self.node.now, self.replicas()
-        for replica_id in self.holders(waiting.service, waiting.item):
+        for replica_id in self.holders(service, item):
             if not self.is_open(replicas[replica_id]):
                 continue
             known = self.health.get(replica_id)
-            if known is None or not known.is_missing(waiting.item, now) and now >= known.ejected_until:
+            if known is None or not known.is_missing(item, now) and now >= known.ejected_until:
                 return True
         return False
 
@@ -131,8 +140,7 @@
         known = self.health.of(replica_id)
         if now < known.ejected_until or known.is_missing(waiting.item, now):
             return False
-        running = known.running_attempts
-        if running >= LEAST_ATTEMPTS and running >= self.most_attempts(replica):
+        if not self.has_room(replica):
             return False
         if now >= known.slow_start_until:
             return True
--- a/basaltport/proxy/model_readiness.py
+++ b/basaltport/proxy/model_readiness.py
@@ -11,6 +11,7 @@
 import basaltport.cold_start.decision as cold_start
 import basaltport.cold_start.limits as limits
 import basaltport.identifiers as identifiers
+import basaltport.proxy.admission_queue as admission_queue
 import basaltport.proxy.interfaces as interfaces
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.request as request
@@ -19,8 +20,6 @@
 EXPECTATION_KEPT_MS = 2000
 """For so long after the placement's answer its expectation may refuse requests. Those that are refused do not
 ask it again, so that nothing else would correct it."""
-LEAST_URGENT_WEIGHT = 4
-"""A request of urgency 0 counts as so many in the demand that is told; each step of urgency takes one off."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,22 +114,26 @@
         """When the placement is worth asking again for a request's item; 0 where it has none."""
         return self.status(waiting.item).retry_after_ms if waiting.item else 0
 
-    def take_due(self, queue: collections.abc.Iterable[request.Request]) -> dict[str, int]:
-        """Items to ask the placement for now, each with its demand: all that requests wait for and nobody
-        holds, as far as they may be asked again. They count as asked.
-
-        Demand is told by weight: one urgent request counts as several that can wait.
-        """
-        demand: dict[str, int] = {}
-        for waiting in queue:
-            if waiting.item and not self.balancer.is_held(waiting):
-                weight = max(1, LEAST_URGENT_WEIGHT - waiting.route.urgency)
-                demand[waiting.item] = demand.get(waiting.item, 0) + weight
-        due = {item: weight for item, weight in demand.items() if self.may_ask(item, weight)}
-        for item, weight in due.items():
-            self.status(item).asked(self.node.now, weight)
+    def take_due(
+        self, queue: admission_queue.AdmissionQueue, items: collections.abc.Iterable[str]
+    ) -> dict[str, int]:
+        """Those of some items to ask the placement for now, each with its demand: that requests wait for and
+        nobody holds, as far as they may be asked again. They count as asked."""
+        due: dict[str, int] = {}
+        for item in items:
+            demand = self.demand_of(queue, item)
+            if demand and self.may_ask(item, demand):
+                self.status(item).asked(self.node.now, demand)
+                due[item] = demand
         return due
 
+    def demand_of(self, queue: admission_queue.AdmissionQueue, item: str) -> int:
+        """The weight of the requests that wait for an item which nobody holds in their service."""
+        if not item:
+            return 0
+        groups = queue.groups_for(item)
+        return sum(group.demand for group in groups if not self.balancer.has_holder(*group.need[:2]))
+
     def may_ask(self, item: str, demand: int) -> bool:
         """Whether the placement may be asked for an item now."""
         schedule = self.status(item).schedule
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -17,9 +17,11 @@
 import basaltport.proxy.attempt as attempt
 import basaltport.proxy.events as events
 import basaltport.proxy.health as health
+import basaltport.proxy.held_arrivals as held_arrivals
 import basaltport.proxy.latency_histograms as latency_histograms
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.model_readiness as model_readiness
+import basaltport.proxy.queue_launch as queue_launch
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
 import basaltport.proxy.retry_budget as retry_budget
@@ -74,7 +76,7 @@
         self.compiled_document: replica_table.FeedRow | None = None
         self.requests: dict[int, request.Request] = {}
         self.queue = admission_queue.AdmissionQueue()
-        self.held_arrivals = admission_queue.HeldArrivals()
+        self.held_arrivals = held_arrivals.HeldArrivals()
         self.outcome_counts: dict[str, int] = {}
         self.refusals: collections.Counter[tuple[str, str]] = collections.Counter()
         """Requests that were refused with a promise, by route and reason."""
@@ -95,6 +97,8 @@
         self.readiness = model_readiness.ModelReadiness(self, self.balancer)
         self.admission = admission.Admission(self, self.queue, self.readiness, self.budgets)
         self.attempts = attempt.AttemptTracker(self, self.balancer, self.readiness, self.budgets)
+        self.launcher = queue_launch.QueueLauncher(self.queue, self.balancer, self.attempts)
+        self.expiry = queue_launch.ExpiryCheck(self.balancer, self.readiness)
 
     def what_if(self, now: identifiers.Millis) -> "ProxyNode":
         """A copy for explanations: what it is asked leaves this node, its counts and its chance as they
@@ -144,7 +148,7 @@
                 base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), {"serial": version, "lines": routes})
             )
         self.route_held_arrivals()
-        self.pump()
+        self.launch_all()
 
     def forget_routes(self) -> None:
         """Drop the figures of routes that are configured no more."""
@@ -158,7 +162,7 @@
         """Rows of these replicas came, changed or went."""
         self.balancer.rows_changed(ids)
         self.route_held_arrivals()
-        self.pump()
+        self.launch_all()
 
     def on_facts(self, items: collections.abc.Mapping[str, replica_table.FeedRow]) -> None:
         """The placement's answers came, by item."""
@@ -169,7 +173,7 @@
             for waiting in self.queue.waiting_for(item):
                 if not self.balancer.is_held(waiting):
                     self.reject(waiting, "unavailable", retry_after_ms)
-        self.pump()
+        self.launch_all()
 
     def usage(self) -> tuple[dict[str, int], dict[str, int]]:
         """What came since the last report, by item, and what runs now, by replica."""
@@ -200,7 +204,7 @@
             self.emit(effect)
             return
         self.requests[arrived.id] = arrived
-        self.pump()
+        self.launch_item(arrived.item)
 
     def count_rejection(self, route: str, reason: str) -> None:
         """Count a rejection of our own."""
@@ -230,27 +234,28 @@
 
     # the queue
 
-    def pump(self) -> None:
-        """Launch what can go, the most urgent and then the oldest first."""
+    def launch_all(self) -> None:
+        """Launch what can go, and ask for what nobody holds: the time or the feed is another one."""
+        if self.queue:
+            self.launcher.launch(self.queue.groups())
+            self.ask_for_missing(self.queue.items_waited_for())
+
+    def launch_item(self, item: str) -> None:
+        """Launch what can go of those that wait for an item, or ask for it: one more came."""
+        self.launcher.launch(self.queue.groups_for(item))
+        self.ask_for_missing([item])
+
+    def launch_at(self, replica_id: str, item: str) -> None:
+        """Launch what can go to a replica, where an attempt for an item ended."""
         if not self.queue:
             return
-        without_replica = set()
-        for waiting in self.queue.in_order():
-            need = waiting.service, waiting.item
-            if need in without_replica and not waiting.tried_replicas:
-                continue
-            replica = self.balancer.choose(waiting)
-            if replica is not None:
-                del self.queue[waiting.id]
-                self.attempts.launch(waiting, replica)
-            elif not waiting.tried_replicas:
-                without_replica.add(need)
-        if self.queue:
-            self.ask_for_missing()
+        self.launcher.launch_at(replica_id)
+        self.launch_item(item)
 
-    def ask_for_missing(self) -> None:
-        """Ask the placement, which also orders loads, for items that requests wait for and nobody holds."""
-        due = self.readiness.take_due(self.queue.values())
+    def ask_for_missing(self, items: collections.abc.Iterable[str]) -> None:
+        """Ask the placement, which also orders loads, for those of some items that requests wait for and
+        nobody holds."""
+        due = self.readiness.take_due(self.queue, items)
         if due:
             self.want(due)
 
@@ -295,8 +300,9 @@
 
     def on_ended(self, event: events.Ended) -> None:
         """An attempt ended."""
-        if self.attempts.ended(event.attempt, event.result):
-            self.pump()
+        ended = self.attempts.ended(event.attempt, event.result)
+        if ended is not None:
+            self.launch_at(ended.replica_id, ended.item)
 
     def on_tick(self, event: base.Tick) -> None:
         """What time alone brings about."""
@@ -304,18 +310,17 @@
         self.expire_held_arrivals()
         self.expire()
         self.attempts.stop_silent()
-        if self.queue:
-            self.pump()
+        self.launch_all()
 
     def expire(self) -> None:
         """What can no longer be answered in time is rejected as soon as that is known."""
-        for waiting in list(self.queue.values()):
-            if self.balancer.is_stranded(waiting):
-                self.reject_late(waiting, "refused by the replica that it may go to")
-                continue
-            least_ms = max(attempt.LEAST_TIME_MS, self.latency.of(waiting.service) // 2)
-            if self.now >= self.readiness.wait_ends_at(waiting) - least_ms:
-                self.reject_late(waiting, "it could not be answered in time")
+        for group in self.queue.groups():
+            first = group.first()
+            if first is not None and self.balancer.is_stranded(first):
+                for waiting in list(group.members.values()):
+                    self.reject_late(waiting, "refused by the replica that it may go to")
+            while (expired := self.expiry.first_expired(group, self.now)) is not None:
+                self.reject_late(expired, "it could not be answered in time")
 
     def reject_late(self, waiting: request.Request, detail: str) -> None:
         """Reject a request whose client may come back when its item may be there."""
--- a/basaltport/proxy/request.py
+++ b/basaltport/proxy/request.py
@@ -8,6 +8,8 @@
 import basaltport.proxy.routing as routing
 
 NOT_YET = identifiers.Millis(0)
+LEAST_URGENT_WEIGHT = 4
+"""A request of urgency 0 counts as so many in the demand that is told; each step of urgency takes one off."""
 
 
 class StopReason(enum.Enum):
@@ -70,6 +72,11 @@
         self.queue_key = (route.urgency, self.arrived_at, request_id)
         self.queued_at = arrived.now
 
+    def demand_weight(self) -> int:
+        """As how many requests it counts in the demand that the placement is told: one urgent request counts
+        as several that can wait."""
+        return max(1, LEAST_URGENT_WEIGHT - self.route.urgency)
+
     def may_reach_another(self) -> bool:
         """Whether it may go to a replica that it has not reached."""
         return len(self.reached_replicas) < self.route.attempts
--- /dev/null
+++ b/tests/proxy/test_queue_cost.py
@@ -0,0 +1,133 @@
+"""An arrival, an end of an attempt and a departure cost no more for all else that waits.
+
+The calls that a step makes are counted, which is the same on any machine.
+`python -m tests.proxy.test_queue_cost`
+prints the processor time of the same steps.
+"""
+
+import sys
+import time
+import typing
+
+import pytest
+
+import basaltport.proxy.admission_queue as admission_queue
+import basaltport.proxy.events as events
+import tests.proxy.test_proxy as test_proxy
+import tests.support.proxy_stand as stand
+
+FEW, MANY = 100, 5000
+ITEMS, HELD = 50, 5
+DEADLINE_MS = 60_000
+REPEATS = 20
+MOST_GROWTH = 1.5
+"""Logarithms of the two sizes differ by 1.85; most calls of a step don't depend on what waits."""
+
+
+class Figures(typing.NamedTuple):
+    """What one step cost in the mean: calls of functions, and microseconds of processor time."""
+
+    calls: float
+    microseconds: float
+
+
+class BusyProxy:
+    """A proxy at which requests wait, some for what two busy replicas hold, the rest for models to load."""
+
+    def __init__(self, waiting: int) -> None:
+        held = [f"held-{i}" for i in range(HELD)]
+        cold = [f"cold-{i}" for i in range(ITEMS - HELD)]
+        rows = [test_proxy.row("r1", models=held), test_proxy.row("r2", "z2", models=held)]
+        self.sim = test_proxy.Sim(rows, document([*held, *cold]))
+        self.items = [*held, *cold]
+        self.running = [effect.attempt for effect in self.ask_for_all(held, 100)]
+        while len(self.sim.m.queue) < waiting:
+            self.sim.ask(item=self.items[len(self.sim.m.queue) % ITEMS], deadline=DEADLINE_MS)
+
+    def ask_for_all(self, items: list[str], count: int) -> list[events.Attempt]:
+        """So many requests; those that went out."""
+        asked = [self.sim.ask(item=items[i % len(items)], deadline=DEADLINE_MS) for i in range(count)]
+        return [effect for effects in asked for effect in effects if isinstance(effect, events.Attempt)]
+
+    def arrival(self) -> None:
+        """A request that is to wait."""
+        self.sim.ask(item=self.items[1], deadline=DEADLINE_MS)
+
+    def cold_arrival(self) -> None:
+        """A request for a model that nobody holds."""
+        self.sim.ask(item=self.items[-1], deadline=DEADLINE_MS)
+
+    def end(self) -> None:
+        """The end of an attempt, after which the next request goes out."""
+        effects = self.sim.end(self.running.pop(0), "done", status=200)
+        launched = [effect.attempt for effect in effects if isinstance(effect, events.Attempt)]
+        assert len(launched) == 1
+        self.running += launched
+
+    def departure(self) -> None:
+        """A client that waits goes away."""
+        self.sim.step(events.Left(self.sim.now, next(reversed(self.sim.m.requests))))
+
+    def tick(self) -> None:
+        """What time alone brings about."""
+        self.sim.wait(50)
+
+
+def document(models: list[str]) -> dict[str, typing.Any]:
+    """A configuration whose service knows the models."""
+    configured = stand.document()
+    for route in configured["routes"]:
+        route["deadline_ms"] = DEADLINE_MS
+    service = configured["services"][0]
+    service["engine"]["models"] = [
+        {**service["engine"]["models"][0], "name": name, "adapters": 0} for name in models
+    ]
+    return configured
+
+
+STEPS = ("arrival", "cold_arrival", "end", "departure")
+
+
+def figures(waiting: int, step: str) -> Figures:
+    """The cost of a step where so many wait."""
+    proxy = BusyProxy(waiting)
+    act = getattr(proxy, step)
+    act()
+    calls = 0
+
+    def count(frame: object, event: str, argument: object) -> None:
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    for _ in range(REPEATS):
+        act()
+    sys.setprofile(None)
+    began_at = time.process_time_ns()
+    for _ in range(REPEATS):
+        act()
+    return Figures(calls / REPEATS, (time.process_time_ns() - began_at) / REPEATS / 1000)
+
+
+@pytest.fixture
+def unbounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A queue that is never full."""
+    monkeypatch.setattr(admission_queue, "MOST_WAITING", 2 * MANY)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_step_costs_no_more_where_fifty_times_as_many_wait(unbounded, step):
+    few, many = figures(FEW, step), figures(MANY, step)
+    assert many.calls <= MOST_GROWTH * few.calls, f"{few.calls} calls, then {many.calls}"
+
+
+def main() -> None:
+    """Print the processor time of each step at three sizes."""
+    admission_queue.MOST_WAITING = 2 * MANY
+    for step in (*STEPS, "tick"):
+        costs = [figures(waiting, step) for waiting in (FEW, 1000, MANY)]
+        print(f"{step:12}", *(f"{cost.microseconds:9.0f} us" for cost in costs))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -40,6 +40,11 @@
     return sum(float(value) for value in VIOLATIONS_METRIC.findall(metrics))
 
 
+def session() -> aiohttp.ClientSession:
+    """What a rig calls its processes with."""
+    return aiohttp.ClientSession(timeout=CALL_LIMIT, connector=aiohttp.TCPConnector(limit=0))
+
+
 @dataclasses.dataclass(slots=True)
 class Verdict:
     """What came of a seed."""
@@ -91,8 +96,7 @@
 
     async def run(self) -> Verdict:
         """The verdict; all processes have ended by then."""
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(timeout=CALL_LIMIT, connector=connector) as self.session:
+        async with session() as self.session:
             try:
                 if await self.start():
                     await self.soak()
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -32,6 +32,7 @@
 READER = "reader"
 """Stands for whoever reads reports and the list among the callers of cuts."""
 ANSWER_S = 0.05
+MOST_RAN = 100_000
 EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 Request = aiohttp.web.Request
@@ -70,9 +71,11 @@
         closes = {"Connection": "close"} if self.is_draining else {}
         return {"Replica": self.life.id if self.life else "", **closes}
 
-    def refuse(self, status: int) -> Response:
+    def refuse(self, request: Request, status: int) -> Response:
         """Say that a request was not run."""
-        return aiohttp.web.Response(status=status, headers={**self.headers(), "Not-Delivered": "1"})
+        headers = {**self.headers(), "Not-Delivered": "1"}
+        headers["Tracking-Id"] = request.headers.get("Tracking-Id", "")
+        return aiohttp.web.Response(status=status, headers=headers)
 
     async def order(self, request: Request) -> Response:
         """A controller's order, which may come late, and its answer, which may be lost."""
@@ -96,7 +99,7 @@
         await self.stand_ins.pass_cut(READER, self.number)
         life = self.called(request)
         if life is None:
-            return self.refuse(replica_state.MISDIRECTED)
+            return self.refuse(request, replica_state.MISDIRECTED)
         figures = {"stage": "both", "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 200_000, "handles": 0}
         document, headers = figures | life.report(time.monotonic()), self.headers()
         await self.stand_ins.pass_cut(READER, self.number)
@@ -106,14 +109,15 @@
         """A client's request, run if its model and adapter are held; or a look at the health."""
         life = self.called(request)
         if life is None:
-            return self.refuse(replica_state.MISDIRECTED)
+            return self.refuse(request, replica_state.MISDIRECTED)
         if request.path == "/health":
             status = replica_state.UNAVAILABLE if self.is_draining else replica_state.OK
             return aiohttp.web.Response(status=status, headers=self.headers())
         model, _, adapter = request.headers.get("Model", "").partition("/")
         served = life.serves(model, adapter, time.monotonic())
         if served != replica_state.OK:
-            return self.refuse(served)
+            return self.refuse(request, served)
+        self.stand_ins.ran.append(request.headers.get("Tracking-Id", ""))
         await asyncio.sleep(ANSWER_S)
         if self.life is not life and request.transport:
             request.transport.abort()
@@ -138,6 +142,8 @@
         self.lists: collections.deque[list[plan.Document]] = collections.deque(maxlen=SNAPSHOTS)
         self.counts: collections.Counter[str] = collections.Counter()
         self.violations: list[str] = []
+        self.ran: collections.deque[str] = collections.deque(maxlen=MOST_RAN)
+        """Ids of the requests that were run since they were last asked for."""
         self.lives = 0
         self.began_at = self.snapshot_at = time.monotonic()
         self.log = open(orders_log, "w", buffering=1)
@@ -264,6 +270,8 @@
                 self.end_life(place, place.life)
             case "leave" if living:
                 self.leave(living[target % len(living)])
+        if body["do"] == "ran":
+            return aiohttp.web.json_response({"ran": [*self.ran]})
         lives = [place.life for place in self.places if place.life]
         held = {m: sorted({a for v in lives for a in v.models.get(m, ())}) for v in lives for m in v.models}
         return aiohttp.web.json_response({"counts": self.counts, "violations": self.violations, "held": held})
