A head that has begun is no rest: a stop lets it be answered; a next head gets headerWaitMs

Cause: a connection with a part of a head on it counted as at rest, so that a stop cut the request at that byte; and a head behind a request under way had no time limit. Change: a client's connection knows whether its next head has begun. A stop waits for it, within header_wait_ms; behind a request under way its time runs too, and the connection then ends after that request's answer. Where a next head comes in one piece with the end of a body, it counts from the next piece on.

--- a/basaltport/proxy/client_server.py
+++ b/basaltport/proxy/client_server.py
@@ -102,7 +102,7 @@
         """
         busy = 0
         for connection in self.server.connections:
-            if client_connections.is_at_rest(connection):
+            if client_connections.is_at_rest(connection) and not head_timeout.has_partial_head(connection):
                 connection.force_close()
             else:
                 busy += 1
--- a/tests/proxy/test_head_timeout.py
+++ b/tests/proxy/test_head_timeout.py
@@ -110,3 +110,56 @@
             return got
 
     assert run(go()).endswith(b"written")
+
+
+def test_a_next_head_behind_a_request_under_way_that_stops_coming_ends_the_connection_after_its_answer():
+    """Its time begins with its first bytes; the answer to the request before it comes whole."""
+
+    async def go():
+        released = asyncio.Event()
+
+        async def slow(replica, headers, writer):
+            await released.wait()
+            writer.write(stand.whole(headers, b"written"))
+
+        document = front().doc
+        async with stand.Front([stand.Replica("i-1", slow)], doc=document) as proxy:
+            reader, writer = await proxy.open()
+            writer.write(proxy.text("/safe/x"))
+            while not proxy.replicas[0].seen:
+                await asyncio.sleep(0.001)
+            writer.write(proxy.text("/safe/x")[:40])
+            await asyncio.sleep(LONGER_S)
+            released.set()
+            got = await asyncio.wait_for(reader.read(), MUCH_LONGER_S)
+            writer.close()
+            return got, len(proxy.replicas[0].seen)
+
+    got, requests = run(go())
+    assert got.startswith(b"HTTP/1.1 200") and got.endswith(b"written") and requests == 1
+
+
+def test_a_next_head_in_pieces_behind_a_request_under_way_is_served():
+    async def go():
+        async def slow(replica, headers, writer):
+            await asyncio.sleep(HEADER_WAIT_MS / 3000)
+            writer.write(stand.whole(headers, b"written"))
+
+        document = front().doc
+        async with stand.Front([stand.Replica("i-1", slow)], doc=document) as proxy:
+            reader, writer = await proxy.open()
+            raw = proxy.text("/safe/x")
+            writer.write(raw)
+            while not proxy.replicas[0].seen:
+                await asyncio.sleep(0.001)
+            writer.write(raw[:40])
+            await reader.readuntil(b"written")
+            writer.write(raw[40:])
+            await reader.readuntil(b"written")
+            await asyncio.sleep(LONGER_S)
+            writer.write(raw)
+            await reader.readuntil(b"written")
+            writer.close()
+            return len(proxy.replicas[0].seen)
+
+    assert run(go()) == 3
--- /dev/null
+++ b/tests/proxy/test_stop_sweep.py
@@ -0,0 +1,107 @@
+"""A stop against requests sent at that very moment, on virtual time: at each millisecond around the moment at
+which connections at rest are ended, and cut at each byte of a request. `tests/soak/stop_sweep.py` is the same
+with real processes."""
+
+import asyncio
+import typing
+
+import pytest
+
+import basaltport.proxy.server as server
+import tests.proxy.test_stop_times as stop_times
+import tests.support.jumping_loop as jumping_loop
+import tests.support.proxy_stand as stand
+
+CLOSES_S = min(server.NOTICED_S, stop_times.GRACE_S / 2)
+ANSWER_S = 0.05
+SWEEP_MS = range(-120, 121)
+SPREAD_MS = 5
+"""Of the two parts of a request that is cut, the first comes so long before the close and the other after."""
+MOST_LATE_S = 0.2
+"""`lostSlackMs` of the platform's pages."""
+
+
+class Seen(typing.NamedTuple):
+    """What became of a request: the answer as it came, and how long after its last byte that was, in s."""
+
+    answer: bytes
+    took_s: float
+
+
+async def answer_soon(replica, headers, writer):
+    await stop_times.until(asyncio.get_running_loop().time() + ANSWER_S)
+    writer.write(stand.whole(headers, b"written"))
+
+
+async def send(connection, request_id, parts):
+    """Send the parts of a request, each with the moment for it; what comes of it."""
+    reader, writer = connection
+    sent_at, loop = 0.0, asyncio.get_running_loop()
+    for moment, part in parts:
+        await stop_times.until(moment)
+        if part:
+            writer.write(part)
+            sent_at = loop.time()
+    try:
+        got = await reader.read()
+    except ConnectionResetError:
+        got = b""
+    writer.close()
+    return Seen(got, loop.time() - sent_at)
+
+
+def play(requests):
+    """What became of requests, by id, and the ids that the replica ran. `requests`: by id, (seconds after the
+    stop, bytes of the first part) of each of its two parts."""
+
+    async def go():
+        loop = asyncio.get_running_loop()
+        term = loop.time() + 1.0
+        replica = stand.Replica("i-1", answer_soon, slots=1000)
+        async with stand.Front([replica], stop_times.document(), stop_times.TIMINGS) as proxy:
+            connections = {request_id: await proxy.open() for request_id in requests}
+            loop.call_at(term, proxy.shell.end.set)
+            sending = []
+            for request_id, (first_s, cut_at, second_s) in requests.items():
+                raw = proxy.text("/safe/x", **{stand.W.request_id: request_id, stand.W.deadline: "60000"})
+                parts = [(term + first_s, raw[:cut_at]), (term + second_s, raw[cut_at:])]
+                sending.append(send(connections[request_id], request_id, parts))
+            seen = dict(zip(requests, await asyncio.gather(*sending), strict=True))
+            await proxy.task
+        ran = {headers[stand.W.request_id.lower()] for _, headers, _ in replica.seen}
+        return seen, ran
+
+    return jumping_loop.run(go)
+
+
+def assert_none_is_lost(seen, ran):
+    for request_id, (answer, took_s) in seen.items():
+        is_whole = answer.startswith(b"HTTP/1.1 ") and (b"written" in answer or b'"error"' in answer)
+        if not is_whole:
+            assert answer == b"" and request_id not in ran, f"{request_id} ran and got {answer!r}"
+            assert took_s <= MOST_LATE_S, f"{request_id} ended after {took_s} s"
+
+
+def test_a_request_sent_at_any_millisecond_around_the_close_is_answered_or_crosses_it():
+    requests = {f"at {ms}": (CLOSES_S + ms / 1000, 0, CLOSES_S + ms / 1000) for ms in SWEEP_MS}
+    seen, ran = play(requests)
+    assert_none_is_lost(seen, ran)
+    assert len(ran) >= len(requests) // 3 and len(ran) < len(requests)
+
+
+def test_a_request_cut_by_the_close_at_any_byte_is_answered_once_its_first_byte_was_there():
+    """A head that has begun is no rest: its connection is not ended before its answer."""
+    size = len(stand.Front([]).text("/safe/x", **{stand.W.request_id: "cut 100"}))
+    spread_s = SPREAD_MS / 1000
+    requests = {f"cut {at}": (CLOSES_S - spread_s, at, CLOSES_S + 0.1 + spread_s) for at in range(1, size)}
+    seen, ran = play(requests)
+    assert_none_is_lost(seen, ran)
+    assert ran == set(requests)
+
+
+@pytest.mark.parametrize("at_s", [0.0, 1.3])
+def test_a_request_cut_around_the_stop_and_before_the_close_is_answered(at_s):
+    requests = {f"cut {at}": (at_s - 0.005, at, at_s + 0.005) for at in range(0, 140, 7)}
+    seen, ran = play(requests)
+    assert_none_is_lost(seen, ran)
+    assert ran == set(requests)
