--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 import tests.soak.plan as plan
+import tests.soak.stalls as stalls
 
 LOST_SLACK_S = 0.5
 """A connection that ends later than this after a request was sent has been read from: the request is lost."""
@@ -28,9 +29,12 @@
 class KeptConnection:
     """One client: one connection at a time, to one proxy, until that ends it. `lost`: its lost requests."""
 
-    def __init__(self, plan_: plan.Plan, chance: random.Random) -> None:
-        """No connection yet."""
+    def __init__(
+        self, plan_: plan.Plan, chance: random.Random, watch: stalls.StallWatch | None = None
+    ) -> None:
+        """No connection yet. `watch`: of this process, whose own stalls are no time of a proxy."""
         self.plan, self.chance = plan_, chance
+        self.watch = watch or stalls.StallWatch()
         self.proxy = chance.choice(plan_.proxies)
         self.lost: list[LostRequest] = []
         self.session: aiohttp.ClientSession | None = None
@@ -43,7 +47,7 @@
         url = f"http://{self.plan.counters[self.proxy]}{self.chance.choice([*plan.PATHS.values()])}"
         headers = {"Host": plan.HOST, "Model": item, "Deadline-Ms": str(int(1000 * deadline_s))}
         headers |= {"Tokens": "10,3", "Tracking-Id": f"{self.chance.getrandbits(64):016x}"}
-        limit, sent_at = aiohttp.ClientTimeout(total=deadline_s), time.monotonic()
+        limit, sent_at = aiohttp.ClientTimeout(total=deadline_s), self.own_time()
         try:
             async with self.session.post(url, data=b"x", headers=headers, timeout=limit) as response:
                 await response.read()
@@ -53,11 +57,15 @@
             closes, status = True, 0
         except BROKEN as error:
             closes, status = True, 0
-            self.note_lost(time.monotonic() - sent_at, deadline_s, type(error).__name__)
+            self.note_lost(self.own_time() - sent_at, deadline_s, type(error).__name__)
         if closes:
             await self.leave()
         return status
 
+    def own_time(self) -> float:
+        """Seconds in which this process did not stand still."""
+        return time.monotonic() - self.watch.total_s
+
     def note_lost(self, after_s: float, deadline_s: float, error: str) -> None:
         """Keep that a connection ended without an answer, if the request was surely read, and how."""
         if LOST_SLACK_S < after_s < DEADLINE_SHARE * deadline_s:
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -16,6 +16,7 @@
 import tests.soak.clients as clients
 import tests.soak.fleet as fleet
 import tests.soak.plan as plan
+import tests.soak.stalls as stalls
 import tests.soak.troubles as troubles
 
 OK = 200
@@ -55,6 +56,7 @@
     """What the stand-ins counted of orders."""
     requests: int = 0
     served: int = 0
+    own_stall_ms: int = 0
     violations: list[str] = dataclasses.field(default_factory=list)
 
     def line(self) -> str:
@@ -63,7 +65,8 @@
         return (
             f"seed {self.seed}: troubles {self.troubles}, requests {self.requests} (served {self.served}),"
             f" orders {count['orders']}, late orders delivered {count['late']} (taken {count['late_taken']}),"
-            f" answers lost {count['lost']}, longest stall {count['stall_ms']} ms,"
+            f" answers lost {count['lost']}, longest stall {count['stall_ms']} ms, of the rig itself"
+            f" {self.own_stall_ms} ms,"
             f" violations {len(self.violations)}"
         )
 
@@ -91,6 +94,8 @@
         self.edition = 0
         self.stopping: set[str] = set()
         """The proxies that were asked to stop and are not up again."""
+        self.watch_stalls = stalls.StallWatch()
+        """Of this process."""
         self.counted: dict[str, float] = {}
         """By process: the violations that it counts itself."""
 
@@ -132,6 +137,7 @@
             number = CLIENTS + len(self.plan.proxies)
             background = [group.create_task(self.client()) for _ in range(number)]
             background.append(group.create_task(self.watch()))
+            background.append(group.create_task(self.watch_stalls.run()))
             ending = [group.create_task(self.trouble(each)) for each in self.troubles]
             await asyncio.wait([*ending, group.create_task(asyncio.sleep(self.seconds))])
             self.is_over = True
@@ -180,7 +186,10 @@
 
     async def client(self) -> None:
         """Ask for one item after the other, until cancelled; few models are asked for most."""
-        models, connection = [*self.plan.model_mb], clients.KeptConnection(self.plan, self.chance)
+        models, connection = (
+            [*self.plan.model_mb],
+            clients.KeptConnection(self.plan, self.chance, self.watch_stalls),
+        )
         try:
             await self.ask(models, connection)
         finally:
@@ -284,7 +293,7 @@
     async def check_served(self, item: str) -> None:
         """An item is served in time, as a client asks for it again and again."""
         ends_at, statuses = time.monotonic() + PROGRESS_S, [0]
-        connection = clients.KeptConnection(self.plan, self.chance)
+        connection = clients.KeptConnection(self.plan, self.chance, self.watch_stalls)
         while statuses[-1] != OK and time.monotonic() < ends_at:
             deadline_s = min(CLIENT_S, max(0.1, ends_at - time.monotonic()))
             statuses.append(await connection.request(item, deadline_s))
@@ -298,5 +307,6 @@
         await self.read_counters()
         state = await self.control("tell")
         self.verdict.counts = state["counts"]
+        self.verdict.own_stall_ms = int(1000 * self.watch_stalls.longest_s)
         self.verdict.violations += state["violations"]
         self.verdict.violations += [f"COUNTED {name}: {value:g}" for name, value in self.counted.items()]
--- a/tests/soak/stop_sweep.py
+++ b/tests/soak/stop_sweep.py
@@ -21,6 +21,7 @@
 import tests.soak.fleet as fleet
 import tests.soak.plan as plan
 import tests.soak.rig as rig
+import tests.soak.stalls as stalls
 
 SLACK_S = 0.2
 """`lostSlackMs` of the platform's pages."""
@@ -30,7 +31,6 @@
 RELOADS = 3
 PAUSE_S = 0.02
 """The longest pause between the two parts of a request, and between those of its answer."""
-STALL_CHECK_S = 0.005
 MOST_STALL_S = 0.1
 """Runs in which this process itself stood still for longer tell nothing of times."""
 READY_S = 20.0
@@ -124,21 +124,6 @@
         self.writer.close()
 
 
-class StallWatch:
-    """How long this process itself stood still at the longest."""
-
-    def __init__(self) -> None:
-        """Not at all yet."""
-        self.longest_s = 0.0
-
-    async def run(self) -> None:
-        """Watch until cancelled."""
-        while True:
-            before = time.monotonic()
-            await asyncio.sleep(STALL_CHECK_S)
-            self.longest_s = max(self.longest_s, time.monotonic() - before - STALL_CHECK_S)
-
-
 class Sweep:
     """Runs on one fleet, one after the other at each proxy."""
 
@@ -167,7 +152,7 @@
         warm = models[0]
         for client in asking[:: max(1, self.clients // 8)]:
             await client.ask(warm)
-        watch = StallWatch()
+        watch = stalls.StallWatch()
         watching = asyncio.create_task(watch.run())
         await asyncio.sleep(CALM_S)
         tasks = self.begin(asking, number, chance, warm, models)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -10,6 +11,7 @@
 import tests.soak.plan as plan
 import tests.soak.replica_state as replica_state
 import tests.soak.rig as rig
+import tests.soak.stalls as stalls
 import tests.soak.troubles as troubles
 
 BOUND_S = 60
@@ -121,6 +123,28 @@
     assert [lost.after_s for lost in connection.lost] == [clients.LOST_SLACK_S + 0.1]
 
 
+def test_a_stall_of_the_rig_itself_is_no_time_of_a_proxy():
+    watch = stalls.StallWatch()
+    connection = clients.KeptConnection(plan.Plan(1, "127.1.1"), random.Random(1), watch)
+    sent_at = connection.own_time()
+    watch.total_s += 1.2
+    assert connection.own_time() - sent_at < clients.LOST_SLACK_S
+
+
+def test_a_stall_is_seen_by_the_watch():
+    async def run():
+        watch = stalls.StallWatch()
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(0)
+        time.sleep(0.1)
+        await asyncio.sleep(2 * stalls.CHECK_S)
+        watching.cancel()
+        return watch
+
+    watch = asyncio.run(run())
+    assert 0.05 <= watch.longest_s <= watch.total_s
+
+
 async def terminated(folder, script):
     """What the rig finds of a process that runs a script and is asked to stop."""
     rigged = fleet.Fleet(1, fleet.ROOT, folder, 1)
