Ages of waits outlive a change of leader; the bound on overdue models is a counted invariant

Cause: a new leader forgot since when models are asked for, so that with a leader that changes every few seconds a rare model was never loaded beside many others; and nothing in the running code told whether the postmortem's bound holds. Change: proxies keep the age of what they ask for, over gaps of up to a minute, and tell it with each demand (a field with a default: older leaders read past it, older proxies leave it out). The invariant 'overdue' compares each overdue model's wait with turns of the replicas kept for it and the store's permits (placement/overdue_bound.py); it is counted, logged and raised in tests as those of LIMIT are. Found on the way: a document with a default was silently left out of frames; a test holds it now.

--- a/basaltport/controller/node.py
+++ b/basaltport/controller/node.py
@@ -104,6 +104,7 @@
         """A proxy tells how many requests wait for items; it is told how they stand."""
         if not self.holds():
             return
-        self.call_placement(self.placement.requests_waiting, request.zone, request.items)
+        waiting = self.placement.requests_waiting
+        self.call_placement(waiting, request.zone, request.items, request.waited_ms)
         found = {item: self.placement.model_status(self.now, item).document() for item in request.items}
         self.tell_facts(request.address, found)
--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -113,10 +113,11 @@
         term = self.feed_gen if self.leader_address else identifiers.Term()
         return messages.Follow(me.name, me.zone, me.addr, term, log_index, self.feed_n, use, load)
 
-    def want(self, items: dict[str, int]) -> None:
-        """Tell the leader how many requests wait for items."""
+    def want(self, items: dict[str, int], waited_ms: dict[str, int] | None = None) -> None:
+        """Tell the leader how many requests wait for items, and for how long each was asked for."""
+        me = self.me
         for address in self.addresses():
-            self.send(address, messages.Want(self.me.name, self.me.zone, self.me.addr, items))
+            self.send(address, messages.Want(me.name, me.zone, me.addr, items, waited_ms or {}))
 
     # hearing
 
--- a/basaltport/fleet/messages.py
+++ b/basaltport/fleet/messages.py
@@ -1,5 +1,7 @@
 """What controllers and proxies say to each other; numbers from 40."""
 
+import dataclasses
+
 import basaltport.identifiers as identifiers
 import basaltport.messages as messages
 
@@ -52,12 +54,14 @@
 
 @messages.message(43)
 class Want:
-    """Requests that wait at a proxy, by item."""
+    """Requests that wait at a proxy, by item. `waited_ms`: for how long each item has been asked for, also by
+    requests that are gone; proxies of older releases do not tell it."""
 
     name: identifiers.Name
     zone: identifiers.Zone
     address: str
     items: messages.Document
+    waited_ms: messages.Document = dataclasses.field(default_factory=dict)
 
 
 @messages.message(44)
--- a/basaltport/frames.py
+++ b/basaltport/frames.py
@@ -108,6 +108,7 @@
     type: type
     form: construct.Construct
     conversion: _Conversion | None
+    is_document: bool
     default: object = dataclasses.MISSING
 
     def is_optional(self) -> bool:
@@ -123,12 +124,21 @@
         conversion = _CONVERSIONS.get(field.type)
         plain = object if conversion else typing.cast(type, typing.get_origin(field.type) or field.type)
         form = _form(plain)
-        if field.default is not dataclasses.MISSING:
+        is_document = form is _DOC
+        default = _default(field)
+        if default is not dataclasses.MISSING:
             form = construct.Optional(form)
-        out.append(_Field(field.name, plain, form, conversion, field.default))
+        out.append(_Field(field.name, plain, form, conversion, is_document, default))
     return tuple(out)
 
 
+def _default(field: "dataclasses.Field[typing.Any]") -> object:
+    """The default of a field, MISSING where it has none."""
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    return field.default
+
+
 def _sent_fields(msg: object) -> list[_Field]:
     """The fields of a message that are sent: without the last ones that have their default."""
     fields = list(_layout(typing.cast(collections.abc.Hashable, type(msg))))
@@ -148,7 +158,7 @@
     out: list[bytes] = []
     for field in _sent_fields(msg):
         value = getattr(msg, field.name)
-        if field.form is _DOC:
+        if field.is_document:
             raw = text.dumps(field.conversion.encode(value) if field.conversion else value)
             out += [construct.VarInt.build(len(raw)), raw]
             continue
--- a/basaltport/placement/machine.py
+++ b/basaltport/placement/machine.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import random
+import typing
 
 import basaltport.placement.catalog as catalog
 import basaltport.placement.demand as demand
@@ -18,6 +19,7 @@
 import basaltport.placement.model_status as model_status
 import basaltport.placement.order_invariants as order_invariants
 import basaltport.placement.order_types as order_types
+import basaltport.placement.overdue_bound as overdue_bound
 import basaltport.placement.overdue_loads as overdue_loads
 import basaltport.placement.plan_execution as plan_execution
 import basaltport.placement.replica_choice as replica_choice
@@ -35,6 +37,8 @@
 """An item that no proxy has named for so long is not waited for any more."""
 SILENT_MS = 600
 """A replica whose order is unanswered for so long is not counted on."""
+MOST_AGE_MS = 600_000
+"""More than this is not believed of a wait's age."""
 COPIES_EVERY_MS = 200
 ITEMS_PLACED_PER_MS = 5
 """A pass looks at all that waits: for each so many items, those on demand are a millisecond further apart."""
@@ -44,6 +48,15 @@
 ABANDONED = wait_outcomes.WaitOutcome.ABANDONED
 
 
+class Awaited(typing.NamedTuple):
+    """What requests wait for, each kind in the order of rank."""
+
+    models: dict[str, dict[str, float]]
+    """By model, how many wait in each zone."""
+    adapters: list[str]
+    """Adapters whose model is held."""
+
+
 class Placement(
     plan_execution.PlanExecutionMixin,
     load_durations.LoadDurationsMixin,
@@ -53,6 +66,7 @@
     model_copies.ModelCopiesMixin,
     disk_loads.DiskLoadsMixin,
     overdue_loads.OverdueLoadsMixin,
+    overdue_bound.OverdueBoundMixin,
     store_permits.StorePermitsMixin,
     demand.DemandMixin,
     model_status.ModelStatusMixin,
@@ -112,12 +126,14 @@
         """Forget what is asked for, and the permits of the stores."""
         self.waiting: dict[str, waiting_items.WaitingItem] = {}
         self.awaited_models: dict[str, int] = {}
+        self.overdue_memo: dict[str, overdue_loads.Verdict] = {}
         self.placed_at = self.asked_at = NEVER
         self.adapter_loads: dict[str, demand.Rate] = {}
         self.lost_models: dict[str, int] = {}
         self.store_buckets: dict[str, token_bucket.TokenBucket] = {}
         self.permits: dict[str, float] = {}
         self.start_wait_outcomes()
+        self.start_overdue_bound()
 
     def start(self, now: int, fence: int, holder: str, hold_ms: int | None = None) -> state.Effects:
         """This controller, of the name `holder`, leads under a fencing token."""
@@ -192,8 +208,15 @@
 
     # requests that wait
 
-    def requests_waiting(self, now: int, zone: str, items: dict[str, int]) -> state.Effects:
-        """Requests in a zone wait for items; `items`: how many, by item."""
+    def requests_waiting(
+        self,
+        now: int,
+        zone: str,
+        items: dict[str, int],
+        waited_ms: collections.abc.Mapping[str, int] | None = None,
+    ) -> state.Effects:
+        """Requests in a zone wait for items; `items`: how many, by item; `waited_ms`: for how long a proxy
+        there has been asked for each, also under former leaders and by requests that are gone."""
         self.now, self.out = now, []
         if not self.leading:
             return []
@@ -204,6 +227,8 @@
             if waiting is None:
                 waiting = self.begin_wait(item)
             waiting.asked(now, zone, requests)
+            if waited_ms and not self.is_held(item):
+                waiting.waited_since(now - min(MOST_AGE_MS, waited_ms.get(item, 0)))
         self.asked_at = now
         if now >= self.next_pass_at():
             self.place()
@@ -228,51 +253,59 @@
                 continue
             elif waiting.last_at <= max(self.held_since(replica, item) for replica in copies):
                 self.end_wait(item, SERVED)
-        self.awaited_models = {}
+        self.awaited_models, self.overdue_memo = {}, {}
         for item, waiting in self.waiting.items():
             model = item.partition("/")[0]
             self.awaited_models[model] = min(waiting.since, self.awaited_models.get(model, waiting.since))
 
     def place(self) -> None:
-        """Begin plans for what is waited for: adapters first, since they take ms, then models by rank."""
+        """Begin plans for what is waited for, and check that what is overdue is begun in time."""
         self.needs_placing = False
         self.placed_at = self.now
         if self.now < self.orders_from:
             return
+        self.place_awaited()
+        self.check_overdue_bound()
+
+    def place_awaited(self) -> None:
+        """Begin plans for what is waited for: adapters first, since they take ms, then models by rank."""
         self.add_hot_copies()
         if not self.waiting:
-            self.awaited_models = {}
+            self.awaited_models, self.overdue_memo = {}, {}
             return
         self.drop_served()
         idle = self.idle_replicas()
         if not idle:
             return
         self.count_permits()
-        awaited = self.awaited_by_rank(idle)
-        self.place_overdue(awaited, idle)
-        for model, requests in self.disk_loads_first(awaited, idle):
+        awaited = self.awaited_by_rank()
+        for item in awaited.adapters:
+            self.place_adapter(item, self.waiting[item], idle)
+        self.place_overdue(awaited.models, idle)
+        for model, requests in self.disk_loads_first(awaited.models, idle):
             if not idle:
                 return
             if not self.is_loading(model) and not self.waits_for_disk_copy(model):
                 self.place_model(model, requests, idle, AWAITED)
 
-    def awaited_by_rank(self, idle: list[replica_state.Replica]) -> dict[str, dict[str, float]]:
-        """Who waits for models, by zone and in the order of rank; adapters get their plans on the way."""
+    def awaited_by_rank(self) -> Awaited:
+        """What is waited for, in the order of rank."""
         models: dict[str, dict[str, float]] = {}
+        adapters = []
         for item, waiting in sorted(self.waiting.items(), key=lambda entry: -entry[1].rank(self.now)):
             held = self.is_held(item)
             if held and not waiting.needs_extra_copy(self.now) or self.is_loading(item):
                 continue
             model = item.partition("/")[0]
             if model != item and self.is_held(model):
-                self.place_adapter(item, waiting, idle)
+                adapters.append(item)
                 continue
             if held:
                 waiting.extra_copy_begun(self.now)
             by_zone = models.setdefault(model, {})
             for zone, requests in waiting.requests_by_zone().items():
                 by_zone[zone] = by_zone.get(zone, 0) + requests
-        return models
+        return Awaited(models, adapters)
 
     def place_adapter(
         self, item: str, waiting: waiting_items.WaitingItem, idle: list[replica_state.Replica]
--- a/basaltport/placement/order_invariants.py
+++ b/basaltport/placement/order_invariants.py
@@ -20,6 +20,8 @@
     """An order goes only to a replica of which it is known, at a count of orders, what it holds."""
     ROOM = "room"
     """A load goes only where there is room for it beside all that the replica holds."""
+    OVERDUE = "overdue"
+    """An overdue model is begun within the bound of `overdue_bound.py`."""
     HELD = "held"
     """A report of the count that is known tells of nothing that the replica was not known to hold."""
 
--- a/basaltport/placement/overdue_loads.py
+++ b/basaltport/placement/overdue_loads.py
@@ -20,6 +20,14 @@
 """Beside these, one in so many of the replicas that are idle: no shorter load could use them at present."""
 OVERDUE = order_types.LoadReason.OVERDUE
 
+
+class Verdict(typing.NamedTuple):
+    """Whether a model is overdue, as found at a time."""
+
+    as_of: int
+    is_overdue: bool
+
+
 if typing.TYPE_CHECKING:
     Needs = state.State
 else:
@@ -37,9 +45,13 @@
     def is_overdue(self, model: str) -> bool:
         """Whether a model has waited for so many loads from the store that no other goes before it for being
         shorter: it might wait for ever."""
-        services = self.catalog.services_of.get(model, ())
-        store_ms = max((self.load_ms(service.name, model, False) for service in services), default=0)
-        return self.awaited_for_ms(model) >= OVERDUE_LOADS * store_ms
+        known = self.overdue_memo.get(model)
+        if known is None or known.as_of != self.now:
+            services = self.catalog.services_of.get(model, ())
+            store_ms = max((self.load_ms(service.name, model, False) for service in services), default=0)
+            known = Verdict(self.now, self.awaited_for_ms(model) >= OVERDUE_LOADS * store_ms)
+            self.overdue_memo[model] = known
+        return known.is_overdue
 
     def overdue_order(self, model: str) -> tuple[bool, int]:
         """The order in which overdue models go: those on no disk first, since nothing else brings these; of
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -71,6 +71,8 @@
             self.stop_loading(replica, item)
         for step in replica.steps():
             self.in_flight.pop(step.order, None)
+        if replica.plan is not None:
+            self.note_plan_duration(replica.plan)
         replica.plan = None
         self.working.pop(replica.id, None)
         self.needs_placing = True
--- a/basaltport/placement/replica_inventory.py
+++ b/basaltport/placement/replica_inventory.py
@@ -69,6 +69,13 @@
             self.note(event, replica, invariant=invariant.value, what=what)
         return holds
 
+    def require_overall(self, invariant: order_invariants.OrderInvariant, holds: bool, what: str) -> bool:
+        """The same for one that is of no single replica."""
+        if not self.invariants.require(invariant, holds, what):
+            fields = {"invariant": invariant.value, "what": what}
+            self.out.append(events.Note(int(log_events.Event.INVARIANT_VIOLATED), fields))
+        return holds
+
     # the list
 
     def request_list(self) -> None:
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -66,6 +66,8 @@
     waiting: dict[str, waiting_items.WaitingItem]
     awaited_models: dict[str, int]
     """The models of all items that requests wait for, and since when the longest of them was asked for."""
+    overdue_memo: dict[str, typing.Any]
+    """Whether models are overdue, as they were last looked at."""
     denied: dict[str, waiting_items.DeniedItem]
     """Items that were asked for in vain lately, the oldest first."""
     adapter_loads: dict[str, demand.Rate]
@@ -108,6 +110,15 @@
     ) -> bool:
         """Whether an invariant of orders holds; where not, it is counted and logged."""
 
+    def require_overall(self, invariant: order_invariants.OrderInvariant, holds: bool, what: str) -> bool:
+        """The same for one that is of no single replica."""
+
+    def overdue_order(self, model: str) -> tuple[bool, int]:
+        """The order in which overdue models go."""
+
+    def note_plan_duration(self, plan: replica_state.Plan) -> None:
+        """A plan ended, done or given up."""
+
     def place(self) -> None:
         """Begin plans for what requests wait for."""
 
--- a/basaltport/placement/waiting_items.py
+++ b/basaltport/placement/waiting_items.py
@@ -63,6 +63,10 @@
         self.zones[zone] = WaitingCount(requests, now)
         self.most_requests = max(self.most_requests, self.requests())
 
+    def waited_since(self, time: int) -> None:
+        """A proxy has been asked for it since a time."""
+        self.since = min(self.since, time)
+
     def requests(self) -> int:
         """How many requests wait, over all zones."""
         return sum(count.requests for count in self.zones.values())
--- a/basaltport/proxy/attempt.py
+++ b/basaltport/proxy/attempt.py
@@ -68,8 +68,8 @@
     def emit(self, effect: object) -> None:
         """Add an effect of this step."""
 
-    def want(self, items: dict[str, int]) -> None:
-        """Ask the placement for items, each with its demand."""
+    def want(self, items: dict[str, int], waited_ms: dict[str, int] | None = None) -> None:
+        """Ask the placement for items, each with its demand and for how long it has been asked for."""
 
     def forget(self, ended: request.Request) -> None:
         """A request has its end."""
--- a/basaltport/proxy/model_readiness.py
+++ b/basaltport/proxy/model_readiness.py
@@ -15,6 +15,7 @@
 import basaltport.proxy.interfaces as interfaces
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.request as request
+import basaltport.proxy.wait_ages as wait_ages
 
 RETRY_AFTER_DEFAULT_MS = 250
 EXPECTATION_KEPT_MS = 2000
@@ -22,6 +23,15 @@
 ask it again, so that nothing else would correct it."""
 
 
+class Demand(typing.NamedTuple):
+    """What the placement is told of items that requests wait for, by item."""
+
+    weights: dict[str, int]
+    """How many requests wait, the urgent ones counted several times."""
+    waited_ms: dict[str, int]
+    """For how long the item has been asked for."""
+
+
 @dataclasses.dataclass(slots=True)
 class ItemStatus:
     """What the placement last said of an item, and when it may be asked again."""
@@ -60,6 +70,7 @@
         self.node = node
         self.balancer = balancer
         self.statuses: dict[str, ItemStatus] = {}
+        self.ages = wait_ages.WaitAges()
 
     def status(self, item: str) -> ItemStatus:
         """What the placement last said of an item."""
@@ -114,19 +125,30 @@
         """When the placement is worth asking again for a request's item; 0 where it has none."""
         return self.status(waiting.item).retry_after_ms if waiting.item else 0
 
-    def take_due(
-        self, queue: admission_queue.AdmissionQueue, items: collections.abc.Iterable[str]
-    ) -> dict[str, int]:
-        """Those of some items to ask the placement for now, each with its demand: that requests wait for and
-        nobody holds, as far as they may be asked again. They count as asked."""
-        due: dict[str, int] = {}
+    def take_due(self, queue: admission_queue.AdmissionQueue, items: collections.abc.Iterable[str]) -> Demand:
+        """Those of some items to ask the placement for now: that requests wait for and nobody holds, as far
+        as they may be asked again. They count as asked."""
+        due = Demand({}, {})
         for item in items:
-            demand = self.demand_of(queue, item)
-            if demand and self.may_ask(item, demand):
-                self.status(item).asked(self.node.now, demand)
-                due[item] = demand
+            weight = self.demand_of(queue, item)
+            if not weight:
+                continue
+            waited_ms = self.ages.asked(item, self.node.now)
+            if self.may_ask(item, weight):
+                self.status(item).asked(self.node.now, weight)
+                due.weights[item] = weight
+                due.waited_ms[item] = waited_ms
         return due
 
+    def rows_changed(self, ids: collections.abc.Iterable[str]) -> None:
+        """Rows of these replicas came, changed or went: what an open one holds is not waited for any more."""
+        replicas = self.balancer.replicas() if self.ages else {}
+        for replica_id in ids:
+            replica = replicas.get(replica_id)
+            if replica is not None and self.balancer.is_open(replica):
+                for item in replica.items():
+                    self.ages.found(item)
+
     def demand_of(self, queue: admission_queue.AdmissionQueue, item: str) -> int:
         """The weight of the requests that wait for an item which nobody holds in their service."""
         if not item:
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -113,6 +113,7 @@
         out.budgets = retry_budget.RetryBudgets(self.budgets.started_at, self.timings)
         out.assemble()
         statuses = self.readiness.statuses
+        out.readiness.ages = copy.deepcopy(self.readiness.ages)
         out.readiness.statuses = {item: copy.copy(status) for item, status in statuses.items()}
         return out
 
@@ -161,6 +162,7 @@
     def rows_changed(self, ids: collections.abc.Iterable[str]) -> None:
         """Rows of these replicas came, changed or went."""
         self.balancer.rows_changed(ids)
+        self.readiness.rows_changed(ids)
         self.route_held_arrivals()
         self.launch_all()
 
@@ -256,8 +258,8 @@
         """Ask the placement, which also orders loads, for those of some items that requests wait for and
         nobody holds."""
         due = self.readiness.take_due(self.queue, items)
-        if due:
-            self.want(due)
+        if due.weights:
+            self.want(due.weights, due.waited_ms)
 
     def reject(self, ended: request.Request, detail: str, retry_after_ms: int) -> None:
         """End a request that goes to no replica any more: with a promise where it never ran."""
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -192,12 +192,17 @@
 def test_wants_use_and_facts_pass_between_proxy_and_placement():
     w, (p, _) = world()
     p.out = []
-    p.want({"m": 2})
+    p.want({"m": 2}, {"m": 700})
     for e in p.out:
         w.do_send(w.nodes["p1"], e)
     w.run(500)
     told = lead(w).placement.notified
-    assert ("requests_waiting", "z-p1", {"m": 2}) in told and ("usage_reported", "z-p1", {"m": 1}, {}) in told
+    assert ("requests_waiting", "z-p1", {"m": 2}, {"m": 700}) in told and (
+        "usage_reported",
+        "z-p1",
+        {"m": 1},
+        {},
+    ) in told
     assert p.heard_facts["m"]["state"] == "loading"
 
 
--- a/tests/placement/test_starvation.py
+++ b/tests/placement/test_starvation.py
@@ -94,3 +94,30 @@
     counted, never = f.never_served(cold)
     assert len(counted) >= 40
     assert len(never) <= 1 + len(counted) // 10, f"{len(never)} of {len(counted)}"
+
+
+LEADS_FOR_MS = 8000
+"""Of these, the first 3.7 s pass without an order."""
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_bursts_leave_few_without_any_answer_though_the_leader_changes_every_few_seconds(seed):
+    """Proxies tell each leader for how long an item has been asked for, so that no wait begins anew."""
+    f, cold = burst_fleet(seed)
+    for at in range(LEADS_FOR_MS, 80_000, LEADS_FOR_MS):
+        f.after(at, f.lead)
+    f.traffic(34_000, 80_000, 5, cold)
+    f.run(90_000)
+    counted, never = f.never_served(cold)
+    assert len(counted) >= 40
+    assert len(never) <= 1 + len(counted) // 10, f"{len(never)} of {len(counted)}"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_rare_model_is_served_beside_many_others_though_the_leader_changes_every_few_seconds(seed):
+    f = overloaded_fleet(seed, until=90_000)
+    ask_now_and_then(f, RARE, 8000, 90_000, 5000)
+    for at in range(LEADS_FOR_MS, 90_000, LEADS_FOR_MS):
+        f.after(at, f.lead)
+    f.run(100_000)
+    assert any(item == RARE for _, item, _ in f.waits)
--- a/tests/proxy/test_proxy.py
+++ b/tests/proxy/test_proxy.py
@@ -29,7 +29,12 @@
         stand.fill(self.m, rows, doc or stand.document())
         self.m.proxies = proxies
         self.wants = []
-        self.m.want = self.wants.append
+        self.waited_ms = []
+        self.m.want = self.want
+
+    def want(self, items, waited_ms=None):
+        self.wants.append(items)
+        self.waited_ms.append(waited_ms)
 
     def step(self, ev):
         got = [e for e in self.m.step(ev) if not isinstance(e, (base.Note, base.Send))]
--- /dev/null
+++ b/tests/proxy/test_wait_ages.py
@@ -0,0 +1,35 @@
+"""A proxy tells the placement for how long an item has been asked for, whoever leads and over gaps."""
+
+import basaltport.proxy.wait_ages as wait_ages
+import tests.proxy.test_proxy as test_proxy
+
+ITEM = "birch"
+
+
+def test_the_age_grows_until_a_replica_holds_the_item():
+    s = test_proxy.Sim([test_proxy.row("a", models=())])
+    s.ask("once", deadline=3000)
+    s.wait(2000)
+    assert [told[ITEM] for told in s.waited_ms][-1] >= 1500
+    s.rows(test_proxy.row("a"))
+    s.rows(test_proxy.row("a", models=()))
+    told_before = len(s.waited_ms)
+    s.ask("once")
+    s.wait(1000)
+    assert len(s.waited_ms) > told_before and s.waited_ms[told_before][ITEM] <= 500
+
+
+def test_requests_that_came_to_their_deadline_leave_their_age_behind():
+    s = test_proxy.Sim([test_proxy.row("a", models=())])
+    s.ask("once", deadline=1000)
+    s.wait(5000)
+    assert not s.m.queue
+    s.ask("once", deadline=3000)
+    assert s.waited_ms[-1] == {ITEM: 5000}
+
+
+def test_an_item_that_was_not_asked_for_for_long_begins_anew():
+    ages = wait_ages.WaitAges()
+    assert [ages.asked(ITEM, 1000), ages.asked(ITEM, 31_000), ages.asked("other", 40_000)] == [0, 30_000, 0]
+    later = 31_001 + wait_ages.KEPT_MS
+    assert [ages.asked("other", later), ages.asked(ITEM, later)] == [later - 40_000, 0]
--- a/tests/simulation/test_route_scenarios.py
+++ b/tests/simulation/test_route_scenarios.py
@@ -116,8 +116,8 @@
     return replica_choice.Eviction(0.0, [])
 
 
-def _not_m20(self, now, zone, items):
-    return _requests_waiting(self, now, zone, {i: n for i, n in items.items() if i != "m20"})
+def _not_m20(self, now, zone, items, waited_ms=None):
+    return _requests_waiting(self, now, zone, {i: n for i, n in items.items() if i != "m20"}, waited_ms)
 
 
 def _now(self, q, why, retry_after):
--- a/tests/support/placement_fleet.py
+++ b/tests/support/placement_fleet.py
@@ -7,6 +7,7 @@
 import basaltport.events as events
 import basaltport.placement.effects as effects
 import basaltport.placement.machine as machine
+import basaltport.proxy.wait_ages as wait_ages
 import basaltport.simulation.routes.engine as engine
 
 ZONES = ("x", "y", "z")
@@ -41,6 +42,8 @@
         self.p = machine.Placement(random.Random(2), hold_ms=kw.get("hold", 0))
         self.past = []
         self.waits, self.waiting = [], collections.defaultdict(list)
+        self.ages = collections.defaultdict(wait_ages.WaitAges)
+        self.tells_ages = kw.get("tells_ages", True)
         self.counts = collections.defaultdict(collections.Counter)
         self.orders = collections.Counter()
         self.unserved = 0
@@ -193,7 +196,8 @@
             self.after(1, self.want, zone, {item: 1})
 
     def want(self, zone, items):
-        self.do(self.p.requests_waiting(self.now, zone, items))
+        waited_ms = {item: self.ages[zone].asked(item, self.now) for item in items}
+        self.do(self.p.requests_waiting(self.now, zone, items, waited_ms if self.tells_ages else None))
 
     def where(self, zone, item):
         m, _, a = item.partition("/")
@@ -211,6 +215,7 @@
             self.unserved += 1
             return
         self.waits.append((since, item, self.now - since))
+        self.ages[zone].found(item)
         self.counts[zone][item] += 1
         s.runs[m] += 1
         self.after(300, self.ran, s, m)
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -4,6 +4,7 @@
 
 import basaltport.consensus.log as log
 import basaltport.controller.messages as controller_messages
+import basaltport.fleet.messages as fleet_messages
 import basaltport.frames as frames
 import basaltport.identifiers as identifiers
 import basaltport.messages as messages
@@ -65,3 +66,11 @@
     assert frames.unpack(former).ok_value == plain and frames.unpack(newer).ok_value == bound
     body = former[frames.HEADER_SIZE :]
     assert newer[frames.HEADER_SIZE :][: len(body)] == body and len(newer) == len(former) + 8
+
+
+def test_a_document_that_was_added_with_a_default_passes_and_may_be_left_out():
+    plain = fleet_messages.Want("p", "z", "a", {"m": 2})
+    newer = dataclasses.replace(plain, waited_ms={"m": 700})
+    assert frames.unpack(frames.pack(plain)).ok_value == plain
+    assert frames.unpack(frames.pack(newer)).ok_value == newer
+    assert frames.pack(newer)[frames.HEADER_SIZE :].startswith(frames.pack(plain)[frames.HEADER_SIZE :])
