An answer without a length is whole if its connection is closed; a refused load gives its permit back

A load that a replica refused for its count kept the store's permit. Change: a connection to a replica notes whether it was closed in good order, which the library does not tell; an answer without a length is passed on then, a stream too. A permit comes back unless a former sending may have been taken.

--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -271,6 +271,7 @@
     def order_refused_for_count(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
         """The replica took an order since the count that this one names, or another runs. It may have been
         this one's former sending; only a report can tell."""
+        self.give_back_permit(replica, step)
         replica.count = replica.count.after_refusal(step.accepted)
         self.give_up_plan(replica, step, at_once=True)
 
--- a/basaltport/placement/state.py
+++ b/basaltport/placement/state.py
@@ -116,6 +116,9 @@
     def overdue_order(self, model: str) -> tuple[bool, int]:
         """The order in which overdue models go."""
 
+    def give_back_permit(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
+        """A load was refused: its permit is there again, unless it may have been used."""
+
     def note_plan_duration(self, plan: replica_state.Plan) -> None:
         """A plan ended, done or given up."""
 
--- a/basaltport/placement/store_permits.py
+++ b/basaltport/placement/store_permits.py
@@ -48,6 +48,13 @@
         """Whether a replica's plan has a load from the store that has no permit yet."""
         return any(step.from_store and step.permit_at is None for step in replica.steps())
 
+    def give_back_permit(self, replica: replica_state.Replica, step: replica_state.Step) -> None:
+        """A load was refused: its permit is there again, unless a former sending may have been taken."""
+        bucket = self.store_buckets.get(replica.service)
+        if bucket is not None and step.permit_at is not None and not (step.accepted or step.uncertain):
+            step.permit_at = None
+            bucket.give_back(self.now)
+
     def take_permit(self, replica: replica_state.Replica, step: replica_state.Step) -> bool:
         """A load that may begin at the store takes a permit, also when it is sent again unanswered. Without
         one the step is due when the next permit will be there."""
--- a/basaltport/placement/token_bucket.py
+++ b/basaltport/placement/token_bucket.py
@@ -34,6 +34,10 @@
         self.level -= 1
         return True
 
+    def give_back(self, now: int) -> None:
+        """A permit that was taken was surely not used."""
+        self.level = min(BURST, self.fill(now) + 1)
+
     def ready_at(self, now: int, permits: float = 1.0) -> int | None:
         """When so many permits will be there, in ms; None if never."""
         lack = permits - self.fill(now)
--- a/basaltport/proxy/http_headers.py
+++ b/basaltport/proxy/http_headers.py
@@ -33,8 +33,8 @@
 
 
 def states_its_end(response: aiohttp.ClientResponse) -> bool:
-    """Whether a head tells where its body ends. Where only the end of the connection does, a body that was
-    cut can't be told from a whole one."""
+    """Whether a head tells where its body ends. Where only the end of the connection does, a body is whole
+    if that was closed in good order."""
     if response.method == "HEAD" or response.status in BODILESS:
         return True
     headers = response.headers
--- a/basaltport/proxy/upstream.py
+++ b/basaltport/proxy/upstream.py
@@ -230,14 +230,20 @@
             raise foreign(response, "the answer is encoded")
         if response.status in SUCCESS and self.names.stamp not in response.headers:
             raise foreign(response, "the answer has no stamp")
-        if not http_headers.states_its_end(response):
-            raise foreign(response, "an answer without an end")
+
+    def check_end(self, attempt: events.Attempt, response: aiohttp.ClientResponse) -> None:
+        """Raise where the end of the connection was to be that of the answer, and it was reset."""
+        protocol = self.needs[attempt.attempt].protocol
+        is_whole = protocol is not None and protocol.has_ended_cleanly
+        if not is_whole and not http_headers.states_its_end(response):
+            raise foreign(response, "an answer without a length was reset")
 
     async def pass_whole(
         self, attempt: events.Attempt, sink: ResponseSink, response: aiohttp.ClientResponse
     ) -> Result:
         """An answer that is passed on, or kept, once it is whole."""
         body = await self.read_whole(response, sink)
+        self.check_end(attempt, response)
         status, headers = response.status, http_headers.end_to_end(response.headers)
         if status >= retry_decision.SERVER_ERROR or status in retry_decision.PROMISES:
             sink.keep_failure(attempt.attempt, status, headers, body)
@@ -282,6 +288,7 @@
         async for part in response.content.iter_any():
             progress()
             await sink.send_part(response.status, response.headers, part)
+        self.check_end(attempt, response)
         await sink.send_end(response.status, response.headers)
         return Result(Outcome.DONE, response.status)
 
--- a/basaltport/proxy/upstream_pool.py
+++ b/basaltport/proxy/upstream_pool.py
@@ -52,12 +52,19 @@
     """A connection's side of the library, with what its reuse depends on.
 
     `released_at_s`: when its last answer ended, `keep_alive_s`: for how long its replica then keeps it, if
-    it said so, `last_request_id`: the id of the last request on it.
+    it said so, `last_request_id`: the id of the last request on it. `has_ended_cleanly`: it was closed in
+    good order, and not reset.
     """
 
     released_at_s = 0.0
     keep_alive_s: int | None = None
     last_request_id: str | None = None
+    has_ended_cleanly = False
+
+    def connection_lost(self, error: BaseException | None) -> None:
+        """The connection ended. The library takes an answer without a length for whole either way."""
+        self.has_ended_cleanly = error is None
+        super().connection_lost(error)
 
 
 class ConnectionNeed:
--- a/tests/support/request_checks.py
+++ b/tests/support/request_checks.py
@@ -136,6 +136,8 @@
     def success(self, request_id: str, answer: Answer, run: request_stand.Arrival | None) -> None:
         if run is None:
             self.found(Check.OWN, f"{request_id}: a success without a stamp")
+        elif run.is_reset and answer.whole:
+            self.found(Check.OWN, f"{request_id}: an answer whose connection was reset passed for whole")
         elif self.route in ("stream", "single"):
             self.stream(request_id, answer, run)
         elif answer.whole and answer.body != run.answer_body:
