--- a/basaltport/consensus/candidate_order.py
+++ b/basaltport/consensus/candidate_order.py
@@ -26,13 +26,13 @@
     me: member.Me
     rng: random.Random
     policy: voting_policy.VotingPolicy
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     leader: messages.Heartbeat | None
 
     def head(self) -> tuple[identifiers.Term, identifiers.LogIndex]:
         """Return the term and index of the last entry that is held."""
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """Return the state with the uncommitted entries applied."""
 
 
@@ -59,7 +59,9 @@
             rank = founders.index(self.me.addr) if self.me.addr in founders else 0
             return rank * timing.FOUNDER_STEP
         last_leader = self.leader.seat if self.leader else None
-        candidates = sorted(member_id for member_id in self.tip().members if member_id != last_leader)
+        candidates = sorted(
+            member_id for member_id in self.compute_appended_state().members if member_id != last_leader
+        )
         rank = candidates.index(self.me.seat) if self.me.seat in candidates else len(candidates)
         return rank * timing.RANK_STEP
 
@@ -70,12 +72,12 @@
             return True
         if self.head()[1] == 0:
             return self.me.first_start and self.me.addr in (self.me.founders or [])
-        return self.me.seat in self.tip().members
+        return self.me.seat in self.compute_appended_state().members
 
     def election_timeout(self) -> int:
         """Return the silence of the leader, in milliseconds, after which this member acts."""
         if self.policy.pre_vote:
             return timing.ELECTION_TIMEOUT
-        if self.book.members and self.me.seat not in self.tip().disk_members:
+        if self.cluster_state.members and self.me.seat not in self.compute_appended_state().disk_members:
             return OUTSIDER_TIMEOUT_MS
         return ELECTION_TIMEOUT_MS
--- a/basaltport/consensus/discovery.py
+++ b/basaltport/consensus/discovery.py
@@ -32,7 +32,7 @@
     me: member.Me
     now: identifiers.Millis
     policy: voting_policy.VotingPolicy
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     leading: bool
     leader: messages.Heartbeat | None
     heard_at: int
@@ -41,7 +41,7 @@
     def head(self) -> tuple[identifiers.Term, identifiers.LogIndex]:
         """Return the term and index of the last entry that is held."""
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """Return the state with the uncommitted entries applied."""
 
     def send(self, addr: str, msg: object) -> None:
@@ -81,7 +81,7 @@
     def led(self) -> bool:
         """Whether it leads or hears a leader; where disk members alone vote, only while it is one of them."""
         if self.policy.disk_members_only:
-            if self.me.seat not in quorum.voters(self.book):
+            if self.me.seat not in quorum.voters(self.cluster_state):
                 return False
             if not self.leading and self.leader is None:
                 return False
@@ -120,7 +120,7 @@
         addresses = {row["addr"] for row in self.members.values()} | set(self.me.seeds)
         if self.head()[1] == 0:
             addresses |= set(self.me.founders or ())
-        addresses |= {record.address for record in quorum.voters(self.tip()).values()}
+        addresses |= {record.address for record in quorum.voters(self.compute_appended_state()).values()}
         return sorted(addresses - {self.me.addr})
 
     def heard_within(self, ms: int) -> list[Document]:
@@ -178,7 +178,7 @@
             or before["seat"] != message.seat
             or self.now - before["at"] >= timing.HELLO_PASS_ON
         )
-        record = self.book.members.get(message.seat)
+        record = self.cluster_state.members.get(message.seat)
         is_member = record is not None and record.address == message.addr
         if not is_new or is_member or self.leading or self.leader is None:
             return
@@ -187,7 +187,7 @@
 
     def address_of(self, member_id: str) -> str | None:
         """Return where a member was last heard of, else its agreed address, None for one not known."""
-        record = quorum.voters(self.book).get(member_id)
+        record = quorum.voters(self.cluster_state).get(member_id)
         if record:
             row = self.members.get(record.name)
             if row and row["seat"] == member_id:
@@ -200,5 +200,5 @@
 
     def addrs(self) -> list[str]:
         """Return the addresses of all agreed members, sorted."""
-        addresses = {self.address_of(member_id) for member_id in self.book.members}
+        addresses = {self.address_of(member_id) for member_id in self.cluster_state.members}
         return sorted(address for address in addresses if address is not None)
--- a/basaltport/consensus/election.py
+++ b/basaltport/consensus/election.py
@@ -32,7 +32,7 @@
     out: list[object]
     policy: voting_policy.VotingPolicy
     listeners: listeners.Listeners
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     members: dict[str, dict[str, typing.Any]]
     leading: bool
     leader: messages.Heartbeat | None
@@ -47,7 +47,7 @@
     def head(self) -> tuple[identifiers.Term, identifiers.LogIndex]:
         """Return the term and index of the last entry that is held."""
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """Return the state with the uncommitted entries applied."""
 
     def install(self, copy: state_machine.ReplicatedState, /) -> None:
@@ -234,7 +234,10 @@
         if self.head()[1] == 0:
             answered, voters = set(fresh.values()), set(self.me.founders or [])
         else:
-            answered, voters = set(fresh), {record.name for record in self.tip().members.values()}
+            answered, voters = (
+                set(fresh),
+                {record.name for record in self.compute_appended_state().members.values()},
+            )
         if quorum.is_majority(answered, voters):
             self.start_candidacy()
 
@@ -345,7 +348,7 @@
 
     def quorum(self, got: candidacies.Votes) -> bool:
         """Whether the votes of these members elect."""
-        return quorum.has_majority(self.tip(), got.keys())
+        return quorum.has_majority(self.compute_appended_state(), got.keys())
 
     def win(
         self,
--- a/basaltport/consensus/follower.py
+++ b/basaltport/consensus/follower.py
@@ -70,7 +70,7 @@
 
 
 class FollowerMixin(Needs):
-    """`book` is what is in force here; `tail` is held but not yet known to be agreed."""
+    """`cluster_state` is what is in force here; `tail` is held but not yet known to be agreed."""
 
     def follower_start(
         self, held: state_machine.ReplicatedState | None = None, current_term: identifiers.Term = NO_TERM
@@ -78,7 +78,7 @@
         """Begin with what the disk had. Acknowledgements are numbered apart from those of an earlier
         incarnation of the same member."""
         held = held or state_machine.ReplicatedState()
-        self.book = held.cluster_state
+        self.cluster_state = held.cluster_state
         self.tail = list(held.uncommitted)
         self.stopped = False
         self.older_terms_noted: set[identifiers.Term] = set()
@@ -97,15 +97,15 @@
         """Term and index of the last entry held, committed or not."""
         if self.tail:
             return self.tail[-1].term, identifiers.LogIndex(self.tail[-1].index)
-        return self.book.term, self.book.log_index
+        return self.cluster_state.term, self.cluster_state.log_index
 
     def leased(self) -> bool:
         """Whether this follower may act by the lease that its leader gave it."""
         return self.now < self.lease_expires_at_ms
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """The state with all entries held, committed or not."""
-        return state_machine.apply_all(self.book, self.tail)
+        return state_machine.apply_all(self.cluster_state, self.tail)
 
     def mark_synced(self, head: Head, promise: identifiers.Term) -> None:
         """Records up to `head`, and the term `promise`, are on the disk: tell the leader and listeners."""
@@ -242,7 +242,7 @@
             self.current_term,
             last_term,
             last_index,
-            self.book.log_index,
+            self.cluster_state.log_index,
             need,
         )
 
@@ -251,8 +251,8 @@
     def extend(self, heartbeat: messages.Heartbeat) -> bool:
         """Add a heartbeat's entries to the log, in place of those that differ; False where they don't join on
         and this member needs others."""
-        applied = self.book.log_index
-        terms = {applied: self.book.term}
+        applied = self.cluster_state.log_index
+        terms = {applied: self.cluster_state.term}
         terms.update({entry.index: entry.term for entry in self.tail})
         entries = heartbeat.entries
         if heartbeat.pserial < applied:
@@ -276,17 +276,17 @@
     def advance(self, commit: int, commit_term: identifiers.Term) -> None:
         """Apply entries up to the index `commit`, where the one there is of `commit_term`; LogGapError where
         entries before it are missing."""
-        if commit <= self.book.log_index:
+        if commit <= self.cluster_state.log_index:
             return
         if not any(entry.index == commit and entry.term == commit_term for entry in self.tail):
             return
         # M6: no gap in what is in force.
-        if not log.are_contiguous(self.tail, self.book.log_index):
-            raise errors.LogGapError(self.book.log_index)
+        if not log.are_contiguous(self.tail, self.cluster_state.log_index):
+            raise errors.LogGapError(self.cluster_state.log_index)
         applied = []
         while self.tail and self.tail[0].index <= commit:
             entry = self.tail.pop(0)
-            self.book = state_machine.apply(self.book, entry)
+            self.cluster_state = state_machine.apply(self.cluster_state, entry)
             applied.append(entry)
         self.state_applied()
         if self.leading or self.policy.followers_retain_entries:
@@ -314,7 +314,7 @@
 
     def retained_behind(self, was: int) -> None:
         """A copy took the place of what was in force at the index `was`."""
-        applied = self.book.log_index
+        applied = self.cluster_state.log_index
         if applied > was and applied not in self.retained_entries:
             self.clear_retained_entries()
 
--- a/basaltport/consensus/follower_lease.py
+++ b/basaltport/consensus/follower_lease.py
@@ -25,7 +25,7 @@
     """What `FollowerLeaseMixin` needs of the node it is part of."""
 
     now: identifiers.Millis
-    tip_book: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     policy: voting_policy.VotingPolicy
     latest_acks: LatestAcks
 
@@ -62,7 +62,7 @@
         `replacements`: pairs of the id of a replaced member and the record of the one in its place."""
         self.lapse: dict[str, int] = {}
         self.left: set[str] = set()
-        members = self.tip_book.members.items()
+        members = self.appended_state.members.items()
         query_nodes = [
             member_id for member_id, record in members if record.role == state_machine.ROLE_OF_QUERY_NODES
         ]
@@ -85,7 +85,7 @@
 
     def follower_stops(self, member_id: str) -> None:
         """It holds no lease any more and will take none."""
-        if not self.settled() or member_id not in self.tip_book.members:
+        if not self.settled() or member_id not in self.appended_state.members:
             return
         self.lapse.pop(member_id, None)
         self.latest_acks.pop(member_id, None)
--- a/basaltport/consensus/founding.py
+++ b/basaltport/consensus/founding.py
@@ -32,7 +32,7 @@
     policy: voting_policy.VotingPolicy
     candidacy: candidacies.Candidacy | None
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """Return the state with the uncommitted entries applied."""
 
     def note(self, number: int, **fields: object) -> None:
@@ -77,7 +77,7 @@
         one of these: whatever other members may decide came or comes by a joint change, which needs a
         majority of these too.
         """
-        state = self.tip()
+        state = self.compute_appended_state()
         if state.former_members:
             return None
         members = state.members
@@ -98,7 +98,7 @@
         It takes a majority of the disk members, and of all members with the successors, whose empty logs
         attest the loss of those that they replace.
         """
-        state = self.tip()
+        state = self.compute_appended_state()
         members = state.members
         kept = members.keys() & got.keys()
         fresh = {
--- a/basaltport/consensus/leader_lease.py
+++ b/basaltport/consensus/leader_lease.py
@@ -22,7 +22,7 @@
     now: identifiers.Millis
     n: int
     beats: dict[int, int]
-    tip_book: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     leading: bool
 
     def settled(self) -> bool:
@@ -58,7 +58,7 @@
 
     def renew_lease(self) -> None:
         """Note the newest heartbeat that a majority acknowledged, and when it was sent."""
-        number = quorum.majority_value(self.tip_book, self.acked_number_of)
+        number = quorum.majority_value(self.appended_state, self.acked_number_of)
         self.confirmed_heartbeat_number = max(self.confirmed_heartbeat_number, number)
         # M4: the lease runs from the sending of the heartbeat, not from its acknowledgement.
         sent_at_ms = self.beats.get(number, NEVER_SENT_MS)
--- a/basaltport/consensus/leadership.py
+++ b/basaltport/consensus/leadership.py
@@ -40,7 +40,7 @@
     ticks: int
     policy: voting_policy.VotingPolicy
     listeners: listeners.Listeners
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     tail: list[log.LogEntry]
     current_term: identifiers.Term
     leader: messages.Heartbeat | None
@@ -54,7 +54,7 @@
     def head(self) -> tuple[identifiers.Term, identifiers.LogIndex]:
         """Return the term and index of the last entry that is held."""
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """Return the state with the uncommitted entries applied."""
 
     def note(self, number: int, **fields: object) -> None:
@@ -132,9 +132,9 @@
     """The state of a leader; nothing in it that a new leader could not learn again.
 
     `since`: when it began to lead; `first`: index of the first entry of its term; `previous_term`: that of
-    the entry before; `tip_book`: the state with the uncommitted entries applied; `leader_ticked_at_ms`: its
-    last tick; `resumed_at_ms`: its first tick after a pause of the process; `no_step_down_before_ms`: until
-    then it does not judge whether it is heard. Times in milliseconds.
+    the entry before; `appended_state`: the state with the uncommitted entries applied;
+    `leader_ticked_at_ms`: its last tick; `resumed_at_ms`: its first tick after a pause of the process;
+    `no_step_down_before_ms`: until then it does not judge whether it is heard. Times in milliseconds.
     """
 
     leading: bool
@@ -142,7 +142,7 @@
     since: int
     first: identifiers.LogIndex | None
     previous_term: identifiers.Term
-    tip_book: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     leader_ticked_at_ms: int
     resumed_at_ms: int
     no_step_down_before_ms: int
@@ -182,7 +182,7 @@
         if not self.policy.followers_retain_entries:
             self.clear_retained_entries()
         self.leader = None
-        self.tip_book = self.tip()
+        self.appended_state = self.compute_appended_state()
         self.follower_leases_start(swap)
         self.open_membership_start()
         self.append({"op": "found", **found} if found else self.first_entry(got, swap, drops))
@@ -195,8 +195,8 @@
         self, got: candidacies.Votes, swap: list[candidacies.Replacement], drops: list[str]
     ) -> Document:
         """Return the operation that begins a term; it names the disk members anew where most are lost."""
-        disk_members = self.tip_book.disk_members
-        reached = {self.me.seat, *self.tip_book.members, *(row["seat"] for _, row in swap)}
+        disk_members = self.appended_state.disk_members
+        reached = {self.me.seat, *self.appended_state.members, *(row["seat"] for _, row in swap)}
         live = sorted(
             member_id
             for member_id, vote in got.items()
@@ -226,7 +226,7 @@
         index = identifiers.LogIndex(self.head()[1] + 1)
         entry = log.LogEntry(index, self.current_term, operation)
         self.tail.append(entry)
-        self.tip_book = state_machine.apply(self.tip_book, entry)
+        self.appended_state = state_machine.apply(self.appended_state, entry)
         if self.first is None:
             self.first = index
         self.write([log.EntryRecord(entry)])
@@ -239,7 +239,7 @@
 
     def settled(self) -> bool:
         """Whether an entry of this leader's term is committed."""
-        return self.leading and self.first is not None and self.book.log_index >= self.first
+        return self.leading and self.first is not None and self.cluster_state.log_index >= self.first
 
     def tick_lead(self) -> None:
         """Step down or hand over if this leader must; else maintain the members and send heartbeats."""
--- a/basaltport/consensus/leadership_transfer.py
+++ b/basaltport/consensus/leadership_transfer.py
@@ -20,7 +20,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    tip_book: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     policy: voting_policy.VotingPolicy
     listeners: listeners.Listeners
     current_term: identifiers.Term
@@ -35,7 +35,7 @@
     def head(self) -> tuple[identifiers.Term, identifiers.LogIndex]:
         """Term and index of the last entry held."""
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """The state with all entries held, committed or not."""
 
     def address_of(self, seat: str) -> str | None:
@@ -64,7 +64,7 @@
     def live(self) -> set[str]:
         """Ids of the voters that answered within `timing.RESPONSIVE` milliseconds, this one included."""
         since = self.now - timing.RESPONSIVE
-        voters = quorum.voters(self.tip_book)
+        voters = quorum.voters(self.appended_state)
         return {
             member_id
             for member_id in voters
@@ -77,9 +77,9 @@
         if not self.policy.joint_consensus:
             return self.equal_disk_member()
         others = self.live() - {self.me.seat}
-        if not quorum.has_majority(self.tip_book, others):
+        if not quorum.has_majority(self.appended_state, others):
             return None
-        staying = self.tip_book.members.keys() - self.gone.keys()
+        staying = self.appended_state.members.keys() - self.gone.keys()
         candidates = sorted(others & staying) or sorted(others)
         return max(candidates, key=lambda member_id: self.match.get(member_id, NOTHING_SYNCED))
 
@@ -88,7 +88,7 @@
         last_index = self.head()[1]
         equal = [
             member_id
-            for member_id in self.tip_book.disk_members
+            for member_id in self.appended_state.disk_members
             if member_id != self.me.seat and self.match.get(member_id) == last_index
         ]
         return min(equal, default=None)
@@ -123,6 +123,6 @@
 
     def voter_addresses(self) -> list[str]:
         """Addresses of all other voters."""
-        voters = quorum.voters(self.tip())
+        voters = quorum.voters(self.compute_appended_state())
         addresses = {self.address_of(member_id) or record.address for member_id, record in voters.items()}
         return sorted(addresses - {self.me.addr})
--- a/basaltport/consensus/leaving.py
+++ b/basaltport/consensus/leaving.py
@@ -38,7 +38,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     policy: voting_policy.VotingPolicy
     listeners: listeners.Listeners
     learners: dict[str, dict[str, typing.Any]]
@@ -116,7 +116,7 @@
         or it has waited for that long enough. Until then a further loss may need its vote (M8)."""
         if not self.stopped or self.now - self.stopped_at >= timing.LEAVE_WAIT:
             return True
-        voters = quorum.voters(self.book)
+        voters = quorum.voters(self.cluster_state)
         if self.me.seat not in voters:
             return True
-        return self.book.former_members is None and not worth_dropping(len(voters), len(voters) - 1)
+        return self.cluster_state.former_members is None and not worth_dropping(len(voters), len(voters) - 1)
--- a/basaltport/consensus/lost_members.py
+++ b/basaltport/consensus/lost_members.py
@@ -21,7 +21,7 @@
     heard_at: int
     candidacy: candidacies.Candidacy | None
 
-    def tip(self) -> state_machine.ClusterState:
+    def compute_appended_state(self) -> state_machine.ClusterState:
         """Return the state with the uncommitted entries applied."""
 
     def note(self, number: int, **fields: object) -> None:
@@ -42,12 +42,12 @@
     def missing(self) -> list[str]:
         """Return the names, sorted, of the members whose vote is not there."""
         got = self.candidacy.votes if self.candidacy else {}
-        members = self.tip().members
+        members = self.compute_appended_state().members
         return sorted(record.name for member_id, record in members.items() if member_id not in got)
 
     def members_declared_lost(self, got: candidacies.Votes) -> list[str] | None:
         """Return the members given up by an operator if most of the others vote; else None."""
-        members = self.tip().members
+        members = self.compute_appended_state().members
         drops = [
             member_id
             for member_id, record in members.items()
@@ -60,7 +60,7 @@
         """Give members up for lost on an operator's word; return None, or why the word is not taken."""
         if self.leading or self.now - self.heard_at < OVERRIDE_AFTER_SILENCE_MS:
             return "there is a leader, or was within five seconds"
-        known = {record.name for record in self.tip().members.values()}
+        known = {record.name for record in self.compute_appended_state().members.values()}
         if set(names) - known:
             return f"not in the roster: {sorted(set(names) - known)}"
         heard = [name for name in names if self.was_heard_of(name)]
--- a/basaltport/consensus/membership.py
+++ b/basaltport/consensus/membership.py
@@ -34,8 +34,8 @@
     me: member.Me
     now: identifiers.Millis
     policy: voting_policy.VotingPolicy
-    book: state_machine.ClusterState
-    tip_book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     match: dict[str, int]
     sent: dict[str, tuple[int, int]]
     needs: set[str]
@@ -82,7 +82,7 @@
         """Members that said hello lately and do not vote yet are fed the log."""
         if not self.policy.joint_consensus:
             return
-        voters = quorum.voters(self.tip_book)
+        voters = quorum.voters(self.appended_state)
         heard = self.heard_within(timing.LEARNER)
         rows = {row["seat"]: row for row in heard if row["role"] == discovery.DISK_ROLE}
         self.learners = {
@@ -114,10 +114,10 @@
         # M8: one change at a time, each committed before the next; M4: by a leader that holds its lease.
         if not self.holds() or self.pending(*CHANGES):
             return
-        if self.tip_book.former_members is not None:
+        if self.appended_state.former_members is not None:
             self.append({"op": "final"})
             return
-        members = self.tip_book.members
+        members = self.appended_state.members
         for row in [*self.heard_within(timing.LEARNER), self.me.row()]:
             known = members.get(row["seat"])
             if known is not None and known != codec.decode_member(row):
@@ -134,7 +134,7 @@
 
     def ready(self, member_id: str) -> bool:
         """Whether a learner has all that is agreed, synced, and answers."""
-        caught_up = self.match.get(member_id, NOTHING_SYNCED) >= self.book.log_index
+        caught_up = self.match.get(member_id, NOTHING_SYNCED) >= self.cluster_state.log_index
         return caught_up and self.now - self.acked_at_ms.get(member_id, NEVER_MS) < timing.RESPONSIVE
 
     def add_member(self, members: Members) -> bool:
--- a/basaltport/consensus/open_membership.py
+++ b/basaltport/consensus/open_membership.py
@@ -34,7 +34,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    tip_book: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     acked_at_ms: dict[str, int]
     needs: set[str]
     left: set[str]
@@ -76,7 +76,7 @@
         less by a lost one."""
         if not self.settled() or self.pending(*CHANGES):
             return
-        state = self.tip_book
+        state = self.appended_state
         if self.pending("ledgers"):
             if self.now - self.disk_members_changed_at_ms > STUCK:
                 self.keep_ledgers(state)
--- a/basaltport/consensus/read_index.py
+++ b/basaltport/consensus/read_index.py
@@ -16,7 +16,7 @@
     """What `ReadIndexMixin` needs of the node it is part of: what is committed, and how it answers."""
 
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     policy: voting_policy.VotingPolicy
     confirmed_heartbeat_number: int
 
@@ -82,7 +82,7 @@
     def note_committed(self) -> None:
         """Note the time, in milliseconds, of each waiting change that has just been committed."""
         for change in self.waiting:
-            if change["serial"] <= self.book.log_index and change["committed"] is None:
+            if change["serial"] <= self.cluster_state.log_index and change["committed"] is None:
                 change["committed"] = self.now
 
     def settle(self) -> None:
@@ -93,7 +93,7 @@
         while self.waiting:
             change = self.waiting[0]
             # M3: a change is acknowledged only once it is committed.
-            if change["serial"] > self.book.log_index:
+            if change["serial"] > self.cluster_state.log_index:
                 break
             if self.policy.acknowledges_after_followers and self.behind(change["serial"]):
                 break
--- a/basaltport/consensus/replication.py
+++ b/basaltport/consensus/replication.py
@@ -65,8 +65,8 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
-    tip_book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     tail: list[log.LogEntry]
     retained_entries: dict[int, log.LogEntry]
     current_term: identifiers.Term
@@ -151,7 +151,7 @@
         self.beats[self.n] = self.now
         self.beats.pop(self.n - REMEMBERED_HEARTBEATS, None)
         taken = {row["addr"] for row in self.learners.values()}
-        for member_id, record in quorum.voters(self.tip_book).items():
+        for member_id, record in quorum.voters(self.appended_state).items():
             if member_id != self.me.seat and record.address not in taken:
                 self.send_heartbeat_to(member_id, record)
         for member_id, row in self.learners.items():
@@ -168,8 +168,8 @@
             self.me.name,
             self.me.addr,
             self.n,
-            self.book.log_index,
-            self.book.term,
+            self.cluster_state.log_index,
+            self.cluster_state.term,
             previous_term,
             previous_index,
             entries,
@@ -217,7 +217,7 @@
     def entries_after(self, log_index: int) -> EntriesAfter:
         """Entries behind the one of `log_index` with what stands before them, or None where only a copy will
         do."""
-        terms = {int(self.book.log_index): self.book.term}
+        terms = {int(self.cluster_state.log_index): self.cluster_state.term}
         terms.update({index: entry.term for index, entry in self.retained_entries.items()})
         terms.update({entry.index: entry.term for entry in self.tail})
         if log_index not in terms:
@@ -236,7 +236,7 @@
     def record_transfer(self, member_id: str, size: int, whole: bool = False) -> None:
         """Note `size` bytes sent to a member. What is sent while more is on its way comes behind it; what is
         whole makes up for all before."""
-        first = Transfer(self.n, self.now, 0, self.book.log_index, 0)
+        first = Transfer(self.n, self.now, 0, self.cluster_state.log_index, 0)
         if self.is_in_flight(member_id) and not whole:
             first = self.transfers_in_flight[member_id]
         transfer = dataclasses.replace(first, size=first.size + size, upto=self.head()[1])
@@ -318,7 +318,7 @@
         if self.was_sent_later(ack):
             return
         self.needs.add(ack.seat)
-        record = self.tip_book.members.get(ack.seat)
+        record = self.appended_state.members.get(ack.seat)
         if record:
             self.send_heartbeat_to(ack.seat, record)
 
@@ -334,7 +334,7 @@
     def count(self) -> None:
         """Commit the last entry that is held by most voters, synced by most disk members, and of this
         leader's term, with all before it."""
-        index_before = self.book.log_index
+        index_before = self.cluster_state.log_index
         for entry in reversed(self.tail):
             # M3: an entry of an older term is committed by one of this leader's term behind it.
             if entry.term != self.current_term:
@@ -342,7 +342,7 @@
             if self.is_held_by_majorities(entry.index):
                 self.advance(entry.index, entry.term)
                 break
-        if self.book.log_index == index_before:
+        if self.cluster_state.log_index == index_before:
             return
         self.note_committed()
         self.beat()
@@ -350,6 +350,6 @@
     def is_held_by_majorities(self, log_index: int) -> bool:
         """Whether most voters and most disk members have synced the log up to this index."""
         holders = {member_id for member_id, synced in self.match.items() if synced >= log_index}
-        if not quorum.has_majority(self.tip_book, holders):
+        if not quorum.has_majority(self.appended_state, holders):
             return False
-        return quorum.is_majority(holders, set(self.tip_book.disk_members))
+        return quorum.is_majority(holders, set(self.appended_state.disk_members))
--- a/basaltport/consensus/snapshot_transfer.py
+++ b/basaltport/consensus/snapshot_transfer.py
@@ -14,7 +14,7 @@
     """What `SnapshotTransferMixin` needs of the node it is part of."""
 
     me: member.Me
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     tail: list[log.LogEntry]
     current_term: identifiers.Term
 
@@ -50,7 +50,7 @@
 
     def copy(self) -> state_machine.ReplicatedState:
         """All that this member holds: the agreed state and the entries behind it."""
-        return state_machine.ReplicatedState(self.book, tuple(self.tail))
+        return state_machine.ReplicatedState(self.cluster_state, tuple(self.tail))
 
     def hear_snapshot_request(self, src: str, message: messages.SnapshotRequest) -> None:
         """Send a copy to a candidate of the current term."""
@@ -63,16 +63,16 @@
     def install(self, copy: state_machine.ReplicatedState) -> None:
         """Take a copy over; what is in force here stays so: of a copy whose state is older only the entries
         behind what is in force are taken, and of one that does not reach it nothing."""
-        index_before = self.book.log_index
+        index_before = self.cluster_state.log_index
         # M6: what is in force never goes back.
         if copy.cluster_state.log_index >= index_before:
-            self.book: state_machine.ClusterState = copy.cluster_state
+            self.cluster_state: state_machine.ClusterState = copy.cluster_state
             self.tail = list(copy.uncommitted)
             self.write([], whole=self.copy())
             self.state_applied()
             self.retained_behind(index_before)
             return
-        in_force = (index_before, self.book.term)
+        in_force = (index_before, self.cluster_state.term)
         if not any((entry.index, entry.term) == in_force for entry in copy.uncommitted):
             return
         self.tail = [entry for entry in copy.uncommitted if entry.index > index_before]
--- a/basaltport/controller/executor_leases.py
+++ b/basaltport/controller/executor_leases.py
@@ -29,8 +29,8 @@
     now: identifiers.Millis
     policy: typing.Any
     listeners: typing.Any
-    book: typing.Any
-    tip_book: typing.Any
+    cluster_state: typing.Any
+    appended_state: typing.Any
     leading: bool
     stopped: bool
     leader: typing.Any
@@ -100,7 +100,7 @@
         self.lease_expires_at_ms = -1
         rows = self.latest_shards()
         members = {
-            *self.tip_book.members,
+            *self.appended_state.members,
             *(m for row in rows.values() for m in (row.owner, row.former_owner)),
         }
         self.lease_ends = {
@@ -113,7 +113,7 @@
 
     def latest_shards(self) -> ShardRows:
         """The shards by the leader's latest entry, which may not be agreed yet."""
-        rows: ShardRows = self.tip_book.shards or {}
+        rows: ShardRows = self.appended_state.shards or {}
         return rows
 
     def newest_fence(self) -> int:
@@ -137,7 +137,7 @@
     def ack_to_return(self, member_id: str, row: object) -> int:
         """The acknowledgement that a heartbeat gives back, 0 for none: only to a member that has applied
         the last change of owners, and once this leader's first entry is agreed."""
-        unknown = member_id not in self.latest_acks or member_id not in self.tip_book.members
+        unknown = member_id not in self.latest_acks or member_id not in self.appended_state.members
         if unknown or not self.settled():
             return 0
         number, heard_at, applied = self.latest_acks[member_id]
@@ -159,7 +159,7 @@
         if member_id == self.me.seat or self.may_be_leased(member_id):
             return False
         if (
-            member_id not in self.tip_book.members
+            member_id not in self.appended_state.members
             or member_id in self.latest_acks
             and self.has_resigned(member_id)
         ):
@@ -172,6 +172,6 @@
         if member_id is None or not self.may_be_leased(member_id):
             return True
         if member_id == self.me.seat:
-            released: bool = self.book.log_index >= row.fence
+            released: bool = self.cluster_state.log_index >= row.fence
             return released
         return member_id in self.latest_acks and self.latest_acks[member_id][2] >= row.fence
--- a/basaltport/controller/metrics.py
+++ b/basaltport/controller/metrics.py
@@ -44,7 +44,7 @@
     yield gauge("leads", "1 where this controller leads", int(node.leading))
     yield gauge("holds", "1 where this controller leads and no other can", int(node.holds_at(now)))
     yield gauge("led", "1 where a leader is heard, or it leads itself", int(led))
-    yield gauge("serial", "Index of the last agreed log entry", int(node.book.log_index))
+    yield gauge("serial", "Index of the last agreed log entry", int(node.cluster_state.log_index))
     yield gauge("edition", "Edition of the configuration in force", status_view.edition(node))
     yield gauge("unsettled", "Reasons why this controller is not settled", len(reasons))
     yield _invariant_family(node)
--- a/basaltport/controller/node.py
+++ b/basaltport/controller/node.py
@@ -62,7 +62,7 @@
         self.operator_requests_start()
         self.publish_start()
         self.order_execution_start()
-        self.snapshot_index = self.book.log_index
+        self.snapshot_index = self.cluster_state.log_index
         self.bytes_since_snapshot = 0
         self.disk_retry_at = now
         self.listeners.state_applied.append(self.keep_snapshot)
@@ -92,10 +92,10 @@
 
     def keep_snapshot(self) -> None:
         """Now and then the log begins anew behind a snapshot."""
-        entries = self.book.log_index - self.snapshot_index
+        entries = self.cluster_state.log_index - self.snapshot_index
         if entries < SNAPSHOT_ENTRIES and self.bytes_since_snapshot < SNAPSHOT_BYTES:
             return
-        self.snapshot_index, self.bytes_since_snapshot = self.book.log_index, 0
+        self.snapshot_index, self.bytes_since_snapshot = self.cluster_state.log_index, 0
         self.write([], whole=self.copy())
 
     # proxies
--- a/basaltport/controller/operator_requests.py
+++ b/basaltport/controller/operator_requests.py
@@ -95,8 +95,8 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: State
-    tip_book: State
+    cluster_state: State
+    appended_state: State
     leading: bool
     leader: typing.Any
     heard_at: int
@@ -221,11 +221,11 @@
             self.confirm(source, call, verb, body, received_at)
             return
         change = body.get("change")
-        index = self.tip_book.recent_changes.get(change) if change else None
+        index = self.appended_state.recent_changes.get(change) if change else None
         if index is not None:
             self.wait_for_commit(source, call, verb, body, received_at, index)
             return
-        decided = self.change_operations()[Verb(verb)](self.tip_book, body)
+        decided = self.change_operations()[Verb(verb)](self.appended_state, body)
         if isinstance(decided, tuple):
             if decided[0] != OK:
                 self.note_refused(change, decided)
@@ -246,7 +246,7 @@
     ) -> None:
         """Answer a change once the entry of an index is agreed."""
         row = {"src": source, "call": call, "verb": verb, "body": body, "at": received_at, "serial": index}
-        row["committed"] = self.now if index <= self.book.log_index else None
+        row["committed"] = self.now if index <= self.cluster_state.log_index else None
         self.waiting.append(row)
         self.waiting.sort(key=lambda waiting: typing.cast(int, waiting["serial"]))
         self.settle()
@@ -263,15 +263,15 @@
         """Answer once a majority answers a heartbeat sent after this, and what the answer rests on is
         agreed. A read has no answer yet: it is made of the state that is agreed then."""
         row = {"n": self.n, "src": source, "call": call, "verb": verb, "body": body, "asked": received_at}
-        self.reads.append({**row, "got": answer, "serial": self.tip_book.log_index if answer else 0})
+        self.reads.append({**row, "got": answer, "serial": self.appended_state.log_index if answer else 0})
         self.heartbeat_sent_at_ms = AT_ONCE
 
     def serve_read(self, row: Document) -> None:
         """A majority confirmed that this controller leads: give the answer, if what it rests on is agreed."""
-        if row["serial"] > self.book.log_index:
+        if row["serial"] > self.cluster_state.log_index:
             self.reads.append(row)
             return
-        answer = row["got"] or self.read_configuration(self.book)
+        answer = row["got"] or self.read_configuration(self.cluster_state)
         self.respond(row["src"], row["call"], *answer)
 
     def read_configuration(self, state: State) -> Answer:
--- a/basaltport/controller/order_execution.py
+++ b/basaltport/controller/order_execution.py
@@ -141,7 +141,7 @@
         another leader had ordered through it has arrived."""
         shard = shard_ownership.shard_of(replica_id)
         row = self.shards().get(shard)
-        if not self.leading or row is None or row != self.tip_book.shards.get(shard):
+        if not self.leading or row is None or row != self.appended_state.shards.get(shard):
             return False
         if not self.former_owner_stopped(shard):
             return False
@@ -149,7 +149,7 @@
         if owner is None:
             return False
         since = self.executor_since.get(owner, self.now)
-        if owner not in self.tip_book.members or self.now - since < EXECUTOR_SETTLED_MS:
+        if owner not in self.appended_state.members or self.now - since < EXECUTOR_SETTLED_MS:
             return False
         if owner == self.me.seat:
             return self.holds() and not self.stopped
@@ -183,7 +183,7 @@
             fence,
             messages.NO_COUNT if order.expected is None else order.expected,
         )
-        self.send(self.address_of(owner) or self.tip_book.members[owner].address, request)
+        self.send(self.address_of(owner) or self.appended_state.members[owner].address, request)
 
     def hear_order_result(self, source: str, result: messages.OrderResult) -> None:
         """What came of an order."""
--- a/basaltport/controller/placement_control.py
+++ b/basaltport/controller/placement_control.py
@@ -67,7 +67,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: typing.Any
+    cluster_state: typing.Any
     leading: bool
     first: identifiers.LogIndex
     """The index of this leader's own first entry; once agreed, its fencing token."""
@@ -120,10 +120,10 @@
         if self.placement_fence is None:
             self.placement_fence, self.placement_inputs = self.first, None
             self.call_placement(self.placement.start, self.first, self.me.name)
-        inputs = (self.book.configuration_version, sorted(self.book.evacuated_zones))
+        inputs = (self.cluster_state.configuration_version, sorted(self.cluster_state.evacuated_zones))
         if inputs != self.placement_inputs:
             self.placement_inputs = inputs
-            self.call_placement(self.placement.configure, self.book.configuration, set(inputs[1]))
+            self.call_placement(self.placement.configure, self.cluster_state.configuration, set(inputs[1]))
 
     def stop_placement(self) -> None:
         """Stop it if it runs."""
--- a/basaltport/controller/shard_ownership.py
+++ b/basaltport/controller/shard_ownership.py
@@ -85,12 +85,12 @@
 
     def shards(self) -> ShardRows:
         """The shards by the agreed state here."""
-        rows: ShardRows = self.book.shards or {}
+        rows: ShardRows = self.cluster_state.shards or {}
         return rows
 
     def note_shards(self) -> None:
         """Note since when each shard's row is known to be in force, on this controller's clock."""
-        self.newest_index = max(self.newest_index, self.book.log_index)
+        self.newest_index = max(self.newest_index, self.cluster_state.log_index)
         rows = self.shards()
         if rows is self.noted_shards:
             return
@@ -118,7 +118,7 @@
         row = self.shards().get(shard)
         if self.stopped or row is None or row.owner != self.me.seat or row.fence != fence:
             return False
-        up_to_date = self.book.log_index >= self.newest_index
+        up_to_date = self.cluster_state.log_index >= self.newest_index
         return up_to_date and self.former_owner_stopped(shard) and self.executor_leased()
 
     # the leader
@@ -129,7 +129,7 @@
 
     def assign_shards(self) -> None:
         """Give shards that nobody owns, or whose owner is lost, and even them out in calm times."""
-        rows, roster = self.latest_shards(), self.tip_book.members
+        rows, roster = self.latest_shards(), self.appended_state.members
         live = sorted(member_id for member_id in self.live() & roster.keys() if self.may_own(member_id))
         if not rows and len(live) < len(roster) and self.now - self.since < GATHER_MS:
             return
@@ -164,7 +164,7 @@
             owner = min(live, key=lambda member_id: (counts[member_id], member_id))
             owners[shard] = owner
             counts[owner] += 1
-        names = sorted({self.tip_book.members[member_id].name for member_id in owners.values()})
+        names = sorted({self.appended_state.members[member_id].name for member_id in owners.values()})
         self.note(log_events.Event.ROLES_ASSIGNED, slices=sorted(owners, key=int), owners=names)
         self.append(log.ShardsAssigned(owners))
 
@@ -174,7 +174,7 @@
         most = max(owned, key=lambda member_id: (len(owned[member_id]), member_id))
         fewest = min(owned, key=lambda member_id: (len(owned[member_id]), member_id))
         settled = all(row.owner == row.former_owner for row in rows.values())
-        calm = settled and len(live) == len(self.tip_book.members)
+        calm = settled and len(live) == len(self.appended_state.members)
         if not calm or len(owned[most]) - len(owned[fewest]) < SPREAD:
             self.uneven_at = self.now
             return
--- a/basaltport/controller/status_view.py
+++ b/basaltport/controller/status_view.py
@@ -27,7 +27,7 @@
         return node.me.row()
     if not node.hears_leader():
         return None
-    for record in node.book.members.values():
+    for record in node.cluster_state.members.values():
         if record.name == node.leader.name:
             return member_row(record)
     return {"name": node.leader.name, "addr": node.leader.addr, "http": "", "zone": ""}
@@ -51,7 +51,7 @@
 
 def controllers(node: Node, now: int) -> list[Row]:
     """All controllers, also new ones that have no vote yet."""
-    agreed = {member_id: member_row(record) for member_id, record in node.book.members.items()}
+    agreed = {member_id: member_row(record) for member_id, record in node.cluster_state.members.items()}
     learners = node.learners if node.leading else {}
     rows = [*agreed.items(), *((i, row) for i, row in learners.items() if i not in agreed)]
     out = []
@@ -66,7 +66,7 @@
     out = []
     for name, proxy in node.proxies.items():
         row = {"name": name, "zone": proxy.zone, "address": proxy.address, "silent_ms": now - proxy.at}
-        behind = max(0, node.book.log_index - proxy.log_index)
+        behind = max(0, node.cluster_state.log_index - proxy.log_index)
         out.append({**row, "serial": int(proxy.log_index), "behind": behind})
     return sorted(out, key=lambda row: row["name"])
 
@@ -133,7 +133,7 @@
             out.append(f"controller {row['name']} is new and has no seat yet")
         elif row["silent_ms"] is None or row["silent_ms"] > SILENT_MS:
             out.append(f"controller {row['name']} is silent")
-    if node.book.configuration is None:
+    if node.cluster_state.configuration is None:
         out.append("there is no configuration yet")
     late = [row["name"] for row in proxies(node, now) if row["behind"]]
     if late:
@@ -169,8 +169,12 @@
     term = node.leader.gen if follows else node.current_term
     page = {"role": "controller", "name": node.me.name, "zone": node.me.zone, "leads": node.leading}
     page |= {"leader": known["name"] if known else None, "leader_address": known["http"] if known else None}
-    page |= {"generation": term.text(), "serial": int(node.book.log_index), "holds": node.holds_at(now)}
-    page |= {"edition": edition(node), "evacuated": sorted(node.book.evacuated_zones)}
+    page |= {
+        "generation": term.text(),
+        "serial": int(node.cluster_state.log_index),
+        "holds": node.holds_at(now),
+    }
+    page |= {"edition": edition(node), "evacuated": sorted(node.cluster_state.evacuated_zones)}
     page |= {"fence": fence(node), "list_age_ms": None if listed_at is None else now - listed_at}
     page["controllers"] = page["keepers"] = controllers(node, now)
     page["proxies"] = proxies(node, now)
@@ -181,16 +185,20 @@
 
 def edition(node: Node) -> int:
     """The edition of the configuration in force; 0 while there is none."""
-    found: int = (node.book.configuration or {}).get("edition", 0)
+    found: int = (node.cluster_state.configuration or {}).get("edition", 0)
     return found
 
 
 def configuration(node: Node, now: int) -> Row:
     """The page `configuration`: its edition, and counts of what it holds."""
-    document = node.book.configuration or {}
+    document = node.cluster_state.configuration or {}
     services = document.get("services", ())
     routes = document.get("routes", ())
-    page = {"edition": edition(node), "serial": int(node.book.configuration_version), "routes": len(routes)}
+    page = {
+        "edition": edition(node),
+        "serial": int(node.cluster_state.configuration_version),
+        "routes": len(routes),
+    }
     page["hosts"] = len({route["host"].lower() for route in routes})
     page["services"] = len(services)
     page["models"] = sum(len((service.get("engine") or {}).get("models", ())) for service in services)
--- a/basaltport/fleet/__init__.py
+++ b/basaltport/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The feed from the leading controller to all proxies: the agreed book and the rows of replicas."""
+"""The feed from the leading controller to all proxies: the agreed state and the rows of replicas."""
--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -44,12 +44,12 @@
 
 
 class FollowMixin(Needs):
-    """`book`: the agreed state, `rows`: replicas by id, `controllers`: addresses, `proxies`: how
+    """`cluster_state`: the agreed state, `rows`: replicas by id, `controllers`: addresses, `proxies`: how
     many live, `led_at`: when the leader was heard. Hooks: `followed`, `rows_changed`, `on_facts`, `usage`."""
 
     def follow_start(self) -> None:
         """Begin with nothing known."""
-        self.book = state_machine.ClusterState()
+        self.cluster_state = state_machine.ClusterState()
         self.rows: Rows = {}
         self.controllers: list[str] = []
         self.proxies = 0
@@ -96,7 +96,7 @@
         """
         if self.led() and self.leader_address:
             return [self.leader_address]
-        members = {record.address for record in quorum.voters(self.book).values()}
+        members = {record.address for record in quorum.voters(self.cluster_state).values()}
         known = {*members, *self.controllers, *self.me.seeds, self.leader_address}
         return sorted(known - {self.me.addr, ""})
 
@@ -109,7 +109,7 @@
 
     def follow_of(self, use: Row, load: Row) -> messages.Follow:
         """Where the leader's address is not known, it is to tell all anew."""
-        me, log_index = self.me, self.book.log_index
+        me, log_index = self.me, self.cluster_state.log_index
         term = self.feed_gen if self.leader_address else identifiers.Term()
         return messages.Follow(me.name, me.zone, me.addr, term, log_index, self.feed_n, use, load)
 
@@ -131,24 +131,24 @@
         self.proxies = update.proxies
         if update.leader_address:
             self.leader_address, self.controllers = update.leader_address, list(update.controllers)
-        before = self.book.log_index
+        before = self.cluster_state.log_index
         self.take_book(update)
         changed = self.take_rows(update)
-        if self.book.log_index > before:
+        if self.cluster_state.log_index > before:
             self.followed()
         if changed:
             self.rows_changed(changed)
-        lacks = update.serial > self.book.log_index or update.n > self.feed_n
+        lacks = update.serial > self.cluster_state.log_index or update.n > self.feed_n
         if lacks and self.now - self.follow_at >= AT_ONCE_MS:
             self.follow()
 
     def take_book(self, update: messages.Update) -> None:
         """Take the copy if it is newer, and entries that join on."""
-        if update.copy is not None and update.copy.log_index > self.book.log_index:
-            self.book = update.copy
+        if update.copy is not None and update.copy.log_index > self.cluster_state.log_index:
+            self.cluster_state = update.copy
         for entry in update.entries:
-            if entry.index == self.book.log_index + 1:
-                self.book = state_machine.apply(self.book, entry)
+            if entry.index == self.cluster_state.log_index + 1:
+                self.cluster_state = state_machine.apply(self.cluster_state, entry)
 
     def take_rows(self, update: messages.Update) -> set[str]:
         """Ids whose rows are not as they were."""
--- a/basaltport/fleet/messages.py
+++ b/basaltport/fleet/messages.py
@@ -8,8 +8,8 @@
 
 @messages.message(40)
 class Follow:
-    """A proxy tells the leader what it has: `serial` of the book, `seen` of the rows (-1: none), of which
-    leader's (`gen`); requests begun since the last one by item (`use`), now running by replica (`load`)."""
+    """A proxy tells the leader what it has: `serial` of the cluster state, `seen` of the rows (-1: none), of
+    which leader (`gen`); requests since the last one by item (`use`), now running by replica (`load`)."""
 
     name: identifiers.Name
     zone: identifiers.Zone
@@ -23,7 +23,7 @@
 
 @messages.message(41)
 class Update:
-    """The agreed book up to `serial`: `entries` after what the proxy has, or a `copy`. Rows changed and ids
+    """The agreed state up to `serial`: `entries` after what the proxy has, or a `copy`. Rows changed and ids
     gone after number `base` up to `n`, or with `full` all rows. Empty where nothing changed: `leader`,
     `leader_address`, `controllers` (addresses). `proxies`: how many are live."""
 
--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -127,7 +127,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     retained_entries: dict[int, log.LogEntry]
     leading: bool
     leader: typing.Any
@@ -192,7 +192,7 @@
 
     def controllers(self) -> list[str]:
         """The addresses of all controllers."""
-        return sorted(record.address for record in self.book.members.values())
+        return sorted(record.address for record in self.cluster_state.members.values())
 
     def hear_follow(self, source: str, follow: messages.Follow) -> None:
         """A proxy tells what it has; one that asks a controller that does not lead is redirected."""
@@ -237,7 +237,7 @@
             return
         if self.rows_known and self.placement.changed:
             self.number_rows()
-        log_index = self.book.log_index
+        log_index = self.cluster_state.log_index
         state = (log_index, self.feed_n)
         if state == self.published and self.now - self.looked_at < ROWS_EVERY_MS:
             return
@@ -274,7 +274,7 @@
             self.me.name if tells_leader else NOBODY,
             self.me.addr if tells_leader else "",
             controllers if tells_leader else [],
-            self.book.log_index,
+            self.cluster_state.log_index,
             entries,
             copy,
             full,
@@ -284,7 +284,11 @@
             gone,
             len(self.proxies),
         )
-        proxy.log_index, proxy.rows_seen, proxy.controllers_sent = self.book.log_index, number, controllers
+        proxy.log_index, proxy.rows_seen, proxy.controllers_sent = (
+            self.cluster_state.log_index,
+            number,
+            controllers,
+        )
         size = sum(map(sizes.entry_size, entries)) + ROW_BYTES * len(rows)
         size += sizes.state_size(copy) if copy else text.OVERHEAD
         proxy.note_sent(size, self.now)
@@ -292,15 +296,15 @@
 
     def state_after(self, index: int) -> StatePart:
         """Entries after an index, or a copy of what proxies need where those are not here or are more."""
-        newest = self.book.log_index
+        newest = self.cluster_state.log_index
         here = newest - index <= len(self.retained_entries)
         entries = [self.retained_entries.get(i) for i in range(index + 1, newest + 1)] if here else [None]
         found = [entry for entry in entries if entry]
         if index and len(found) == len(entries):
             entries_size = sum(sizes.entry_size(entry) for entry in found)
-            if entries_size <= sizes.state_size(self.book) + SMALL_BYTES:
+            if entries_size <= sizes.state_size(self.cluster_state) + SMALL_BYTES:
                 return StatePart(found, None)
-        return StatePart([], feed_part(self.book))
+        return StatePart([], feed_part(self.cluster_state))
 
     def rows_after(self, number: int) -> RowsPart:
         """Rows after a number of the feed, all of them where it is below 0."""
--- a/basaltport/model/checks.py
+++ b/basaltport/model/checks.py
@@ -78,8 +78,8 @@
     def stepped(self, node: nodes.Node, previous: int) -> None:
         """Right after a member took an event; `previous` is the log index in force before."""
         member = node.member
-        if member.book is not node.book:
-            node.book = member.book
+        if member.cluster_state is not node.cluster_state:
+            node.cluster_state = member.cluster_state
             self._came_in_force(node, previous)
         if not node.disk:
             return
@@ -89,7 +89,7 @@
             self._leads(node)
 
     def _came_in_force(self, node: nodes.Node, previous: int) -> None:
-        state: state_machine.ClusterState = node.member.book
+        state: state_machine.ClusterState = node.member.cluster_state
         index = state.log_index
         if index < previous:
             self._broken(Rule.BACK, node=node.name, previous=previous, log_index=index)
@@ -141,7 +141,7 @@
         """A new leader's log has all that was in force anywhere."""
         member = node.member
         have = {entry.index: tuple(entry.term) for entry in member.tail}
-        for index in range(member.book.log_index + 1, self.newest + 1):
+        for index in range(member.cluster_state.log_index + 1, self.newest + 1):
             if index in self.term_of and have.get(index) != self.term_of[index]:
                 self._broken(Rule.AGREED, node=node.name, log_index=index, leader=True)
 
@@ -179,7 +179,7 @@
         member = node.member
         answered = self.acknowledged.get(((node.name, node.incarnation), member.current_term), {})
         have = {member_id for member_id, at in answered.items() if at >= since} | {member.me.seat}
-        return electorate.bears(have, electorate.rosters(member.book, member.tail))
+        return electorate.bears(have, electorate.rosters(member.cluster_state, member.tail))
 
     def answers(self, node: nodes.Node, call: str, status: int, body: interfaces.Body) -> None:
         """A leader's own answer to a read, or its refusal of a change."""
@@ -197,7 +197,7 @@
         began = self.began.get((member.current_term, (node.name, node.incarnation)), self.world.now)
         if not self._majority_since(node, max(began, self.world.now - FEED_FRESH_MS)):
             self._broken(Rule.WORD, node=node.name, feeds=True)
-        index = member.book.log_index
+        index = member.cluster_state.log_index
         if index < self.newest:
             self._broken(Rule.WORD, node=node.name, feeds=True, log_index=index, newest=self.newest)
 
@@ -247,8 +247,8 @@
         if at > self.world.now - CATCH_UP_MS or self.world.well_since > at:
             return
         for node, since in well:
-            if since <= at and node.member.book.log_index < newest:
-                index = node.member.book.log_index
+            if since <= at and node.member.cluster_state.log_index < newest:
+                index = node.member.cluster_state.log_index
                 self._broken(Rule.CATCH_UP, node=node.name, log_index=index, newest=newest)
 
     # at the end
--- a/basaltport/model/durable.py
+++ b/basaltport/model/durable.py
@@ -40,7 +40,10 @@
         member = node.member
         entries = [_key(entry) for entry in member.tail]
         held = self.held[node.name] = Held()
-        held.add([member.current_term], [*entries, (member.book.log_index, tuple(member.book.term))])
+        held.add(
+            [member.current_term],
+            [*entries, (member.cluster_state.log_index, tuple(member.cluster_state.term))],
+        )
 
     def asked(self, node: nodes.Node, token: int, records: list[log.DiskRecord], whole: bool) -> None:
         """A write was handed to the disk; with `whole`, of all that the member has."""
@@ -50,7 +53,7 @@
         if whole:
             vote_terms.append(member.current_term)
             entries += [_key(entry) for entry in member.tail]
-            entries.append((member.book.log_index, tuple(member.book.term)))
+            entries.append((member.cluster_state.log_index, tuple(member.cluster_state.term)))
         self.writes[node.name, node.incarnation, token] = vote_terms, entries
 
     def synced(self, node: nodes.Node, token: int, ok: bool) -> None:
--- a/basaltport/model/exhaustive.py
+++ b/basaltport/model/exhaustive.py
@@ -186,7 +186,9 @@
         heard = -1 if member.leader is None else min(AGE_STEPS, (now - member.heard_at) // STEP_MS)
         confirmed = min(AGE_STEPS, (now - member.lease_started_at_ms) // STEP_MS) if member.leading else -1
         log = [(entry.index, entry.term.count, entry.operation.kind) for entry in member.tail]
-        voters = sorted(number.get(self._node_of(member_id), -1) for member_id in quorum.voters(member.book))
+        voters = sorted(
+            number.get(self._node_of(member_id), -1) for member_id in quorum.voters(member.cluster_state)
+        )
         flags = (
             node.frozen,
             member.leading,
@@ -196,7 +198,14 @@
             bool(member.candidacy),
             member.stopped,
         )
-        return flags, member.book.log_index, member.book.term.count, voters, log, member.current_term.count
+        return (
+            flags,
+            member.cluster_state.log_index,
+            member.cluster_state.term.count,
+            voters,
+            log,
+            member.current_term.count,
+        )
 
     def _node_of(self, member_id: str) -> str:
         return next((n.name for n in self.world.nodes.values() if n.seat == member_id), "")
--- a/basaltport/model/faults.py
+++ b/basaltport/model/faults.py
@@ -73,7 +73,7 @@
         """Voters after each change of members that is in a log and not agreed yet."""
         found: list[set[str]] = []
         for node in self.world.controllers():
-            state = node.member.book
+            state = node.member.cluster_state
             for entry in node.member.tail:
                 before, state = state, state_machine.apply(state, entry)
                 if entry.index > self.world.checks.newest and state.members.keys() != before.members.keys():
@@ -114,7 +114,7 @@
         """The member that came without memory is agreed, and no replaced one is a member."""
         world = self.world
         leader = world.leader()
-        voters = set(quorum.voters(world.nodes[leader].member.book)) if leader else set()
+        voters = set(quorum.voters(world.nodes[leader].member.cluster_state)) if leader else set()
         members = {world.nodes[machine.node].seat for machine in world.machines.rows}
         if world.zombies:
             world.later(50, self.remembered, slot)
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -56,7 +56,7 @@
     me: member.Me
     now: identifiers.Millis
     rng: random.Random
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     rows: dict[str, replica_table.FeedRow]
 
     def __init__(
@@ -123,7 +123,7 @@
 
     def evacuated_zones(self) -> collections.abc.Collection[str]:
         """Zones that take nothing new."""
-        zones: collections.abc.Collection[str] = self.book.evacuated_zones
+        zones: collections.abc.Collection[str] = self.cluster_state.evacuated_zones
         return zones
 
     def is_fed(self) -> bool:
@@ -138,13 +138,13 @@
 
     def followed(self) -> None:
         """The agreed state changed."""
-        document = self.book.configuration
+        document = self.cluster_state.configuration
         if document is not self.compiled_document:
             self.compiled_document = document
             self.table = routing.RoutingTable(document)
             self.forget_routes()
             routes = sum(map(len, self.table.hosts.values()))
-            version = int(self.book.configuration_version)
+            version = int(self.cluster_state.configuration_version)
             self.emit(
                 base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), {"serial": version, "lines": routes})
             )
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -88,7 +88,7 @@
         "leader_address": proxy.leader_address or None,
         "rows_age_ms": now - proxy.led_at if proxy.led_at > 0 else None,
         "generation": proxy.feed_gen.text(),
-        "serial": int(proxy.book.log_index),
+        "serial": int(proxy.cluster_state.log_index),
         "edition": proxy.table.edition,
         "proxies": proxy.proxies,
         "evacuated": sorted(proxy.evacuated_zones()),
@@ -207,7 +207,7 @@
     """The figures of a proxy: (name, type, help, labels, values)."""
     yield gauge("ready", "1 where this proxy takes clients", int(proxy.ready()))
     yield gauge("led", "1 where a leader is heard", int(follow.FollowMixin.led(proxy)))
-    yield gauge("serial", "Serial of the agreed book", int(proxy.book.log_index))
+    yield gauge("serial", "Serial of the agreed book", int(proxy.cluster_state.log_index))
     yield gauge("edition", "Edition of the configuration in force", proxy.table.edition)
     if proxy.led_at > 0:
         age_s = (now - proxy.led_at) / SECOND_MS
--- a/basaltport/query_api/admin/http_server.py
+++ b/basaltport/query_api/admin/http_server.py
@@ -136,7 +136,7 @@
     async def live(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Whether this node may be given requests."""
         member = self.node.member
-        has_state = member.leased() if self.node.role == QUERY_NODE else member.book.log_index > 0
+        has_state = member.leased() if self.node.role == QUERY_NODE else member.cluster_state.log_index > 0
         ready = bool(has_state and not self.node.stopping)
         status = http.HTTPStatus.OK if ready else http.HTTPStatus.SERVICE_UNAVAILABLE
         return aiohttp.web.json_response({"ready": ready}, status=status)
@@ -150,8 +150,8 @@
             leader = member.me.name
         status = {
             **self.node.me.row(),
-            "serial": int(member.book.log_index),
-            "manifest_serial": int(member.book.configuration_version),
+            "serial": int(member.cluster_state.log_index),
+            "manifest_serial": int(member.cluster_state.configuration_version),
             "held": [list(term), int(log_index)],
             "leader": leader,
         }
--- a/basaltport/query_api/admin/leader_requests.py
+++ b/basaltport/query_api/admin/leader_requests.py
@@ -39,7 +39,7 @@
     """What `LeaderRequestsMixin` needs of the leader it is part of; see `consensus.lead`."""
 
     leading: bool
-    tip_book: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     waiting: list[Document]
     reads: list[Document]
     heartbeat_sent_at_ms: int
@@ -78,12 +78,12 @@
 
     def propose(self, src: str | None, call: str, verb: str, body: Document) -> None:
         """Propose a change, or wait for the entry of the same change id."""
-        state = self.tip_book
+        state = self.appended_state
         change: str | None = body.get("change")
         waiting: Document = {"src": src, "call": call, "change": change, "committed": None}
         if change is not None and change in state.recent_changes:
             waiting["serial"] = state.recent_changes[change]
-            waiting["committed"] = self.now if waiting["serial"] <= self.book.log_index else None
+            waiting["committed"] = self.now if waiting["serial"] <= self.cluster_state.log_index else None
             self.waiting.append(waiting)
             self.waiting.sort(key=lambda row: row["serial"])
             self.settle()
@@ -202,15 +202,18 @@
 
     def read_show(self) -> Document:
         """The manifest and its version."""
-        return {"serial": self.book.configuration_version, "manifest": self.book.configuration}
+        return {
+            "serial": self.cluster_state.configuration_version,
+            "manifest": self.cluster_state.configuration,
+        }
 
     def read_history(self) -> Document:
         """The last changes."""
-        return {"history": [codec.encode_history_record(row) for row in self.book.history]}
+        return {"history": [codec.encode_history_record(row) for row in self.cluster_state.history]}
 
     def read_change(self, change: object) -> tuple[int, Document]:
         """What became of a change."""
-        changes = self.book.recent_changes
+        changes = self.cluster_state.recent_changes
         if isinstance(change, str) and change in changes:
             body = {"outcome": "acknowledged", "serial": changes[change], "change": change}
             return http.HTTPStatus.OK, body
@@ -218,7 +221,7 @@
 
     def read_status(self) -> Document:
         """How the cluster stands."""
-        state = self.book
+        state = self.cluster_state
         members = state.members
         return {
             "serial": state.log_index,
@@ -239,14 +242,14 @@
     def read_members(self) -> Document:
         """The members, and how far each has applied the log."""
         rows = []
-        by_name = sorted(self.book.members.items(), key=lambda item: item[1].name)
+        by_name = sorted(self.cluster_state.members.items(), key=lambda item: item[1].name)
         for member_id, row in by_name:
             heartbeat = self.latest_acks.get(member_id)
             rows.append(
                 {
                     **codec.encode_member(row),
                     "live": self.quiet(member_id) < LIVE_WITHIN_MS,
-                    "ledger": member_id in self.book.disk_members,
+                    "ledger": member_id in self.cluster_state.disk_members,
                     "applied": heartbeat[2] if heartbeat else 0,
                 }
             )
@@ -255,17 +258,17 @@
     def read_replicas(self) -> Document:
         """The replicas and what they hold."""
         rows = []
-        for name, row in sorted(self.book.listed_replicas.items()):
+        for name, row in sorted(self.cluster_state.listed_replicas.items()):
             listed = {"replica": name, "url": row.url, "zone": row.zone, "group": row.group}
-            is_evacuated = row.zone in self.book.evacuated_zones
-            marks = {"draining": is_evacuated, "leaving": name in self.book.leaving_replicas}
+            is_evacuated = row.zone in self.cluster_state.evacuated_zones
+            marks = {"draining": is_evacuated, "leaving": name in self.cluster_state.leaving_replicas}
             rows.append({**listed, **marks, **self.replica_row(row.zone, name)})
         return {"replicas": rows}
 
     def read_placement(self) -> Document:
         """Where each item is."""
         placement: dict[str, list[Document]] = {}
-        for name, row in sorted(self.book.listed_replicas.items()):
+        for name, row in sorted(self.cluster_state.listed_replicas.items()):
             held = self.replica_row(row.zone, name).get("held", {})
             for item, state in sorted(held.items()):
                 holder = {"replica": name, "zone": row.zone, "state": state}
--- a/basaltport/query_api/admin/operator_requests.py
+++ b/basaltport/query_api/admin/operator_requests.py
@@ -66,7 +66,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     leader: typing.Any
     heard_at: int
     leading: bool
@@ -103,8 +103,8 @@
         if self.leader is None or self.now - self.heard_at > LEADER_SILENT_MS:
             self.respond(None, event.call, http.HTTPStatus.SERVICE_UNAVAILABLE, dict(NO_LEADER))
             return
-        if event.verb == "apply" and event.body.get("change") not in self.book.recent_changes:
-            checked = check.manifest(event.body.get("manifest"), self.book.configuration)
+        if event.verb == "apply" and event.body.get("change") not in self.cluster_state.recent_changes:
+            checked = check.manifest(event.body.get("manifest"), self.cluster_state.configuration)
             if isinstance(checked, result.Err):
                 status = http.HTTPStatus.UNPROCESSABLE_ENTITY
                 self.refuse_change(None, event.call, event.body.get("change"), status, checked.err_value)
--- a/basaltport/query_api/anti_entropy/key_holder.py
+++ b/basaltport/query_api/anti_entropy/key_holder.py
@@ -48,7 +48,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     rules: rules.Rules
 
     def address_of(self, seat: str) -> str | None:
@@ -84,7 +84,7 @@
 
     def key_holders(self, key_id: str) -> state_machine.KeyRange:
         """The holders of a key."""
-        return self.book.key_holders.get(str(range_digests.range_of(key_id)), NO_HOLDERS)
+        return self.cluster_state.key_holders.get(str(range_digests.range_of(key_id)), NO_HOLDERS)
 
     def key_count(self) -> int:
         """How many keys are held."""
@@ -96,7 +96,7 @@
         """Begin to copy the ranges that this member came to hold, and stop with those that it no longer does.
 
         A new holder of a range starts with nothing of it; one that joins anew with what it has."""
-        for range_name, holders in self.book.key_holders.items():
+        for range_name, holders in self.cluster_state.key_holders.items():
             own = holders.holders.get(self.me.seat)
             if own is None:
                 self.range_copies.pop(range_name, None)
@@ -180,7 +180,7 @@
         """Answer only where this copy was complete under the index asked for, and takes no older claim."""
         address = self.address_of(message.member_id)
         range_name = str(message.range)
-        if address is None or self.book.log_index < message.since:
+        if address is None or self.cluster_state.log_index < message.since:
             return
         known_since = (self.complete_since.get(range_name), self.former_since.get(range_name))
         if message.former_since not in known_since:
--- a/basaltport/query_api/cell/cell.py
+++ b/basaltport/query_api/cell/cell.py
@@ -53,7 +53,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     rules: rules.Rules
     leaving_hints: collections.abc.Container[str]
     evacuation_hints: collections.abc.Container[str]
@@ -119,7 +119,7 @@
     def zone_owners(self) -> list[tuple[identifiers.Zone, state_machine.RoleOwner]]:
         """Each zone with the owner of its role and the fence."""
         prefix = role_owners.ZONE_ROLE_PREFIX
-        owners = self.book.role_owners.items()
+        owners = self.cluster_state.role_owners.items()
         return [
             (identifiers.Zone(role.removeprefix(prefix)), o) for role, o in owners if role.startswith(prefix)
         ]
@@ -155,16 +155,16 @@
         for replica, held_item, _ in cell.held():
             if replica in free and held_item in self.rules.items:
                 free[replica] -= self.rules.items[held_item].size
-        listed = self.book.listed_replicas
+        listed = self.cluster_state.listed_replicas
         return any(room >= rule.full for replica, room in free.items() if listed[replica].group == rule.group)
 
     def may_use(self, replica: str) -> bool:
         """False for a replica that is leaving, unlisted, or in an evacuated zone."""
-        listed = self.book.listed_replicas.get(replica)
-        if listed is None or replica in self.book.leaving_replicas or replica in self.leaving_hints:
+        listed = self.cluster_state.listed_replicas.get(replica)
+        if listed is None or replica in self.cluster_state.leaving_replicas or replica in self.leaving_hints:
             return False
         zone = identifiers.Zone(listed.zone)
-        return zone not in self.book.evacuated_zones and zone not in self.evacuation_hints
+        return zone not in self.cluster_state.evacuated_zones and zone not in self.evacuation_hints
 
 
 def updated_rows(rows: Rows, message: messages.CellUpdate) -> Rows:
--- a/basaltport/query_api/failure_detection/ring.py
+++ b/basaltport/query_api/failure_detection/ring.py
@@ -31,7 +31,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     leader: typing.Any
 
     def address_of(self, seat: str) -> str | None:
@@ -67,7 +67,7 @@
             return
         self.ring_sent_at = self.now
         self.ring_sequence += 1
-        members = self.book.members
+        members = self.cluster_state.members
         for watcher in watchers(self.me.seat, members):
             address = self.address_of(watcher)
             if address:
--- a/basaltport/query_api/failure_detection/role_owners.py
+++ b/basaltport/query_api/failure_detection/role_owners.py
@@ -46,7 +46,7 @@
     since: int
     fresh: bool
     policy: voting_policy.VotingPolicy
-    tip_book: state_machine.ClusterState
+    appended_state: state_machine.ClusterState
     left: set[str]
     lapse: dict[str, int]
 
@@ -88,7 +88,7 @@
             ALL_NODES_REPLACED_WAIT_MS if self.fresh else self.policy.follower_lease_ms
         ):
             return
-        state = self.tip_book
+        state = self.appended_state
         if state.configuration is None:
             return
         live = [row for member_id, row in state.members.items() if self.may_own(member_id, row)]
@@ -122,7 +122,7 @@
         """Never before its lease expired; soon where watchers miss it too, later on the leader alone."""
         if self.now < self.lapse.get(member_id, 0):
             return False
-        if member_id not in self.tip_book.members or member_id in self.left:
+        if member_id not in self.appended_state.members or member_id in self.left:
             return True
         silent_ms = self.quiet(member_id)
         if silent_ms >= LOST_AFTER_MS:
--- a/basaltport/query_api/log_node.py
+++ b/basaltport/query_api/log_node.py
@@ -41,7 +41,7 @@
         self.cell_start()
         self.ring_start()
         self.desk_start()
-        self.snapshot_index = self.book.log_index
+        self.snapshot_index = self.cluster_state.log_index
         self.disk_retry_at = now
         self.listeners.state_applied.append(self.write_snapshot_if_due)
         self.listeners.leader_tick.append(self.keep_duties)
@@ -54,9 +54,9 @@
 
     def write_snapshot_if_due(self) -> None:
         """Write a snapshot once enough entries were applied since the last one."""
-        if self.book.log_index - self.snapshot_index < SNAPSHOT_EVERY_ENTRIES:
+        if self.cluster_state.log_index - self.snapshot_index < SNAPSHOT_EVERY_ENTRIES:
             return
-        self.snapshot_index = self.book.log_index
+        self.snapshot_index = self.cluster_state.log_index
         self.write_snapshot()
 
     def write_snapshot(self) -> None:
--- a/basaltport/query_api/query_node.py
+++ b/basaltport/query_api/query_node.py
@@ -96,9 +96,9 @@
 
     def use_agreed_state(self) -> None:
         """Newer agreed state is in force here: compile its configuration, take over zones and keys."""
-        version = self.book.configuration_version
+        version = self.cluster_state.configuration_version
         if version != self.rules_version:
-            configuration = self.book.configuration
+            configuration = self.cluster_state.configuration
             self.rules = rules.compile(configuration, version, self.compiled_from, self.rules)
             self.compiled_from = configuration
             self.rules_version = version
@@ -143,8 +143,8 @@
     def tick_hints(self) -> None:
         """Hints go once the agreed state has them, or proved not to come to have them."""
         for replica_id, heard_at in list(self.leaving_hints.items()):
-            if replica_id in self.book.leaving_replicas or self.now - heard_at > HINT_VALID_MS:
+            if replica_id in self.cluster_state.leaving_replicas or self.now - heard_at > HINT_VALID_MS:
                 del self.leaving_hints[replica_id]
         for zone, heard_at in list(self.evacuation_hints.items()):
-            if zone in self.book.evacuated_zones or self.now - heard_at > HINT_VALID_MS:
+            if zone in self.cluster_state.evacuated_zones or self.now - heard_at > HINT_VALID_MS:
                 del self.evacuation_hints[zone]
--- a/basaltport/query_api/query_proxy/admission.py
+++ b/basaltport/query_api/query_proxy/admission.py
@@ -130,7 +130,7 @@
 
     def query_nodes(self) -> list[str]:
         """The member ids of all query nodes in the agreed state."""
-        members = self.book.members.items()
+        members = self.cluster_state.members.items()
         return [member_id for member_id, row in members if row.role == "rostrum"]
 
     def pool_of(self, queue: str) -> str:
--- a/basaltport/query_api/query_proxy/attempts.py
+++ b/basaltport/query_api/query_proxy/attempts.py
@@ -48,7 +48,9 @@
 
     def may_send(self) -> bool:
         """Whether this node holds a lease and the newest configuration that any replica has seen."""
-        return self.leased() and bool(self.book.configuration_version >= self.configuration_version_seen)
+        return self.leased() and bool(
+            self.cluster_state.configuration_version >= self.configuration_version_seen
+        )
 
     def pump(self) -> None:
         """Send as many waiting requests as there are slots for."""
@@ -97,9 +99,9 @@
                 attempt_id,
                 sent.id,
                 identifiers.ReplicaId(replica_id),
-                self.book.listed_replicas[replica_id].url,
+                self.cluster_state.listed_replicas[replica_id].url,
                 sent.body,
-                int(self.book.configuration_version),
+                int(self.cluster_state.configuration_version),
                 timeout_ms,
                 sent.deadline - self.now,
                 sent.claim is not None,
@@ -115,7 +117,7 @@
         sent = self.requests.get(attempt.request_id)
         if self.now >= attempt.timeout_at or sent is None or not self.is_allowed(sent):
             return None
-        return int(self.book.configuration_version)
+        return int(self.cluster_state.configuration_version)
 
     def is_allowed(self, waiting: request.Request) -> bool:
         """Whether the configuration in force still has a request's queue, model and client."""
--- a/basaltport/query_api/query_proxy/key_claims.py
+++ b/basaltport/query_api/query_proxy/key_claims.py
@@ -138,7 +138,7 @@
         self, claiming: request.Request, claim: key_claim.KeyClaim, taken: messages.KeyClaimAnswer
     ) -> None:
         """Another request has this key: give back what was granted and wait for the other's outcome."""
-        if taken.owner_id not in self.book.members:
+        if taken.owner_id not in self.cluster_state.members:
             self.end_unknown(claiming, "key-fate-unknown")
             return
         claim.following = True
--- a/basaltport/query_api/query_proxy/model_readiness.py
+++ b/basaltport/query_api/query_proxy/model_readiness.py
@@ -132,7 +132,7 @@
 
     def zones_for(self, item: identifiers.Item) -> list[identifiers.Zone]:
         """Zones that hold it first, then those with its model, then those with room, then by weight."""
-        evacuated = self.book.evacuated_zones
+        evacuated = self.cluster_state.evacuated_zones
         names = [identifiers.Zone(name) for name in self.rules.zones]
         zones = [name for name in names if name not in evacuated and name not in self.evacuation_hints]
         serving = {zone for zone, name in self.holders.get(item, []) if self.may_use(name)}
@@ -168,7 +168,7 @@
         self.status_requests[number] = item
         while len(self.status_requests) > REMEMBERED_REQUESTS:
             self.status_requests.pop(next(iter(self.status_requests)))
-        owner = self.book.role_owners.get(role_owners.zone_role(zone))
+        owner = self.cluster_state.role_owners.get(role_owners.zone_role(zone))
         address = self.address_of(owner.owner) if owner else None
         if address:
             self.send(address, messages.ModelStatusRequest(number, self.me.seat, item, zone, wake, pool))
--- a/basaltport/query_api/query_proxy/slots.py
+++ b/basaltport/query_api/query_proxy/slots.py
@@ -44,7 +44,7 @@
 
     def request_slots(self, zone: identifiers.Zone) -> None:
         """Tell a zone's controller what is used and wanted of each of its replicas."""
-        owner = self.book.role_owners.get(role_owners.zone_role(zone))
+        owner = self.cluster_state.role_owners.get(role_owners.zone_role(zone))
         address = self.address_of(owner.owner) if owner else None
         if owner is None or not address:
             return
@@ -63,7 +63,7 @@
         """[slots in use, slots wanted besides] by replica of a zone."""
         desired = self.desired_slots()
         rows = {}
-        for replica_id, row in self.book.listed_replicas.items():
+        for replica_id, row in self.cluster_state.listed_replicas.items():
             if row.zone != zone:
                 continue
             known = self.slots.get(replica_id)
@@ -84,7 +84,7 @@
 
     def hear_slot_grants(self, source: str, message: messages.SlotGrants) -> None:
         """Take slots, unless they are of an older controller or older than those taken."""
-        owner = self.book.role_owners.get(role_owners.zone_role(message.zone))
+        owner = self.cluster_state.role_owners.get(role_owners.zone_role(message.zone))
         requested_at = self.slot_requests_sent.get(message.acknowledged)
         if owner is None or owner.fence != message.fence or requested_at is None:
             return
--- a/basaltport/query_api/zone_controller/interface.py
+++ b/basaltport/query_api/zone_controller/interface.py
@@ -19,7 +19,7 @@
 
     me: member.Me
     now: identifiers.Millis
-    book: state_machine.ClusterState
+    cluster_state: state_machine.ClusterState
     rules: rules.Rules
     zones_with: dict[str, set[str]]
     owned_zones: dict[identifiers.Zone, owned_zone.OwnedZone]
--- a/basaltport/query_api/zone_controller/kept_items.py
+++ b/basaltport/query_api/zone_controller/kept_items.py
@@ -23,11 +23,11 @@
             zone = identifiers.Zone(name)
             for replica, row in self.cell_of(zone).replicas():
                 if row["up"] and self.may_use(replica):
-                    self.seen_alive[(zone, self.book.listed_replicas[replica].group)] = self.now
+                    self.seen_alive[(zone, self.cluster_state.listed_replicas[replica].group)] = self.now
 
     def is_alive(self, zone: identifiers.Zone, group: Group) -> bool:
         """A zone is lost once none of its replicas was up for a while; one not heard of yet is not."""
-        if zone in self.book.evacuated_zones or not self.has_usable_replica(zone, group):
+        if zone in self.cluster_state.evacuated_zones or not self.has_usable_replica(zone, group):
             return False
         if not self.cell_of(zone).complete:
             return True
@@ -36,7 +36,7 @@
 
     def has_usable_replica(self, zone: identifiers.Zone, group: Group) -> bool:
         """Whether a replica of a group is listed in a zone and may be used."""
-        listed = self.book.listed_replicas.items()
+        listed = self.cluster_state.listed_replicas.items()
         return any(row.zone == zone and row.group == group and self.may_use(r) for r, row in listed)
 
     def is_kept_in(self, rule: rules.ItemRule, zone: identifiers.Zone) -> bool:
@@ -71,7 +71,7 @@
     def free_beside_kept(self, zone: identifiers.Zone, rule: rules.ItemRule) -> dict[str, int]:
         """Room by replica of an item's group, with only kept items (and an adapter's model) left on it."""
         cell = self.cell_of(zone)
-        listed = self.book.listed_replicas
+        listed = self.cluster_state.listed_replicas
         free: dict[str, int] = {
             replica: row["room"]
             for replica, row in cell.replicas()
--- a/basaltport/query_api/zone_controller/load_permits.py
+++ b/basaltport/query_api/zone_controller/load_permits.py
@@ -48,7 +48,7 @@
 
     def request_permits(self, zone: owned_zone.OwnedZone) -> None:
         """Ask the store's owner for permits, with what this zone holds."""
-        owner = self.book.role_owners.get(role_owners.STORE_ROLE)
+        owner = self.cluster_state.role_owners.get(role_owners.STORE_ROLE)
         if owner is None or self.now - zone.permits_requested_at < REQUEST_INTERVAL_MS:
             return
         if self.is_unheard(zone, 2 * REQUEST_INTERVAL_MS):
@@ -81,7 +81,7 @@
         if not self.may_load_unheard(zone):
             return held
         unheard = sum(LOADS_AT_ONCE for known in zone.replicas.values() if not known.heard)
-        owner = self.book.role_owners[role_owners.zone_role(zone.zone)]
+        owner = self.cluster_state.role_owners[role_owners.zone_role(zone.zone)]
         if unheard and not owner.is_new:
             held[UNHEARD_POOL] = unheard
         return held
@@ -103,7 +103,7 @@
 
     def tick_store(self) -> None:
         """Take over the store's role, or notice that it is another's."""
-        owner = self.book.role_owners.get(role_owners.STORE_ROLE)
+        owner = self.cluster_state.role_owners.get(role_owners.STORE_ROLE)
         if owner is None or owner.owner != self.me.seat:
             self.store_fence = None
             return
@@ -114,7 +114,7 @@
 
     def hear_load_permit_request(self, source: str, message: messages.LoadPermitRequest) -> None:
         """Grant permits within what all zones together may load."""
-        owner = self.book.role_owners.get(role_owners.STORE_ROLE)
+        owner = self.cluster_state.role_owners.get(role_owners.STORE_ROLE)
         address = self.address_of(message.member_id)
         if owner is None or owner.owner != self.me.seat or address is None or not self.leased():
             return
--- a/basaltport/query_api/zone_controller/placement.py
+++ b/basaltport/query_api/zone_controller/placement.py
@@ -47,7 +47,7 @@
     def place(self, zone: owned_zone.OwnedZone) -> None:
         """Order what loads and unloads are needed."""
         zone.placed_at = self.now
-        if zone.zone in self.book.evacuated_zones or self.is_unheard(zone, REPORTS_WAITED_MS):
+        if zone.zone in self.cluster_state.evacuated_zones or self.is_unheard(zone, REPORTS_WAITED_MS):
             return
         zone.desired = {
             item: desired
--- a/basaltport/query_api/zone_controller/slot_grants.py
+++ b/basaltport/query_api/zone_controller/slot_grants.py
@@ -61,7 +61,7 @@
         """Whether grants of the controller before may not have expired yet."""
         if self.now - zone.slots.since >= GRANT_LEASE_MS + LEASE_MARGIN_MS:
             return False
-        return not self.book.role_owners["zone/" + zone.zone].first
+        return not self.cluster_state.role_owners["zone/" + zone.zone].first
 
     def grant(self, zone: owned_zone.OwnedZone, member_id: str, name: str) -> int:
         """How many slots of a replica a node may hold from now on."""
--- a/basaltport/query_api/zone_controller/zone_controller.py
+++ b/basaltport/query_api/zone_controller/zone_controller.py
@@ -42,7 +42,7 @@
     def take_zones(self) -> None:
         """Take over the zones that the agreed state gives to this node, and drop the others."""
         own: dict[identifiers.Zone, identifiers.Fence] = {}
-        for role, owner in self.book.role_owners.items():
+        for role, owner in self.cluster_state.role_owners.items():
             if owner.owner == self.me.seat and role.startswith(role_owners.ZONE_ROLE_PREFIX):
                 name = identifiers.Zone(role.removeprefix(role_owners.ZONE_ROLE_PREFIX))
                 own[name] = identifiers.Fence(owner.fence)
@@ -69,7 +69,9 @@
 
     def list_replicas(self, zone: owned_zone.OwnedZone) -> None:
         """Follow the agreed list of replicas."""
-        rows = {name: row for name, row in self.book.listed_replicas.items() if row.zone == zone.zone}
+        rows = {
+            name: row for name, row in self.cluster_state.listed_replicas.items() if row.zone == zone.zone
+        }
         for name, known in list(zone.replicas.items()):
             if name not in rows or known.url != rows[name].url:
                 del zone.replicas[name]
@@ -99,7 +101,7 @@
 
     def zone_of(self, replica_id: str) -> identifiers.Zone:
         """The zone that a replica is listed in, or "" where it is unlisted."""
-        row = self.book.listed_replicas.get(replica_id)
+        row = self.cluster_state.listed_replicas.get(replica_id)
         return identifiers.Zone(row.zone if row else "")
 
     def on_replica_polled(self, event: events.ReplicaPolled) -> None:
--- a/basaltport/scale/hollow.py
+++ b/basaltport/scale/hollow.py
@@ -99,7 +99,7 @@
 class Follower(typing.Protocol):
     """What marks are read from."""
 
-    book: typing.Any
+    cluster_state: typing.Any
     feed_gen: identifiers.Term
     feed_n: int
     proxies: int
@@ -123,7 +123,7 @@
 
     def look(self, follower: Follower, now: float) -> None:
         """Notes what is new since the last look; `now` in ms."""
-        index, term, number = follower.book.log_index, follower.feed_gen, follower.feed_n
+        index, term, number = follower.cluster_state.log_index, follower.feed_gen, follower.feed_n
         if (index, term, number) == self.was and follower.proxies in self.peers:
             return
         was_index, was_term, was_number = self.was
--- a/basaltport/scale/part.py
+++ b/basaltport/scale/part.py
@@ -138,7 +138,7 @@
         about = {"leads": leads, "held": self.shell.held, "term": controller.current_term.count}
         if leads:
             about |= {"rows": len(controller.placement.rows), "proxies": len(controller.proxies)}
-            about |= {"serial": controller.book.log_index}
+            about |= {"serial": controller.cluster_state.log_index}
         return about
 
     async def do_ask(self, verb: str, body: Answer) -> Answer:
--- a/basaltport/simulation/query_api/plays.py
+++ b/basaltport/simulation/query_api/plays.py
@@ -154,7 +154,7 @@
             served=self.served,
             blank=self.blank,
             pieces=streams.PIECES,
-            final=None if leader is None else leader.member.book,
+            final=None if leader is None else leader.member.cluster_state,
         )
 
     def findings(self) -> list[finding.Finding]:
--- a/basaltport/simulation/query_api/scenarios/notice.py
+++ b/basaltport/simulation/query_api/scenarios/notice.py
@@ -107,7 +107,7 @@
 
 def zone_owners(leader: world_base.Node) -> list[str]:
     """The members that own a zone, in the order of the zones."""
-    state = leader.member.book
+    state = leader.member.cluster_state
     return [role.owner for _, role in sorted(state.role_owners.items())]
 
 
@@ -140,7 +140,7 @@
 
 def owner_names(leader: world_base.Node) -> list[str]:
     """The names of the members that own a zone."""
-    members = leader.member.book.members
+    members = leader.member.cluster_state.members
     return [members[owner].name for owner in zone_owners(leader) if owner in members]
 
 
--- a/basaltport/simulation/query_api/scenarios/scenarios.py
+++ b/basaltport/simulation/query_api/scenarios/scenarios.py
@@ -284,7 +284,7 @@
     world = play.world
     for number in range(40):
         first, second = play.query_node(), play.query_node()
-        version = world.nodes[play.leader()].member.book.configuration_version
+        version = world.nodes[play.leader()].member.cluster_state.configuration_version
         world.ask(first, "patch", play.bound(100 + number, f"a{number}", if_serial=version))
         world.ask(second, "patch", play.bound(200 + number, f"b{number}", if_serial=version))
         world.ask(play.query_node(), "show", {})
--- a/basaltport/simulation/query_api/world/world.py
+++ b/basaltport/simulation/query_api/world/world.py
@@ -201,7 +201,7 @@
         if not node.frozen:
             self.step(node, events.Tick(self.now))
             if node.role == world_base.QUERY_NODE and node.member.leased():
-                version = node.member.book.configuration_version
+                version = node.member.cluster_state.configuration_version
                 if version < self.acked:
                     self.record(rows.StaleLease, name, version, self.acked)
         self.later(TICK_MS, self.tick, name, incarnation)
--- a/basaltport/simulation/routes/control_world.py
+++ b/basaltport/simulation/routes/control_world.py
@@ -42,7 +42,7 @@
 
     def look_at_controller(self, node: nodes.Node) -> None:
         """Tells of a configuration that came in force."""
-        document = node.member.book.configuration
+        document = node.member.cluster_state.configuration
         if document is None or document is self.kept_shown.get((node.name, node.incarnation)):
             return
         self.kept_shown[node.name, node.incarnation] = document
@@ -62,7 +62,7 @@
 
     def edition_in_force(self, node: nodes.Node) -> int:
         """The edition of the configuration that a process has; 0 where it has none."""
-        return int((node.member.book.configuration or {}).get("edition", 0))
+        return int((node.member.cluster_state.configuration or {}).get("edition", 0))
 
     def do_list(self, node: nodes.Node, effect: effects.List) -> None:
         """Remembers who reads the list."""
@@ -127,5 +127,5 @@
         leader, node = self.leader(), self.nodes.get(name)
         if leader is None or node is None or node.member is None:
             return False
-        state = self.nodes[leader].member.book
-        return node.seat in state.members and bool(node.member.book.log_index >= state.log_index)
+        state = self.nodes[leader].member.cluster_state
+        return node.seat in state.members and bool(node.member.cluster_state.log_index >= state.log_index)
--- a/basaltport/simulation/routes/fleet_world.py
+++ b/basaltport/simulation/routes/fleet_world.py
@@ -236,7 +236,7 @@
         super().step(node, event)
         if node.name[0] != "p" or node.member is None:
             return
-        shown = node.member.book.configuration
+        shown = node.member.cluster_state.configuration
         if shown is not self.shown_document.get((node.name, node.incarnation)):
             self.shown_document[node.name, node.incarnation] = shown
             edition, change = shown["edition"], shown["by"]
--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -35,14 +35,14 @@
 
     `member_name`: the name it bears among members, which a replacing machine may share with its predecessor;
     `skew`: ms that its steady clock is ahead of the world's; `founders`: addresses that may found the
-    cluster, on a first start only; `book`: the agreed state that was checked last."""
+    cluster, on a first start only; `cluster_state`: the agreed state that was checked last."""
 
     def __init__(self, name: str, addr: str, disk: virtual_disk.VirtualDisk | None = None) -> None:
         """It does not run yet."""
         super().__init__(name, addr, disk)
         self.member_name, self.skew = name, 0
         self.founders: list[str] | None = None
-        self.book: AgreedState = None
+        self.cluster_state: AgreedState = None
 
 
 class Nodes(processes.Processes[Node]):
@@ -108,7 +108,7 @@
         """Starts a process; with `first` nothing can have been agreed before."""
         node = self.nodes[name]
         node.member = self.start_controller(node, first) if node.disk else self.start_proxy(node)
-        node.incarnation, node.frozen, node.held, node.book = node.incarnation + 1, False, [], None
+        node.incarnation, node.frozen, node.held, node.cluster_state = node.incarnation + 1, False, [], None
         self.started(node)
         self.tick(node, node.incarnation)
 
@@ -206,17 +206,17 @@
         """One step of a reducer, with its effects; then the state that it agreed to is checked."""
         if node.member is None:
             return
-        was = node.member.book.log_index
+        was = node.member.cluster_state.log_index
         self.carry_out(node, node.member.step(event))
         if node.member is not None:
             self.look(node, was)
 
     def look(self, node: Node, was: int) -> None:
         """One state for each log index, nothing taken back. A state that was checked is not checked again."""
-        state = node.member.book
-        if state is node.book:
+        state = node.member.cluster_state
+        if state is node.cluster_state:
             return
-        node.book = state
+        node.cluster_state = state
         key = (
             tuple(state.term),
             str(state.configuration),
@@ -251,7 +251,9 @@
         """Names of all that vote; while a member takes another's place, both."""
         leader = self.leader()
         assert leader is not None
-        return sorted(record.name for record in quorum.voters(self.nodes[leader].member.book).values())
+        return sorted(
+            record.name for record in quorum.voters(self.nodes[leader].member.cluster_state).values()
+        )
 
     def settled(self, *names: str) -> bool:
         """Whether there is a leader whose agreed members are of these names, all of which run here, and no
@@ -259,7 +261,7 @@
         leader = self.leader()
         if leader is None:
             return False
-        state = self.nodes[leader].member.book
+        state = self.nodes[leader].member.cluster_state
         if state.former_members is not None:
             return False
         member_ids = {node.seat for node in self.nodes.values()}
--- a/basaltport/simulation/routes/plays.py
+++ b/basaltport/simulation/routes/plays.py
@@ -69,7 +69,7 @@
         self.final = world.read_back()
         leader = world.leader()
         if leader:
-            self.evacuated_zones = sorted(world.nodes[leader].member.book.evacuated_zones)
+            self.evacuated_zones = sorted(world.nodes[leader].member.cluster_state.evacuated_zones)
         return self
 
     def calm(self, ms: int = 3000, share: float = 0.95) -> None:
--- a/tests/consensus/test_log_gaps.py
+++ b/tests/consensus/test_log_gaps.py
@@ -26,7 +26,7 @@
 
 def test_a_copy_that_is_one_entry_ahead_leaves_no_gap_in_what_is_kept():
     w, follower, leader = follower_and_leader()
-    ahead = state_machine.apply(leader.book, entry(leader, leader.book.log_index + 1))
+    ahead = state_machine.apply(leader.cluster_state, entry(leader, leader.cluster_state.log_index + 1))
     follower.install(state_machine.ReplicatedState(ahead))
     after = entry(leader, ahead.log_index + 1)
     follower.tail.append(after)
@@ -45,7 +45,7 @@
 @pytest.mark.parametrize("missing", [1, 2])
 def test_entries_with_a_gap_are_not_taken(missing):
     w, follower, leader = follower_and_leader()
-    serial = follower.book.log_index
+    serial = follower.cluster_state.log_index
     entries = [entry(leader, serial + i) for i in (1, 2, 3)]
     del entries[missing]
     if missing == 2:
@@ -61,22 +61,24 @@
 
 def test_what_is_behind_a_gap_is_not_applied():
     w, follower, leader = follower_and_leader()
-    serial = follower.book.log_index
+    serial = follower.cluster_state.log_index
     follower.tail = [entry(leader, serial + 2)]
     with pytest.raises(errors.LogGapError, match=f"behind entry {serial}"):
         follower.advance(serial + 2, leader.current_term)
-    assert follower.book.log_index == serial
+    assert follower.cluster_state.log_index == serial
 
 
 def test_a_seat_that_is_on_its_way_out_is_given_no_orders():
     """While one member takes another's place, the former one still votes and may answer."""
     w, _, leader = follower_and_leader()
-    out = next(s for s in leader.book.members if s != leader.me.seat)
-    row = dataclasses.replace(leader.book.members[out], member_id="new", address="10.9.9.9:1", name="new")
+    out = next(s for s in leader.cluster_state.members if s != leader.me.seat)
+    row = dataclasses.replace(
+        leader.cluster_state.members[out], member_id="new", address="10.9.9.9:1", name="new"
+    )
     leader.append(log.JointChangeBegun((out,), (row,)))
     leader.acked_at_ms[out] = leader.now
     assert out in leader.live()
-    leader.tip_book = dataclasses.replace(leader.tip_book, shards={})
+    leader.appended_state = dataclasses.replace(leader.appended_state, shards={})
     leader.since = leader.now - shard_ownership.GATHER_MS
     leader.assign_shards()
     given = [e.operation.owners for e in leader.tail if isinstance(e.operation, log.ShardsAssigned)]
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -47,9 +47,9 @@
     w.add("x")
     boot_under_name(w, "x", others(w)[0])
     w.run(3000)
-    first = w.nodes[w.leader()].member.book
+    first = w.nodes[w.leader()].member.cluster_state
     w.run(10_000)
-    second = w.nodes[w.leader()].member.book
+    second = w.nodes[w.leader()].member.cluster_state
     assert len(first.members) == members + 1
     assert second.members == first.members
 
@@ -82,7 +82,7 @@
     leader.step(events.Heard(w.now, "", copy.copy(hello)))
     w.kill(old)
     w.run(timing.RESPONSIVE)
-    assert w.leader() and seat not in quorum.voters(leader.tip_book)
+    assert w.leader() and seat not in quorum.voters(leader.appended_state)
 
 
 def test_one_that_is_back_with_its_seat_soon_after_it_left_gets_it_again():
@@ -240,14 +240,14 @@
     assert w.must(2, 1) is not None
     w.run(300)
     follower = w.nodes[others(w)[0]].member
-    newest = follower.book.log_index
-    older = dataclasses.replace(follower.book, log_index=newest - 1)
+    newest = follower.cluster_state.log_index
+    older = dataclasses.replace(follower.cluster_state, log_index=newest - 1)
     known = log.LogEntry(newest, follower.head()[0], log.JointChangeCompleted())
     behind = log.LogEntry(newest + 1, follower.head()[0], log.JointChangeCompleted())
     foreign = log.LogEntry(newest, identifiers.Term(1, "nobody"), log.JointChangeCompleted())
     for tail in ([], [known], [foreign], [known, behind]):
         follower.install(state_machine.ReplicatedState(older, tuple(tail)))
-        assert follower.book.log_index == newest
+        assert follower.cluster_state.log_index == newest
     assert [e.index for e in follower.tail] == [newest + 1]
 
 
--- a/tests/consensus/test_transfers.py
+++ b/tests/consensus/test_transfers.py
@@ -46,8 +46,8 @@
     """The member goes on answering heartbeats that were sent before the copy."""
     w, leader, seat = led()
     w.differs = lambda n, b: None
-    large = {**leader.book.configuration, "note": "x" * 600_000}
-    leader.book = dataclasses.replace(leader.book, configuration=large)
+    large = {**leader.cluster_state.configuration, "note": "x" * 600_000}
+    leader.cluster_state = dataclasses.replace(leader.cluster_state, configuration=large)
     before = leader.n
     leader.needs.add(seat)
 
@@ -60,7 +60,7 @@
 def test_a_lost_copy_is_sent_again_once_a_later_heartbeat_was_answered_without_it():
     w, leader, seat = led()
     leader.transfers_in_flight[seat] = replication.Transfer(
-        leader.n, w.now, 10**6, leader.book.log_index, leader.head()[1]
+        leader.n, w.now, 10**6, leader.cluster_state.log_index, leader.head()[1]
     )
     leader.match.pop(seat, None)
     ack = messages.HeartbeatAck(
@@ -73,7 +73,7 @@
 def test_a_member_that_lacks_what_was_sent_before_is_not_sent_it_anew():
     w, leader, seat = led()
     leader.transfers_in_flight[seat] = replication.Transfer(
-        leader.n, w.now, 10**6, leader.book.log_index, leader.head()[1]
+        leader.n, w.now, 10**6, leader.cluster_state.log_index, leader.head()[1]
     )
 
     assert leader.was_sent_later(lacking(leader, seat, leader.n - 1))
--- a/tests/controller/test_control_scenarios.py
+++ b/tests/controller/test_control_scenarios.py
@@ -89,7 +89,7 @@
 
 
 def _read_without_majority(self, src, call, verb, body, at, got=None):
-    self.respond(src, call, *(got or getattr(self, "read_" + verb)(self.book)))
+    self.respond(src, call, *(got or getattr(self, "read_" + verb)(self.cluster_state)))
 
 
 def _no_comparison(self, t, body, findings, doc, op):
@@ -115,16 +115,16 @@
 def _falls_back(self):
     """Every tenth configuration brings back the one that was in force first."""
     _keep_snapshot(self)
-    document = self.book.configuration
+    document = self.cluster_state.configuration
     if document is None:
         return
     first = self.__dict__.setdefault("first_document", document)
-    if self.book.configuration_version % 10 == 0:
-        self.book = dataclasses.replace(self.book, configuration=first)
+    if self.cluster_state.configuration_version % 10 == 0:
+        self.cluster_state = dataclasses.replace(self.cluster_state, configuration=first)
 
 
 def _only_founding(self, got):
-    return not self.tip().members
+    return not self.compute_appended_state().members
 
 
 def _sends_no_copy(self, s):
--- a/tests/controller/test_control_trials.py
+++ b/tests/controller/test_control_trials.py
@@ -94,7 +94,7 @@
 def majority_lives(w):
     """Whether most members live, of each membership that the newest log of those that live is about."""
     newest = max((n.member for n in w.up()), key=lambda m: m.head())
-    state, live = newest.tip(), {n.member.me.seat for n in w.up()}
+    state, live = newest.compute_appended_state(), {n.member.me.seat for n in w.up()}
     memberships = [state["roster"], *([state["former"]] if "former" in state else [])]
     return all(2 * len(live & set(members)) > len(members) for members in memberships)
 
--- a/tests/controller/test_controller_faults.py
+++ b/tests/controller/test_controller_faults.py
@@ -171,12 +171,12 @@
     w = world(editions=2)
     w.run(300)
     m, f = w.nodes[w.leader()].member, w.nodes[others(w)[0]]
-    late = state_machine.ReplicatedState(dataclasses.replace(m.book, log_index=1))
+    late = state_machine.ReplicatedState(dataclasses.replace(m.cluster_state, log_index=1))
     b = f.member.leader
     for n in (1, b.n):
         beat = messages.Heartbeat(b.gen, b.seat, b.name, b.addr, n, 1, b.gen, b.gen, 1, [], late, 0, 0)
         w.step(f, base.Heard(w.now, "", beat))
-        assert f.member.book.log_index == f.member.head()[1] == m.book.log_index
+        assert f.member.cluster_state.log_index == f.member.head()[1] == m.cluster_state.log_index
 
 
 def test_a_list_that_comes_while_another_may_lead_is_not_yet_told():
--- a/tests/controller/test_controllers.py
+++ b/tests/controller/test_controllers.py
@@ -16,7 +16,7 @@
 def test_founding_takes_in_all(seed, n):
     w = world(seed, n)
     assert w.must(1, 0) < 300
-    assert {len(x.member.book.members) for x in w.controllers()} == {n}
+    assert {len(x.member.cluster_state.members) for x in w.controllers()} == {n}
 
 
 def test_only_a_first_start_founds_and_a_seed_missing_is_no_hindrance():
@@ -106,7 +106,7 @@
     assert w.asked(k, "reconfigure", change="q", base=2, patch=patch)[0] == 200
     w.run(300)
     doc = {**controllers.document(5), "services": [controllers.SERVICE]}
-    assert {str(n.member.book.configuration) for n in w.controllers()} == {str(doc)}
+    assert {str(n.member.cluster_state.configuration) for n in w.controllers()} == {str(doc)}
 
 
 def test_evacuations_are_agreed_and_may_be_repeated():
@@ -119,9 +119,9 @@
         (4, "readmit", []),
     ):
         assert w.asked(k, verb, change=f"z{n}", zone="z")[0] == 200
-        assert sorted(w.nodes[w.leader()].member.book.evacuated_zones) == zones
+        assert sorted(w.nodes[w.leader()].member.cluster_state.evacuated_zones) == zones
     assert w.asked(k, "evacuate", change="z1", zone="z")[0] == 200
-    assert not w.nodes[w.leader()].member.book.evacuated_zones
+    assert not w.nodes[w.leader()].member.cluster_state.evacuated_zones
 
 
 def test_a_leader_cut_off_neither_refuses_nor_reads_back_what_is_old():
@@ -205,7 +205,7 @@
     w.run(500)
     w.boot(k)
     assert w.until(lambda: w.leader() and w.settled(*THREE), 3000) is not None
-    assert seat not in w.nodes[w.leader()].member.book.members
+    assert seat not in w.nodes[w.leader()].member.cluster_state.members
     assert w.must(2, 1) is not None
 
 
@@ -265,7 +265,7 @@
     for n in w.nodes.values():
         w.step(n, events.Stop(w.now))
     w.run(300)
-    assert {len(n.member.tip().members) for n in w.controllers()} == {3}
+    assert {len(n.member.compute_appended_state().members) for n in w.controllers()} == {3}
     for n in THREE:
         w.kill(n, power=True, disk=n == "k2")
         w.boot(n)
--- a/tests/controller/test_duties.py
+++ b/tests/controller/test_duties.py
@@ -117,7 +117,7 @@
 
     def owners(self):
         """Names by slice, as the leader has them in force."""
-        b = self.nodes[self.leader()].member.book
+        b = self.nodes[self.leader()].member.cluster_state
         return {i: b["roster"].get(r["owner"], {}).get("name") for i, r in b.get("slices", {}).items()}
 
     def since(self, at, replicas):
@@ -231,7 +231,7 @@
     w = founded()
     lead, n = w.nodes[w.leader()].member, w.nodes[controllers.others(w)[0]]
     r = of(w, n.name)[0]
-    f = lead.book.shards[shard_ownership.shard_of(r)]["fence"]
+    f = lead.cluster_state.shards[shard_ownership.shard_of(r)]["fence"]
     gen, k = lead.current_term, lead.latest_acks[n.seat][0]
     older = type(gen)(gen.count - 1, gen.name)
 
@@ -248,7 +248,7 @@
     w = founded()
     lead, n = w.nodes[w.leader()].member, w.nodes[controllers.others(w)[0]]
     r = of(w, n.name)[0]
-    fence, echo = lead.book.shards[shard_ownership.shard_of(r)]["fence"], lead.latest_acks[n.seat][0]
+    fence, echo = lead.cluster_state.shards[shard_ownership.shard_of(r)]["fence"], lead.latest_acks[n.seat][0]
     request = messages.OrderRequest(
         lead.current_term, 999, echo, lead.me.addr, r, "a:1", "load", "m", "", fence, named
     )
--- a/tests/controller/test_halves.py
+++ b/tests/controller/test_halves.py
@@ -39,7 +39,7 @@
     w.add("n1")
     w.boot("n1")
     m = w.nodes[leader].member
-    assert w.until(lambda: len(m.tip().members) == 5, 8000) is not None
+    assert w.until(lambda: len(m.compute_appended_state().members) == 5, 8000) is not None
     split(w, [c, d], [leader, a, "n1"])
     w.run(200)
     w.operators[0].make(1)
@@ -55,7 +55,7 @@
     w, leader, (a, c, d) = founded(4)
     split(w, [d], [leader, a, c])
     m = w.nodes[leader].member
-    assert w.until(lambda: len(m.tip().members) == 3, 8000) is not None
+    assert w.until(lambda: len(m.compute_appended_state().members) == 3, 8000) is not None
     split(w, [c, d], [leader, a])
     w.run(200)
     w.operators[0].make(1)
@@ -73,10 +73,10 @@
     w.add("n1")
     w.boot("n1")
     m = w.nodes[first].member
-    assert w.until(lambda: len(m.tip().members) == 4, 8000) is not None
+    assert w.until(lambda: len(m.compute_appended_state().members) == 4, 8000) is not None
     split(w, [first, "n1"], [a, c])
     new = w.nodes["n1"].member
-    assert w.until(lambda: len(new.tip().members) == 4, 1000) is not None
+    assert w.until(lambda: len(new.compute_appended_state().members) == 4, 1000) is not None
     split(w, [first], ["n1"], [a, c])
     assert w.until(lambda: w.nodes[a].member.leading or w.nodes[c].member.leading, 4000) is not None
     second, other = (a, c) if w.nodes[a].member.leading else (c, a)
@@ -84,7 +84,7 @@
     w.run(cut_ms + 500)
     w.operators[0].make(1)
     w.run(1500)
-    assert w.nodes[second].member.book.log_index > new.book.log_index
+    assert w.nodes[second].member.cluster_state.log_index > new.cluster_state.log_index
     split(w, [first], ["n1", other, second])
     lose_disk(w, second)
     w.run(4000)
--- a/tests/controller/test_overlapping_losses.py
+++ b/tests/controller/test_overlapping_losses.py
@@ -99,7 +99,7 @@
 
 
 def edition(p):
-    return (p.book.configuration or {}).get("edition")
+    return (p.cluster_state.configuration or {}).get("edition")
 
 
 @pytest.mark.parametrize("leads", [True, False], ids=["leader in the small half", "leader in the large half"])
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -42,7 +42,7 @@
 
 
 def edition(p):
-    return (p.book.configuration or {}).get("edition")
+    return (p.cluster_state.configuration or {}).get("edition")
 
 
 def test_a_new_proxy_has_all_at_once_and_then_only_what_changed():
@@ -89,7 +89,7 @@
 def test_what_does_not_join_on_is_left_and_asked_for_at_once():
     w, (p, _) = world()
     w.run(150)
-    k, s, n = lead(w), p.book.log_index, p.feed_n
+    k, s, n = lead(w), p.cluster_state.log_index, p.feed_n
     m = messages.Update(p.feed_gen, "", "", [], s, [], None, False, n + 1, n + 2, {"x": {}}, [], 2)
     out = p.step(events.Heard(w.now, "", m))
     assert set(p.rows) == {"r1"} and p.feed_n == n
@@ -99,8 +99,8 @@
 def test_a_proxy_never_goes_back():
     w, (p, _) = world(editions=3)
     old = lead(w)
-    gen, at = p.feed_gen, p.book.log_index
-    stale = dataclasses.replace(p.book, log_index=at - 1, configuration=controllers.document(2))
+    gen, at = p.feed_gen, p.cluster_state.log_index
+    stale = dataclasses.replace(p.cluster_state, log_index=at - 1, configuration=controllers.document(2))
     for g, n in ((identifiers.Term(gen.count - 1, "k9"), 99), (gen, 0)):
         m = messages.Update(
             g, old.me.name, old.me.addr, [], identifiers.LogIndex(at - 1), [], stale, True, -1, n, {}, [], 9
@@ -132,7 +132,7 @@
 def test_a_list_of_former_controllers_does_not_hide_the_members_of_the_agreed_state():
     """A controller that stayed behind answers under the newest term with the list of its own state."""
     w, (p, _) = world()
-    members = {record.address for record in p.book.members.values()}
+    members = {record.address for record in p.cluster_state.members.values()}
     former = ["10.9.0.1:1", "10.9.0.2:1"]
     p.me.seeds = p.controllers = former
     p.leader_address = former[0]
@@ -243,7 +243,7 @@
 
 def test_a_book_that_began_as_a_copy_takes_every_kind_of_entry():
     w, ps = world(1)
-    whole = lead(w).book
+    whole = lead(w).cluster_state
     copy = publish.feed_part(whole)
     assert copy.shards and copy.members and copy.configuration and copy.voting
     settled = log.ShardsAssigned(settled=tuple(sorted(whole.shards)))
--- a/tests/model/test_model_electorate.py
+++ b/tests/model/test_model_electorate.py
@@ -14,7 +14,7 @@
 import basaltport.model.random_search as random_search
 import basaltport.model.run as run
 import basaltport.model.schedule as schedule
-import tests.support.model_mutations as mutations
+import tests.support.model_breaks as breaks
 
 SEATS = "abcdefg"
 TERM = identifiers.Term(1, "")
@@ -151,7 +151,7 @@
 def test_a_feed_behind_what_is_agreed_elsewhere_is_found_without_the_words(monkeypatch):
     """With the check of words off and a leader that feeds without its lease."""
     monkeypatch.setattr(electorate, "bears", lambda seats, candidates: True)
-    monkeypatch.setattr(publish.PublishMixin, "publish", mutations.publish_always)
+    monkeypatch.setattr(publish.PublishMixin, "publish", breaks.publish_always)
     for seed in range(1, 40):
         actions = tuple(random_search.cut_leader(random_search.random.Random(seed), 3))
         broken = run.play(schedule.Schedule(seed, 3, bool(seed % 2), actions)).broken
--- a/tests/proxy/test_kept_connections.py
+++ b/tests/proxy/test_kept_connections.py
@@ -45,16 +45,16 @@
 def feed(proxy, document, rows):
     """The leader's next update, with this configuration and these replicas."""
     member = proxy.member
-    index = identifiers.LogIndex(member.book.log_index + 1)
+    index = identifiers.LogIndex(member.cluster_state.log_index + 1)
     copy = dataclasses.replace(
-        member.book, configuration=document, configuration_version=index, log_index=index
+        member.cluster_state, configuration=document, configuration_version=index, log_index=index
     )
     by_id = {row["id"]: row for row in rows}
     update = messages.Update(
         member.feed_gen, "k1", "", [], index, [], copy, True, -1, member.feed_n + 1, by_id, [], 1
     )
     proxy.shell.heard("", update)
-    assert member.book is copy and member.rows == by_id
+    assert member.cluster_state is copy and member.rows == by_id
 
 
 def rows_of(proxy, **more):
--- a/tests/proxy/test_proxy.py
+++ b/tests/proxy/test_proxy.py
@@ -83,7 +83,7 @@
 def test_nothing_goes_to_what_drains_or_lies_in_an_emptied_zone():
     s = Sim([row("a", state="draining"), row("b", "z2")])
     assert s.ask()[0].replica == "b"
-    s.m.book = dataclasses.replace(s.m.book, evacuated_zones={"z2": 5})
+    s.m.cluster_state = dataclasses.replace(s.m.cluster_state, evacuated_zones={"z2": 5})
     assert s.ask() == []
     assert s.wants[-1] == {"birch": 4}
 
@@ -296,11 +296,11 @@
 def test_a_second_attempt_goes_to_no_zone_that_was_evacuated_meanwhile():
     s = Sim([row("a"), row("b", "z2")])
     a = s.ask("safe")[0]
-    s.m.book = dataclasses.replace(s.m.book, evacuated_zones={"z1": 5})
+    s.m.cluster_state = dataclasses.replace(s.m.cluster_state, evacuated_zones={"z1": 5})
     assert s.end(a.attempt, "broken")[0].replica == "b"
     s = Sim([row("a"), row("b", "z2")])
     a = s.ask("safe")[0]
-    s.m.book = dataclasses.replace(s.m.book, evacuated_zones={"z1": 5, "z2": 6})
+    s.m.cluster_state = dataclasses.replace(s.m.cluster_state, evacuated_zones={"z1": 5, "z2": 6})
     s.end(a.attempt, "broken")
     got = s.wait(2000)
     assert [(type(e), e.status) for e in got] == [(events.Close, 504)], "it may have run"
@@ -353,7 +353,7 @@
 
 def test_what_comes_before_the_feed_is_held_and_then_routed_or_refused_in_time():
     s = Sim([row("a")])
-    doc, rows = s.m.book.configuration, s.m.rows
+    doc, rows = s.m.cluster_state.configuration, s.m.rows
     fresh = Sim([], {"edition": 1, "routes": [], "services": []})
     fresh.m.table = routing.RoutingTable(None)
     assert fresh.ask("safe", deadline=3000) == [] and fresh.ask("once", deadline=900) == []
--- a/tests/query_api/test_asks.py
+++ b/tests/query_api/test_asks.py
@@ -20,4 +20,4 @@
     assert [s for s, _ in got] == [200, 200] and max(ms for _, ms in got) < 4000
     w.run(3000)
     assert got[2][0] == 504
-    assert [h["change"] for h in w.leader().member.book.history].count("x") == 1
+    assert [h["change"] for h in w.leader().member.cluster_state.history].count("x") == 1
--- a/tests/query_api/test_copies.py
+++ b/tests/query_api/test_copies.py
@@ -48,8 +48,10 @@
 def test_a_member_that_missed_news_has_its_copy_mended():
     w = stage.ready("mid", 3)
     w.run(4000)
-    book = w.leader().member.book
-    owners = {book.members[d.owner].name for k, d in book.role_owners.items() if k != "store"}
+    cluster_state = w.leader().member.cluster_state
+    owners = {
+        cluster_state.members[d.owner].name for k, d in cluster_state.role_owners.items() if k != "store"
+    }
     name = next(n.name for n in w.live() if n.name not in owners)
     for o in owners:
         w.cut(o, name, both=False)
@@ -79,14 +81,16 @@
     """How long until the duties of a rostrum are another's."""
     seat = w.nodes[name].seat_was
     t = w.now
-    ok = w.run_until(lambda: all(d["owner"] != seat for d in w.leader().member.book.role_owners.values()), ms)
+    ok = w.run_until(
+        lambda: all(d["owner"] != seat for d in w.leader().member.cluster_state.role_owners.values()), ms
+    )
     return w.now - t if ok else None
 
 
 def _owner(w):
-    book = w.leader().member.book
-    name = book.members[book.role_owners["zone/z1"].owner].name
-    w.nodes[name].seat_was = book.role_owners["zone/z1"].owner
+    cluster_state = w.leader().member.cluster_state
+    name = cluster_state.members[cluster_state.role_owners["zone/z1"].owner].name
+    w.nodes[name].seat_was = cluster_state.role_owners["zone/z1"].owner
     return name
 
 
--- a/tests/query_api/test_house.py
+++ b/tests/query_api/test_house.py
@@ -69,7 +69,7 @@
     assert left.override(gone) is None
     assert w.run_until(lambda: w.leader() is not None, 10_000)
     w.run(2000)
-    assert w.leader().member.book.recent_changes["kept"] == got[1]["serial"]
+    assert w.leader().member.cluster_state.recent_changes["kept"] == got[1]["serial"]
     assert w.asked(alive, "patch", {"patch": {"lines": {"desk": {"bound": 72}}}, "change": "on"})[0] == 200
     assert "there is a leader" in w.leader().member.override(gone)
 
@@ -88,7 +88,10 @@
     w.cut(w.leader().name, n.name)
     end = n.member.lease_expires_at_ms
     w.step(n, events.Heard(w.now, "", old[0].msg))
-    assert n.member.lease_expires_at_ms == end and n.member.book.log_index == w.leader().member.book.log_index
+    assert (
+        n.member.lease_expires_at_ms == end
+        and n.member.cluster_state.log_index == w.leader().member.cluster_state.log_index
+    )
     assert [row.number for row in notes(w) if row.number == 35] == [35]
 
 
@@ -99,8 +102,8 @@
     w.run(6000)
     loads = len(trace.of_kind(w.trace, rows.Load))
     for z in ("zone/z1", "zone/z2", "zone/z3"):
-        book = w.leader().member.book
-        w.kill(book["roster"][book["duties"][z]["owner"]]["name"])
+        cluster_state = w.leader().member.cluster_state
+        w.kill(cluster_state["roster"][cluster_state["duties"][z]["owner"]]["name"])
         w.run(5000)
         dead = [n for n in w.nodes.values() if n.member is None]
         w.boot(dead[0].name)
--- a/tests/query_api/test_keys.py
+++ b/tests/query_api/test_keys.py
@@ -47,7 +47,7 @@
         member.Member.__init__(self, me, 1, house.now)
         self.house, self.rules = house, Rules
         self.outcome_counts, self.requests = collections.Counter(), {}
-        self.book = house.log[0][1]
+        self.cluster_state = house.log[0][1]
         self.queues = self
         self.key_claims_start()
         self.key_holder_start()
@@ -93,28 +93,28 @@
 
     def start(self, seat):
         k = KeyHolder(self, seat.split("-")[0], seat)
-        k.book = self.log[-1][1]
+        k.cluster_state = self.log[-1][1]
         k.join_ranges()
         return k
 
-    def tip(self):
+    def compute_appended_state(self):
         return self.log[-1][1]
 
     def agree(self, op):
-        b = self.tip()
+        b = self.compute_appended_state()
         self.log.append((self.now, state_machine.apply(b, entry(b.log_index + 1, op))))
 
     def take(self, k):
         """A node applies a few more entries, or jumps to the newest."""
-        at = [b.log_index for _, b in self.log].index(k.book.log_index)
+        at = [b.log_index for _, b in self.log].index(k.cluster_state.log_index)
         more = self.log[at + 1 :]
         if more:
-            k.book = more[self.rng.randrange(len(more))][1]
+            k.cluster_state = more[self.rng.randrange(len(more))][1]
             k.join_ranges()
 
     def leased(self, k):
         """A lease is lost at the latest LEASE after an entry that the node has not applied."""
-        late = [t for t, b in self.log if b.log_index > k.book.log_index]
+        late = [t for t, b in self.log if b.log_index > k.cluster_state.log_index]
         return not late or self.now - late[0] < LEASE
 
     def do(self, k, f, *a):
@@ -161,7 +161,7 @@
             self.do(k, k.end_claim, q, "yes", 200, {"reply": q.body["prompt"]})
 
     def roster(self):
-        seats = list(self.tip().members)
+        seats = list(self.compute_appended_state().members)
         live = [s for s in seats if s in self.nodes]
         x = self.rng.random()
         if x < 0.4 and len(live) > 2:
--- a/tests/query_api/test_large.py
+++ b/tests/query_api/test_large.py
@@ -72,7 +72,8 @@
     assert not any(x.copy for x in beats)
     assert max(len(frames.pack(x)) for x in beats) < 20_000
     assert all(
-        n.member.book.configuration_version == w.leader().member.book.configuration_version for n in w.live()
+        n.member.cluster_state.configuration_version == w.leader().member.cluster_state.configuration_version
+        for n in w.live()
     )
 
 
--- a/tests/query_api/test_machines.py
+++ b/tests/query_api/test_machines.py
@@ -86,7 +86,7 @@
         self.w.run(6000)
         assert self.w.run_until(lambda: self.w.leader() is not None, 15_000)
         got = self.w.must("patch", {"patch": {"lines": {"desk": {"bound": 9}}}})
-        changes = self.w.leader().member.book.recent_changes
+        changes = self.w.leader().member.cluster_state.recent_changes
         assert got[1]["serial"] == max(changes.values())
         for c, s in self.acked.items():
             assert changes.get(c) == s
--- a/tests/query_api/test_mutations.py
+++ b/tests/query_api/test_mutations.py
@@ -45,11 +45,11 @@
 
 
 def _use_all(self, replica):
-    return replica in self.book.listed_replicas
+    return replica in self.cluster_state.listed_replicas
 
 
 def _leased(self):
-    return bool(self.book.log_index)
+    return bool(self.cluster_state.log_index)
 
 
 def _unconfirmed(self):
--- a/tests/simulation/test_route_scenarios.py
+++ b/tests/simulation/test_route_scenarios.py
@@ -70,19 +70,19 @@
 
 
 def _book_once(self, m):
-    if not self.book.configuration:
+    if not self.cluster_state.configuration:
         _take_book(self, m)
 
 
 def _forgets(self, m):
     """A proxy that takes up again what it had before."""
     _take_book(self, m)
-    doc = self.book.configuration
+    doc = self.cluster_state.configuration
     old = getattr(self, "old", None)
     if old is None or doc["edition"] <= old["edition"]:
         self.old = doc
     elif self.now - self.budgets.started_at > 12_000:
-        self.book = dataclasses.replace(self.book, configuration=old)
+        self.cluster_state = dataclasses.replace(self.cluster_state, configuration=old)
 
 
 _take_book = follow.FollowMixin.take_book
@@ -130,7 +130,7 @@
 
 
 def _only_founding(self, got):
-    return not self.tip().members
+    return not self.compute_appended_state().members
 
 
 def _go(self, replica, step):
--- a/tests/simulation/test_scale.py
+++ b/tests/simulation/test_scale.py
@@ -66,7 +66,7 @@
     class At:
         def __init__(self, serial, gen, n):
             state = state_machine.ClusterState(log_index=identifiers.LogIndex(serial))
-            self.book, self.feed_gen, self.feed_n = state, identifiers.Term(gen, "k"), n
+            self.cluster_state, self.feed_gen, self.feed_n = state, identifiers.Term(gen, "k"), n
             self.rows, self.proxies = {}, 1
 
     for back in (At(4, 2, 7), At(5, 1, 9), At(5, 2, 6)):
--- a/tests/support/live.py
+++ b/tests/support/live.py
@@ -60,7 +60,7 @@
         await until(
             lambda: any(h.role == "ledger" and h.member.leading and h.member.settled() for h in self.all())
         )
-        await until(lambda: all(h.member.book.log_index for h in self.all()))
+        await until(lambda: all(h.member.cluster_state.log_index for h in self.all()))
         return self
 
     async def __aexit__(self, *exc):
@@ -76,7 +76,7 @@
         await self.standins.announce()
         got = await self.ops("apply", {"manifest": manifest or stage.example("thin.json"), "change": "first"})
         assert got[0] == 200, got
-        await until(lambda: self.r.member.leased() and self.r.member.book.role_owners)
+        await until(lambda: self.r.member.leased() and self.r.member.cluster_state.role_owners)
         return self
 
     async def ops(self, verb, body):
--- a/tests/support/model_word_mutations.py
+++ b/tests/support/model_word_mutations.py
@@ -12,7 +12,7 @@
 
 def vouch_by_anybody(self):
     """As many as a majority of the newest roster, whoever they are."""
-    need = max(map(len, quorum.voter_sets(self.tip_book))) // 2 + 1
+    need = max(map(len, quorum.voter_sets(self.appended_state))) // 2 + 1
     answered = sorted(map(self.acked_number_of, {self.me.seat, *self.acked_heartbeat_numbers}), reverse=True)
     n = answered[need - 1] if len(answered) >= need else 0
     self.confirmed_heartbeat_number = max(self.confirmed_heartbeat_number, n)
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -50,7 +50,7 @@
         me = member.Me("house", "r1", "r1-s", "rostrum", "z1", "a:1", "a:2", ["a:9"], 3)
         self.r = query_node.QueryNode(me, 1, self.now)
         rows = [("r1-s", "rostrum", "a:1"), ("st-s", "rostrum", "b:1"), ("le-s", "ledger", "c:1")]
-        self.r.book = state_machine.ClusterState(
+        self.r.cluster_state = state_machine.ClusterState(
             log_index=identifiers.LogIndex(4),
             configuration=m or manifest(**line),
             configuration_version=identifiers.LogIndex(3),
--- a/tests/support/proxy_stand.py
+++ b/tests/support/proxy_stand.py
@@ -123,7 +123,9 @@
 
 def fill(m, rows, doc):
     """Put a reducer where the feed would have it."""
-    m.book = dataclasses.replace(m.book, configuration=doc, configuration_version=1, log_index=1)
+    m.cluster_state = dataclasses.replace(
+        m.cluster_state, configuration=doc, configuration_version=1, log_index=1
+    )
     m.rows = {r["id"]: r for r in rows}
     m.proxies = 1
     m.followed()
