--- a/tests/placement/test_adversary.py
+++ b/tests/placement/test_adversary.py
@@ -122,6 +122,7 @@
         assert held <= known.items(), held - known.items()
 
 
+@pytest.mark.sweep(every=4)
 @pytest.mark.parametrize("seed", range(24))
 def test_one_replica_is_never_ordered_to_hold_too_much_and_is_known_again_in_calm_times(seed):
     for number in range(WALKS):
@@ -232,6 +233,7 @@
     return f
 
 
+@pytest.mark.sweep(every=4)
 @pytest.mark.parametrize("seed", range(100, 124))
 def test_a_fleet_in_trouble_is_never_overfull_and_is_known_as_it_is_afterwards(seed):
     f = play(seed)
