--- a/tests/project/test_deploy.py
+++ b/tests/project/test_deploy.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 import shlex
+import subprocess
 import tomllib
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -10,6 +11,9 @@
 PACKAGE_OF_PROGRAM = {"python3": "python3", "pip": "python3-pip", "venv": "python3-venv"}
 ALWAYS_THERE = {"[", "touch"}
 """Of the shell and of coreutils, which every Debian system has."""
+PROGRAMS = pathlib.Path("/usr/bin")
+BROUGHT_ALONG = ("python3-minimal", "python3.11", "python3.11-minimal")
+"""Packages that python3 itself needs, and that bring its programs on Debian 12."""
 COMPILERS = re.compile(r"gcc|g\+\+|clang|build-essential|-dev$")
 
 
@@ -48,3 +52,31 @@
     deploy = read()
     assert not [package for package in deploy["packages"] if COMPILERS.search(package)]
     assert " --only-binary :all: " in deploy["build"]
+
+
+# the build command, on a machine that has the listed packages and no others
+
+
+def executables(package):
+    """The programs that a Debian package and those that it needs of Python itself put on the PATH."""
+    listed = subprocess.run(["dpkg", "-L", package], capture_output=True, text=True, check=True).stdout
+    paths = [pathlib.Path(line) for line in listed.splitlines()]
+    return [path for path in paths if path.parent == PROGRAMS and path.exists()]
+
+
+def test_the_build_command_needs_nothing_on_the_path_but_what_the_listed_packages_bring(tmp_path):
+    """A clean checkout is built with a PATH of those programs alone; then both roles can be imported."""
+    deploy, programs_folder, checkout = read(), tmp_path / "bin", tmp_path / "checkout"
+    programs_folder.mkdir()
+    for package in [*deploy["packages"], *BROUGHT_ALONG]:
+        for path in executables(package):
+            (programs_folder / path.name).symlink_to(path)
+    for name in ALWAYS_THERE:
+        (programs_folder / name).symlink_to(PROGRAMS / name)
+    subprocess.run(["git", "clone", "-q", str(ROOT), str(checkout)], check=True)
+    environment = {"PATH": str(programs_folder), "HOME": str(tmp_path), "LANG": "C.UTF-8"}
+    subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=checkout, env=environment, check=True)
+    imports = (
+        "import sys; sys.path[:0] = ['target/deps', 'platform']; import aiohttp, construct, controller, proxy"
+    )
+    subprocess.run(["/usr/bin/python3", "-c", imports], cwd=checkout, env=environment, check=True)
