--- a/tests/placement/test_late_orders.py
+++ b/tests/placement/test_late_orders.py
@@ -35,6 +35,7 @@
     return f
 
 
+@pytest.mark.sweep(every=3)
 @pytest.mark.parametrize("seed", range(1, 13))
 def test_no_replica_is_ordered_to_hold_too_much_where_orders_come_late(seed):
     f = play(seed, 0.2, 0.1)
@@ -42,6 +43,7 @@
     assert not any(f.waiting.values())
 
 
+@pytest.mark.sweep(every=3)
 @pytest.mark.parametrize("seed", range(1, 7))
 def test_no_replica_is_ordered_to_hold_too_much_where_answers_are_lost(seed):
     f = play(seed, 0.0, 0.3)
--- a/tests/placement/test_order_paths.py
+++ b/tests/placement/test_order_paths.py
@@ -200,6 +200,7 @@
     assert not any(f.waiting.values())
 
 
+@pytest.mark.sweep(every=2)
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_late_orders_of_former_leaders_exceed_no_room(seed):
     f = fleet.busy_fleet(adapters=12, seed=seed)
@@ -213,6 +214,7 @@
     assert f.late_orders > 10 and not any(f.waiting.values())
 
 
+@pytest.mark.sweep(every=2)
 @pytest.mark.parametrize("seed", range(1, 7))
 def test_late_orders_to_replicas_that_start_again_exceed_no_room(seed):
     f = fleet.busy_fleet(seed=seed)
