--- a/basaltport/query_api/admin/command_line.py
+++ b/basaltport/query_api/admin/command_line.py
@@ -44,6 +44,7 @@
     """What runs a change whose body is a file's document under a key."""
 
     def run(values: flags.FlagValues, arguments: list[str]) -> int:
+        """Make the change with the document of the named file."""
         if output.lacks_arguments(arguments, 1, "a file, or - for standard input"):
             return exit_codes.BAD_INPUT
         document = documents.read_document(arguments[0])
@@ -58,6 +59,7 @@
     """What runs a change of something named by the argument."""
 
     def run(values: flags.FlagValues, arguments: list[str]) -> int:
+        """Make the change of what the argument names."""
         if output.lacks_arguments(arguments, 1, f"a {key}"):
             return exit_codes.BAD_INPUT
         return http_call.change(values, verb, {key: arguments[0]})
@@ -69,6 +71,7 @@
     """What runs a read without arguments."""
 
     def run(values: flags.FlagValues, arguments: list[str]) -> int:
+        """Ask, and print what is answered."""
         if output.lacks_arguments(arguments, 0, "no argument"):
             return exit_codes.BAD_INPUT
         return http_call.show(values, http_call.ask(values, "GET", f"/v1/ops/{verb}"), show_tables)
--- a/basaltport/query_api/admin/http_server.py
+++ b/basaltport/query_api/admin/http_server.py
@@ -110,6 +110,7 @@
         """The handler for those only who hold the operators' token, where there is one."""
 
         async def wrapped(request: aiohttp.web.Request) -> aiohttp.web.Response:
+            """Answer an allowed request; what was refused is told as its error."""
             try:
                 if not self.is_allowed(request):
                     detail = "an operator's bearer token is needed"
--- a/basaltport/query_api/cell/cell.py
+++ b/basaltport/query_api/cell/cell.py
@@ -149,14 +149,16 @@
         if rule is None:
             return False
         cell = self.cell_of(zone)
-        free = {
+        room_left = {
             replica: row["room"] for replica, row in cell.replicas() if row["up"] and self.may_use(replica)
         }
         for replica, held_item, _ in cell.held():
-            if replica in free and held_item in self.rules.items:
-                free[replica] -= self.rules.items[held_item].size
+            if replica in room_left and held_item in self.rules.items:
+                room_left[replica] -= self.rules.items[held_item].size
         listed = self.cluster_state.listed_replicas
-        return any(room >= rule.full for replica, room in free.items() if listed[replica].group == rule.group)
+        return any(
+            room >= rule.full for replica, room in room_left.items() if listed[replica].group == rule.group
+        )
 
     def may_use(self, replica: str) -> bool:
         """False for a replica that is leaving, unlisted, or in an evacuated zone."""
--- a/basaltport/query_api/query_proxy/attempts.py
+++ b/basaltport/query_api/query_proxy/attempts.py
@@ -38,10 +38,10 @@
         """The replica with most free slots; one that just failed the request comes last."""
         best, best_rank = None, (False, 0)
         for name in self.usable(waiting.item):
-            free = self.slot(name).free(self.now)
-            if free <= 0:
+            room_left = self.slot(name).room_left(self.now)
+            if room_left <= 0:
                 continue
-            rank = (name != waiting.avoided_replica, free)
+            rank = (name != waiting.avoided_replica, room_left)
             if best is None or rank > best_rank:
                 best, best_rank = name, rank
         return best
@@ -60,6 +60,7 @@
             has_slot: dict[identifiers.Item, bool] = {}
 
             def accepts(waiting: request.Request, has_slot: dict[identifiers.Item, bool] = has_slot) -> bool:
+                """Whether a request that waits may go now. Each item is looked up once."""
                 if not waiting.ready or self.is_too_late(waiting):
                     return False
                 if waiting.item not in has_slot:
--- a/basaltport/query_api/query_proxy/model_readiness.py
+++ b/basaltport/query_api/query_proxy/model_readiness.py
@@ -141,6 +141,7 @@
         roomy = {zone for zone in zones if self.has_room(zone, item)}
 
         def rank(zone: identifiers.Zone) -> tuple[bool, bool, bool, int]:
+            """Zones that serve the item first, then those with its model, then those with room."""
             weight = rendezvous.weight(model, zone)
             return zone not in serving, zone not in with_model, zone not in roomy, -weight
 
--- a/basaltport/query_api/query_proxy/slot.py
+++ b/basaltport/query_api/query_proxy/slot.py
@@ -13,6 +13,6 @@
     until: int = NEVER
     using: int = 0
 
-    def free(self, now: int) -> int:
+    def room_left(self, now: int) -> int:
         """How many may be used besides; 0 once the grant has expired."""
         return self.granted - self.using if now < self.until else 0
--- a/basaltport/query_api/zone_controller/kept_items.py
+++ b/basaltport/query_api/zone_controller/kept_items.py
@@ -58,28 +58,28 @@
         """Whether some replica of the zone has room for an item beside the kept items that it holds."""
         if not self.cell_of(zone).complete:
             return True
-        free = self.free_beside_kept(zone, rule)
+        room_left = self.room_beside_kept(zone, rule)
         if not rule.item.is_adapter():
-            return any(room >= rule.size for room in free.values())
+            return any(room >= rule.size for room in room_left.values())
         model = rule.item.base()
-        with_model = {r for r, item, _ in self.cell_of(zone).held() if item == model and r in free}
+        with_model = {r for r, item, _ in self.cell_of(zone).held() if item == model and r in room_left}
         if with_model:
-            return any(free[replica] >= rule.size for replica in with_model)
+            return any(room_left[replica] >= rule.size for replica in with_model)
         needed = rule.size + self.rules.items[model].size
-        return any(room >= needed for room in free.values())
+        return any(room >= needed for room in room_left.values())
 
-    def free_beside_kept(self, zone: identifiers.Zone, rule: rules.ItemRule) -> dict[str, int]:
+    def room_beside_kept(self, zone: identifiers.Zone, rule: rules.ItemRule) -> dict[str, int]:
         """Room by replica of an item's group, with only kept items (and an adapter's model) left on it."""
         cell = self.cell_of(zone)
         listed = self.cluster_state.listed_replicas
-        free: dict[str, int] = {
+        room_left: dict[str, int] = {
             replica: row["room"]
             for replica, row in cell.replicas()
             if row["up"] and self.may_use(replica) and listed[replica].group == rule.group
         }
         model = rule.item.base() if rule.item.is_adapter() else None
         for replica, item, _ in cell.held():
-            held_rule = self.rules.items.get(item) if replica in free else None
+            held_rule = self.rules.items.get(item) if replica in room_left else None
             if held_rule is not None and (held_rule.kept or item == model):
-                free[replica] -= held_rule.size
-        return free
+                room_left[replica] -= held_rule.size
+        return room_left
--- a/basaltport/query_api/zone_controller/load_permits.py
+++ b/basaltport/query_api/zone_controller/load_permits.py
@@ -134,15 +134,15 @@
 
     def share_permits(self, message: messages.LoadPermitRequest) -> Permits:
         """The permits that a zone gets now, by pool."""
-        free = self.rules.loads - self.loads_of()
+        room_left = self.rules.loads - self.loads_of()
         granted: Permits = {}
         for name in sorted(message.desired):
             pool = self.rules.pools.get(name)
-            room = free if pool is None else min(free, pool["loading"] - self.loads_of(name))
+            room = room_left if pool is None else min(room_left, pool["loading"] - self.loads_of(name))
             count = max(0, min(message.desired[name], room))
             if count:
                 granted[name] = count
-                free -= count
+                room_left -= count
         return granted
 
     def loads_of(self, pool: str | None = None) -> int:
--- a/basaltport/query_api/zone_controller/placement.py
+++ b/basaltport/query_api/zone_controller/placement.py
@@ -110,14 +110,16 @@
         candidates: list[replica.ControlledReplica],
     ) -> None:
         """Load on the replica with most room, one with room for all adapters first; else make room."""
-        roomy = [known for known in candidates if self.free(known) >= rule.size]
+        roomy = [known for known in candidates if self.room_left(known) >= rule.size]
         if not roomy:
             self.make_room(zone, candidates, rule, goal)
             return
-        best = max(roomy, key=lambda known: (self.free(known) >= rule.full, self.free(known), known.id))
+        best = max(
+            roomy, key=lambda known: (self.room_left(known) >= rule.full, self.room_left(known), known.id)
+        )
         self.load(zone, best, rule, pool)
 
-    def free(self, known: replica.ControlledReplica) -> int:
+    def room_left(self, known: replica.ControlledReplica) -> int:
         """The room of a replica that is neither used nor ordered to be."""
         used = sum(held.size for held in known.held.values())
         return known.room - used - sum(load.size for load in known.ordered.values())
@@ -164,14 +166,14 @@
             for item, held in known.held.items()
             if may_evict(known, item, held, goal)
         ]
-        free = self.free(known)
+        room_left = self.room_left(known)
         chosen: list[tuple[int, str]] = []
         for idle_ms, item, item_size in sorted(idle, reverse=True):
-            if free >= size:
+            if room_left >= size:
                 break
-            free += item_size
+            room_left += item_size
             chosen.append((idle_ms, item))
-        if free < size or not chosen:
+        if room_left < size or not chosen:
             return None
         return Eviction(chosen[-1][0], known, [item for _, item in chosen])
 
--- a/basaltport/scale/count.py
+++ b/basaltport/scale/count.py
@@ -46,11 +46,13 @@
         pack, unpack = frames.parts, frames.body
 
         def parts(message: object) -> list[bytes]:
+            """Pack a message, and count it."""
             packed = pack(message)
             self.add(self.out, type(message).__name__, sum(map(len, packed)))
             return packed
 
         def body(header: frames.Header, raw: bytes) -> result.Result[object, str]:
+            """Unpack a message, and count it."""
             self.add(self.into, messages.KINDS[header.kind].__name__, frames.HEADER_SIZE + len(raw))
             return unpack(header, raw)
 
--- a/basaltport/scale/part.py
+++ b/basaltport/scale/part.py
@@ -181,8 +181,9 @@
         self.shell = server.ProxyServer(conf["settings"], header_names.HeaderNames())
         step = self.shell.wires.heard
 
-        def heard(sender: str, message: object) -> None:
-            step(sender, message)
+        def heard(source: str, message: object) -> None:
+            """Take a message, and note what is in force after it."""
+            step(source, message)
             self.mark.look(self.shell.member, identifiers.steady())
 
         self.shell.wires.heard = heard
--- a/basaltport/scale/play.py
+++ b/basaltport/scale/play.py
@@ -157,6 +157,7 @@
         """{"p50", "max"} in ms from a time until every follower has a mark."""
 
         async def test() -> list[float] | None:
+            """When each follower had the mark; None until all have it."""
             answers = await self.fleet.ask_all(self.followers(), "marks", what=what, key=key)
             at = [moment for answer in answers.values() for moment in (answer["at"] if answer else [None])]
             known = [moment for moment in at if moment is not None]
@@ -201,6 +202,7 @@
         body = {"change": "1", "base": 0, "document": size_.document(self.size)}
 
         async def test() -> fleet.Answer | None:
+            """The answer that took the configuration; None until then."""
             answer = await self.ask("configure", body)
             return answer if answer and answer["status"] == OK else None
 
--- a/tests/query_api/test_mutations.py
+++ b/tests/query_api/test_mutations.py
@@ -186,7 +186,7 @@
     ),
     ("flood", "replicas-restart", 1, [(slot_grants.SlotGrantsMixin, "slot_limit", lambda self, p: 8)]),
     ("store", "cold-storm", 1, [(load_permits.LoadPermitsMixin, "share_permits", _grant_all)]),
-    ("room", "cold-storm", 1, [(placement.PlacementMixin, "free", lambda self, p: 1000)]),
+    ("room", "cold-storm", 1, [(placement.PlacementMixin, "room_left", lambda self, p: 1000)]),
     (
         "read",
         "core-split",
