--- a/basaltport/simulation/query_api/drills/fleet.py
+++ b/basaltport/simulation/query_api/drills/fleet.py
@@ -28,12 +28,21 @@
         return OUTGOING_PORT
 
 
+def candidate_ports(process_id: int, all_ports: range) -> list[int]:
+    """All ports in the order in which a process tries them: those of its part first, each part by chance.
+    Processes whose ids follow each other have other parts."""
+    own = all_ports[process_id % PORT_PARTS :: PORT_PARTS]
+    chance = random.SystemRandom()
+    others = [number for number in all_ports if number not in own]
+    return [*chance.sample(own, len(own)), *chance.sample(others, len(others))]
+
+
 def ports(count: int) -> list[int]:
     """Free ports, all held until all are picked. They lie below those of outgoing connections, any of which
-    could otherwise take a port between its choice and the start of the process that listens there."""
+    could otherwise take a port between its choice and the start of the process that listens there. Another
+    process that picks ports meanwhile could as well: each looks among ports of its own first."""
     held: list[socket.socket] = []
-    candidates = range(LOWEST_PORT, first_outgoing_port())
-    for number in random.SystemRandom().sample(candidates, len(candidates)):
+    for number in candidate_ports(os.getpid(), range(LOWEST_PORT, first_outgoing_port())):
         if len(held) == count:
             break
         candidate = socket.socket()
@@ -205,3 +214,7 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+
+
+PORT_PARTS = 64
+"""So many processes in a row pick ports of different parts."""
--- a/tests/project/test_local_fleet.py
+++ b/tests/project/test_local_fleet.py
@@ -195,3 +195,12 @@
     assert replica.order(unload, 0, expected=0) is engine.Outcome.BUSY and replica.holds("birch")
     assert replica.order(BIRCH, 0, expected=1) is engine.Outcome.DONE and replica.orders == 1
     assert replica.order(unload, 0, expected=1) is engine.Outcome.DONE and replica.orders == 2
+
+
+def test_processes_that_pick_ports_at_once_look_among_different_ones_first():
+    """Two workers picked one port: each had let go of it, and neither listened there yet."""
+    every = range(10_000, 30_000)
+    parts = [fleet.candidate_ports(process_id, every) for process_id in range(700, 764)]
+    first = [set(part[:300]) for part in parts]
+    assert sum(map(len, first)) == len(set().union(*first)) == 64 * 300
+    assert all(sorted(part) == list(every) for part in parts[:3])
