--- a/basaltport/identifiers.py
+++ b/basaltport/identifiers.py
@@ -72,6 +72,18 @@
     __slots__ = ()
 
 
+class TenantName(str):
+    """The name of a tenant, as the configuration has it."""
+
+    __slots__ = ()
+
+
+class KeyDigest(bytes):
+    """The digest of a key by which a client says for which tenant it sends; see `credentials`."""
+
+    __slots__ = ()
+
+
 class Term(typing.NamedTuple):
     """The term of a leader; ordered by count, then by the candidate's name or seat."""
 
--- a/basaltport/proxy/events.py
+++ b/basaltport/proxy/events.py
@@ -2,14 +2,17 @@
 
 import dataclasses
 
+import basaltport.credentials as credentials
 import basaltport.identifiers as identifiers
 import basaltport.proxy.attempt_outcome as attempt_outcome
 
+NO_TENANT = identifiers.TenantName("")
+
 
 @dataclasses.dataclass(slots=True)
 class Arrived:
     """A client's request, read and whole. `deadline_ms`: how long the client waits, or -1; `body_ms`: how
-    long its body took to read, which counts against all deadlines."""
+    long its body took to read, which counts against all deadlines; `key`: the digest of the client's key."""
 
     now: identifiers.Millis
     request: int
@@ -20,6 +23,7 @@
     prompt_tokens: int = 0
     prompt_prefix: str = ""
     body_ms: int = 0
+    key: identifiers.KeyDigest = credentials.NO_KEY
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,7 +62,8 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """Send a request to a replica. `remaining_ms`: until the client gives up."""
+    """Send a request to a replica. `remaining_ms`: until the client gives up; `tenant`: whose request it is,
+    "" where that is not known."""
 
     request: int
     attempt: int
@@ -67,6 +72,7 @@
     remaining_ms: int
     priority: int
     repeatable: bool
+    tenant: identifiers.TenantName = NO_TENANT
 
 
 @dataclasses.dataclass(slots=True)
--- a/basaltport/proxy/routing.py
+++ b/basaltport/proxy/routing.py
@@ -9,6 +9,7 @@
 
 import basaltport.identifiers as identifiers
 import basaltport.proxy.retry_decision as retry_decision
+import basaltport.proxy.tenant_directory as tenant_directory
 
 Document = collections.abc.Mapping[str, typing.Any]
 SECOND_MS = 1000
@@ -65,6 +66,7 @@
     """A route as its requests need it.
 
     `attempts`: replicas that one request may reach; `pinned`: it goes only to what holds its model;
+    `public`: its requests need no key;
     `gap_target_ms`: the longest gap in a stream that its clients are to see.
     """
 
@@ -79,6 +81,7 @@
         "shares",
         "attempts",
         "pinned",
+        "public",
         "resumable",
         "repeats",
         "gap_target_ms",
@@ -97,6 +100,7 @@
         self.shares = _read_shares(document)
         self.attempts = max(1, int(document.get("attempts", 1)))
         self.pinned = bool(document.get("pinned"))
+        self.public = bool(document.get("public"))
         self.resumable = self.kind is Kind.STREAM and bool(document.get("resumable"))
         self.repeats = self._repeats()
         self.gap_target_ms = identifiers.Millis(document.get("gap_target_ms") or 0)
@@ -175,7 +179,7 @@
 
 class RoutingTable:
     """The configuration that is in force here; `is_empty` where there is none yet. `limits`: of all
-    routes."""
+    routes; `tenants`: who may send."""
 
     def __init__(self, document: Document | None) -> None:
         """`document`: the configuration, or None."""
@@ -183,6 +187,7 @@
         self.is_empty = not document
         self.edition = document.get("edition", 0)
         self.limits: dict[str, int] = document.get("limits") or {}
+        self.tenants = tenant_directory.TenantDirectory(document)
         self.services = {service["name"]: Service(service) for service in document.get("services", ())}
         self.hosts: dict[str, list[Route]] = {}
         for route in document.get("routes", ()):
