--- a/basaltport/controller/node.py
+++ b/basaltport/controller/node.py
@@ -10,11 +10,13 @@
 import basaltport.controller.operator_requests as operator_requests
 import basaltport.controller.order_execution as order_execution
 import basaltport.controller.placement_control as placement_control
+import basaltport.controller.quota_control as quota_control
 import basaltport.fleet.messages as messages
 import basaltport.fleet.publish as publish
 import basaltport.identifiers as identifiers
 import basaltport.member as member
 import basaltport.placement.machine as machine
+import basaltport.quota.bounds as bounds
 
 SNAPSHOT_ENTRIES = 200
 """A snapshot is written after so many entries,"""
@@ -22,12 +24,14 @@
 """or after entries of so many bytes."""
 DISK_RETRY_MS = 1000
 REPLICA_LEASE_MS = 3000
+DEFAULT_BOUNDS = bounds.QuotaBounds()
 
 
 class Controller(
     placement_control.PlacementControlMixin,
     order_execution.OrderExecutionMixin,
     operator_requests.OperatorRequestsMixin,
+    quota_control.QuotaControlMixin,
     publish.PublishMixin,
     node.ConsensusNode,
 ):
@@ -35,7 +39,7 @@
 
     TICKS = (
         *("tick_disk", "tick_hello", "tick_elect", "tick_lead"),
-        *("tick_requests", "tick_shards", "tick_place"),
+        *("tick_requests", "tick_shards", "tick_place", "tick_quota"),
     )
 
     def __init__(
@@ -48,11 +52,12 @@
         placement: placement_control.Placement | None = None,
         lease_ms: int = REPLICA_LEASE_MS,
         began: identifiers.Millis | None = None,
+        quota_bounds: bounds.QuotaBounds = DEFAULT_BOUNDS,
     ) -> None:
         """`held`, `promised`: what the disk had of the state and log, and the highest term on it;
         `placement`: as `placement.machine.Placement`, which is made where none is given; `lease_ms`: for
         how long a replica is left alone between the orders of two owners; `began`: when the process began,
-        after the end of its machine's last one."""
+        after the end of its machine's last one; `quota_bounds`: of the limits of tenants."""
         node.ConsensusNode.__init__(
             self, me, seed, now, voting_policy.DISK_MEMBERS, held, current_term, began
         )
@@ -62,6 +67,7 @@
         self.operator_requests_start()
         self.publish_start()
         self.order_execution_start()
+        self.quota_start(quota_bounds)
         self.snapshot_index = self.cluster_state.log_index
         self.bytes_since_snapshot = 0
         self.disk_retry_at = now
--- /dev/null
+++ b/basaltport/controller/quota_control.py
@@ -0,0 +1,80 @@
+"""Tenants' limits at a controller: it answers for the tenants of the shards that it owns."""
+
+import typing
+
+import basaltport.consensus.state_machine as state_machine
+import basaltport.controller.executor_leases as executor_leases
+import basaltport.identifiers as identifiers
+import basaltport.member as member
+import basaltport.quota.bounds as bounds
+import basaltport.quota.limits as limits
+import basaltport.quota.messages as messages
+import basaltport.quota.owner as owner
+
+NO_FENCE = -1
+EXPIRE_EVERY_MS = 1000
+
+
+class QuotaControlNeeds(typing.Protocol):
+    """What `QuotaControlMixin` needs of the controller it is part of."""
+
+    me: member.Me
+    now: identifiers.Millis
+    cluster_state: state_machine.ClusterState
+
+    def shards(self) -> executor_leases.ShardRows:
+        """The shards by the agreed state here."""
+
+    def owns_shard(self, shard: str) -> bool:
+        """Whether this controller alone acts for a shard now."""
+
+    def send(self, address: str, message: object) -> None:
+        """Send a message to an address."""
+
+
+if typing.TYPE_CHECKING:
+    Needs = QuotaControlNeeds
+else:
+    Needs = object
+
+
+class QuotaControlMixin(Needs):
+    """`quota_owner`: the counts of the tenants whose shards this controller owns, or owned last."""
+
+    def quota_start(self, quota_bounds: bounds.QuotaBounds) -> None:
+        """Begin as the owner of nothing."""
+        self.quota_owner = owner.QuotaOwner(quota_bounds)
+        self.quota_fences: dict[str, int] = {}
+        """By shard: the fencing token under which its tenants are counted here."""
+        self.quota_document: object = None
+        self.quota_expired_at = self.now
+
+    def hear_quota_request(self, source: str, request: messages.QuotaRequest) -> None:
+        """A proxy asks for tokens and shares; who does not own their shard says nothing."""
+        if not self.owns_shard(request.shard):
+            return
+        self.begin_quota_ownership(request.shard)
+        self.configure_quota()
+        grant = self.quota_owner.answer(request, self.now)
+        if grant is not None:
+            self.send(request.address, grant)
+
+    def begin_quota_ownership(self, shard: str) -> None:
+        """Under another fencing token, or after a start, nothing is known of what was granted before."""
+        fence = self.shards()[shard].fence
+        if self.quota_fences.get(shard, NO_FENCE) != fence:
+            self.quota_fences[shard] = fence
+            self.quota_owner.begin(shard, fence, self.now)
+
+    def configure_quota(self) -> None:
+        """Take the limits that are in force here."""
+        document = self.cluster_state.configuration
+        if document is not self.quota_document:
+            self.quota_document = document
+            self.quota_owner.configure(limits.limits_of(document), self.now)
+
+    def tick_quota(self) -> None:
+        """Forget shares that have ended, now and then."""
+        if self.now - self.quota_expired_at >= EXPIRE_EVERY_MS:
+            self.quota_expired_at = self.now
+            self.quota_owner.expire(self.now)
--- a/basaltport/controller/server.py
+++ b/basaltport/controller/server.py
@@ -23,6 +23,7 @@
 import basaltport.member as member
 import basaltport.placement.effects as effects
 import basaltport.placement.order_types as order_types
+import basaltport.quota.bounds as bounds
 import basaltport.shell as shell
 import basaltport.started as started
 import basaltport.wires as wires
@@ -107,6 +108,7 @@
             recovered.current_term,
             lease_ms=settings.get("timings", {}).get("lease_ms", node.REPLICA_LEASE_MS),
             began=identifiers.Millis(started.AT_MS),
+            quota_bounds=bounds.QuotaBounds.from_timings(settings.get("timings", {})),
         )
         term, index = self.member.head()
         fields = {"serial": int(index), "generation": term.text(), "seat": self.me.seat}
--- a/basaltport/controller/shard_ownership.py
+++ b/basaltport/controller/shard_ownership.py
@@ -115,11 +115,18 @@
     def owns(self, replica_id: str, fence: int) -> bool:
         """Whether this controller alone may order there now, under a fencing token."""
         shard = shard_of(replica_id)
+        if not self.owns_shard(shard) or self.shards()[shard].fence != fence:
+            return False
+        return self.former_owner_stopped(shard)
+
+    def owns_shard(self, shard: str) -> bool:
+        """Whether this controller alone acts for a shard now. Replicas may still have to be left alone for a
+        while after the former owner's last order."""
         row = self.shards().get(shard)
-        if self.stopped or row is None or row.owner != self.me.seat or row.fence != fence:
+        if self.stopped or row is None or row.owner != self.me.seat:
             return False
         up_to_date = self.cluster_state.log_index >= self.newest_index
-        return up_to_date and self.former_owner_stopped(shard) and self.executor_leased()
+        return up_to_date and self.executor_leased()
 
     # the leader
 
