Forms of configuration objects in a module of their own

Moved out of configuration/routes.py, unchanged but for their names, so that the section `tenants` can use them; the file of routes goes from 318 to 200 lines.

--- a/basaltport/configuration/routes.py
+++ b/basaltport/configuration/routes.py
@@ -1,175 +1,75 @@
-"""Checks and changes of the routing configuration: all findings together, each with its place.
-
-Every field is told by one test. An item whose fields all pass is plain and costs no more; only one that is
-not is given to trafaret, whose findings name each field."""
+"""Checks and changes of the routing configuration: all findings together, each with its place."""
 
 import collections.abc
-import math
 import typing
 
-import trafaret
-
-import basaltport.configuration.check as check_
+import basaltport.configuration.forms as forms
 
-KINDS = ("safe", "unsafe", "stream")
-LONGEST_TEXT = 1000
-MOST_ADAPTERS = 1_000_000
-
-Document = dict[str, typing.Any]
-Finding = dict[str, str]
-Findings = list[Finding]
-Test = collections.abc.Callable[[object], bool]
+Document = forms.Document
+Findings = forms.Findings
 Names = collections.abc.Container[str]
 Kind = typing.TypeVar("Kind")
 
-
-def _text(value: object) -> typing.TypeGuard[str]:
-    return type(value) is str and 0 < len(value) <= LONGEST_TEXT
-
-
-def _prefix(value: object) -> bool:
-    return _text(value) and value.startswith("/") and value.endswith("/")
-
-
-def _kind(value: object) -> bool:
-    return type(value) is str and value in KINDS
-
-
-def _flag(value: object) -> bool:
-    return type(value) is bool
-
-
-def _number(value: object) -> typing.TypeGuard[float]:
-    return (type(value) is int or type(value) is float) and 0 <= value < math.inf
-
-
-def _more(value: object) -> bool:
-    return _number(value) and value > 0
-
-
-def _whole(value: object) -> typing.TypeGuard[int]:
-    return type(value) is int and value >= 0
-
-
-def _count(value: object) -> bool:
-    return _whole(value) and value <= MOST_ADAPTERS
-
-
-def _model(value: object) -> bool:
-    return _text(value) and "/" not in value
-
-
-def _list(value: object) -> typing.TypeGuard[list[typing.Any]]:
-    return type(value) is list
-
-
-def _dict(value: object) -> typing.TypeGuard[Document]:
-    return type(value) is dict
-
-
-SAYS: dict[Test, str] = {
-    _text: f"not a text of 1 to {LONGEST_TEXT} characters",
-    _prefix: "not a path that begins and ends with a slash",
-    _kind: "none of " + ", ".join(KINDS),
-    _flag: "neither true nor false",
-    _number: "not a number of 0 or more",
-    _more: "not a number over 0",
-    _whole: "not a whole number of 0 or more",
-    _count: f"not a whole number of 0 to {MOST_ADAPTERS}",
-    _model: "not a text without a slash",
-    _list: "not a list",
-    _dict: "not an object",
-}
-
-
-def _field_check(test: Test, or_null: bool) -> trafaret.Trafaret:
-    def _look(value: object) -> object:
-        return value if test(value) or (or_null and value is None) else trafaret.DataError(SAYS[test])
-
-    return trafaret.Call(_look)
-
-
-class Form:
-    """Fields that are needed, that may be left out, and that may be null too; others are not looked at."""
-
-    def __init__(
-        self, needed: dict[str, Test], optional: dict[str, Test], nullable: tuple[str, ...] = ()
-    ) -> None:
-        """Each field with the test that it is to pass."""
-        self.tests = {**optional, **needed}
-        self.needed = needed.keys()
-        self.nullable = frozenset(nullable)
-        keys = {trafaret.Key(field): _field_check(test, False) for field, test in needed.items()}
-        for field, test in optional.items():
-            keys[trafaret.Key(field, optional=True)] = _field_check(test, field in nullable)
-        self.form = trafaret.Dict(keys, allow_extra=["*"])
-
-    def passes(self, document: object) -> bool:
-        """Whether all fields pass."""
-        if type(document) is not dict:
-            return False
-        tests = self.tests
-        for field, value in document.items():
-            test = tests.get(field)
-            if test is None or test(value):
-                continue
-            if value is not None or field not in self.nullable:
-                return False
-        return document.keys() >= self.needed
-
-    def findings(self, document: object, place: str) -> Findings:
-        """What is wrong with an object that stands at `place`."""
-        if self.passes(document):
-            return []
-        found = check_.findings(self.form, document)
-        return [_at(f"{place}.{row['place']}".strip("."), row["finding"]) for row in found]
-
-
-ROUTE = Form(
-    {"name": _text, "host": _text, "prefix": _prefix, "kind": _kind},
+ROUTE = forms.Form(
+    {"name": forms.is_text, "host": forms.is_text, "prefix": forms.is_prefix, "kind": forms.is_kind},
     {
-        "deadline_ms": _more,
-        "target_ms": _number,
-        "urgency": _whole,
-        "service": _text,
-        "shares": _list,
-        "attempts": _whole,
-        "pinned": _flag,
-        "resumable": _flag,
-        "gap_target_ms": _number,
+        "deadline_ms": forms.is_positive,
+        "target_ms": forms.is_number,
+        "urgency": forms.is_whole,
+        "service": forms.is_text,
+        "shares": forms.is_list,
+        "attempts": forms.is_whole,
+        "pinned": forms.is_flag,
+        "resumable": forms.is_flag,
+        "gap_target_ms": forms.is_number,
     },
     ("target_ms", "service", "shares", "gap_target_ms"),
 )
-SHARE = Form({"service": _text, "weight": _number}, {})
-SERVICE = Form(
-    {"name": _text},
-    {"health_path": _text, "connections": _whole, "cold_s": _number, "cold_rate_s": _number, "engine": _dict},
+SHARE = forms.Form({"service": forms.is_text, "weight": forms.is_number}, {})
+SERVICE = forms.Form(
+    {"name": forms.is_text},
+    {
+        "health_path": forms.is_text,
+        "connections": forms.is_whole,
+        "cold_s": forms.is_number,
+        "cold_rate_s": forms.is_number,
+        "engine": forms.is_object,
+    },
     ("health_path", "connections", "cold_s", "cold_rate_s", "engine"),
 )
-ENGINE = Form(
+ENGINE = forms.Form(
     {},
     {
-        "slots": _whole,
-        "kv_tokens": _number,
-        "models": _list,
-        "weights_mb": _number,
-        "adapter_slots": _whole,
-        "loads_per_s": _number,
+        "slots": forms.is_whole,
+        "kv_tokens": forms.is_number,
+        "models": forms.is_list,
+        "weights_mb": forms.is_number,
+        "adapter_slots": forms.is_whole,
+        "loads_per_s": forms.is_number,
     },
 )
-MODEL = Form(
-    {"name": _model}, {"weights_mb": _number, "load_s": _number, "adapters": _count, "adapter_mb": _number}
+MODEL = forms.Form(
+    {"name": forms.is_model},
+    {
+        "weights_mb": forms.is_number,
+        "load_s": forms.is_number,
+        "adapters": forms.is_count,
+        "adapter_mb": forms.is_number,
+    },
 )
-LIMITS = Form(
-    {}, {field: _number for field in ("header_bytes", "body_bytes", "header_wait_ms", "idle_close_ms")}
+LIMITS = forms.Form(
+    {},
+    {field: forms.is_number for field in ("header_bytes", "body_bytes", "header_wait_ms", "idle_close_ms")},
 )
-TOP = Form({"edition": _whole, "routes": _list, "services": _list}, {"limits": _dict}, ("limits",))
-CHANGE = Form({"edition": _whole}, {"put": _dict, "remove": _dict}, ("put", "remove"))
-NAMED = Form({"name": _text}, {})
-
-
-def _at(place: str, finding: str) -> Finding:
-    return {"place": place, "finding": finding}
+TOP = forms.Form(
+    {"edition": forms.is_whole, "routes": forms.is_list, "services": forms.is_list},
+    {"limits": forms.is_object},
+    ("limits",),
+)
+CHANGE = forms.Form(
+    {"edition": forms.is_whole}, {"put": forms.is_object, "remove": forms.is_object}, ("put", "remove")
+)
+NAMED = forms.Form({"name": forms.is_text}, {})
 
 
 def _get(document: Document, key: str, kind: type[Kind]) -> Kind:
@@ -184,25 +84,17 @@
     if type(document) is not dict:
         return findings
     edition, before = document.get("edition"), (current or {}).get("edition")
-    if _whole(edition) and before is not None and edition <= before:
-        findings.append(_at("edition", f"{edition} is not higher than the current {before}"))
+    if forms.is_whole(edition) and before is not None and edition <= before:
+        findings.append(forms.finding_at("edition", f"{edition} is not higher than the current {before}"))
     known = _services(_get(document, "services", list), findings)
-    _routes(_get(document, "routes", list), known if _list(document.get("services")) else None, findings)
-    if _dict(document.get("limits")):
+    _routes(
+        _get(document, "routes", list), known if forms.is_list(document.get("services")) else None, findings
+    )
+    if forms.is_object(document.get("limits")):
         findings += LIMITS.findings(document["limits"], "limits")
     return findings
 
 
-def _once(name: object, seen: dict[str, str], place: str, findings: Findings) -> None:
-    """Notes where a name stands; a second place is a finding."""
-    if not _text(name):
-        return
-    if name in seen:
-        findings.append(_at(f"{place}.name", f"{name!r} stands at {seen[name]} already"))
-        return
-    seen[name] = place
-
-
 def _services(services: list[object], findings: Findings) -> Names:
     """The names of services."""
     seen: dict[str, str] = {}
@@ -211,8 +103,8 @@
         findings += SERVICE.findings(service, place)
         if type(service) is not dict:
             continue
-        _once(service.get("name"), seen, place, findings)
-        if _dict(service.get("engine")):
+        forms.note_name(service.get("name"), seen, place, findings)
+        if forms.is_object(service.get("engine")):
             _engine(service["engine"], f"{place}.engine", findings)
     return seen
 
@@ -223,7 +115,7 @@
     for position, model in enumerate(_get(engine, "models", list)):
         findings += MODEL.findings(model, f"{place}.models.{position}")
         if type(model) is dict:
-            _once(model.get("name"), seen, f"{place}.models.{position}", findings)
+            forms.note_name(model.get("name"), seen, f"{place}.models.{position}", findings)
 
 
 def _routes(routes: list[object], known: Names | None, findings: Findings) -> None:
@@ -234,22 +126,22 @@
         findings += ROUTE.findings(route, place)
         if type(route) is not dict:
             continue
-        _once(route.get("name"), names, place, findings)
+        forms.note_name(route.get("name"), names, place, findings)
         _targets(route, known, place, findings)
         host, prefix = route.get("host"), route.get("prefix")
-        if not _text(host) or not _text(prefix):
+        if not forms.is_text(host) or not forms.is_text(prefix):
             continue
         first = paths.setdefault((host.lower(), prefix), place)
         if first is not place:
-            findings.append(_at(f"{place}.prefix", f"host and prefix are those of {first}"))
+            findings.append(forms.finding_at(f"{place}.prefix", f"host and prefix are those of {first}"))
 
 
 def _targets(route: Document, known: Names | None, place: str, findings: Findings) -> None:
     service, shares = route.get("service"), route.get("shares")
     if service is None and shares is None:
-        findings.append(_at(f"{place}.service", "neither a service nor shares"))
+        findings.append(forms.finding_at(f"{place}.service", "neither a service nor shares"))
     _known(service, known, f"{place}.service", findings)
-    if not _list(shares):
+    if not forms.is_list(shares):
         return
     total, is_sound = 0, True
     for position, share in enumerate(shares):
@@ -261,12 +153,12 @@
         total += share["weight"]
         _known(share["service"], known, f"{place}.shares.{position}.service", findings)
     if is_sound and total <= 0:
-        findings.append(_at(f"{place}.shares", "the weights sum to 0"))
+        findings.append(forms.finding_at(f"{place}.shares", "the weights sum to 0"))
 
 
 def _known(name: object, known: Names | None, place: str, findings: Findings) -> None:
-    if _text(name) and known is not None and name not in known:
-        findings.append(_at(place, f"no service {name!r}"))
+    if forms.is_text(name) and known is not None and name not in known:
+        findings.append(forms.finding_at(place, f"no service {name!r}"))
 
 
 def check_patch(change: object) -> Findings:
@@ -282,22 +174,22 @@
 
 
 def _put(items: object, place: str, findings: Findings) -> None:
-    if not _list(items):
-        findings.append(_at(place, SAYS[_list]))
+    if not forms.is_list(items):
+        findings.append(forms.finding_at(place, forms.SAYS[forms.is_list]))
         return
     seen: dict[str, str] = {}
     for position, item in enumerate(items):
         findings += NAMED.findings(item, f"{place}.{position}")
         if type(item) is dict:
-            _once(item.get("name"), seen, f"{place}.{position}", findings)
+            forms.note_name(item.get("name"), seen, f"{place}.{position}", findings)
 
 
 def _remove(names: object, place: str, findings: Findings) -> None:
-    if not _list(names):
-        findings.append(_at(place, SAYS[_list]))
+    if not forms.is_list(names):
+        findings.append(forms.finding_at(place, forms.SAYS[forms.is_list]))
         return
-    wrong = [position for position, name in enumerate(names) if not _text(name)]
-    findings += [_at(f"{place}.{position}", SAYS[_text]) for position in wrong]
+    wrong = [position for position, name in enumerate(names) if not forms.is_text(name)]
+    findings += [forms.finding_at(f"{place}.{position}", forms.SAYS[forms.is_text]) for position in wrong]
 
 
 def patch(current: Document | None, change: Document) -> Document:
