Checks of a configuration's tenants: forms, names, and a key of two tenants

What the operator saw: a configuration in which two tenants share a key was acknowledged, since nothing looked at the section (CONFIG). Now `tenants` has a form (name, keys; urgency, rate_per_s, burst, each null where not given), names stand once, keys stand once over all tenants, routes have the flag `public`.

A change that only removes tenants, or puts none, made an empty section where there was none; with tenants that would mean that no key is known and nobody gets in. A section now comes to be with an item only; one that loses its last item stays, empty.

--- a/basaltport/configuration/routes.py
+++ b/basaltport/configuration/routes.py
@@ -4,6 +4,7 @@
 import typing
 
 import basaltport.configuration.forms as forms
+import basaltport.configuration.tenants as tenants
 
 Document = forms.Document
 Findings = forms.Findings
@@ -22,8 +23,9 @@
         "pinned": forms.is_flag,
         "resumable": forms.is_flag,
         "gap_target_ms": forms.is_number,
+        "public": forms.is_flag,
     },
-    ("target_ms", "service", "shares", "gap_target_ms"),
+    ("target_ms", "service", "shares", "gap_target_ms", "public"),
 )
 SHARE = forms.Form({"service": forms.is_text, "weight": forms.is_number}, {})
 SERVICE = forms.Form(
@@ -63,8 +65,8 @@
 )
 TOP = forms.Form(
     {"edition": forms.is_whole, "routes": forms.is_list, "services": forms.is_list},
-    {"limits": forms.is_object},
-    ("limits",),
+    {"limits": forms.is_object, "tenants": forms.is_list},
+    ("limits", "tenants"),
 )
 CHANGE = forms.Form(
     {"edition": forms.is_whole}, {"put": forms.is_object, "remove": forms.is_object}, ("put", "remove")
@@ -92,6 +94,7 @@
     )
     if forms.is_object(document.get("limits")):
         findings += LIMITS.findings(document["limits"], "limits")
+    findings += tenants.check(_get(document, tenants.SECTION, list))
     return findings
 
 
@@ -194,7 +197,9 @@
 
 def patch(current: Document | None, change: Document) -> Document:
     """A new configuration: a put item takes the place of the one of its name, or the last place; a removed
-    name goes, unless it is put too. `change` has no findings; `current` (or None) is left as it is."""
+    name goes, unless it is put too. A section that is not there, or null, comes to be only with an item: one
+    that is there and empty has another meaning. `change` has no findings; `current` (or None) is left as
+    it is."""
     document = {**(current or {}), "edition": change["edition"]}
     put, remove = change.get("put") or {}, change.get("remove") or {}
     for section in {**put, **remove}:
@@ -202,7 +207,8 @@
         gone = {name for name in remove.get(section, ()) if name not in new}
         old = [item for item in _get(document, section, list) if _name(item) not in gone]
         kept = [new.pop(_name(item), item) for item in old]
-        document[section] = kept + list(new.values())
+        if document.get(section) is not None or new:
+            document[section] = kept + list(new.values())
     return document
 
 
--- /dev/null
+++ b/basaltport/configuration/tenants.py
@@ -0,0 +1,58 @@
+"""Checks of the section `tenants`: who may send requests, by which keys, with what urgency and limit.
+
+A finding names a tenant or a place, never a key: findings go to logs and to whoever sent the document."""
+
+import typing
+
+import basaltport.configuration.forms as forms
+
+SECTION = "tenants"
+TENANT = forms.Form(
+    {"name": forms.is_text, "keys": forms.is_list},
+    {"urgency": forms.is_whole, "rate_per_s": forms.is_number, "burst": forms.is_number},
+    ("urgency", "rate_per_s", "burst"),
+)
+
+
+class Holder(typing.NamedTuple):
+    """Where a key was seen first: the position of its tenant, and that tenant's name as it stands there."""
+
+    position: int
+    name: object
+
+
+def check(tenants: list[object]) -> forms.Findings:
+    """Findings of the section, in order. No key may stand twice, in one tenant or in two."""
+    findings: forms.Findings = []
+    names: dict[str, str] = {}
+    holders: dict[str, Holder] = {}
+    for position, tenant in enumerate(tenants):
+        place = f"{SECTION}.{position}"
+        findings += TENANT.findings(tenant, place)
+        if type(tenant) is not dict:
+            continue
+        name, keys = tenant.get("name"), tenant.get("keys")
+        forms.note_name(name, names, place, findings)
+        if forms.is_list(keys):
+            _check_keys(keys, Holder(position, name), holders, findings)
+    return findings
+
+
+def _check_keys(
+    keys: list[object], holder: Holder, holders: dict[str, Holder], findings: forms.Findings
+) -> None:
+    """Note the keys of a tenant; what is no key, or is somebody's already, is a finding."""
+    for position, key in enumerate(keys):
+        if forms.is_text(key) and key not in holders:
+            holders[key] = holder
+            continue
+        said = _say_shared(holders[key], holder) if forms.is_text(key) else forms.SAYS[forms.is_text]
+        findings.append(forms.finding_at(f"{SECTION}.{holder.position}.keys.{position}", said))
+
+
+def _say_shared(first: Holder, holder: Holder) -> str:
+    if first.position == holder.position:
+        return "a key that stands here twice"
+    if forms.is_text(first.name):
+        return f"a key of tenant {first.name!r} too"
+    return "a key of another tenant too"
