--- a/basaltport/configuration/read.py
+++ b/basaltport/configuration/read.py
@@ -9,6 +9,8 @@
 
 Pairs = list[tuple[str, typing.Any]]
 Finding = dict[str, str]
+TOO_LARGE = [{"place": "", "finding": "a number is too large"}]
+NOT_TEXT = [{"place": "", "finding": "the body is not text"}]
 
 
 class _ObjectWithRepeatedNames(dict[str, typing.Any]):
@@ -55,3 +57,30 @@
         return result.Err([{"place": "", "finding": f"not JSON: {error}"}])
     findings = list(_walk(document, ""))
     return result.Err(findings) if findings else result.Ok(document)
+
+
+def _strict(pairs: Pairs) -> dict[str, typing.Any]:
+    document = dict(pairs)
+    if len(document) != len(pairs):
+        raise ValueError
+    return document
+
+
+def _finite(text: str) -> float:
+    number = float(text)
+    if number - number:
+        raise ValueError
+    return number
+
+
+def loads_bytes(raw: bytes) -> tuple[typing.Any, list[Finding]]:
+    """(document, findings) of a request's body: as `loads`, and a number that is no finite one is a finding
+    too. A body that is sound is read once."""
+    try:
+        text = raw.decode()
+        return json.loads(text, object_pairs_hook=_strict, parse_float=_finite, parse_constant=_finite), []
+    except UnicodeDecodeError:
+        return None, NOT_TEXT
+    except (ValueError, RecursionError):
+        got = loads(text)
+        return None, got.err_value if isinstance(got, result.Err) else TOO_LARGE
