--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -141,7 +141,7 @@
         document = self.cluster_state.configuration
         if document is not self.compiled_document:
             self.compiled_document = document
-            self.table = routing.RoutingTable(document)
+            self.table = routing.RoutingTable(document, self.table)
             self.forget_routes()
             routes = sum(map(len, self.table.hosts.values()))
             version = int(self.cluster_state.configuration_version)
--- a/basaltport/proxy/routing.py
+++ b/basaltport/proxy/routing.py
@@ -181,13 +181,15 @@
     """The configuration that is in force here; `is_empty` where there is none yet. `limits`: of all
     routes; `tenants`: who may send."""
 
-    def __init__(self, document: Document | None) -> None:
-        """`document`: the configuration, or None."""
+    def __init__(self, document: Document | None, former: "RoutingTable | None" = None) -> None:
+        """`document`: the configuration, or None; `former`: the table in force so far."""
         document = document or {}
         self.is_empty = not document
         self.edition = document.get("edition", 0)
         self.limits: dict[str, int] = document.get("limits") or {}
-        self.tenants = tenant_directory.TenantDirectory(document)
+        self.tenants: tenant_directory.TenantDirectory = tenant_directory.TenantDirectory(
+            document, former.tenants if former else None
+        )
         self.services = {service["name"]: Service(service) for service in document.get("services", ())}
         self.hosts: dict[str, list[Route]] = {}
         for route in document.get("routes", ()):
