Names and keys of tenants are texts that a header can carry

A key with half of a surrogate pair passed the checks and ended each proxy that compiled the configuration (UnicodeEncodeError in the digest), again at each start; a name with a line break could be told to no replica, so that none of its tenant's requests passed; a key with blanks around it could be sent by no client. All three are findings now.

Failed before: test_what_no_header_can_carry_is_a_finding, 14 failed ("assert [] == ['tenants.0.keys.0']").

--- a/basaltport/configuration/forms.py
+++ b/basaltport/configuration/forms.py
@@ -27,6 +27,11 @@
     return type(value) is str and 0 < len(value) <= LONGEST_TEXT
 
 
+def is_header_text(value: object) -> typing.TypeGuard[str]:
+    """A text that a header of a request can carry as it is."""
+    return is_text(value) and value.isprintable() and value[0] != " " != value[-1]
+
+
 def is_prefix(value: object) -> bool:
     """A path that begins and ends with a slash."""
     return is_text(value) and value.startswith("/") and value.endswith("/")
@@ -79,6 +84,7 @@
 
 SAYS: dict[Test, str] = {
     is_text: f"not a text of 1 to {LONGEST_TEXT} characters",
+    is_header_text: f"not a text of 1 to {LONGEST_TEXT} characters that a header can carry",
     is_prefix: "not a path that begins and ends with a slash",
     is_kind: "none of " + ", ".join(KINDS),
     is_flag: "neither true nor false",
--- a/basaltport/configuration/tenants.py
+++ b/basaltport/configuration/tenants.py
@@ -8,7 +8,7 @@
 
 SECTION = "tenants"
 TENANT = forms.Form(
-    {"name": forms.is_text, "keys": forms.is_list},
+    {"name": forms.is_header_text, "keys": forms.is_list},
     {"urgency": forms.is_whole, "rate_per_s": forms.is_number, "burst": forms.is_number},
     ("urgency", "rate_per_s", "burst"),
 )
@@ -43,10 +43,13 @@
 ) -> None:
     """Note the keys of a tenant; what is no key, or is somebody's already, is a finding."""
     for position, key in enumerate(keys):
-        if forms.is_text(key) and key not in holders:
+        if not forms.is_header_text(key):
+            said = forms.SAYS[forms.is_header_text]
+        elif key in holders:
+            said = _say_shared(holders[key], holder)
+        else:
             holders[key] = holder
             continue
-        said = _say_shared(holders[key], holder) if forms.is_text(key) else forms.SAYS[forms.is_text]
         findings.append(forms.finding_at(f"{SECTION}.{holder.position}.keys.{position}", said))
 
 
--- a/tests/configuration/test_tenants.py
+++ b/tests/configuration/test_tenants.py
@@ -96,6 +96,20 @@
     assert places(changed(path, value)) == [place]
 
 
+# guards against proxies that end, or requests that never pass, since a configuration holds what no header can
+@pytest.mark.parametrize("text", ["\ud800", "a\r\nHost: b", "a\n", " a", "a\t", "\x00", "\x7f"])
+@pytest.mark.parametrize("place", ["tenants.0.name", "tenants.0.keys.0"])
+def test_what_no_header_can_carry_is_a_finding(text, place):
+    assert places(changed(place, text)) == [place]
+
+
+@pytest.mark.parametrize("text", ["a b", "é", "键", "a" * 1000, "~!@#$%^&*()=+,;:'\"<>{}|\\`"])
+def test_other_texts_are_names_and_keys(text):
+    document = changed("tenants.0.name", text)
+    document["tenants"][0]["keys"] = [text]
+    assert routes.check(document) == []
+
+
 # guards against CONFIG: two tenants that share a key are acknowledged
 def test_a_key_of_two_tenants_is_a_finding():
     found = routes.check(changed("tenants.1.keys", ["secret-3", "secret-2"]))
