A replica is told the tenant of a request by the proxy, and never sees a client's key

What callers saw (UNASKED on both shared sites): replicas ran requests without the name of the tenant whose key the client sent, or under the name that the client itself had written; they also got the key.

Cause: the proxy knew neither header, so both were passed on as they came, like any other.

Both are left out of what is passed on, in any spelling, however often they come, also where `Connection` names them. `events.Arrived.key` bears the digest of the key; `Upstream.headers` writes the tenant of the attempt where there is one.

--- a/basaltport/proxy/client_server.py
+++ b/basaltport/proxy/client_server.py
@@ -9,6 +9,7 @@
 import aiohttp.http
 import aiohttp.web
 
+import basaltport.credentials as credentials
 import basaltport.identifiers as identifiers
 import basaltport.member as member
 import basaltport.proxy.admission as admission
@@ -188,6 +189,7 @@
             header_names.number(tokens, MOST_TOKENS),
             headers.get(names.prefix, "").rpartition(",")[0],
             int(now - began),
+            credentials.digest_of_headers(headers.getall(names.credential, ())),
         )
 
     def reject_body(
--- a/basaltport/proxy/http_headers.py
+++ b/basaltport/proxy/http_headers.py
@@ -1,5 +1,7 @@
 """Headers that hold for one connection only, and what a head tells of its body's end."""
 
+import collections.abc
+
 import aiohttp
 import multidict
 
@@ -23,11 +25,13 @@
 """Statuses whose answers have no body."""
 
 
-def end_to_end(headers: multidict.CIMultiDictProxy[str]) -> multidict.CIMultiDict[str]:
-    """Headers but those of a single connection."""
-    dropped = set(HOP_BY_HOP)
+def end_to_end(
+    headers: multidict.CIMultiDictProxy[str], left_out: collections.abc.Set[str] = frozenset()
+) -> multidict.CIMultiDict[str]:
+    """Headers but those of a single connection, and those that are left out, which are in small letters."""
+    dropped = HOP_BY_HOP | left_out
     for value in headers.getall("Connection", ()):
-        dropped.update(name.strip().lower() for name in value.split(","))
+        dropped |= {name.strip().lower() for name in value.split(",")}
     kept = ((name, value) for name, value in headers.items() if name.lower() not in dropped)
     return multidict.CIMultiDict(kept)
 
--- a/basaltport/proxy/response.py
+++ b/basaltport/proxy/response.py
@@ -54,7 +54,7 @@
         self.method = request.method
         self.path = request.raw_path
         self.body = body
-        self.headers = http_headers.end_to_end(request.headers)
+        self.headers = http_headers.end_to_end(request.headers, names.not_passed_on())
         self.request_id = request.headers.get(names.request_id)
         self.names = names
         self.is_closing = is_closing
--- a/basaltport/proxy/upstream.py
+++ b/basaltport/proxy/upstream.py
@@ -142,6 +142,8 @@
         headers[names.deadline] = str(max(1, attempt.remaining_ms))
         headers[names.expect_replica] = attempt.replica
         headers[names.priority] = str(attempt.priority)
+        if attempt.tenant:
+            headers[names.tenant] = attempt.tenant
         headers[ATTEMPT_HEADER] = str(attempt.attempt)
         last_id = sink.resume()
         if last_id:
--- /dev/null
+++ b/tests/proxy/test_tenant_headers.py
@@ -0,0 +1,118 @@
+"""A replica is told by the proxy whose request it runs, whatever the client says, and never sees a key."""
+
+import asyncio
+
+import pytest
+
+import tests.proxy.test_proxy_wire as wire
+import tests.support.proxy_stand as stand
+import tests.support.tenant_stand as tenant_stand
+
+KEY, TENANT, KEYS = tenant_stand.KEY, tenant_stand.TENANT, tenant_stand.KEYS
+NORTH, YARD = KEYS["north-hall"][0], KEYS["yard"][0]
+PATHS = ("/safe/x", "/once/x", "/stream/x", "/single/x")
+SAID = {
+    "the key alone": [(KEY, NORTH)],
+    "another spelling": [(KEY.lower(), NORTH)],
+    "in capitals": [(KEY.upper(), NORTH)],
+    "the key twice": [(KEY, NORTH), (KEY.lower(), NORTH)],
+    "the own tenant": [(TENANT, "north-hall"), (KEY, NORTH)],
+    "another tenant": [(TENANT, "yard"), (KEY, NORTH)],
+    "another tenant in capitals": [(TENANT.upper(), "yard"), (KEY, NORTH)],
+    "two tenants around the key": [(TENANT.lower(), "yard"), (KEY, NORTH), (TENANT, "north-hall")],
+    "the key named as of one connection": [("Connection", f"keep-alive, {KEY}"), (KEY, NORTH)],
+    "the tenant named as of one connection": [
+        ("Connection", f"keep-alive, {TENANT.lower()}"),
+        (TENANT, "yard"),
+        (KEY, NORTH),
+    ],
+    "an empty tenant": [(TENANT, ""), (KEY, NORTH)],
+}
+
+
+def run(coro):
+    return asyncio.run(asyncio.wait_for(coro, stand.BOUND))
+
+
+def answering(path):
+    return wire.stream(3) if path.startswith(("/stream", "/single")) else wire.ok
+
+
+async def told_by(script, path, pairs, doc=None):
+    """(what the client got, the key and tenant headers that the replica saw)"""
+    async with stand.Front([stand.Replica("i-1", script)], doc or tenant_stand.document()) as proxy:
+        tenant_stand.stand_in_reducer(proxy)
+        got = await proxy.raw(tenant_stand.text(proxy, path, [*pairs, ("Connection", "close")]))
+        return got, tenant_stand.told(proxy.replicas[0])
+
+
+# Guards against UNASKED: a replica was told the tenant that the client named, or none, and was shown the key.
+@pytest.mark.parametrize("said", SAID)
+@pytest.mark.parametrize("path", PATHS)
+def test_a_replica_is_told_the_tenant_of_the_key_once_and_no_key(path, said):
+    got, rows = run(told_by(answering(path), path, SAID[said]))
+    assert got.startswith(b"HTTP/1.1 200")
+    assert rows == [[(TENANT, "north-hall")]]
+    assert not any(secret in got for secret in tenant_stand.SECRETS)
+
+
+# Guards against UNASKED: without tenants in the configuration a client's word of a tenant reached replicas.
+@pytest.mark.parametrize("pairs", [[], *SAID.values()], ids=["nothing", *SAID])
+def test_without_tenants_in_the_configuration_no_client_speaks_of_one(pairs):
+    got, rows = run(told_by(wire.ok, "/safe/x", pairs, stand.document()))
+    assert got.startswith(b"HTTP/1.1 200")
+    assert rows == [[]]
+
+
+# Guards against UNASKED: requests of one connection ran for the tenant of another request on it.
+def test_requests_on_one_connection_each_run_for_the_tenant_of_their_own_key():
+    async def go():
+        async with stand.Front([stand.Replica("i-1", wire.ok)], tenant_stand.document()) as proxy:
+            tenant_stand.stand_in_reducer(proxy)
+            reader, writer = await proxy.open()
+            for n, key in enumerate((NORTH, YARD, KEYS["north-hall"][1], YARD)):
+                pairs, own = [(KEY, key), (TENANT, "another")], {stand.W.request_id: f"q{n}"}
+                writer.write(tenant_stand.text(proxy, "/safe/x", pairs, **own))
+                await reader.readuntil(b"written")
+            writer.close()
+            return tenant_stand.told(proxy.replicas[0]), proxy.replicas[0].connections
+
+    rows, connections = run(go())
+    assert rows == [[(TENANT, name)] for name in ("north-hall", "yard", "north-hall", "yard")]
+    assert connections == 1
+
+
+async def cut_stream(replica, headers, writer):
+    await wire.stream(2, end=False)(replica, headers, writer)
+
+
+AGAIN = [
+    ("/safe/x", wire.refuse, wire.ok),
+    ("/once/x", wire.refuse, wire.ok),
+    ("/safe/x", wire.absent, wire.ok),
+    ("/safe/x", wire.close, wire.ok),
+    ("/safe/x", wire.foreign, wire.ok),
+    ("/stream/x", cut_stream, wire.stream(4)),
+]
+
+
+# Guards against UNASKED: a retry, or a stream that goes on at another replica, ran without its tenant.
+@pytest.mark.parametrize("path, first, then", AGAIN, ids=[f"{p} {f.__name__}" for p, f, _ in AGAIN])
+def test_each_attempt_of_a_request_bears_its_tenant(path, first, then):
+    arrivals = []
+
+    async def script(replica, headers, writer):
+        arrivals.append(replica)
+        await (first if len(arrivals) == 1 else then)(replica, headers, writer)
+
+    async def go():
+        replicas = [stand.Replica("i-1", script), stand.Replica("i-2", script, "z2")]
+        async with stand.Front(replicas, tenant_stand.document()) as proxy:
+            tenant_stand.stand_in_reducer(proxy)
+            pairs = [(TENANT, "yard"), (KEY, NORTH), ("Connection", "close")]
+            got = await proxy.raw(tenant_stand.text(proxy, path, pairs))
+            return got, [row for replica in replicas for row in tenant_stand.told(replica)]
+
+    got, rows = run(go())
+    assert got.startswith(b"HTTP/1.1 200")
+    assert rows == [[(TENANT, "north-hall")]] * 2
--- a/tests/support/proxy_stand.py
+++ b/tests/support/proxy_stand.py
@@ -32,7 +32,8 @@
 
 
 class Replica:
-    """`script`: async (replica, request headers, writer) for each request. `seen`: (line, headers, body)."""
+    """`script`: async (replica, request headers, writer) for each request. `seen`: (line, headers, body);
+    `heads`: the (name, value) pairs of each head as they came."""
 
     def __init__(self, id, script, zone="z1", **row):
         self.id = id
@@ -40,6 +41,7 @@
         self.zone = zone
         self.row_more = row
         self.seen = []
+        self.heads = []
         self.connections = 0
 
     async def start(self):
@@ -67,7 +69,9 @@
         try:
             while True:
                 raw = (await r.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-                h = {k.lower(): v for k, _, v in (x.partition(": ") for x in raw[1:] if x)}
+                pairs = [(k, v) for k, _, v in (x.partition(": ") for x in raw[1:] if x)]
+                self.heads.append(pairs)
+                h = {k.lower(): v for k, v in pairs}
                 body = await r.readexactly(int(h.get("content-length", 0)))
                 self.seen.append((raw[0], h, body))
                 await self.script(self, h, w)
