Key and tenant headers in any order, spelling and number, read from bytes and swept

A replica gets the proxy's tenant once or not at all and no key; all other headers pass unaltered; keys that differ within one request are the key of nobody. A request inside another one's body stays its body.

--- /dev/null
+++ b/tests/proxy/test_key_headers.py
@@ -0,0 +1,136 @@
+"""What a proxy makes of the headers of a request that are a key's or a tenant's: in any order, spelling and
+number, parsed as the library parses them."""
+
+import asyncio
+import types
+
+import aiohttp.http_parser
+import aiohttp.web
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+import basaltport.credentials as credentials
+import basaltport.identifiers as identifiers
+import basaltport.proxy.client_server as client_server
+import basaltport.proxy.events as events
+import basaltport.proxy.memory_limit as memory_limit
+import basaltport.proxy.response as response
+import basaltport.proxy.upstream as upstream
+import tests.proxy.test_proxy_wire as wire
+import tests.support.proxy_stand as stand
+import tests.support.tenant_stand as tenant_stand
+
+KEY, TENANT = tenant_stand.KEY, tenant_stand.TENANT
+KEYS = [key for keys in tenant_stand.KEYS.values() for key in keys]
+OTHERS = ["X-Else", "Accept", "Basaltport-Keys", "X-Basaltport-Key", "Basaltport-Tenant-Id", "Basaltport_Key"]
+EXAMPLES = 400
+
+
+def spelled(name):
+    """The name in any mixture of capitals."""
+    return st.lists(st.booleans(), min_size=len(name), max_size=len(name)).map(
+        lambda capitals: "".join(c.upper() if up else c.lower() for c, up in zip(name, capitals, strict=True))
+    )
+
+
+def pairs():
+    """Headers as a client may send them."""
+    named = st.one_of(
+        st.tuples(spelled(KEY), st.sampled_from([*KEYS, "k-strange", "", "k-a, k-b"])),
+        st.tuples(spelled(TENANT), st.sampled_from(["yard", "north-hall", "", "nobody"])),
+        st.tuples(st.sampled_from(OTHERS), st.sampled_from(["1", "yard", "a b"])),
+        st.tuples(spelled("Connection"), st.sampled_from([f"close, {KEY}", TENANT.lower(), "X-Else"])),
+    )
+    return st.lists(named, max_size=8)
+
+
+def parsed(headers):
+    """The headers as the server's library reads them from bytes."""
+    loop = asyncio.new_event_loop()
+    try:
+        protocol = types.SimpleNamespace(_reading_paused=False, transport=None)
+        parser = aiohttp.http_parser.HttpRequestParser(
+            protocol, loop, 1 << 16, max_line_size=8190, max_field_size=8190
+        )
+        said = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        raw = f"GET /safe/x HTTP/1.1\r\nHost: desk.example\r\n{said}\r\n".encode()
+        ((message, _),), _, _ = parser.feed_data(raw)
+        return message.headers
+    finally:
+        loop.close()
+
+
+def sent(headers, tenant):
+    """The headers that go to a replica, as pairs."""
+
+    async def go():
+        request = types.SimpleNamespace(method="GET", raw_path="/safe/x", headers=headers)
+        claim = memory_limit.Claim(memory_limit.from_settings({}))
+        answer = response.ClientResponse(request, b"", stand.W, lambda: False, claim)
+        answer.resume = lambda: ""
+        attempt = events.Attempt(1, 1, "i-1", "127.0.0.1:1", 1000, 0, True, tenant)
+        return [*upstream.Upstream(stand.W).headers(attempt, answer).items()]
+
+    return asyncio.run(go())
+
+
+def arrived(headers):
+    """What the reducer is told of a request."""
+    request = types.SimpleNamespace(headers=headers, raw_path="/safe/x")
+    server = types.SimpleNamespace(names=stand.W)
+    return client_server.ClientServer.arrival(server, 1, request, identifiers.steady())
+
+
+# Guards against UNASKED: some order, spelling or number of headers let a client's tenant or key through.
+@hypothesis.settings(max_examples=EXAMPLES, deadline=None, derandomize=True, database=None)
+@hypothesis.given(said=pairs(), tenant=st.sampled_from(["", *tenant_stand.KEYS]))
+def test_whatever_a_client_says_a_replica_gets_the_proxys_tenant_and_no_key(said, tenant):
+    headers = parsed(said)
+    got = sent(headers, identifiers.TenantName(tenant))
+    ours = [pair for pair in got if pair[0].lower() in (KEY.lower(), TENANT.lower())]
+    assert ours == ([(TENANT, tenant)] if tenant else [])
+    dropped = {
+        name.strip().lower() for value in headers.getall("Connection", ()) for name in value.split(",")
+    }
+    kept = [pair for pair in said if pair[0] in OTHERS and pair[0].lower() not in dropped]
+    assert [pair for pair in got if pair[0] in OTHERS] == kept, "other headers pass unaltered"
+
+
+# Guards against UNASKED: of several keys in one request the proxy went by any one of them.
+@hypothesis.settings(max_examples=EXAMPLES, deadline=None, derandomize=True, database=None)
+@hypothesis.given(said=pairs())
+def test_keys_that_differ_are_the_key_of_nobody_and_equal_ones_are_one(said):
+    keys = {value for name, value in said if name.lower() == KEY.lower()}
+    digest = arrived(parsed(said)).key
+    if keys <= {""}:
+        assert digest == credentials.NO_KEY
+    elif len(keys) == 1:
+        assert digest == credentials.digest(*keys)
+    else:
+        assert digest not in {
+            credentials.NO_KEY,
+            *map(credentials.digest, [*KEYS, "k-strange", "k-a", "k-b"]),
+        }
+
+
+SMUGGLED = {
+    "in the body": b"GET /safe/x HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n\r\n",
+    "in the body, as if chunked": b"0\r\n\r\nPOST /safe/y HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n\r\n",
+}
+
+
+# Guards against UNASKED: a request inside another one's body ran, for the tenant that it named.
+@pytest.mark.parametrize("inner", SMUGGLED)
+def test_a_request_in_the_body_of_another_stays_its_body(inner):
+    body = SMUGGLED[inner] % (KEY.encode(), KEYS[-1].encode())
+
+    async def go():
+        async with stand.Front([stand.Replica("i-1", wire.ok)], tenant_stand.document()) as proxy:
+            tenant_stand.stand_in_reducer(proxy)
+            raw = tenant_stand.text(proxy, "/safe/x", [(KEY, KEYS[0]), ("Connection", "close")], body)
+            return await proxy.raw(raw), proxy.replicas[0].seen, tenant_stand.told(proxy.replicas[0])
+
+    got, seen, told = asyncio.run(asyncio.wait_for(go(), stand.BOUND))
+    assert got.count(b"HTTP/1.1") == 1 and [row[2] for row in seen] == [body]
+    assert told == [[(TENANT, "north-hall")]]
