Quota: frames of both messages among the stored forms

The grant echoes the incarnation: what was granted to a killed proxy isn't its successor's. Failed before: test_there_is_a_frame_of_every_kind (kinds 60 and 61 had no frame).

--- a/basaltport/quota/messages.py
+++ b/basaltport/quota/messages.py
@@ -6,10 +6,10 @@
 
 @messages.message(60)
 class QuotaRequest:
-    """A proxy asks the owner of a shard. `number` grows with each request of an incarnation; `sent_at` is on the
-    proxy's clock, in ms. `rows` by tenant: [tokens wanted now, demand in requests per 1000 s, millionths of the limit
-    held as a share, number of the request whose grant that is, ms that it still lasts]; zeros at the end are left
-    out."""
+    """A proxy asks the owner of a shard. `number` grows with each request of an incarnation to anybody;
+    `sent_at` is on the proxy's clock, in ms. `rows` by tenant: [tokens wanted now, demand in requests per
+    1000 s, millionths of the limit held as a share, ms that it still lasts, `by`]; zeros at the end are left
+    out. Grants of requests up to number `by` change the proxy's share no more."""
 
     name: identifiers.Name
     incarnation: int
@@ -23,10 +23,12 @@
 
 @messages.message(61)
 class QuotaGrant:
-    """The owner's answer: `number` and `sent_at` of the request. `rows` by tenant: [tokens granted, ms to come
-    back after if that is fewer than wanted, millionths of the limit as a share, ms that the share lasts from
-    `sent_at`]; zeros at the end are left out: without a share the proxy holds none."""
+    """The owner's answer, with `incarnation`, `number` and `sent_at` of the request. `rows` by tenant:
+    [tokens granted, ms to come back after where that is fewer than wanted, millionths of the limit as a
+    share, ms that the share lasts from `sent_at`]; zeros at the end are left out. A row without a share ends
+    the one that is held; a tenant that the owner doesn't know has no row."""
 
+    incarnation: int
     shard: str
     number: int
     sent_at: identifiers.Millis
--- a/tests/consensus/test_stored_forms.py
+++ b/tests/consensus/test_stored_forms.py
@@ -17,6 +17,7 @@
 import basaltport.identifiers as identifiers
 import basaltport.messages as messages
 import basaltport.query_api.messages as query_messages
+import basaltport.quota.messages as quota_messages
 import tests.support.stored_forms as stored_forms
 
 FOUNDERS = ("10.0.0.1:7000", "10.0.0.2:7000")
@@ -157,7 +158,7 @@
 
 
 def test_there_is_a_frame_of_every_kind():
-    assert fleet_messages and query_messages and controller_messages
+    assert fleet_messages and query_messages and controller_messages and quota_messages
     assert {VALUES[file.stem][0] for file in FRAME_FILES} == set(messages.KINDS)
 
 
--- a/tests/support/stored_forms.py
+++ b/tests/support/stored_forms.py
@@ -243,6 +243,11 @@
         "do": (50, [G, 5, 1 << 35, FIRST["addr"], "r1", "10.1.0.1:9", "load", "m", "", 13]),
         "did": (51, [G, 5, "done", 812]),
         "resign": (52, ["second-2", 1 << 35]),
+        "quota_request": (
+            60,
+            ["p1", 1 << 35, "10.2.0.1:1", "7", 41, 1 << 36, {"t1": [2, 1500, 90000, 7400, 40], "t2": [1]}],
+        ),
+        "quota_grant": (61, [1 << 35, "7", 41, 1 << 36, {"t1": [1, 120, 90000, 10000], "t2": [1]}]),
     }
 
 
@@ -262,6 +267,7 @@
     )
     importlib.import_module("basaltport.fleet.messages")
     importlib.import_module("basaltport.controller.shard_ownership")
+    importlib.import_module("basaltport.quota.messages")
     held = {}
     for name, (log, at, tail, batches) in disk_scripts().items():
         path = DISKS / name
