--- a/basaltport/quota/bounds.py
+++ b/basaltport/quota/bounds.py
@@ -1,9 +1,9 @@
 """What a tenant's limit allows in a window, and how that is divided into buckets that never allow more.
 
-Requests admitted are tokens spent, whole numbers. Over a span of time the tokens spent by buckets whose levels add up
-to no more than `capacity` and whose rates add up to no more than `rate_per_s` are at most
-capacity + rate x span. The owner's tokens are spent up to `GRANT_LIFE_MS` after they were made, so the span of a
-window is that much longer. A whole number below floor(n) + 1 is n at most, which is why the budget is just below that.
+Requests admitted are tokens spent, whole numbers. Buckets whose levels add up to no more than `capacity`
+and whose rates add up to no more than `rate_per_s` spend at most capacity + rate x span in any span of time.
+Tokens of the owner are spent up to `GRANT_LIFE_MS` after they were made, so the span of a window is that much
+longer. What is below n + 1 allows n whole tokens, which is why the budget may lie just below that.
 """
 
 import collections.abc
--- a/basaltport/quota/bucket.py
+++ b/basaltport/quota/bucket.py
@@ -4,7 +4,7 @@
 
 
 class Bucket:
-    """`rate` in tokens a second, times in ms. In any span no more are taken than the capacity at its begin and
+    """`rate` in tokens a second, times in ms. In any span no more are taken than the level at its begin and
     what the rates of the span add up to."""
 
     __slots__ = ("rate", "capacity", "level", "filled_at")
--- a/basaltport/quota/owner.py
+++ b/basaltport/quota/owner.py
@@ -1,41 +1,113 @@
 """The owner's side of the count: gives tokens and shares of tenants' limits to proxies that ask."""
 
 import collections.abc
+import dataclasses
 
+import basaltport.identifiers as identifiers
 import basaltport.quota.bounds as bounds
 import basaltport.quota.messages as messages
 import basaltport.quota.outcomes as outcomes
+import basaltport.quota.owned_tenant as owned_tenant
+import basaltport.quota.rows as rows
+
+
+@dataclasses.dataclass(slots=True)
+class OwnedShard:
+    """An ownership of a shard."""
+
+    fence: int
+    begun_at: int
+    tenants: dict[str, owned_tenant.OwnedTenant] = dataclasses.field(default_factory=dict)
 
 
 class QuotaOwner:
-    """The counts of the shards that a controller owns. `now` is steady time in ms that counts suspension, read
-    after the request has come and while the ownership is surely held."""
+    """The counts of the shards that a controller owns. `now` is steady time in ms that counts suspension,
+    read after the request has come and while the ownership is surely held."""
 
     def __init__(self, quota_bounds: bounds.QuotaBounds) -> None:
         """It owns nothing."""
-        raise NotImplementedError
+        self._bounds = quota_bounds
+        self._budgets: dict[str, bounds.Budget] = {}
+        self._shards: dict[str, OwnedShard] = {}
+        self._asked = self._granted = self._requests = 0
 
     def begin(self, shard: str, fence: int, now: int) -> None:
-        """The ownership of a shard begins: nobody else owns it from now on, and what its tenants had is unknown. With
-        the fence that it has already: nothing."""
-        raise NotImplementedError
+        """The ownership of a shard begins: nobody else owns it from now on, and what its tenants had is not
+        known. Nothing is done with the fence that it has already."""
+        owned = self._shards.get(shard)
+        if owned is None or owned.fence != fence:
+            self._shards[shard] = OwnedShard(fence, now)
+
+    def end(self, shard: str) -> None:
+        """The shard is owned no more."""
+        self._shards.pop(shard, None)
 
     def configure(self, limits: collections.abc.Mapping[str, bounds.TenantLimit], now: int) -> None:
-        """The limits now in force."""
-        raise NotImplementedError
+        """The limits now in force. What tenants without a limit had is kept until it has ended."""
+        self._budgets = {name: self._bounds.budget(limit) for name, limit in limits.items()}
+        for owned in self._shards.values():
+            for name, tenant in owned.tenants.items():
+                budget = self._budgets.get(name)
+                if budget is not None:
+                    tenant.change_budget(budget, now)
 
     def answer(self, request: messages.QuotaRequest, now: int) -> messages.QuotaGrant | None:
         """The answer to a proxy; None if the shard isn't owned."""
-        raise NotImplementedError
+        owned = self._shards.get(request.shard)
+        if owned is None:
+            return None
+        self._requests += 1
+        key = request.name, request.incarnation
+        granted_rows = {}
+        for name, row in request.rows.items():
+            tenant = self._tenant(owned, name, now)
+            if tenant is None:
+                continue
+            asked = rows.read_asked(row)
+            granted = tenant.answer(key, request.number, asked, now)
+            if granted is None:
+                continue
+            self._asked += asked.wanted
+            self._granted += granted.granted
+            granted_rows[name] = rows.pack(granted)
+        return messages.QuotaGrant(
+            request.incarnation, request.shard, request.number, request.sent_at, granted_rows
+        )
 
     def expire(self, now: int) -> None:
         """Forget what has ended; each second or so."""
-        raise NotImplementedError
+        for owned in self._shards.values():
+            for name, tenant in list(owned.tenants.items()):
+                tenant.sweep(now)
+                if tenant.is_like_new(self._bounds.window_ms, now):
+                    del owned.tenants[name]
 
     def counts(self) -> outcomes.OwnerCounts:
         """For metrics."""
-        raise NotImplementedError
+        kept = sum(len(owned.tenants) for owned in self._shards.values())
+        return outcomes.OwnerCounts(self._asked, self._granted, self._requests, kept)
 
     def tenants(self, now: int) -> list[outcomes.OwnedTenant]:
-        """How each tenant stands, for operators."""
-        raise NotImplementedError
+        """How each tenant that was asked for lately stands, for operators."""
+        return [
+            outcomes.OwnedTenant(
+                identifiers.TenantName(name),
+                shard,
+                tenant.counted,
+                tenant.unknown(now),
+                len(tenant.rows),
+                tenant.bucket.fill(now),
+                tenant.bucket.capacity,
+            )
+            for shard, owned in self._shards.items()
+            for name, tenant in owned.tenants.items()
+        ]
+
+    def _tenant(self, owned: OwnedShard, name: str, now: int) -> owned_tenant.OwnedTenant | None:
+        tenant = owned.tenants.get(name)
+        budget = self._budgets.get(name)
+        if budget is None:
+            return None
+        if tenant is None:
+            tenant = owned.tenants[name] = owned_tenant.OwnedTenant(budget, owned.begun_at, now)
+        return tenant
--- /dev/null
+++ b/tests/support/quota_world.py
@@ -0,0 +1,306 @@
+"""Proxies that hold shares, controllers that own tenants, clients and a bad network, in virtual time. One
+seed, one run. `worst()` finds the window with the most requests admitted against what the rule allows."""
+
+import bisect
+import dataclasses
+import heapq
+import itertools
+import random
+
+import basaltport.quota.bounds as bounds
+import basaltport.quota.holder as holder
+import basaltport.quota.outcomes as outcomes
+import basaltport.quota.owner as owner
+import basaltport.quota.shards as shards
+
+TICK_MS = 50
+SHARDS = [str(i) for i in range(shards.SHARDS)]
+
+
+@dataclasses.dataclass
+class Network:
+    """Parts that are lost or come twice; delays in ms, `slow` of them up to `slow_ms`."""
+
+    lost: float = 0.0
+    doubled: float = 0.0
+    least_ms: float = 1
+    most_ms: float = 2
+    slow: float = 0.0
+    slow_ms: float = 0
+
+
+class Process:
+    """Its clock has its own zero; while it is frozen what comes waits; while it is cut off nothing comes."""
+
+    def __init__(self, world, name, offset):
+        self.world, self.name, self.offset = world, name, offset
+        self.frozen_until = self.cut_until = 0
+        self.is_alive = True
+
+    def clock(self):
+        return int(self.world.now) + self.offset
+
+    def do(self, action):
+        """Now, or once it thaws; in the order of arrival."""
+        if not self.is_alive:
+            return
+        if self.world.now < self.frozen_until:
+            self.world.at(self.frozen_until, lambda: self.do(action))
+            return
+        action()
+
+
+class Proxy(Process):
+    def __init__(self, world, name, offset, incarnation):
+        super().__init__(world, name, offset)
+        self.holder = world.make_holder(name, incarnation, world.bounds)
+        self.owner = 0
+        self.asked_at = {}
+        self.holder.configure(world.limits, self.clock())
+        self.known = dict(world.limits)
+        world.learn(self, world.limits)
+        world.at(world.now + world.rng.random() * TICK_MS, self.tick_later)
+
+    def arrive(self, tenant):
+        self.do(lambda: self.admit(tenant))
+
+    def admit(self, tenant):
+        request_id = f"{self.name}-{next(self.world.numbers)}"
+        self.world.asked += 1
+        admission = self.holder.admit(tenant, request_id, self.clock())
+        if admission.outcome is outcomes.Outcome.ADMITTED:
+            self.world.admit(tenant)
+        elif admission.outcome is outcomes.Outcome.WAITING:
+            self.asked_at[request_id] = (tenant, self.world.now)
+        else:
+            self.world.refuse(admission.reason)
+        self.send()
+
+    def settle(self, settled):
+        for each in settled:
+            tenant, came_at = self.asked_at.pop(each.request_id)
+            self.world.waits.append(self.world.now - came_at)
+            if each.is_admitted:
+                self.world.admit(tenant)
+            else:
+                self.world.refuse(each.reason)
+        self.send()
+
+    def hear(self, grant):
+        self.settle(self.holder.hear(grant, self.clock()))
+
+    def tick_later(self):
+        self.do(self.tick)
+
+    def tick(self):
+        self.settle(self.holder.tick(self.clock()))
+        self.world.at(self.world.now + TICK_MS, self.tick_later)
+
+    def send(self):
+        for request in self.holder.take_requests(self.clock()):
+            controller = self.world.controllers[self.owner]
+            self.world.sent(request)
+            self.world.send(self, controller, lambda q=request, c=controller: c.hear(q, self))
+
+
+class Controller(Process):
+    def __init__(self, world, name, offset):
+        super().__init__(world, name, offset)
+        self.owns = False
+        self.known = dict(world.limits)
+        self.restart()
+        world.learn(self, world.limits)
+
+    def restart(self):
+        self.owner = owner.QuotaOwner(self.world.bounds)
+        self.owner.configure(self.known, self.clock())
+        if self.owns:
+            self.begin()
+
+    def begin(self):
+        self.owns = True
+        for shard in SHARDS:
+            self.owner.begin(shard, self.world.fence, self.clock())
+
+    def hear(self, request, proxy):
+        if not self.owns:
+            return
+        grant = self.owner.answer(request, self.clock())
+        if grant is not None:
+            self.world.sent(grant)
+            self.world.send(self, proxy, lambda: proxy.hear(grant))
+
+
+class World:
+    def __init__(self, seed, quota_bounds, limits, proxies, network=None, make_holder=None):
+        self.rng = random.Random(seed)
+        self.bounds, self.limits = quota_bounds, dict(limits)
+        self.make_holder = make_holder or (
+            lambda name, incarnation, of: holder.QuotaHolder(name, incarnation, "127.0.0.1:1", of)
+        )
+        self.network = network or Network()
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.numbers = itertools.count()
+        self.incarnations = itertools.count(1)
+        self.admitted, self.refused, self.waits, self.asked = {}, {}, [], 0
+        self.knowing = {}
+        """By tenant: [limit, when somebody first knew it, when the last forgot it or None]."""
+        self.traffic = lambda message: None
+        self.fence = 1
+        self.controllers = [Controller(self, f"c{i}", self.rng.randrange(10**6)) for i in range(2)]
+        self.controllers[0].begin()
+        self.proxies = [self.start(f"p{i}") for i in range(proxies)]
+        self.owner = 0
+
+    # time
+
+    def at(self, time, action):
+        heapq.heappush(self.events, (time, next(self.order), action))
+
+    def run(self, for_ms):
+        until = self.now + for_ms
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = until
+
+    def sent(self, message):
+        self.traffic(message)
+
+    def send(self, source, target, action):
+        network, rng = self.network, self.rng
+        if max(source.cut_until, target.cut_until) > self.now:
+            return
+        for _ in range(1 + (rng.random() < network.doubled)):
+            if rng.random() < network.lost:
+                continue
+            delay = rng.uniform(network.least_ms, network.most_ms)
+            if network.slow and rng.random() < network.slow:
+                delay = rng.uniform(0, network.slow_ms)
+            self.at(self.now + delay, lambda: target.do(action))
+
+    # clients
+
+    def admit(self, tenant):
+        self.admitted.setdefault(tenant, []).append(self.now)
+
+    def refuse(self, reason):
+        self.refused[reason] = self.refused.get(reason, 0) + 1
+
+    def burst(self, index, tenant, count):
+        for _ in range(count):
+            self.proxies[index].arrive(tenant)
+
+    def press(self, tenant, every_ms, for_ms, indexes=None):
+        """Each proxy gets a request in so many ms."""
+        for index in range(len(self.proxies)) if indexes is None else indexes:
+            time = self.now + self.rng.random() * every_ms
+            while time < self.now + for_ms:
+                self.at(time, lambda index=index: self.proxies[index].arrive(tenant))
+                time += every_ms
+
+    def poisson(self, tenant, rate_per_s, for_ms, indexes):
+        """Requests at chance times, each at one of some proxies."""
+        time = self.now + self.rng.expovariate(rate_per_s) * 1000
+        while time < self.now + for_ms:
+            index = self.rng.choice(indexes)
+            self.at(time, lambda index=index: self.proxies[index].arrive(tenant))
+            time += self.rng.expovariate(rate_per_s) * 1000
+
+    # faults
+
+    def start(self, name):
+        return Proxy(self, name, self.rng.randrange(10**6), next(self.incarnations))
+
+    def kill(self, index):
+        """At once another with the same name."""
+        former = self.proxies[index]
+        former.is_alive = False
+        self.unlearn(former)
+        self.proxies[index] = self.start(former.name)
+        self.proxies[index].owner = former.owner
+
+    def freeze(self, process, for_ms):
+        process.frozen_until = max(process.frozen_until, self.now + for_ms)
+
+    def cut(self, process, for_ms):
+        process.cut_until = max(process.cut_until, self.now + for_ms)
+
+    def change_owner(self, gap_ms=0, lag_ms=100):
+        """The other controller owns all after a gap; each proxy hears of it later."""
+        self.controllers[self.owner].owns = False
+        self.owner = 1 - self.owner
+        self.fence += 1
+        fence, index = self.fence, self.owner
+
+        def begin():
+            if fence == self.fence:
+                self.controllers[index].begin()
+                for proxy in self.proxies:
+                    self.at(self.now + self.rng.random() * lag_ms, lambda p=proxy: self.tell_owner(p, index))
+
+        self.at(self.now + gap_ms, begin)
+
+    def tell_owner(self, proxy, index):
+        proxy.owner = index
+
+    def restart_owner(self):
+        self.controllers[self.owner].restart()
+
+    # limits
+
+    def learn(self, process, limits):
+        for tenant, limit in limits.items():
+            rows = self.knowing.setdefault(tenant, {})
+            rows.setdefault(limit, [self.now, set(), None])[1].add(process)
+            rows[limit][2] = None
+
+    def unlearn(self, process):
+        for rows in self.knowing.values():
+            for row in rows.values():
+                if process in row[1]:
+                    row[1].discard(process)
+                    row[2] = None if row[1] else self.now
+
+    def configure(self, limits, lag_ms=0):
+        """Another configuration, which each process hears of at a time of its own."""
+        self.limits = dict(limits)
+        for process in [*self.controllers, *self.proxies]:
+            delay = self.rng.random() * lag_ms
+            self.at(self.now + delay, lambda p=process, of=self.limits: p.do(lambda: self.tell(p, of)))
+
+    def tell(self, process, limits):
+        if limits is not self.limits or not process.is_alive:
+            return
+        self.unlearn(process)
+        self.learn(process, limits)
+        process.known = dict(limits)
+        counted = process.owner if isinstance(process, Controller) else process.holder
+        counted.configure(limits, process.clock())
+
+    # the rule
+
+    def allowed(self, tenant, begin, end):
+        """The most in a window, by the highest limit that anybody knew in it or just before it."""
+        known = [
+            self.bounds.most_in_window(limit)
+            for limit, (since, _, until) in self.knowing.get(tenant, {}).items()
+            if since <= end and (until is None or until >= begin - bounds.GRANT_LIFE_MS)
+        ]
+        return max(known)
+
+    def worst(self, since=0):
+        """(requests over what is allowed, requests, allowed, tenant, when) of the worst window."""
+        worst = (float("-inf"), 0, 0, None, 0)
+        for tenant, times in self.admitted.items():
+            for first in range(bisect.bisect_left(times, since), len(times)):
+                end = times[first] + self.bounds.window_ms
+                count = bisect.bisect_right(times, end) - first
+                allowed = self.allowed(tenant, times[first], end)
+                worst = max(worst, (count - allowed, count, allowed, tenant, times[first]))
+        return worst
+
+    def refused_in_all(self):
+        return sum(self.refused.values())
