Requests are sent for the tenant that has their key; unknown keys get 401, or 503 out of touch

Cause: the proxy looked at no keys; `on_arrived` went from the route to the queue.

Change: `proxy/tenant_access.py` decides by the directory of the configuration in force here, for each request by itself. A key that nobody has, or none where one is needed, is 401; where no leader is heard it is 503 with when to come back, since a newer configuration may have the key (clients don't try again after a 401). A public route needs no key, but one that comes with a request must be somebody's. Requests know their tenant; its urgency comes before the route's in the queue and at replicas, which are told the tenant's name (`events.Attempt.tenant`). Without `tenants` nothing changes. `Admission.admit` is cut into `check`, which takes no place, and `enqueue`, so that a count of requests fits between; a full queue is found in `check`.

--- a/basaltport/proxy/admission.py
+++ b/basaltport/proxy/admission.py
@@ -43,10 +43,10 @@
         self.item_uses: dict[str, int] = {}
         self.share_draws = share_draws.ShareDraws(node.rng)
 
-    def admit(
+    def check(
         self, arrived: request.Request, event: events.Arrived, service: str | None = None
     ) -> Rejection | None:
-        """Take a request through the steps of its route, into the queue; or why not.
+        """Take a request through the steps of its route, up to the queue; or why not.
 
         `service`: the one that it goes to; None lets it be drawn by weight.
         """
@@ -54,7 +54,7 @@
             rejection = self.take(step, arrived, event, service)
             if rejection is not None:
                 return rejection
-        return None
+        return self.check_queue()
 
     def take(
         self,
@@ -74,8 +74,6 @@
                 return self.check_item(arrived)
             case routing.AdmissionStep.LOAD_TIME:
                 return self.check_load_time(arrived)
-            case routing.AdmissionStep.ENQUEUE:
-                return self.enqueue(arrived)
 
     def draw_service(self, route: routing.Route) -> str:
         """The service of a route's next request, by weight."""
@@ -107,13 +105,14 @@
         expected_ms = int(self.readiness.recently_expected_load_ms(arrived))
         return Rejection("a load takes longer than the time that is left", expected_ms)
 
-    def enqueue(self, arrived: request.Request) -> Rejection | None:
-        """Into the queue."""
-        if self.queue.is_full():
-            return Rejection("the queue is full", RETRY_AFTER_MS)
+    def check_queue(self) -> Rejection | None:
+        """The queue must have room."""
+        return Rejection("the queue is full", RETRY_AFTER_MS) if self.queue.is_full() else None
+
+    def enqueue(self, arrived: request.Request) -> None:
+        """Into the queue, once all checks let it pass."""
         self.queue[arrived.id] = arrived
         self.budgets.of(arrived.service).first_attempt(self.node.now)
-        return None
 
     def take_item_uses(self) -> dict[str, int]:
         """Requests by item since the last call."""
--- a/basaltport/proxy/attempt.py
+++ b/basaltport/proxy/attempt.py
@@ -38,7 +38,6 @@
 """The same, in gaps that the route's streams may have."""
 LEAST_TIME_MS = 120
 """With less time left no attempt is begun."""
-LEAST_URGENT = 9
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 REASONS = {
@@ -134,6 +133,7 @@
         known.running_attempts += 1
         known.unanswered[attempt.id] = now
         known.slow_start.sent.add(now)
+        tenants = self.node.table.tenants
         self.node.emit(
             events.Attempt(
                 waiting.id,
@@ -141,8 +141,9 @@
                 replica.replica_id,
                 replica.address,
                 waiting.deadline - now,
-                min(LEAST_URGENT, waiting.route.urgency),
+                tenants.priority(waiting.tenant, waiting.route.urgency),
                 waiting.route.is_repeatable(),
+                waiting.tenant_name(),
             )
         )
 
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -27,6 +27,8 @@
 import basaltport.proxy.retry_budget as retry_budget
 import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_directory as tenant_directory
 
 TIMINGS = {
     "retry_ratio": 0.2,
@@ -95,6 +97,7 @@
         """Make the parts that share state with each other."""
         self.balancer = load_balancing.LoadBalancer(self, self.health, self.latency)
         self.readiness = model_readiness.ModelReadiness(self, self.balancer)
+        self.access = tenant_access.TenantAccess(self)
         self.admission = admission.Admission(self, self.queue, self.readiness, self.budgets)
         self.attempts = attempt.AttemptTracker(self, self.balancer, self.readiness, self.budgets)
         self.launcher = queue_launch.QueueLauncher(self.queue, self.balancer, self.attempts)
@@ -198,16 +201,36 @@
         if route is None:
             self.emit(events.Close(event.request, NOT_FOUND, "no route"))
             return
-        arrived = request.Request(event.request, route, event)
-        rejection = self.admission.admit(arrived, event)
+        access = self.access.check(route, event.key)
+        if isinstance(access, tenant_access.Denied):
+            self.deny(event.request, route.name, access)
+            return
+        self.admit(self.arrival_of(event, route, access.tenant), event)
+
+    def arrival_of(
+        self, event: events.Arrived, route: routing.Route, tenant: tenant_directory.Tenant | None
+    ) -> request.Request:
+        """A request that may be sent, as it begins."""
+        urgency = self.table.tenants.urgency(tenant)
+        return request.Request(event.request, route, event, tenant, urgency)
+
+    def admit(self, arrived: request.Request, event: events.Arrived) -> None:
+        """Take a request through the steps of its route into the queue, or reject it."""
+        rejection = self.admission.check(arrived, event)
         if rejection is not None:
-            self.count_rejection(route.name, rejection.detail)
+            self.count_rejection(arrived.route.name, rejection.detail)
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
+        self.admission.enqueue(arrived)
         self.requests[arrived.id] = arrived
         self.launch_item(arrived.item)
 
+    def deny(self, request_id: int, route: str, denied: tenant_access.Denied) -> None:
+        """Answer a request that may not be sent."""
+        self.count_rejection(route, denied.reason)
+        self.emit(events.Close(request_id, denied.status, denied.reason, denied.retry_after_ms))
+
     def count_rejection(self, route: str, reason: str) -> None:
         """Count a rejection of our own."""
         self.refusals[route, reason] += 1
--- a/basaltport/proxy/request.py
+++ b/basaltport/proxy/request.py
@@ -6,6 +6,7 @@
 import basaltport.identifiers as identifiers
 import basaltport.proxy.events as events
 import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_directory as tenant_directory
 
 NOT_YET = identifiers.Millis(0)
 LEAST_URGENT_WEIGHT = 4
@@ -23,16 +24,19 @@
 class Request:
     """What the reducer knows of a request. Times are in ms on this proxy's clock.
 
-    `deadline`: when its client gives up. `attempt`: the one under way. `sent_attempts`: that were sent;
-    `unsent_attempts`: that found no connection. `tried_replicas`: of all its attempts; `reached_replicas`:
-    those that it may have reached. `is_answer_begun`: a part of an answer is with the client.
-    `may_have_run`: some attempt may have. `holds_retry`: a part of the retry budget is reserved for it.
-    `queue_key`: its place in the queue; `queued_at`: since when it waits there.
+    `key`: the digest of the key that it came with; `tenant`: whose it was when it came, None where that is
+    not known. `deadline`: when its client gives up. `attempt`: the one under way. `sent_attempts`: that were
+    sent; `unsent_attempts`: that found no connection. `tried_replicas`: of all its attempts;
+    `reached_replicas`: those that it may have reached. `is_answer_begun`: a part of an answer is with the
+    client. `may_have_run`: some attempt may have. `holds_retry`: a part of the retry budget is reserved for
+    it. `queue_key`: its place in the queue; `queued_at`: since when it waits there.
     """
 
     __slots__ = (
         "id",
         "route",
+        "key",
+        "tenant",
         "service",
         "item",
         "arrived_at",
@@ -51,10 +55,19 @@
         "queued_at",
     )
 
-    def __init__(self, request_id: int, route: routing.Route, arrived: events.Arrived) -> None:
-        """A request that has just arrived."""
+    def __init__(
+        self,
+        request_id: int,
+        route: routing.Route,
+        arrived: events.Arrived,
+        tenant: tenant_directory.Tenant | None = None,
+        tenant_urgency: int = 0,
+    ) -> None:
+        """A request that has just arrived. `tenant_urgency`: comes before that of the route."""
         self.id = request_id
         self.route = route
+        self.key = arrived.key
+        self.tenant = tenant
         self.service = ""
         self.item = arrived.item if route.pinned else identifiers.Item("")
         self.arrived_at = arrived.now
@@ -69,9 +82,13 @@
         self.is_answer_begun = False
         self.may_have_run = False
         self.holds_retry = False
-        self.queue_key = (route.urgency, self.arrived_at, request_id)
+        self.queue_key = (tenant_urgency, route.urgency, self.arrived_at, request_id)
         self.queued_at = arrived.now
 
+    def tenant_name(self) -> identifiers.TenantName:
+        """The name of the tenant that replicas are told, "" where there is none."""
+        return events.NO_TENANT if self.tenant is None else self.tenant.name
+
     def demand_weight(self) -> int:
         """As how many requests it counts in the demand that the placement is told: one urgent request counts
         as several that can wait."""
--- a/basaltport/proxy/routing.py
+++ b/basaltport/proxy/routing.py
@@ -35,16 +35,14 @@
     SERVICE = "service"
     ITEM = "item"
     LOAD_TIME = "load time"
-    ENQUEUE = "enqueue"
 
 
-PLAIN_STEPS = (AdmissionStep.DEADLINE, AdmissionStep.SERVICE, AdmissionStep.ENQUEUE)
+PLAIN_STEPS = (AdmissionStep.DEADLINE, AdmissionStep.SERVICE)
 ITEM_STEPS = (
     AdmissionStep.DEADLINE,
     AdmissionStep.SERVICE,
     AdmissionStep.ITEM,
     AdmissionStep.LOAD_TIME,
-    AdmissionStep.ENQUEUE,
 )
 
 
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -155,12 +155,13 @@
     example = request.Request(0, route, arrived)
     example.service = service
     ahead = sum((w.service, w.item) == (service, example.item) for w in proxy.queue.values())
-    rejection = proxy.admission.admit(example, arrived, service)
+    rejection = proxy.admission.check(example, arrived, service)
     page: Document = {"service": service, "part": part, "item": example.item, "ahead": ahead}
     page["candidates"] = candidates(proxy, example)
     if rejection is not None:
         page |= {"outcome": "refused", "status": node.UNAVAILABLE, "why": rejection.detail}
         return {**page, "retry_after_ms": rejection.retry_after_ms}
+    proxy.admission.enqueue(example)
     chosen = proxy.balancer.choose(example)
     if chosen is not None:
         return {**page, "outcome": "sent", "replica": chosen.replica_id, "address": chosen.address}
--- /dev/null
+++ b/basaltport/proxy/tenant_access.py
@@ -0,0 +1,85 @@
+"""Who may use a route: the key that came with a request, and the tenant that has it.
+
+What a proxy can't know is no refusal for good: a key that is unknown here may be in a newer configuration, of
+which a proxy that hears no leader is not told.
+"""
+
+import dataclasses
+import enum
+import typing
+
+import basaltport.credentials as credentials
+import basaltport.identifiers as identifiers
+import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_directory as tenant_directory
+
+UNAUTHORIZED = 401
+UNAVAILABLE = 503
+RETRY_AFTER_MS = 150
+"""When a client that this proxy can't judge may come back; its next connection may lead to another proxy."""
+
+
+class Reason(enum.StrEnum):
+    """Why a request may not be sent; told to its client, and the label of the refusal counters."""
+
+    NO_KEY = "no key"
+    UNKNOWN_KEY = "unknown key"
+    OUT_OF_TOUCH = "out of touch with the controllers"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """A request may be sent. `tenant`: whose it is; None where that is not known and need not be."""
+
+    tenant: tenant_directory.Tenant | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Denied:
+    """A request may not be sent. `retry_after_ms`: when its client may come back, 0 where it need not."""
+
+    status: int
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+def check_key(
+    directory: tenant_directory.TenantDirectory, is_public: bool, key: identifiers.KeyDigest
+) -> Granted | Reason:
+    """Whose request it is, or why nobody's. Without tenants no request needs a key; on a public route it may
+    have none, but one that it has must be somebody's."""
+    if directory.is_empty:
+        return Granted(None)
+    if key == credentials.NO_KEY:
+        return Granted(None) if is_public else Reason.NO_KEY
+    tenant = directory.owner_of(key)
+    return Reason.UNKNOWN_KEY if tenant is None else Granted(tenant)
+
+
+class ConfigurationView(typing.Protocol):
+    """What access needs of the node. `table`: the configuration that is in force here."""
+
+    table: routing.RoutingTable
+
+    def led(self) -> bool:
+        """Whether the leader was heard lately."""
+        ...
+
+
+class TenantAccess:
+    """Each request is checked by itself, by the configuration in force; nothing is kept of earlier ones or
+    of connections."""
+
+    def __init__(self, node: ConfigurationView) -> None:
+        """`node`: whose configuration it goes by."""
+        self.node = node
+
+    def check(self, route: routing.Route, key: identifiers.KeyDigest) -> Granted | Denied:
+        """Whether a request that comes now may be sent by a route."""
+        found = check_key(self.node.table.tenants, route.public, key)
+        return found if isinstance(found, Granted) else self._denied(UNAUTHORIZED, found)
+
+    def _denied(self, status: int, reason: Reason) -> Denied:
+        if not self.node.led():
+            return Denied(UNAVAILABLE, Reason.OUT_OF_TOUCH, RETRY_AFTER_MS)
+        return Denied(status, reason)
