A proxy that hears no leader answers 503, not 404, where it knows no route

What callers saw: a client of a route that was just added, whose proxy was out of touch, got 404, after which clients do not try again.

Cause: 404 was said by whatever configuration was there, however old. Change: it is said only where a leader is heard; else 503 with when to come back (the next connection may lead to another proxy). Refusals without a route are counted under the route "".

`tests/proxy/test_proxy_wire.py::test_own_words_are_at_once_and_say_when_to_come_back` drove a server that hears no leader and expected 404: its proxy hears one now (`proxy_stand.lead`), all that it demands is as before.

--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -43,8 +43,9 @@
 STARTING_RETRY_AFTER_MS = 1500
 ASSUMED_PROXIES = 16
 """How many proxies there are, until the feed tells."""
-NOT_FOUND = 404
 UNAVAILABLE = 503
+NO_ROUTE = ""
+"""What stands for a route among figures by route where a request has none."""
 STARTING = "no configuration yet"
 ENDING = "this proxy ends"
 REJECTED_HERE = "refused-here"
@@ -156,7 +157,7 @@
 
     def forget_routes(self) -> None:
         """Drop the figures of routes that are configured no more."""
-        names = {route.name for routes in self.table.hosts.values() for route in routes}
+        names = {NO_ROUTE, *(route.name for routes in self.table.hosts.values() for route in routes)}
         self.histograms.keep_routes(names)
         for counts in (self.refusals, self.failures):
             for key in [key for key in counts if key[0] not in names]:
@@ -199,7 +200,7 @@
             return
         route = self.table.match(event.host, event.path)
         if route is None:
-            self.emit(events.Close(event.request, NOT_FOUND, "no route"))
+            self.deny(event.request, NO_ROUTE, self.access.unknown_route())
             return
         access = self.access.check(route, event.key)
         if isinstance(access, tenant_access.Denied):
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -15,6 +15,7 @@
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
 import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_access as tenant_access
 
 Document = dict[str, typing.Any]
 LabelledValue = tuple[tuple[str, ...], float | latency_histograms.Histogram]
@@ -122,7 +123,7 @@
         page["outcome"] = "refused" if is_empty else "no route"
         return {
             **page,
-            "status": node.UNAVAILABLE if is_empty else node.NOT_FOUND,
+            "status": node.UNAVAILABLE if is_empty else tenant_access.NOT_FOUND,
             "route": None,
             "outcomes": [],
         }
--- a/basaltport/proxy/tenant_access.py
+++ b/basaltport/proxy/tenant_access.py
@@ -1,7 +1,7 @@
 """Who may use a route: the key that came with a request, and the tenant that has it.
 
-What a proxy can't know is no refusal for good: a key that is unknown here may be in a newer configuration, of
-which a proxy that hears no leader is not told.
+What a proxy can't know is no refusal for good: a key or route that is unknown here may be in a newer
+configuration, of which a proxy that hears no leader is not told.
 """
 
 import dataclasses
@@ -14,6 +14,7 @@
 import basaltport.proxy.tenant_directory as tenant_directory
 
 UNAUTHORIZED = 401
+NOT_FOUND = 404
 UNAVAILABLE = 503
 RETRY_AFTER_MS = 150
 """When a client that this proxy can't judge may come back; its next connection may lead to another proxy."""
@@ -22,6 +23,7 @@
 class Reason(enum.StrEnum):
     """Why a request may not be sent; told to its client, and the label of the refusal counters."""
 
+    NO_ROUTE = "no route"
     NO_KEY = "no key"
     UNKNOWN_KEY = "unknown key"
     OUT_OF_TOUCH = "out of touch with the controllers"
@@ -74,6 +76,10 @@
         """`node`: whose configuration it goes by."""
         self.node = node
 
+    def unknown_route(self) -> Denied:
+        """Why a request that no route is known for may not be sent."""
+        return self._denied(NOT_FOUND, Reason.NO_ROUTE)
+
     def check(self, route: routing.Route, key: identifiers.KeyDigest) -> Granted | Denied:
         """Whether a request that comes now may be sent by a route."""
         found = check_key(self.node.table.tenants, route.public, key)
--- a/tests/proxy/test_proxy_wire.py
+++ b/tests/proxy/test_proxy_wire.py
@@ -232,6 +232,7 @@
 def test_own_words_are_at_once_and_say_when_to_come_back():
     async def go():
         async with stand.Front([stand.Replica("i-1", ok, models={})]) as f:
+            stand.lead(f.member)
             return (
                 await f.ask("/none/x"),
                 await f.ask("/once/x", **{W.model: "unknown"}),
