--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -27,6 +27,8 @@
 import basaltport.proxy.retry_budget as retry_budget
 import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_directory as tenant_directory
 
 TIMINGS = {
     "retry_ratio": 0.2,
@@ -41,8 +43,9 @@
 STARTING_RETRY_AFTER_MS = 1500
 ASSUMED_PROXIES = 16
 """How many proxies there are, until the feed tells."""
-NOT_FOUND = 404
 UNAVAILABLE = 503
+NO_ROUTE = ""
+"""What stands for a route among figures by route where a request has none."""
 STARTING = "no configuration yet"
 ENDING = "this proxy ends"
 REJECTED_HERE = "refused-here"
@@ -95,6 +98,7 @@
         """Make the parts that share state with each other."""
         self.balancer = load_balancing.LoadBalancer(self, self.health, self.latency)
         self.readiness = model_readiness.ModelReadiness(self, self.balancer)
+        self.access = tenant_access.TenantAccess(self)
         self.admission = admission.Admission(self, self.queue, self.readiness, self.budgets)
         self.attempts = attempt.AttemptTracker(self, self.balancer, self.readiness, self.budgets)
         self.launcher = queue_launch.QueueLauncher(self.queue, self.balancer, self.attempts)
@@ -153,7 +157,7 @@
 
     def forget_routes(self) -> None:
         """Drop the figures of routes that are configured no more."""
-        names = {route.name for routes in self.table.hosts.values() for route in routes}
+        names = {NO_ROUTE, *(route.name for routes in self.table.hosts.values() for route in routes)}
         self.histograms.keep_routes(names)
         for counts in (self.refusals, self.failures):
             for key in [key for key in counts if key[0] not in names]:
@@ -196,18 +200,38 @@
             return
         route = self.table.match(event.host, event.path)
         if route is None:
-            self.emit(events.Close(event.request, NOT_FOUND, "no route"))
+            self.deny(event.request, NO_ROUTE, self.access.unknown_route())
             return
-        arrived = request.Request(event.request, route, event)
-        rejection = self.admission.admit(arrived, event)
+        access = self.access.check(route, event.key)
+        if isinstance(access, tenant_access.Denied):
+            self.deny(event.request, route.name, access)
+            return
+        self.admit(self.arrival_of(event, route, access.tenant), event)
+
+    def arrival_of(
+        self, event: events.Arrived, route: routing.Route, tenant: tenant_directory.Tenant | None
+    ) -> request.Request:
+        """A request that may be sent, as it begins."""
+        urgency = self.table.tenants.urgency(tenant)
+        return request.Request(event.request, route, event, tenant, urgency)
+
+    def admit(self, arrived: request.Request, event: events.Arrived) -> None:
+        """Take a request through the steps of its route into the queue, or reject it."""
+        rejection = self.admission.check(arrived, event)
         if rejection is not None:
-            self.count_rejection(route.name, rejection.detail)
+            self.count_rejection(arrived.route.name, rejection.detail)
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
+        self.admission.enqueue(arrived)
         self.requests[arrived.id] = arrived
         self.launch_item(arrived.item)
 
+    def deny(self, request_id: int, route: str, denied: tenant_access.Denied) -> None:
+        """Answer a request that may not be sent."""
+        self.count_rejection(route, denied.reason)
+        self.emit(events.Close(request_id, denied.status, denied.reason, denied.retry_after_ms))
+
     def count_rejection(self, route: str, reason: str) -> None:
         """Count a rejection of our own."""
         self.refusals[route, reason] += 1
