--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -22,6 +22,7 @@
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.model_readiness as model_readiness
 import basaltport.proxy.queue_launch as queue_launch
+import basaltport.proxy.quota_admission as quota_admission
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
 import basaltport.proxy.retry_budget as retry_budget
@@ -29,6 +30,9 @@
 import basaltport.proxy.routing as routing
 import basaltport.proxy.tenant_access as tenant_access
 import basaltport.proxy.tenant_directory as tenant_directory
+import basaltport.quota.bounds as bounds
+import basaltport.quota.messages as quota_messages
+import basaltport.quota.outcomes as quota_outcomes
 
 TIMINGS = {
     "retry_ratio": 0.2,
@@ -91,6 +95,9 @@
         self.health = health.HealthTable()
         self.latency = health.LatencyEstimates()
         self.budgets = retry_budget.RetryBudgets(now, self.timings)
+        incarnation = random.Random(f"{seed} incarnation").getrandbits(quota_admission.INCARNATION_BITS)
+        quota_bounds = bounds.QuotaBounds.from_timings(self.timings)
+        self.quota = quota_admission.QuotaAdmission(self, incarnation, quota_bounds)
         self.assemble()
         follow.FollowMixin.follow_start(self)
 
@@ -146,6 +153,7 @@
         if document is not self.compiled_document:
             self.compiled_document = document
             self.table = routing.RoutingTable(document, self.table)
+            self.quota.configure(document)
             self.forget_routes()
             routes = sum(map(len, self.table.hosts.values()))
             version = int(self.cluster_state.configuration_version)
@@ -223,10 +231,42 @@
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
+        admission = self.quota.admit(arrived)
+        match admission.outcome:
+            case quota_outcomes.Outcome.ADMITTED:
+                self.enqueue(arrived)
+            case quota_outcomes.Outcome.REFUSED:
+                self.refuse_beyond_limit(arrived, admission.reason, admission.retry_after_ms)
+
+    def enqueue(self, arrived: request.Request) -> None:
+        """A request that is within its tenant's limit waits for a replica."""
         self.admission.enqueue(arrived)
         self.requests[arrived.id] = arrived
         self.launch_item(arrived.item)
 
+    def refuse_beyond_limit(
+        self, arrived: request.Request, reason: quota_outcomes.Reason, retry_after_ms: int
+    ) -> None:
+        """Answer a request that its tenant may not make now, or of which that can't be told."""
+        self.count_rejection(arrived.route.name, reason.value)
+        status = quota_admission.status_of(reason)
+        self.emit(events.Close(arrived.id, status, reason.value, retry_after_ms))
+
+    def settle(self, settled: collections.abc.Iterable[quota_admission.SettledRequest]) -> None:
+        """Requests waited for the word of their limit's owner. The configuration may be another one since."""
+        for arrived, word in settled:
+            denied = self.access.loss(arrived)
+            if denied is not None:
+                self.deny(arrived.id, arrived.route.name, denied)
+            elif word.is_admitted:
+                self.enqueue(arrived)
+            else:
+                self.refuse_beyond_limit(arrived, word.reason, word.retry_after_ms)
+
+    def hear_quota_grant(self, source: str, grant: quota_messages.QuotaGrant) -> None:
+        """The owner of tenants' limits answers."""
+        self.settle(self.quota.hear(grant))
+
     def deny(self, request_id: int, route: str, denied: tenant_access.Denied) -> None:
         """Answer a request that may not be sent."""
         self.count_rejection(route, denied.reason)
@@ -313,6 +353,7 @@
     def on_left(self, event: events.Left) -> None:
         """The client went away: its attempt is stopped."""
         self.held_arrivals.pop(event.request, None)
+        self.quota.forget(event.request)
         left = self.requests.get(event.request)
         if left is None:
             return
@@ -334,6 +375,7 @@
         """What time alone brings about."""
         follow.FollowMixin.tick_follow(self)
         self.expire_held_arrivals()
+        self.settle(self.quota.tick())
         self.expire()
         self.attempts.stop_silent()
         self.launch_all()
@@ -363,8 +405,10 @@
         """What waits is rejected; attempts under way are stopped, and their ends tell what may be
         promised."""
         self.is_ending = True
-        for arrived in self.held_arrivals.take_all():
-            self.emit(events.Close(arrived.request, UNAVAILABLE, ENDING, attempt.RETRY_AFTER_MS))
+        held_back = [arrived.request for arrived in self.held_arrivals.take_all()]
+        held_back += [waiting.id for waiting in self.quota.take_all()]
+        for request_id in held_back:
+            self.emit(events.Close(request_id, UNAVAILABLE, ENDING, attempt.RETRY_AFTER_MS))
         for waiting in list(self.queue.values()):
             self.reject(waiting, ENDING, attempt.RETRY_AFTER_MS)
         self.attempts.stop_all()
--- a/basaltport/proxy/quota_admission.py
+++ b/basaltport/proxy/quota_admission.py
@@ -20,8 +20,15 @@
 NOW = outcomes.Admission(outcomes.Outcome.ADMITTED)
 
 
+class SettledRequest(typing.NamedTuple):
+    """A request that waited, and the word of its limit's owner."""
+
+    waited: request.Request
+    word: outcomes.Settled
+
+
 class QuotaNeeds(typing.Protocol):
-    """What the limits need of the node: `table` and `cluster_state`, the configuration and owners in force."""
+    """What the limits need of the node. `cluster_state`: who owns which shard."""
 
     me: member.Me
     now: identifiers.Millis
@@ -51,7 +58,7 @@
         """Whether a request may go now, waits, or is refused."""
         if arrived.tenant is None or not arrived.tenant.is_limited:
             return NOW
-        admission = self.holder.admit(arrived.tenant.name, arrived.id, self.node.now)
+        admission = self.holder.admit(arrived.tenant.name, _key(arrived.id), self.node.now)
         if admission.outcome is outcomes.Outcome.WAITING:
             self.waiting[arrived.id] = arrived
             self.send_requests()
@@ -60,7 +67,7 @@
     def forget(self, request_id: int) -> None:
         """A request is gone, whether or not it waits."""
         if self.waiting.pop(request_id, None) is not None:
-            self.holder.forget(request_id)
+            self.holder.forget(_key(request_id))
 
     def take_all(self) -> list[request.Request]:
         """All that wait; none waits any more."""
@@ -69,24 +76,22 @@
             self.forget(known.id)
         return waiting
 
-    def hear(self, grant: messages.QuotaGrant) -> list[tuple[request.Request, outcomes.Settled]]:
+    def hear(self, grant: messages.QuotaGrant) -> list[SettledRequest]:
         """What an owner's answer settles."""
         settled = self.take_settled(self.holder.hear(grant, self.node.now))
         self.send_requests()
         return settled
 
-    def tick(self) -> list[tuple[request.Request, outcomes.Settled]]:
+    def tick(self) -> list[SettledRequest]:
         """What has waited for too long; what is due to owners goes out."""
         settled = self.take_settled(self.holder.tick(self.node.now))
         self.send_requests()
         return settled
 
-    def take_settled(
-        self, settled: collections.abc.Iterable[outcomes.Settled]
-    ) -> list[tuple[request.Request, outcomes.Settled]]:
+    def take_settled(self, settled: collections.abc.Iterable[outcomes.Settled]) -> list[SettledRequest]:
         """The requests that are settled, which wait no more."""
-        found = [(self.waiting.pop(one.request_id, None), one) for one in settled]
-        return [(known, one) for known, one in found if known is not None]
+        found = [(self.waiting.pop(int(word.request_id), None), word) for word in settled]
+        return [SettledRequest(waited, word) for waited, word in found if waited is not None]
 
     def send_requests(self) -> None:
         """Send what is due to the owners that are known; one that is not heard counts as silent."""
@@ -106,3 +111,7 @@
 def status_of(reason: outcomes.Reason) -> int:
     """The status of a refusal: whether the tenant has reached its limit, or that can't be told now."""
     return TOO_MANY_REQUESTS if reason is outcomes.Reason.OVER_LIMIT else UNAVAILABLE
+
+
+def _key(request_id: int) -> identifiers.RequestId:
+    return identifiers.RequestId(request_id)
