--- a/basaltport/controller/quota_control.py
+++ b/basaltport/controller/quota_control.py
@@ -74,7 +74,11 @@
             self.quota_owner.configure(limits.limits_of(document), self.now)
 
     def tick_quota(self) -> None:
-        """Forget shares that have ended, now and then."""
+        """Begin with shards as soon as they are owned, so that shares of their former owners are over as
+        early as can be; forget what has ended, now and then."""
+        for shard in self.shards():
+            if self.owns_shard(shard):
+                self.begin_quota_ownership(shard)
         if self.now - self.quota_expired_at >= EXPIRE_EVERY_MS:
             self.quota_expired_at = self.now
             self.quota_owner.expire(self.now)
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -19,6 +19,7 @@
 import basaltport.proxy.health as health
 import basaltport.proxy.held_arrivals as held_arrivals
 import basaltport.proxy.latency_histograms as latency_histograms
+import basaltport.proxy.limited_arrivals as limited_arrivals
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.model_readiness as model_readiness
 import basaltport.proxy.queue_launch as queue_launch
@@ -31,8 +32,6 @@
 import basaltport.proxy.tenant_access as tenant_access
 import basaltport.proxy.tenant_directory as tenant_directory
 import basaltport.quota.bounds as bounds
-import basaltport.quota.messages as quota_messages
-import basaltport.quota.outcomes as quota_outcomes
 
 TIMINGS = {
     "retry_ratio": 0.2,
@@ -56,7 +55,7 @@
 """The label of our own rejections among the outcomes of attempts."""
 
 
-class ProxyNode(follow.FollowMixin, member.Member):
+class ProxyNode(limited_arrivals.LimitedArrivalsMixin, follow.FollowMixin, member.Member):
     """One reducer over all events of a proxy. Its parts are handed to each other when it is made; they read
     the time and the fleet from it. `requests`: all that have no end yet."""
 
@@ -231,41 +230,7 @@
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
-        admission = self.quota.admit(arrived)
-        match admission.outcome:
-            case quota_outcomes.Outcome.ADMITTED:
-                self.enqueue(arrived)
-            case quota_outcomes.Outcome.REFUSED:
-                self.refuse_beyond_limit(arrived, admission.reason, admission.retry_after_ms)
-
-    def enqueue(self, arrived: request.Request) -> None:
-        """A request that is within its tenant's limit waits for a replica."""
-        self.admission.enqueue(arrived)
-        self.requests[arrived.id] = arrived
-        self.launch_item(arrived.item)
-
-    def refuse_beyond_limit(
-        self, arrived: request.Request, reason: quota_outcomes.Reason, retry_after_ms: int
-    ) -> None:
-        """Answer a request that its tenant may not make now, or of which that can't be told."""
-        self.count_rejection(arrived.route.name, reason.value)
-        status = quota_admission.status_of(reason)
-        self.emit(events.Close(arrived.id, status, reason.value, retry_after_ms))
-
-    def settle(self, settled: collections.abc.Iterable[quota_admission.SettledRequest]) -> None:
-        """Requests waited for the word of their limit's owner. The configuration may be another one since."""
-        for arrived, word in settled:
-            denied = self.access.loss(arrived)
-            if denied is not None:
-                self.deny(arrived.id, arrived.route.name, denied)
-            elif word.is_admitted:
-                self.enqueue(arrived)
-            else:
-                self.refuse_beyond_limit(arrived, word.reason, word.retry_after_ms)
-
-    def hear_quota_grant(self, source: str, grant: quota_messages.QuotaGrant) -> None:
-        """The owner of tenants' limits answers."""
-        self.settle(self.quota.hear(grant))
+        self.admit_within_limit(arrived)
 
     def deny(self, request_id: int, route: str, denied: tenant_access.Denied) -> None:
         """Answer a request that may not be sent."""
