--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -24,8 +24,8 @@
 import basaltport.proxy.queue_launch as queue_launch
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
+import basaltport.proxy.request_ends as request_ends
 import basaltport.proxy.retry_budget as retry_budget
-import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.routing as routing
 import basaltport.proxy.tenant_access as tenant_access
 import basaltport.proxy.tenant_directory as tenant_directory
@@ -48,11 +48,9 @@
 """What stands for a route among figures by route where a request has none."""
 STARTING = "no configuration yet"
 ENDING = "this proxy ends"
-REJECTED_HERE = "refused-here"
-"""The label of our own rejections among the outcomes of attempts."""
 
 
-class ProxyNode(follow.FollowMixin, member.Member):
+class ProxyNode(request_ends.RequestEndsMixin, follow.FollowMixin, member.Member):
     """One reducer over all events of a proxy. Its parts are handed to each other when it is made; they read
     the time and the fleet from it. `requests`: all that have no end yet."""
 
@@ -227,16 +225,6 @@
         self.requests[arrived.id] = arrived
         self.launch_item(arrived.item)
 
-    def deny(self, request_id: int, route: str, denied: tenant_access.Denied) -> None:
-        """Answer a request that may not be sent."""
-        self.count_rejection(route, denied.reason)
-        self.emit(events.Close(request_id, denied.status, denied.reason, denied.retry_after_ms))
-
-    def count_rejection(self, route: str, reason: str) -> None:
-        """Count a rejection of our own."""
-        self.refusals[route, reason] += 1
-        self.outcome_counts[REJECTED_HERE] = self.outcome_counts.get(REJECTED_HERE, 0) + 1
-
     # a node that just started
 
     def hold(self, event: events.Arrived) -> None:
@@ -285,31 +273,6 @@
         if due.weights:
             self.want(due.weights, due.waited_ms)
 
-    def reject(self, ended: request.Request, detail: str, retry_after_ms: int) -> None:
-        """End a request that goes to no replica any more: with a promise where it never ran."""
-        move = retry_decision.give_up(ended.is_answer_begun, ended.may_have_run)
-        if move is not retry_decision.Move.REFUSE:
-            self.fail(ended, attempt.GATEWAY_TIMEOUT, detail)
-            return
-        self.forget(ended)
-        self.count_rejection(ended.route.name, detail)
-        self.emit(events.Close(ended.id, UNAVAILABLE, detail, int(retry_after_ms)))
-
-    def fail(self, ended: request.Request, status: int, detail: str) -> None:
-        """End a request that may have run."""
-        self.forget(ended)
-        self.failures[ended.route.name, detail] += 1
-        if ended.is_answer_begun:
-            self.emit(events.Cut(ended.id))
-            return
-        self.emit(events.Close(ended.id, status, detail))
-
-    def forget(self, ended: request.Request) -> None:
-        """A request has its end."""
-        self.attempts.release_retry(ended)
-        self.requests.pop(ended.id, None)
-        self.queue.pop(ended.id, None)
-
     def on_left(self, event: events.Left) -> None:
         """The client went away: its attempt is stopped."""
         self.held_arrivals.pop(event.request, None)
