Nothing is sent any more for a key that was taken away: what waits is ended, attempts are the last

What callers saw: a clerk whose key had been taken away kept getting drafts.

Cause: nothing looked at keys; and a check at the arrival alone leaves what waits, goes again, or is resumed elsewhere.

Change: a request is sent only while its key is held, here and now, by the tenant that it came as. When another configuration is in force, what is at no replica and may not be sent is ended in that step: 401 if it never ran, else as what may have run (502, or a cut once an answer began). Attempts under way go on; after them there is no further one, and a silent replica's is not stopped for another. A key that comes back may be used again, also by what was under way. Nothing is remembered, so any number of changes between two messages of the feed counts as their last. A key that was given to another tenant: neither name is right for what came as the first one and was counted under its limit, so what never ran gets 503 and comes again as the other. Priority and name at replicas are the tenant's by the configuration in force.

--- a/basaltport/proxy/attempt.py
+++ b/basaltport/proxy/attempt.py
@@ -16,6 +16,7 @@
 import basaltport.proxy.retry_budget as retry_budget
 import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_access as tenant_access
 
 Outcome = attempt_outcome.Outcome
 MOST_UNSENT = 6
@@ -55,13 +56,14 @@
     """What attempts need of the node: the requests that they are for, and their ends.
 
     `requests`: all that have no end yet; `queue`: those of them that wait; `outcome_counts`: ends of
-    attempts by outcome; `histograms`: how long requests took.
+    attempts by outcome; `histograms`: how long requests took; `access`: whether they may still be sent.
     """
 
     requests: dict[int, request.Request]
     queue: admission_queue.AdmissionQueue
     outcome_counts: dict[str, int]
     histograms: latency_histograms.LatencyHistograms
+    access: tenant_access.TenantAccess
     is_ending: bool
 
     def emit(self, effect: object) -> None:
@@ -79,6 +81,9 @@
     def fail(self, ended: request.Request, status: int, detail: str) -> None:
         """End a request that may have run."""
 
+    def end_denied(self, ended: request.Request, denied: tenant_access.Denied) -> None:
+        """End a request that may not be sent any more."""
+
 
 class AttemptTracker:
     """What is not proven refused may have run; only what can be repeated goes again."""
@@ -133,7 +138,7 @@
         known.running_attempts += 1
         known.unanswered[attempt.id] = now
         known.slow_start.sent.add(now)
-        tenants = self.node.table.tenants
+        tenant = self.node.access.tenant_of(waiting)
         self.node.emit(
             events.Attempt(
                 waiting.id,
@@ -141,9 +146,9 @@
                 replica.replica_id,
                 replica.address,
                 waiting.deadline - now,
-                tenants.priority(waiting.tenant, waiting.route.urgency),
+                self.node.table.tenants.priority(tenant, waiting.route.urgency),
                 waiting.route.is_repeatable(),
-                waiting.tenant_name(),
+                events.NO_TENANT if tenant is None else tenant.name,
             )
         )
 
@@ -238,11 +243,17 @@
             return
         sent.may_have_run = sent.may_have_run or result.outcome.may_have_run
         sent.is_answer_begun = sent.is_answer_begun or result.outcome is Outcome.CUT
-        move = retry_decision.decide(self.known(sent, result))
+        denied = self.node.access.loss(sent)
+        move = retry_decision.decide(self.known(sent, result, denied is None))
+        if denied is not None and move is retry_decision.Move.REFUSE:
+            self.node.end_denied(sent, denied)
+            return
         self.carry_out(move, sent, attempt, result)
 
-    def known(self, sent: request.Request, result: attempt_outcome.Result) -> retry_decision.Known:
-        """All that the decision depends on."""
+    def known(
+        self, sent: request.Request, result: attempt_outcome.Result, may_be_sent: bool
+    ) -> retry_decision.Known:
+        """All that the decision depends on. `may_be_sent`: whether its key is still its tenant's."""
         in_bounds = sent.unsent_attempts <= MOST_UNSENT and sent.sent_attempts <= MOST_SENT
         return retry_decision.Known(
             outcome=result.outcome,
@@ -254,7 +265,7 @@
             was_sent=sent.sent_attempts > 0,
             has_budget=self.has_budget(sent.service),
             has_replica=sent.may_reach_another(),
-            has_attempts=in_bounds and not self.node.is_ending,
+            has_attempts=in_bounds and may_be_sent and not self.node.is_ending,
             has_time=sent.deadline - self.node.now >= LEAST_TIME_MS,
         )
 
@@ -329,7 +340,7 @@
             return False
         if sent.deadline - self.node.now < 2 * LEAST_TIME_MS:
             return False
-        if not self.has_budget(sent.service):
+        if not self.has_budget(sent.service) or self.node.access.loss(sent) is not None:
             return False
         return any(replica.replica_id != attempt.replica_id for replica in self.balancer.usable(sent))
 
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -145,6 +145,7 @@
             self.compiled_document = document
             self.table = routing.RoutingTable(document)
             self.forget_routes()
+            self.end_revoked()
             routes = sum(map(len, self.table.hosts.values()))
             version = int(self.cluster_state.configuration_version)
             self.emit(
--- a/basaltport/proxy/request.py
+++ b/basaltport/proxy/request.py
@@ -85,10 +85,6 @@
         self.queue_key = (tenant_urgency, route.urgency, self.arrived_at, request_id)
         self.queued_at = arrived.now
 
-    def tenant_name(self) -> identifiers.TenantName:
-        """The name of the tenant that replicas are told, "" where there is none."""
-        return events.NO_TENANT if self.tenant is None else self.tenant.name
-
     def demand_weight(self) -> int:
         """As how many requests it counts in the demand that the placement is told: one urgent request counts
         as several that can wait."""
--- a/basaltport/proxy/request_ends.py
+++ b/basaltport/proxy/request_ends.py
@@ -31,6 +31,7 @@
     refusals: collections.Counter[tuple[str, str]]
     failures: collections.Counter[tuple[str, str]]
     attempts: attempt.AttemptTracker
+    access: tenant_access.TenantAccess
 
     def emit(self, effect: object) -> None:
         """Add an effect of this step."""
@@ -66,6 +67,22 @@
         self.count_rejection(ended.route.name, detail)
         self.emit(events.Close(ended.id, UNAVAILABLE, detail, int(retry_after_ms)))
 
+    def end_denied(self, ended: request.Request, denied: tenant_access.Denied) -> None:
+        """End a request that may not be sent any more, and is at no replica."""
+        move = retry_decision.give_up(ended.is_answer_begun, ended.may_have_run)
+        if move is not retry_decision.Move.REFUSE:
+            self.fail(ended, attempt.BAD_GATEWAY, denied.reason)
+            return
+        self.forget(ended)
+        self.deny(ended.id, ended.route.name, denied)
+
+    def end_revoked(self) -> None:
+        """End what is at no replica and may not be sent by the configuration that is in force now."""
+        for known in [known for known in self.requests.values() if known.attempt is None]:
+            denied = self.access.loss(known)
+            if denied is not None:
+                self.end_denied(known, denied)
+
     def fail(self, ended: request.Request, status: int, detail: str) -> None:
         """End a request that may have run."""
         self.forget(ended)
--- a/basaltport/proxy/tenant_access.py
+++ b/basaltport/proxy/tenant_access.py
@@ -10,6 +10,8 @@
 
 import basaltport.credentials as credentials
 import basaltport.identifiers as identifiers
+import basaltport.proxy.events as events
+import basaltport.proxy.request as request
 import basaltport.proxy.routing as routing
 import basaltport.proxy.tenant_directory as tenant_directory
 
@@ -26,6 +28,8 @@
     NO_ROUTE = "no route"
     NO_KEY = "no key"
     UNKNOWN_KEY = "unknown key"
+    KEY_TAKEN_AWAY = "its key was taken away"
+    KEY_OF_ANOTHER = "its key is another tenant's now"
     OUT_OF_TOUCH = "out of touch with the controllers"
 
 
@@ -85,7 +89,29 @@
         found = check_key(self.node.table.tenants, route.public, key)
         return found if isinstance(found, Granted) else self._denied(UNAUTHORIZED, found)
 
+    def loss(self, known: request.Request) -> Denied | None:
+        """Why a request that was granted may not be sent any more; None where it may.
+
+        A request stays its first tenant's, whose limit it was counted under. Once its key is another
+        tenant's, it is sent for neither: its client comes again and is counted under the other.
+        """
+        directory = self.node.table.tenants
+        found = check_key(directory, known.route.public, known.key)
+        if isinstance(found, Reason):
+            return self._denied(UNAUTHORIZED, Reason.KEY_TAKEN_AWAY if known.tenant else found)
+        if directory.is_empty or _name(found.tenant) == _name(known.tenant):
+            return None
+        return Denied(UNAVAILABLE, Reason.KEY_OF_ANOTHER, RETRY_AFTER_MS)
+
+    def tenant_of(self, known: request.Request) -> tenant_directory.Tenant | None:
+        """The tenant of a request as the configuration in force has it."""
+        return self.node.table.tenants.get(_name(known.tenant))
+
     def _denied(self, status: int, reason: Reason) -> Denied:
         if not self.node.led():
             return Denied(UNAVAILABLE, Reason.OUT_OF_TOUCH, RETRY_AFTER_MS)
         return Denied(status, reason)
+
+
+def _name(tenant: tenant_directory.Tenant | None) -> identifiers.TenantName:
+    return events.NO_TENANT if tenant is None else tenant.name
--- /dev/null
+++ b/tests/proxy/test_taken_keys.py
@@ -0,0 +1,193 @@
+"""What becomes of requests whose key is taken away, or given to another tenant, while they are here."""
+
+import pytest
+
+import basaltport.proxy.events as events
+import tests.proxy.test_proxy as reducer
+import tests.support.tenant_stand as stand
+
+ROUTES = ["safe", "once", "stream", "single"]
+FIRST, SECOND = stand.FIRST, stand.SECOND
+GONE = stand.keys(first=())
+MOVED = stand.keys(first=(), second=("k-second", "k-first"))
+TAKEN = "its key was taken away"
+OTHERS = "its key is another tenant's now"
+
+
+def waiting(route="once", key=FIRST):
+    """A request that waits, as no replica holds its model."""
+    fleet = stand.Fleet(rows=[reducer.row("a", models=())])
+    assert fleet.ask(route, key=key) == [] and len(fleet.m.queue) == 1
+    return fleet
+
+
+def under_way(route):
+    """A request at a replica, with another one that could take it."""
+    fleet = stand.Fleet()
+    [attempt] = fleet.ask(route, key=FIRST)
+    return fleet, attempt.attempt
+
+
+def waiting_again(route="safe", begun=False):
+    """A request whose first attempt broke and that waits for another replica."""
+    fleet = stand.Fleet(rows=[reducer.row("a"), reducer.row("b", "z2", models=())])
+    [attempt] = fleet.ask(route, key=FIRST)
+    if begun:
+        fleet.step(events.Progress(fleet.now, attempt.attempt))
+    fleet.rows(reducer.row("a", state="draining"), reducer.row("b", "z2", models=()))
+    assert fleet.end(attempt.attempt, "cut" if begun else "broken", resumes=begun) == []
+    assert len(fleet.m.queue) == 1
+    return fleet
+
+
+def nothing_more(fleet):
+    """Attempts and answers that come later, with all replicas free."""
+    later = fleet.rows(reducer.row("a"), reducer.row("b", "z2")) + fleet.wait(3000)
+    return [e for e in later if isinstance(e, (events.Attempt, events.Close, events.Cut))]
+
+
+# Guards against requests that run after their key was taken away, because they already waited.
+@pytest.mark.parametrize("route", ROUTES)
+def test_what_waits_is_ended_with_401_as_soon_as_its_key_is_taken_away_here(route):
+    fleet = waiting(route)
+    assert stand.told(fleet.told(GONE)) == [(401, TAKEN, 0)]
+    assert nothing_more(fleet) == [] and not fleet.m.requests
+    assert fleet.m.refusals == {(route, TAKEN): 1}
+
+
+def test_what_waits_with_a_key_of_its_tenant_that_was_not_taken_waits_on():
+    fleet = waiting(key=SECOND)
+    assert fleet.told(GONE) == []
+    assert stand.sent(fleet.rows(reducer.row("a"))) == [("second", 0)]
+
+
+# Guards against requests that run under one tenant's limit and another's name.
+@pytest.mark.parametrize("route", ROUTES)
+def test_what_waits_with_a_key_that_was_given_to_another_tenant_is_to_come_again_as_that_one(route):
+    fleet = waiting(route)
+    [(status, detail, retry_after_ms)] = stand.told(fleet.told(MOVED))
+    assert (status, detail) == (503, OTHERS) and retry_after_ms > 0
+    assert nothing_more(fleet) == []
+    assert stand.sent(fleet.ask(route, key=FIRST)) == [("second", 0)]
+
+
+@pytest.mark.parametrize(("doc", "detail"), [(GONE, TAKEN), (MOVED, OTHERS)], ids=["taken", "moved"])
+def test_what_waits_and_may_have_run_gets_no_promise_when_its_key_is_gone(doc, detail):
+    fleet = waiting_again()
+    assert stand.told(fleet.told(doc)) == [(502, detail, 0)]
+    assert nothing_more(fleet) == [] and fleet.m.failures == {("safe", detail): 1}
+
+
+@pytest.mark.parametrize("doc", [GONE, MOVED], ids=["taken", "moved"])
+def test_a_stream_that_waits_to_be_resumed_is_cut_when_its_key_is_gone(doc):
+    fleet = waiting_again("stream", begun=True)
+    assert [type(e) for e in fleet.told(doc)] == [events.Cut]
+    assert nothing_more(fleet) == []
+
+
+@pytest.mark.parametrize("doc", [GONE, MOVED], ids=["taken", "moved"])
+@pytest.mark.parametrize("route", ROUTES)
+def test_an_attempt_under_way_goes_on_when_its_key_is_gone(route, doc):
+    fleet, attempt = under_way(route)
+    assert fleet.told(doc) == []
+    assert fleet.end(attempt, "done") == [] and not fleet.m.requests
+
+
+# Guards against further attempts, and resumed streams, of requests whose key was taken away.
+@pytest.mark.parametrize(
+    ("outcome", "expected"),
+    [
+        ("broken", [(502, "the connection to the replica broke", 0)]),
+        ("refused", [(401, TAKEN, 0)]),
+        ("absent", [(401, TAKEN, 0)]),
+        ("moved", [(401, TAKEN, 0)]),
+        ("unsent", [(401, TAKEN, 0)]),
+        ("cut", []),
+    ],
+)
+def test_no_further_attempt_is_made_for_a_request_whose_key_was_taken_away(outcome, expected):
+    fleet, attempt = under_way("stream")
+    if outcome == "cut":
+        fleet.step(events.Progress(fleet.now, attempt))
+    fleet.told(GONE)
+    got = fleet.end(attempt, outcome, resumes=outcome == "cut")
+    assert stand.told(got) == expected
+    assert [type(e) for e in got] == [events.Cut if outcome == "cut" else events.Close]
+    assert nothing_more(fleet) == []
+
+
+def test_an_attempt_at_a_silent_replica_is_not_stopped_for_another_one_once_its_key_is_gone():
+    fleet, _ = under_way("safe")
+    assert [type(e) for e in under_way("safe")[0].wait(1500)][:1] == [events.Abort]
+    fleet.told(GONE)
+    assert [e for e in fleet.wait(1500) if isinstance(e, events.Abort)] == []
+
+
+def test_a_key_that_came_back_may_be_used_again_also_by_an_attempt_that_was_under_way():
+    fleet, attempt = under_way("safe")
+    fleet.told(GONE)
+    assert stand.told(fleet.ask("safe", key=FIRST)) == [(401, "unknown key", 0)]
+    fleet.told(stand.keys())
+    assert stand.sent(fleet.ask("safe", key=FIRST)) == [("first", 1)]
+    assert stand.sent(fleet.end(attempt, "broken")) == [("first", 1)]
+
+
+def test_a_key_that_went_and_came_back_between_two_messages_of_the_feed_ends_nothing():
+    fleet = waiting()
+    assert fleet.told(stand.keys(), entries=2) == []
+    assert stand.sent(fleet.rows(reducer.row("a"))) == [("first", 1)]
+
+
+def test_keys_taken_away_one_after_another_faster_than_the_feed_are_all_gone_with_its_next_message():
+    all_keys = [f"k{number}" for number in range(20)]
+    fleet = stand.Fleet(stand.keys(first=all_keys), rows=[reducer.row("a", models=())])
+    for text in all_keys:
+        fleet.ask("once", key=stand.credentials.digest(text))
+    assert stand.told(fleet.told(stand.keys(first=all_keys[15:]), entries=15)) == [(401, TAKEN, 0)] * 15
+    assert stand.sent(fleet.rows(reducer.row("a"))) == [("first", 1)] * 5
+
+
+def test_nothing_of_an_earlier_request_lets_a_later_one_pass():
+    fleet = stand.Fleet()
+    assert stand.sent(fleet.ask("safe", key=FIRST)) == [("first", 1)]
+    fleet.told(GONE)
+    assert stand.told(fleet.ask("safe", key=FIRST)) == [(401, "unknown key", 0)]
+    fleet.told(MOVED)
+    assert stand.sent(fleet.ask("safe", key=FIRST)) == [("second", 0)]
+
+
+def test_what_is_held_for_the_feed_is_judged_by_the_configuration_that_it_brings():
+    fleet = stand.Fleet(rows=[])
+    assert fleet.ask("safe", key=FIRST) == [] and fleet.ask("safe", key=SECOND) == []
+    fleet.told(GONE)
+    fleet.m.out, fleet.m.rows = [], {"a": reducer.row("a")}
+    fleet.m.rows_changed(["a"])
+    assert stand.told(fleet.m.out) == [(401, "unknown key", 0)]
+    assert stand.sent(fleet.m.out) == [("second", 0)]
+
+
+def test_a_route_that_becomes_public_or_not_leaves_requests_under_way_as_they_were():
+    fleet = waiting("once")
+    public = stand.keys()
+    public["routes"][1]["public"] = True
+    assert fleet.told(public) == []
+    assert stand.told(fleet.told(GONE)) == [(401, TAKEN, 0)]
+
+
+def test_requests_go_on_without_a_tenant_when_the_configuration_has_none_any_more():
+    fleet = waiting()
+    assert fleet.told(stand.document(None)) == []
+    assert stand.sent(fleet.rows(reducer.row("a"))) == [("", 0)]
+
+
+def test_requests_that_came_before_there_were_tenants_are_not_sent_for_nobody():
+    fleet = stand.Fleet(stand.document(None), rows=[reducer.row("a", models=())])
+    for key in (FIRST, stand.UNKNOWN):
+        fleet.ask("once", key=key)
+    assert [status for status, _, _ in stand.told(fleet.told(stand.document()))] == [503, 401]
+
+
+def test_a_waiting_request_of_a_tenant_whose_urgency_changed_goes_with_the_new_one_to_its_replica():
+    fleet = waiting()
+    fleet.told(stand.document([{**stand.TENANTS[0], "urgency": 0}, stand.TENANTS[1]]))
+    assert stand.sent(fleet.rows(reducer.row("a"))) == [("first", 0)]
--- /dev/null
+++ b/tests/support/tenant_stand.py
@@ -0,0 +1,78 @@
+"""A proxy with tenants as a reducer on virtual time, which a leader feeds with configurations."""
+
+import dataclasses
+
+import basaltport.credentials as credentials
+import basaltport.events as base
+import basaltport.fleet.messages as messages
+import basaltport.identifiers as identifiers
+import basaltport.proxy.events as events
+import tests.proxy.test_proxy as reducer
+import tests.support.proxy_stand as stand
+
+ADDRESS = "127.0.0.1:9"
+LEADER = identifiers.Name("c1")
+FIRST, SECOND, UNKNOWN = (credentials.digest(text) for text in ("k-first", "k-second", "k-nobody"))
+TENANTS = (
+    {"name": "first", "keys": ["k-first"], "urgency": 2},
+    {"name": "second", "keys": ["k-second"], "urgency": 1},
+)
+
+
+def document(tenants=TENANTS, **more):
+    """Four kinds of routes that need keys, and `open`, which needs none. `tenants` None: no section."""
+    made = stand.document(**more)
+    made["routes"].append(
+        {**made["routes"][0], "name": "open", "prefix": "/open/", "public": True, "pinned": False}
+    )
+    return made if tenants is None else {**made, "tenants": [dict(row) for row in tenants]}
+
+
+def keys(first=("k-first",), second=("k-second",), **more):
+    """A configuration in which the two tenants have these keys."""
+    return document([{**TENANTS[0], "keys": list(first)}, {**TENANTS[1], "keys": list(second)}], **more)
+
+
+class Fleet(reducer.Sim):
+    """Two replicas and a proxy, unless `rows` says otherwise."""
+
+    def __init__(self, doc=None, rows=None):
+        rows = [reducer.row("a"), reducer.row("b", "z2")] if rows is None else rows
+        super().__init__(rows, doc or document())
+        self.hears_leader()
+
+    def hears_leader(self):
+        self.m.led_at = identifiers.Millis(self.now)
+
+    def wait(self, ms, led=True):
+        got = []
+        for _ in range(0, ms, 50):
+            if led:
+                self.hears_leader()
+            got += super().wait(50)
+        return got
+
+    def told(self, doc, entries=1):
+        """The feed brings a configuration, which is so many entries of the log later."""
+        state = self.m.cluster_state
+        state = dataclasses.replace(
+            state,
+            configuration=doc,
+            configuration_version=state.configuration_version + entries,
+            log_index=identifiers.LogIndex(state.log_index + entries),
+        )
+        term, n = self.m.feed_gen, self.m.feed_n
+        update = messages.Update(
+            term, LEADER, ADDRESS, [ADDRESS], state.log_index, [], state, False, n, n, {}, [], 1
+        )
+        return self.step(base.Heard(self.now, ADDRESS, update))
+
+
+def told(effects):
+    """(status, detail, when to come back) of the answers of our own among effects."""
+    return [(e.status, e.detail, e.retry_after_ms) for e in effects if isinstance(e, events.Close)]
+
+
+def sent(effects):
+    """(tenant, priority) of the attempts among effects."""
+    return [(e.tenant, e.priority) for e in effects if isinstance(e, events.Attempt)]
