--- a/basaltport/quota/owned_tenant.py
+++ b/basaltport/quota/owned_tenant.py
@@ -98,9 +98,11 @@
         row = self.rows.get(key)
         if row is not None and number <= row.newest:
             return None
-        fraction = self._answer_share(key, row, number, asked, now)
+        row = self._hear(key, row, number, asked, now)
         self._set_bucket(now)
         granted = self.bucket.take(asked.wanted, now)
+        fraction = self._offer(row, number, now) if row is not None else 0
+        self._set_bucket(now)
         retry_after_ms = 0 if granted >= asked.wanted else self._retry_after_ms(now)
         return rows.Granted(granted, retry_after_ms, fraction, bounds.SHARE_MS if fraction else 0)
 
@@ -110,7 +112,7 @@
             return
         self._swept_at = now
         for key, row in list(self.rows.items()):
-            self._count(row, row.demand, now)
+            self._count(row, now)
             if not row.counted and now - row.heard_at > UNKNOWN_MS:
                 self.demand -= row.demand
                 del self.rows[key]
@@ -127,28 +129,32 @@
         unknown = bounds.SHARED_UNITS
         return bucket.Bucket(self.budget.owner_rate(unknown), self.budget.owner_capacity(unknown), begun_at)
 
-    def _answer_share(
+    def _hear(
         self, key: HolderKey, row: HolderRow | None, number: int, asked: rows.Asked, now: int
-    ) -> int:
-        """Note what a proxy tells, and offer it a share; millionths."""
-        least = self.budget.least_share()
+    ) -> HolderRow | None:
+        """Note what a proxy tells; None where it has no share and can have none."""
         if row is None:
-            if least is None and not asked.fraction:
-                return 0
+            if self.budget.least_share() is None and not asked.fraction:
+                return None
             row = self.rows[key] = HolderRow()
         demand_before = row.demand
         row.hear(asked, number, now)
         self.demand += row.demand - demand_before
-        self._count(row, row.demand, now)
+        self._count(row, now)
+        return row
+
+    def _offer(self, row: HolderRow, number: int, now: int) -> int:
+        """Offer a share, millionths; 0 for none."""
+        least = self.budget.least_share()
         if least is None:
             return 0
         fraction = self._fraction(row, least, now)
         if fraction:
             row.offer(number, fraction, now)
-            self._count(row, row.demand, now)
+            self._count(row, now)
         return fraction
 
-    def _count(self, row: HolderRow, demand: int, now: int) -> None:
+    def _count(self, row: HolderRow, now: int) -> None:
         """Bring the sum of what is outstanding up to date with a row."""
         counted = row.outstanding(now)
         self.counted += counted - row.counted
--- /dev/null
+++ b/tests/support/quota_days.py
@@ -0,0 +1,272 @@
+"""Days of troubles for the count of tenants' requests, drawn by chance: one seed, one day."""
+
+import random
+
+import basaltport.quota.bounds as bounds
+import basaltport.quota.bucket as bucket
+import basaltport.quota.holder as holder
+import basaltport.quota.outcomes as outcomes
+import tests.support.quota_world as quota_world
+
+STRICT = bounds.QuotaBounds(5000, 0.0, 0.0)
+LENIENT = bounds.QuotaBounds(5000, 0.1, 20.0)
+LIMITS = [
+    bounds.TenantLimit(10, 40),
+    bounds.TenantLimit(20, 10),
+    bounds.TenantLimit(4, 100),
+    bounds.TenantLimit(3, 0),
+    bounds.TenantLimit(40, 8),
+]
+NETWORKS = [
+    quota_world.Network(),
+    quota_world.Network(lost=0.1, doubled=0.1, least_ms=0, most_ms=60),
+    quota_world.Network(doubled=0.2, slow=0.2, slow_ms=400),
+    quota_world.Network(lost=0.3, slow=0.1, slow_ms=12_000),
+]
+TENANTS = ["t1", "t2"]
+
+
+def press(world, rng):
+    """Requests far beyond the limit, at some of the proxies."""
+    some = rng.sample(range(len(world.proxies)), rng.randint(1, len(world.proxies)))
+    world.press(rng.choice(TENANTS), rng.choice([10, 40, 150]), rng.choice([1000, 4000, 9000]), some)
+
+
+def burst(world, rng):
+    world.burst(rng.randrange(len(world.proxies)), rng.choice(TENANTS), rng.choice([1, 5, 60]))
+
+
+def freeze(world, rng):
+    world.freeze(rng.choice([*world.proxies, *world.controllers]), rng.choice([50, 300, 3000, 11_000]))
+
+
+def cut(world, rng):
+    world.cut(rng.choice([*world.proxies, *world.controllers]), rng.choice([200, 3000, 12_000]))
+
+
+def kill(world, rng):
+    world.kill(rng.randrange(len(world.proxies)))
+
+
+def change_owner(world, rng):
+    world.change_owner(rng.choice([0, 0, 500, 3000]), rng.choice([0, 200, 2000]))
+
+
+def restart_owner(world, rng):
+    world.restart_owner()
+
+
+def network(world, rng):
+    world.network = rng.choice(NETWORKS)
+
+
+def configure(world, rng):
+    limits = {tenant: rng.choice(LIMITS) for tenant in TENANTS if rng.random() < 0.95}
+    world.configure(limits, rng.choice([0, 300, 2500]))
+
+
+def limit_at_proxy(world, rng):
+    """One proxy is out of touch with the configuration for a while."""
+    world.cut(rng.choice(world.proxies), 4000)
+    configure(world, rng)
+
+
+ACTIONS = [
+    press, press, press, press, burst, burst, freeze, cut, kill, change_owner, restart_owner, network,
+]  # fmt: skip
+SPANS_MS = [5, 60, 300, 1500, 5000]
+OF_LIMITS = [configure, limit_at_proxy]
+
+
+def new_world(seed, proxies=None, make_holder=None):
+    rng = random.Random(f"world {seed}")
+    limits = {tenant: rng.choice(LIMITS) for tenant in TENANTS}
+    number = rng.choice([1, 2, 3, 5]) if proxies is None else proxies
+    return quota_world.World(seed, rng.choice([STRICT, LENIENT]), limits, number, None, make_holder)
+
+
+def play(seed, steps=40, with_limits=True, make_holder=None):
+    """A day; the world after it."""
+    rng = random.Random(f"day {seed}")
+    world = new_world(seed, make_holder=make_holder)
+    actions = ACTIONS + OF_LIMITS * with_limits
+    for _ in range(steps):
+        rng.choice(actions)(world, rng)
+        world.run(rng.choice(SPANS_MS))
+    return world
+
+
+def alone(name, incarnation, quota_bounds):
+    """Each proxy counts by itself, with the whole limit."""
+    return HolderAlone(quota_bounds)
+
+
+def without_limits(name, incarnation, quota_bounds):
+    """Nobody counts."""
+    counting = HolderAlone(quota_bounds)
+    counting.configure = lambda limits, now: None
+    return counting
+
+
+class HolderAlone:
+    """Admits by buckets of its own."""
+
+    def __init__(self, quota_bounds):
+        self.bounds, self.buckets = quota_bounds, {}
+
+    def configure(self, limits, now):
+        self.buckets = {}
+        for tenant, limit in limits.items():
+            budget = self.bounds.budget(limit)
+            self.buckets[tenant] = bucket.Bucket(budget.rate_per_s, budget.capacity, now)
+
+    def admit(self, tenant, request_id, now):
+        own = self.buckets.get(tenant)
+        if own is None or own.take(1, now):
+            return holder.ADMITTED
+        return outcomes.Admission(outcomes.Outcome.REFUSED, outcomes.Reason.OVER_LIMIT, 100)
+
+    def take_requests(self, now):
+        return []
+
+    def tick(self, now):
+        return []
+
+
+# stories: one tenant, asked for far beyond its limit, and few proxies, so that each has a large share
+
+
+STEEP = bounds.TenantLimit(40, 10)
+BURSTY = bounds.TenantLimit(8, 80)
+AT_MS = 20
+"""Between the requests of each proxy that is pressed."""
+
+
+def story_world(seed, proxies, limit=STEEP):
+    """Nothing is unknown any more, and the owner's bucket is full."""
+    world = quota_world.World(seed, STRICT, {"t1": limit}, proxies)
+    world.run(25_000)
+    return world
+
+
+def lost_holder(seed):
+    """A proxy is cut off with its share while the others ask for all."""
+    world = story_world(seed, 3)
+    world.press("t1", AT_MS, 30_000, [0])
+    world.run(6000)
+    world.cut(world.proxies[0], 30_000)
+    world.press("t1", AT_MS, 24_000, [1, 2])
+    world.run(24_000)
+    return world
+
+
+def lost_holder_and_owner(seed):
+    """The same, and another owner at once."""
+    world = story_world(seed, 3)
+    world.press("t1", AT_MS, 20_000, [0])
+    world.run(6000)
+    world.cut(world.proxies[0], 30_000)
+    world.change_owner()
+    world.press("t1", AT_MS, 14_000, [1, 2])
+    world.run(14_000)
+    return world
+
+
+def owners_in_turn(seed):
+    """A burst at each of two owners, with shares and without."""
+    world = story_world(seed, 2, BURSTY)
+    for _ in range(3):
+        world.burst(0, "t1", 100)
+        world.run(300)
+        world.change_owner(0, 0)
+        world.run(300)
+        world.burst(1, "t1", 100)
+        world.press("t1", AT_MS, 4000)
+        world.run(25_000)
+    return world
+
+
+def frozen_asker(seed):
+    """A proxy is frozen between its request and the answer, and thaws when the limit is full again."""
+    world = story_world(seed, 2, BURSTY)
+    world.network = quota_world.Network(least_ms=2, most_ms=2)
+    for _ in range(2):
+        world.burst(0, "t1", 100)
+        world.run(5)
+        world.freeze(world.proxies[0], 11_000)
+        world.run(11_000)
+        world.burst(1, "t1", 100)
+        world.press("t1", AT_MS, 5000, [1])
+        world.run(20_000)
+    return world
+
+
+def shares_that_come_again(seed):
+    """Shares end and begin anew while the tenant asks for all."""
+    world = story_world(seed, 2, BURSTY)
+    world.press("t1", AT_MS, 40_000)
+    for _ in range(8):
+        world.run(world.rng.randint(2000, 4000))
+        for proxy in world.proxies:
+            held = proxy.holder._tenants.get("t1")
+            if held is not None:
+                held.drop_share()
+    return world
+
+
+def asked_for_all(seed):
+    """All proxies ask for far more than the limit."""
+    world = story_world(seed, 3)
+    world.press("t1", AT_MS, 20_000)
+    world.run(20_000)
+    return world
+
+
+def calm_then_bursts(seed):
+    """Shares are held and full, then a burst comes to all proxies."""
+    world = story_world(seed, 2, BURSTY)
+    world.press("t1", 300, 12_000)
+    world.run(17_000)
+    world.burst(0, "t1", 100)
+    world.burst(1, "t1", 100)
+    world.press("t1", AT_MS, 5000)
+    world.run(5000)
+    return world
+
+
+def answers_lost(seed):
+    """A proxy hears nothing more of what the owner offers, but the owner hears it."""
+    world = story_world(seed, 2)
+    world.press("t1", AT_MS, 4000, [0])
+    world.run(4000)
+    hears, world.proxies[0].hear = world.proxies[0].hear, lambda grant: None
+    world.press("t1", AT_MS, 9000, [0, 1])
+    world.run(9000)
+    world.proxies[0].hear = hears
+    return world
+
+
+def lower_limit(seed):
+    """A limit gives way to a far lower one while shares are held, then the tenant asks for all."""
+    world = story_world(seed, 2, BURSTY)
+    world.press("t1", 500, 10_000)
+    world.run(10_000)
+    world.configure({"t1": bounds.TenantLimit(2, 10)})
+    world.run(1000)
+    world.press("t1", AT_MS, 8000)
+    world.run(8000)
+    return world
+
+
+def moving_demand(seed):
+    """The demand moves from one proxy to the next while answers are lost, late and out of order."""
+    world = story_world(seed, 3)
+    world.network = quota_world.Network(lost=0.1, doubled=0.1, least_ms=0, most_ms=40, slow=0.1, slow_ms=3000)
+    for _ in range(6):
+        pressed = world.rng.sample(range(3), world.rng.randint(1, 2))
+        world.press("t1", AT_MS, 7000, pressed)
+        world.run(4000)
+        if world.rng.random() < 0.5:
+            world.cut(world.proxies[pressed[0]], 6000)
+        world.run(3000)
+    return world
--- /dev/null
+++ b/tests/support/quota_mutations.py
@@ -0,0 +1,117 @@
+"""Rules of the count of tenants' requests broken on purpose; some day breaks the bound with each.
+
+A row: name, [(owner, attribute, replacement)], whether limits change on the days."""
+
+import contextlib
+import dataclasses
+import typing
+import unittest.mock
+
+import basaltport.quota.bounds as bounds
+import basaltport.quota.held_tenant as held_tenant
+import basaltport.quota.holder as holder
+import basaltport.quota.owned_tenant as owned_tenant
+import tests.support.quota_days as days
+
+
+def never_over(self, now):
+    return self.share is not None
+
+
+def full_first_bucket(self, begun_at):
+    made = FIRST_BUCKET(self, begun_at)
+    made.level = made.capacity
+    return made
+
+
+def nothing_unknown(self, now):
+    return 0
+
+
+def always_fresh(self, grant, now):
+    return True
+
+
+def full_share(self, fraction, ends_at, last_number, now):
+    held = self.has_share(now)
+    HOLD(self, fraction, ends_at, last_number, now)
+    if self.share is not None and not held:
+        self.share.level = self.share.capacity
+
+
+def newest_offer_only(self, number, fraction, now):
+    OFFER(self, number, fraction, now)
+    self.offers = self.offers[-1:]
+    self.held = 0
+
+
+def grants_of_former_requests(self, fraction, ends_at, last_number, now):
+    HOLD(self, fraction, ends_at, 0, now)
+
+
+def keep_budget(self, budget, now):
+    pass
+
+
+def whole_rate(self, outstanding):
+    return self.rate_per_s
+
+
+def whole_capacity(self, outstanding):
+    return self.capacity
+
+
+HOLD = held_tenant.HeldTenant.hold
+OFFER = owned_tenant.HolderRow.offer
+FIRST_BUCKET = owned_tenant.OwnedTenant._first_bucket
+Held, Owned, Row = held_tenant.HeldTenant, owned_tenant.OwnedTenant, owned_tenant.HolderRow
+Budget = bounds.Budget
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutation:
+    name: str
+    story: typing.Callable
+    breaks: list
+
+    @contextlib.contextmanager
+    def applied(self):
+        with contextlib.ExitStack() as stack:
+            for owner, attribute, replacement in self.breaks:
+                stack.enter_context(unittest.mock.patch.object(owner, attribute, replacement))
+            yield
+
+
+MUTATIONS = [
+    Mutation(
+        "a share that its holder's clock doesn't end", days.lost_holder, [(Held, "has_share", never_over)]
+    ),
+    Mutation(
+        "a new owner's bucket is full", days.owners_in_turn, [(Owned, "_first_bucket", full_first_bucket)]
+    ),
+    Mutation(
+        "a new owner takes nothing as outstanding",
+        days.lost_holder_and_owner,
+        [(Owned, "unknown", nothing_unknown)],
+    ),
+    Mutation(
+        "a late grant gives tokens", days.frozen_asker, [(holder.QuotaHolder, "_is_fresh", always_fresh)]
+    ),
+    Mutation("a share begins with a full bucket", days.shares_that_come_again, [(Held, "hold", full_share)]),
+    Mutation(
+        "an offer is dropped before it is confirmed", days.answers_lost, [(Row, "offer", newest_offer_only)]
+    ),
+    Mutation(
+        "the owner's bucket has the whole rate beside shares",
+        days.asked_for_all,
+        [(Budget, "owner_rate", whole_rate)],
+    ),
+    Mutation(
+        "the owner's bucket has the whole capacity beside shares",
+        days.calm_then_bursts,
+        [(Budget, "owner_capacity", whole_capacity)],
+    ),
+    Mutation(
+        "a share stays that of a former limit", days.lower_limit, [(Held, "change_budget", keep_budget)]
+    ),
+]
--- a/tests/support/quota_world.py
+++ b/tests/support/quota_world.py
@@ -29,6 +29,14 @@
     slow_ms: float = 0
 
 
+@dataclasses.dataclass
+class Knowing:
+    """Who goes by a limit (None: by none), and in which spans anybody did."""
+
+    who: set = dataclasses.field(default_factory=set)
+    spans: list = dataclasses.field(default_factory=list)
+
+
 class Process:
     """Its clock has its own zero; while it is frozen what comes waits; while it is cut off nothing comes."""
 
@@ -134,7 +142,7 @@
 class World:
     def __init__(self, seed, quota_bounds, limits, proxies, network=None, make_holder=None):
         self.rng = random.Random(seed)
-        self.bounds, self.limits = quota_bounds, dict(limits)
+        self.bounds, self.limits, self.tenants = quota_bounds, dict(limits), sorted(limits)
         self.make_holder = make_holder or (
             lambda name, incarnation, of: holder.QuotaHolder(name, incarnation, "127.0.0.1:1", of)
         )
@@ -146,7 +154,6 @@
         self.incarnations = itertools.count(1)
         self.admitted, self.refused, self.waits, self.asked = {}, {}, [], 0
         self.knowing = {}
-        """By tenant: [limit, when somebody first knew it, when the last forgot it or None]."""
         self.traffic = lambda message: None
         self.fence = 1
         self.controllers = [Controller(self, f"c{i}", self.rng.randrange(10**6)) for i in range(2)]
@@ -252,17 +259,18 @@
     # limits
 
     def learn(self, process, limits):
-        for tenant, limit in limits.items():
-            rows = self.knowing.setdefault(tenant, {})
-            rows.setdefault(limit, [self.now, set(), None])[1].add(process)
-            rows[limit][2] = None
+        for tenant in self.tenants:
+            knowing = self.knowing.setdefault(tenant, {}).setdefault(limits.get(tenant), Knowing())
+            if not knowing.who:
+                knowing.spans.append([self.now, float("inf")])
+            knowing.who.add(process)
 
     def unlearn(self, process):
         for rows in self.knowing.values():
-            for row in rows.values():
-                if process in row[1]:
-                    row[1].discard(process)
-                    row[2] = None if row[1] else self.now
+            for knowing in rows.values():
+                knowing.who.discard(process)
+                if not knowing.who and knowing.spans[-1][1] > self.now:
+                    knowing.spans[-1][1] = self.now
 
     def configure(self, limits, lag_ms=0):
         """Another configuration, which each process hears of at a time of its own."""
@@ -285,9 +293,10 @@
     def allowed(self, tenant, begin, end):
         """The most in a window, by the highest limit that anybody knew in it or just before it."""
         known = [
-            self.bounds.most_in_window(limit)
-            for limit, (since, _, until) in self.knowing.get(tenant, {}).items()
-            if since <= end and (until is None or until >= begin - bounds.GRANT_LIFE_MS)
+            self.bounds.most_in_window(limit) if limit else float("inf")
+            for limit, knowing in self.knowing[tenant].items()
+            for since, until in knowing.spans
+            if since <= end and until >= begin - bounds.GRANT_LIFE_MS
         ]
         return max(known)
 
