Quota: a limit is cut into three slices with an owner each

Cause: one owner of a tenant, and a large part kept for shares. Change: three slices in shards that lie apart, each with a bucket of its own; a request that gets nothing from one owner asks the next; shares are at most 0.3. The bound's argument is the same, over the sum. Failed before: the tests of slices.

--- a/basaltport/quota/bounds.py
+++ b/basaltport/quota/bounds.py
@@ -17,8 +17,10 @@
 """A share holds for so long from when its holder sent the request that was answered with it."""
 SHARE_MARGIN_MS = 100
 """An owner counts a share as outstanding for so much longer, since clocks differ in their rates."""
-SHARED_PART = 0.6
-"""All shares of a limit together are at most this part of it."""
+SHARED_PART = 0.3
+"""All shares of a limit together are at most this part of it; a new owner gives none of it for `SHARE_MS`."""
+SLICES = 3
+"""A limit is cut into so many slices with an owner each, so that the loss of one leaves the others."""
 
 UNIT = 1_000_000
 """Fractions of a limit are whole millionths, so that they add up exactly."""
@@ -66,6 +68,21 @@
             return None
         return math.ceil(SHARED_UNITS / room)
 
+    def slices(self) -> tuple["Budget", ...]:
+        """The budget cut into slices. Each slice's capacity grows with that of the whole, so that while two
+        limits are known the slices together have no more than the larger."""
+        if self.capacity >= SLICES:
+            return (Budget(self.rate_per_s / SLICES, self.capacity / SLICES),) * SLICES
+        usable = int(self.capacity)
+        if not usable:
+            return (Budget(0.0, 0.0),) * SLICES
+        whole = Budget(self.rate_per_s / usable, 1.0)
+        return (
+            (whole,) * usable
+            + (Budget(0.0, self.capacity - usable),)
+            + (Budget(0.0, 0.0),) * (SLICES - usable - 1)
+        )
+
     def owner_rate(self, outstanding: int) -> float:
         """Tokens a second of the owner's bucket while so much is outstanding in shares."""
         return self.rate_per_s * max(0, UNIT - outstanding) / UNIT
--- a/basaltport/quota/held_tenant.py
+++ b/basaltport/quota/held_tenant.py
@@ -1,56 +1,34 @@
-"""What a proxy holds of one tenant's limit, and its requests that wait for the owner."""
+"""One tenant at a proxy: what is held of each slice of its limit, and how much is asked for."""
 
+import dataclasses
 import math
-import typing
+import zlib
 
 import basaltport.identifiers as identifiers
 import basaltport.quota.bounds as bounds
-import basaltport.quota.bucket as bucket
-import basaltport.quota.rows as rows
+import basaltport.quota.held_slice as held_slice
+import basaltport.quota.shards as shards
 
 DEMAND_MS = 5000
 """Arrivals weigh e times less after so long."""
 USED_MS = 10_000
-"""A tenant without a request for so long is not renewed, and forgotten once nothing of it is in force."""
+"""The shares of a tenant without a request for so long are not renewed; it is forgotten once they ended."""
 MS = 1000
 
-Waiting = dict[identifiers.RequestId, int]
-"""When each request came."""
-
 
 class HeldTenant:
-    """One tenant at a proxy. `by`: grants of requests up to this number change the share no more."""
+    """A tenant's slices, the one first that this proxy asks first."""
 
-    __slots__ = (
-        "name",
-        "shard",
-        "budget",
-        "share",
-        "fraction",
-        "ends_at",
-        "by",
-        "asked",
-        "waiting",
-        "refused_until",
-        "retry_at",
-        "used_at",
-        "told_at",
-        "_demand",
-    )
+    __slots__ = ("name", "slices", "used_at", "_demand")
 
-    def __init__(self, name: str, shard: str, budget: bounds.Budget, by: int, now: int) -> None:
-        """Without a share; grants of what was asked before are not its own."""
+    def __init__(self, name: str, holder: str, budget: bounds.Budget, by: int, now: int) -> None:
+        """`by`: the last number that was sent."""
         self.name = name
-        self.shard = shard
-        self.budget = budget
-        self.share: bucket.Bucket | None = None
-        self.fraction = 0
-        self.ends_at = 0
-        self.by = by
-        self.asked: Waiting = {}
-        self.waiting: Waiting = {}
-        self.refused_until = self.retry_at = 0
-        self.used_at = self.told_at = now
+        parts = zip(shards.shards_of(name), budget.slices(), strict=True)
+        slices = [held_slice.HeldSlice(name, shard, part, by, now) for shard, part in parts]
+        first = zlib.crc32(f"{holder} {name}".encode()) % len(slices)
+        self.slices = slices[first:] + slices[:first]
+        self.used_at = now
         self._demand = 0.0
 
     def arrive(self, now: int) -> None:
@@ -62,63 +40,27 @@
         """Requests per 1000 s, by those of the last seconds."""
         return round(self._demand * math.exp((self.used_at - now) / DEMAND_MS) * MS)
 
-    def has_share(self, now: int) -> bool:
-        """Whether a share is in force; one whose time is over is gone."""
-        if self.share is None:
-            return False
-        if now < self.ends_at:
-            return True
-        self.drop_share()
-        return False
-
-    def spend(self, now: int) -> bool:
-        """Take a token of the share."""
-        return self.has_share(now) and self.share is not None and self.share.take(1, now) == 1
-
-    def drop_share(self) -> None:
-        """The share is over."""
-        self.share = None
-        self.fraction = 0
-
-    def hold(self, fraction: int, ends_at: int, last_number: int, now: int) -> None:
-        """A grant gives a share until a time, or none with a fraction of 0. What was asked up to the last
-        number told of the share before it, so its grants count no more."""
-        self.by = last_number
-        if not fraction or now >= ends_at:
-            self.drop_share()
-            return
-        held = self.has_share(now)
-        self.fraction = fraction
-        self.ends_at = ends_at
-        rate, capacity = self.budget.share_rate(fraction), self.budget.share_capacity(fraction)
-        if held and self.share is not None:
-            self.share.change(rate, capacity, now)
-            return
-        self.share = bucket.Bucket(rate, capacity, now)
+    def slice_of(self, shard: str) -> held_slice.HeldSlice | None:
+        """The slice of a shard."""
+        return next((part for part in self.slices if part.shard == shard), None)
 
     def change_budget(self, budget: bounds.Budget, now: int) -> None:
-        """Another limit: what is held is the same fraction of it."""
-        self.budget = budget
-        if self.share is not None:
-            rate, capacity = budget.share_rate(self.fraction), budget.share_capacity(self.fraction)
-            self.share.change(rate, capacity, now)
-
-    def ask_row(self, wanted: int, now: int) -> rows.Row:
-        """What the owner is told."""
-        self.told_at = now
-        held = self.has_share(now)
-        fraction, lasts_ms = (self.fraction, self.ends_at - now) if held else (0, 0)
-        return rows.pack(rows.Asked(wanted, self.demand(now), fraction, lasts_ms, self.by))
+        """Another limit."""
+        for shard, part in zip(shards.shards_of(self.name), budget.slices(), strict=True):
+            held = self.slice_of(shard)
+            if held is not None:
+                held.change_budget(part, now)
 
     def is_idle(self, now: int) -> bool:
-        """Whether nothing of it is in force, nor anything that may still come of what was asked."""
-        is_quiet = now - max(self.used_at, self.told_at) > max(USED_MS, bounds.SHARE_MS)
-        return is_quiet and not self.asked and not self.waiting and not self.has_share(now)
+        """Whether it may be forgotten."""
+        return now - self.used_at > USED_MS and all(part.is_idle(now) for part in self.slices)
 
 
-class Ask(typing.NamedTuple):
-    """A request for tokens that isn't answered yet."""
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """A request that waits for the owner of a slice; `tried`: the slices that it waited for, one bit each."""
 
-    sent_at: int
-    shard: str
-    tenants: list[HeldTenant]
+    request_id: identifiers.RequestId
+    tenant: HeldTenant
+    came_at: int
+    tried: int = 0
--- a/basaltport/quota/outcomes.py
+++ b/basaltport/quota/outcomes.py
@@ -66,8 +66,9 @@
 
 
 class OwnedTenant(typing.NamedTuple):
-    """How a tenant stands at its owner: millionths `outstanding` in shares, of `holders` proxies; millionths
-    that an earlier owner may have given; `level` tokens in the bucket of at most `capacity`."""
+    """How a slice of a tenant's limit stands at its owner: millionths `outstanding` in shares, of `holders`
+    proxies; millionths that an earlier owner may have given; `level` tokens in the bucket of at most
+    `capacity`."""
 
     tenant: identifiers.TenantName
     shard: str
--- a/basaltport/quota/owned_tenant.py
+++ b/basaltport/quota/owned_tenant.py
@@ -1,4 +1,4 @@
-"""One tenant's count at its owner: the owner's bucket, and what is outstanding in shares of proxies."""
+"""The count of one slice of a tenant's limit at its owner: the bucket, and what proxies hold as shares."""
 
 import typing
 
@@ -63,7 +63,7 @@
 
 
 class OwnedTenant:
-    """The count of a tenant in one ownership of its shard."""
+    """The count of a tenant's slice in one ownership of its shard."""
 
     __slots__ = ("budget", "unknown_until", "rows", "bucket", "counted", "demand", "used_at", "_swept_at")
 
--- a/basaltport/quota/owner.py
+++ b/basaltport/quota/owner.py
@@ -9,6 +9,7 @@
 import basaltport.quota.outcomes as outcomes
 import basaltport.quota.owned_tenant as owned_tenant
 import basaltport.quota.rows as rows
+import basaltport.quota.shards as shards
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,7 +28,7 @@
     def __init__(self, quota_bounds: bounds.QuotaBounds) -> None:
         """It owns nothing."""
         self._bounds = quota_bounds
-        self._budgets: dict[str, bounds.Budget] = {}
+        self._limits: dict[str, bounds.TenantLimit] = {}
         self._shards: dict[str, OwnedShard] = {}
         self._asked = self._granted = self._requests = 0
 
@@ -44,10 +45,10 @@
 
     def configure(self, limits: collections.abc.Mapping[str, bounds.TenantLimit], now: int) -> None:
         """The limits now in force. What tenants without a limit had is kept until it has ended."""
-        self._budgets = {name: self._bounds.budget(limit) for name, limit in limits.items()}
-        for owned in self._shards.values():
+        self._limits = dict(limits)
+        for shard, owned in self._shards.items():
             for name, tenant in owned.tenants.items():
-                budget = self._budgets.get(name)
+                budget = self._budget(shard, name)
                 if budget is not None:
                     tenant.change_budget(budget, now)
 
@@ -60,7 +61,7 @@
         key = request.name, request.incarnation
         granted_rows = {}
         for name, row in request.rows.items():
-            tenant = self._tenant(owned, name, now)
+            tenant = self._tenant(request.shard, owned, name, now)
             if tenant is None:
                 continue
             asked = rows.read_asked(row)
@@ -103,11 +104,18 @@
             for name, tenant in owned.tenants.items()
         ]
 
-    def _tenant(self, owned: OwnedShard, name: str, now: int) -> owned_tenant.OwnedTenant | None:
-        tenant = owned.tenants.get(name)
-        budget = self._budgets.get(name)
-        if budget is None:
+    def _budget(self, shard: str, name: str) -> bounds.Budget | None:
+        """The slice of a tenant's limit that a shard has."""
+        limit, places = self._limits.get(name), shards.shards_of(name)
+        if limit is None or shard not in places:
             return None
-        if tenant is None:
+        return self._bounds.budget(limit).slices()[places.index(shard)]
+
+    def _tenant(self, shard: str, owned: OwnedShard, name: str, now: int) -> owned_tenant.OwnedTenant | None:
+        tenant = owned.tenants.get(name)
+        if tenant is not None:
+            return tenant if name in self._limits else None
+        budget = self._budget(shard, name)
+        if budget is not None:
             tenant = owned.tenants[name] = owned_tenant.OwnedTenant(budget, owned.begun_at, now)
         return tenant
--- a/basaltport/quota/shards.py
+++ b/basaltport/quota/shards.py
@@ -1,11 +1,21 @@
-"""Which shard a tenant belongs to; the controller that owns the shard owns the tenant's count."""
+"""Which shards hold the slices of a tenant's limit; the controller that owns a shard counts its slices."""
 
+import functools
 import zlib
 
+import basaltport.quota.bounds as bounds
+
 SHARDS = 12
 """The shards of `controller/shard_ownership.py`, which proxies don't import."""
 
 
 def shard_of(tenant: str) -> str:
-    """The shard of a tenant."""
+    """The shard of a tenant's first slice."""
     return str(zlib.crc32(tenant.encode()) % SHARDS)
+
+
+@functools.lru_cache(maxsize=20_000)
+def shards_of(tenant: str) -> tuple[str, ...]:
+    """The shards of all its slices: others for each, as far apart as can be."""
+    first = int(shard_of(tenant))
+    return tuple(str((first + i * SHARDS // bounds.SLICES) % SHARDS) for i in range(bounds.SLICES))
--- a/tests/quota/test_bounds.py
+++ b/tests/quota/test_bounds.py
@@ -41,6 +41,19 @@
     assert least is None or budget.share_capacity(least) >= 1 > budget.share_capacity(least - 1)
 
 
+@MANY
+@hypothesis.given(BOUNDS, LIMITS, LIMITS)
+def test_slices_have_together_what_the_whole_has_also_while_two_limits_are_known(quota_bounds, one, two):
+    budgets = [quota_bounds.budget(limit) for limit in (one, two)]
+    for budget in budgets:
+        assert sum(part.capacity for part in budget.slices()) <= budget.capacity + 1e-9
+        assert sum(part.rate_per_s for part in budget.slices()) <= budget.rate_per_s + 1e-9
+        assert not budget.rate_per_s or budget.slices()[0].capacity >= 1
+    parts = zip(*(budget.slices() for budget in budgets), strict=True)
+    largest = sum(max(part.capacity for part in both) for both in parts)
+    assert largest <= max(budget.capacity for budget in budgets) + 1e-9
+
+
 def test_bounds_are_read_from_settings():
     assert bounds.QuotaBounds.from_timings({}) == bounds.QuotaBounds(5000, 0.0, 0.0)
     timings = {"quota_window_s": 2.5, "quota_excess": 0.1, "quota_slack": 20, "grace_s": 1}
@@ -73,4 +86,8 @@
 
 def test_tenants_are_cut_over_the_shards_of_ownership():
     assert shards.SHARDS == shard_ownership.SHARDS
+    for i in range(200):
+        places = shards.shards_of(f"t{i}")
+        assert len(set(places)) == bounds.SLICES and places[0] == shards.shard_of(f"t{i}")
+        assert all(0 <= int(place) < shards.SHARDS for place in places)
     assert all(shards.shard_of(f"t{i}") == shard_ownership.shard_of(f"t{i}") for i in range(50))
