--- a/basaltport/controller/status_view.py
+++ b/basaltport/controller/status_view.py
@@ -190,11 +190,13 @@
 
 
 def configuration(node: Node, now: int) -> Row:
-    """The page `configuration`: its edition, and counts of what it holds."""
+    """The page `configuration`: its edition, and counts of what it holds; `tenants` is null where no key is
+    needed. Pages hold no keys: who may read those asks for the configuration itself."""
     document = node.cluster_state.configuration or {}
     services = document.get("services", ())
     routes = document.get("routes", ())
-    page = {
+    tenants = document.get("tenants")
+    page: Row = {
         "edition": edition(node),
         "serial": int(node.cluster_state.configuration_version),
         "routes": len(routes),
@@ -202,6 +204,8 @@
     page["hosts"] = len({route["host"].lower() for route in routes})
     page["services"] = len(services)
     page["models"] = sum(len((service.get("engine") or {}).get("models", ())) for service in services)
+    page["tenants"] = None if tenants is None else len(tenants)
+    page["keys"] = sum(len(tenant["keys"]) for tenant in tenants or ())
     return page
 
 
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -143,14 +143,21 @@
             self.compiled_document = document
             self.table = routing.RoutingTable(document, self.table)
             self.forget_routes()
-            routes = sum(map(len, self.table.hosts.values()))
-            version = int(self.cluster_state.configuration_version)
-            self.emit(
-                base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), {"serial": version, "lines": routes})
-            )
+            self.emit(base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), self.counts_in_force()))
         self.route_held_arrivals()
         self.launch_all()
 
+    def counts_in_force(self) -> dict[str, int | None]:
+        """What is logged of a configuration that comes into force; `tenants` is null where none is needed."""
+        tenants = self.table.tenants
+        return {
+            "serial": int(self.cluster_state.configuration_version),
+            "edition": self.table.edition,
+            "lines": sum(map(len, self.table.hosts.values())),
+            "tenants": None if tenants.is_empty else len(tenants.tenants),
+            "keys": tenants.key_count,
+        }
+
     def forget_routes(self) -> None:
         """Drop the figures of routes that are configured no more."""
         names = {route.name for routes in self.table.hosts.values() for route in routes}
--- a/basaltport/proxy/tenant_directory.py
+++ b/basaltport/proxy/tenant_directory.py
@@ -57,6 +57,11 @@
         self._least_urgency = max((tenant.urgency for tenant in self.tenants.values()), default=0)
         self._pairs = self._urgency_pairs(document)
 
+    @property
+    def key_count(self) -> int:
+        """How many keys are known."""
+        return len(self._owners)
+
     def owner_of(self, key: identifiers.KeyDigest) -> Tenant | None:
         """The tenant that has a key, None where nobody has it."""
         return self._owners.get(key)
--- a/tests/fleet/test_fleet_cli.py
+++ b/tests/fleet/test_fleet_cli.py
@@ -88,7 +88,10 @@
     assert get(at, "journal")[0] == 404 and get(at, "status?own=1", b"x")[0] == 405
     counts = json.loads(get(fleet.served.address(fleet.leader), "configuration")[1])
     counts.pop("serial")
-    assert counts == {"edition": 1, "routes": 4, "hosts": 1, "services": 1, "models": 2}
+    assert counts == {
+        **{"edition": 1, "routes": 4, "hosts": 1, "services": 1, "models": 2},
+        **{"tenants": None, "keys": 0},
+    }
     names = [m["name"] for m in json.loads(get(fleet.served.address(fleet.leader), "members")[1])["members"]]
     assert names == ["k1", "k2", "k3", "p1"]
 
