config diff tells how many keys of a tenant changed, and shows none

Of a tenant's fields the urgency, rate and burst are shown, of its keys how many there were, are and are new.

--- a/basaltport/command_line/config.py
+++ b/basaltport/command_line/config.py
@@ -12,6 +12,7 @@
 import basaltport.command_line.exit_codes as exit_codes
 import basaltport.command_line.output as output
 import basaltport.configuration.routes as routes
+import basaltport.configuration.tenants as tenants
 
 Document = dict[str, typing.Any]
 Findings = list[dict[str, str]]
@@ -104,20 +105,39 @@
         print(json.dumps({"changes": rows}))
     else:
         for row in rows:
-            values_of = f": {row['was']!r} -> {row['is']!r}" if "was" in row else ""
-            print(f"{row['change']:<8} {row['place']}{values_of}")
+            print(_row_text(row))
         print(f"{len(rows)} changes" if rows else "the same")
     return exit_codes.REFUSED if rows else exit_codes.DONE
 
 
+def _row_text(row: Document) -> str:
+    values_of = f": {row['was']!r} -> {row['is']!r}" if "was" in row else ""
+    added = f", {row['new']} new" if "new" in row else ""
+    return f"{row['change']:<8} {row['place']}{values_of}{added}"
+
+
 def differences(old: object, new: object, place: str = "") -> list[Document]:
-    """[{"place", "change": added|removed|changed, "was", "is"}]; what has a name is known by it."""
+    """[{"place", "change": added|removed|changed, "was", "is"}]; what has a name is known by it. Of tenants'
+    keys numbers are told, and no other values that may be keys."""
     if isinstance(old, dict) and isinstance(new, dict):
         return _of_objects(old, new, place)
     old_by_name, new_by_name = by_name(old), by_name(new)
     if old_by_name is not None and new_by_name is not None:
         return _of_objects(old_by_name, new_by_name, place)
-    return [] if old == new else [{"place": place, "change": "changed", "was": old, "is": new}]
+    return [] if old == new else [_changed(old, new, place)]
+
+
+def _changed(old: object, new: object, place: str) -> Document:
+    """The row of a value that changed."""
+    row: Document = {"place": place, "change": "changed"}
+    section, _, rest = place.partition(".")
+    field = rest.rpartition(".")[2]
+    if section != tenants.SECTION or field in tenants.SHOWN:
+        return {**row, "was": old, "is": new}
+    if field != tenants.KEYS or not isinstance(old, list) or not isinstance(new, list):
+        return row
+    added = len([key for key in new if key not in old])
+    return {**row, "was": len(old), "is": len(new), "new": added}
 
 
 def _of_objects(old: Document, new: Document, place: str) -> list[Document]:
--- a/basaltport/configuration/tenants.py
+++ b/basaltport/configuration/tenants.py
@@ -7,8 +7,11 @@
 import basaltport.configuration.forms as forms
 
 SECTION = "tenants"
+KEYS = "keys"
+SHOWN = frozenset({"urgency", "rate_per_s", "burst"})
+"""Fields of a tenant that may be shown to others than who reads the configuration itself."""
 TENANT = forms.Form(
-    {"name": forms.is_header_text, "keys": forms.is_list},
+    {"name": forms.is_header_text, KEYS: forms.is_list},
     {"urgency": forms.is_whole, "rate_per_s": forms.is_number, "burst": forms.is_number},
     ("urgency", "rate_per_s", "burst"),
 )
@@ -31,7 +34,7 @@
         findings += TENANT.findings(tenant, place)
         if type(tenant) is not dict:
             continue
-        name, keys = tenant.get("name"), tenant.get("keys")
+        name, keys = tenant.get("name"), tenant.get(KEYS)
         forms.note_name(name, names, place, findings)
         if forms.is_list(keys):
             _check_keys(keys, Holder(position, name), holders, findings)
@@ -50,7 +53,7 @@
         else:
             holders[key] = holder
             continue
-        findings.append(forms.finding_at(f"{SECTION}.{holder.position}.keys.{position}", said))
+        findings.append(forms.finding_at(f"{SECTION}.{holder.position}.{KEYS}.{position}", said))
 
 
 def _say_shared(first: Holder, holder: Holder) -> str:
--- a/tests/fleet/test_fleet_cli.py
+++ b/tests/fleet/test_fleet_cli.py
@@ -282,3 +282,51 @@
     lanes = file("c", {"edition": 1, "lanes": [{"name": "x"}], "depots": []})
     code, out, _ = call(capsys, "config", "check", f"--words={names}", lanes)
     assert code == 2 and "lanes.0.pathPrefix: is required\n" in out
+
+
+TENANTS = [
+    {"name": "desk", "keys": ["secret-1", "secret-2"], "urgency": 1, "rate_per_s": 5},
+    {"name": "hall", "keys": ["secret-3"]},
+]
+
+
+# guards against a tenant's key on a terminal, in a ticket or in a log of CI
+@pytest.mark.parametrize(
+    "old, new, rows",
+    [
+        (
+            TENANTS,
+            [{**TENANTS[0], "keys": ["secret-2", "secret-4", "secret-5"], "rate_per_s": 6}, TENANTS[1]],
+            ["changed  tenants.desk.keys: 2 -> 3, 2 new", "changed  tenants.desk.rate_per_s: 5 -> 6"],
+        ),
+        (TENANTS, [TENANTS[0], {**TENANTS[1], "keys": []}], ["changed  tenants.hall.keys: 1 -> 0, 0 new"]),
+        ([TENANTS[0], {**TENANTS[1], "keys": []}], TENANTS, ["changed  tenants.hall.keys: 0 -> 1, 1 new"]),
+        (
+            TENANTS,
+            [TENANTS[0], {"name": "porch", "keys": ["secret-3"]}],
+            ["removed  tenants.hall", "added    tenants.porch"],
+        ),
+        (None, TENANTS, ["changed  tenants"]),
+        (TENANTS, [{**TENANTS[0], "former": ["secret-9"], "label": "secret"}, TENANTS[1]], 2),
+        ([{**TENANTS[0], "former": ["secret-9"]}], [{**TENANTS[0], "former": ["secret-8"]}], 1),
+    ],
+)
+def test_the_difference_of_two_configurations_shows_no_key(capsys, tmp_path, old, new, rows):
+    paths = [tmp_path / "old", tmp_path / "new"]
+    for path, tenants in zip(paths, (old, new), strict=True):
+        path.write_text(json.dumps({**fleet_stand.document(), "tenants": tenants}))
+    code, out, _ = call(capsys, "config", "diff", *paths)
+    as_json = call(capsys, "config", "diff", "--json", *paths)[1]
+    assert code == 1 and "secret" not in out + as_json
+    if isinstance(rows, list):
+        assert out.split("\n")[:-2] == rows
+    assert len(json.loads(as_json)["changes"]) == (len(rows) if isinstance(rows, list) else rows)
+
+
+# guards against a key of two tenants that an operator is told of by its text
+def test_a_check_of_a_file_shows_no_key(capsys, tmp_path):
+    shared = [TENANTS[0], {"name": "hall", "keys": ["secret-1", 3]}]
+    (tmp_path / "a").write_text(json.dumps({**fleet_stand.document(), "tenants": shared}))
+    code, out, err = call(capsys, "config", "check", tmp_path / "a")
+    assert code == 2 and "secret" not in out + err
+    assert out.startswith("tenants.1.keys.0: a key of tenant 'desk' too\ntenants.1.keys.1: not a text")
