Tenants that a release before stored come into force with this one

That release passed `senders` by and stored it under the platform's word. After an upgrade it was read as no section: no key was asked for, GET gave it back as `~senders`, and the first change of one tenant would have shut out all others (ROUTE, CONFIG). The leader puts such a configuration anew, as an entry of the log, before it decides any change: members of both releases hold one state. What is invalid (a key of two tenants, which was taken then) stays as it is and is logged with its findings.

--- a/basaltport/controller/node.py
+++ b/basaltport/controller/node.py
@@ -10,6 +10,7 @@
 import basaltport.controller.operator_requests as operator_requests
 import basaltport.controller.order_execution as order_execution
 import basaltport.controller.placement_control as placement_control
+import basaltport.controller.stored_configuration as stored_configuration
 import basaltport.fleet.messages as messages
 import basaltport.fleet.publish as publish
 import basaltport.identifiers as identifiers
@@ -28,6 +29,7 @@
     placement_control.PlacementControlMixin,
     order_execution.OrderExecutionMixin,
     operator_requests.OperatorRequestsMixin,
+    stored_configuration.StoredConfigurationMixin,
     publish.PublishMixin,
     node.ConsensusNode,
 ):
@@ -35,7 +37,7 @@
 
     TICKS = (
         *("tick_disk", "tick_hello", "tick_elect", "tick_lead"),
-        *("tick_requests", "tick_shards", "tick_place"),
+        *("tick_stored", "tick_requests", "tick_shards", "tick_place"),
     )
 
     def __init__(
@@ -60,6 +62,7 @@
         self.placement.may_order = self.may_order
         self.replica_lease_ms = lease_ms
         self.operator_requests_start()
+        self.stored_configuration_start()
         self.publish_start()
         self.order_execution_start()
         self.snapshot_index = self.cluster_state.log_index
--- a/basaltport/controller/operator_requests.py
+++ b/basaltport/controller/operator_requests.py
@@ -112,6 +112,9 @@
     def settled(self) -> bool:
         """Whether this leader's first entry is agreed."""
 
+    def tick_stored(self) -> None:
+        """Put a configuration anew that is stored in former words."""
+
     def settle(self) -> None:
         """Acknowledge what is committed."""
 
@@ -217,6 +220,7 @@
         if not self.leading or not self.settled():
             self.respond(source, call, *no_leader())
             return
+        self.tick_stored()
         if verb in READS:
             self.confirm(source, call, verb, body, received_at)
             return
--- a/basaltport/controller/server.py
+++ b/basaltport/controller/server.py
@@ -44,7 +44,7 @@
 
 class Port(typing.Protocol):
     """The platform's part: lists replicas, sends orders to them, and serves operators. It may have `reload()`
-    besides, called on SIGHUP."""
+    besides, called on SIGHUP, and `read_stored`, as of `stored_configuration`."""
 
     async def start(self, server: "ControllerServer") -> None:
         """Serve operators on behalf of a controller."""
@@ -108,6 +108,7 @@
             lease_ms=settings.get("timings", {}).get("lease_ms", node.REPLICA_LEASE_MS),
             began=identifiers.Millis(started.AT_MS),
         )
+        self.member.read_stored = getattr(self.port, "read_stored", None)
         term, index = self.member.head()
         fields = {"serial": int(index), "generation": term.text(), "seat": self.me.seat}
         logs.note(log_events.Event.DISK_OPENED, fields)
