--- a/basaltport/controller/node.py
+++ b/basaltport/controller/node.py
@@ -11,6 +11,7 @@
 import basaltport.controller.order_execution as order_execution
 import basaltport.controller.placement_control as placement_control
 import basaltport.controller.quota_control as quota_control
+import basaltport.controller.stored_configuration as stored_configuration
 import basaltport.fleet.messages as messages
 import basaltport.fleet.publish as publish
 import basaltport.identifiers as identifiers
@@ -32,6 +33,7 @@
     order_execution.OrderExecutionMixin,
     operator_requests.OperatorRequestsMixin,
     quota_control.QuotaControlMixin,
+    stored_configuration.StoredConfigurationMixin,
     publish.PublishMixin,
     node.ConsensusNode,
 ):
@@ -39,7 +41,7 @@
 
     TICKS = (
         *("tick_disk", "tick_hello", "tick_elect", "tick_lead"),
-        *("tick_requests", "tick_shards", "tick_place", "tick_quota"),
+        *("tick_stored", "tick_requests", "tick_shards", "tick_place", "tick_quota"),
     )
 
     def __init__(
@@ -65,6 +67,7 @@
         self.placement.may_order = self.may_order
         self.replica_lease_ms = lease_ms
         self.operator_requests_start()
+        self.stored_configuration_start()
         self.publish_start()
         self.order_execution_start()
         self.quota_start(quota_bounds)
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -158,14 +158,21 @@
             self.quota.configure(document)
             self.forget_routes()
             self.end_revoked()
-            routes = sum(map(len, self.table.hosts.values()))
-            version = int(self.cluster_state.configuration_version)
-            self.emit(
-                base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), {"serial": version, "lines": routes})
-            )
+            self.emit(base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), self.counts_in_force()))
         self.route_held_arrivals()
         self.launch_all()
 
+    def counts_in_force(self) -> dict[str, int | None]:
+        """What is logged of a configuration that comes into force; `tenants` is null where none is needed."""
+        tenants = self.table.tenants
+        return {
+            "serial": int(self.cluster_state.configuration_version),
+            "edition": self.table.edition,
+            "lines": sum(map(len, self.table.hosts.values())),
+            "tenants": None if tenants.is_empty else len(tenants.tenants),
+            "keys": tenants.key_count,
+        }
+
     def forget_routes(self) -> None:
         """Drop the figures of routes that are configured no more."""
         names = {NO_ROUTE, *(route.name for routes in self.table.hosts.values() for route in routes)}
