--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -24,9 +24,11 @@
 import basaltport.proxy.queue_launch as queue_launch
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
+import basaltport.proxy.request_ends as request_ends
 import basaltport.proxy.retry_budget as retry_budget
-import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_directory as tenant_directory
 
 TIMINGS = {
     "retry_ratio": 0.2,
@@ -41,15 +43,14 @@
 STARTING_RETRY_AFTER_MS = 1500
 ASSUMED_PROXIES = 16
 """How many proxies there are, until the feed tells."""
-NOT_FOUND = 404
 UNAVAILABLE = 503
+NO_ROUTE = ""
+"""What stands for a route among figures by route where a request has none."""
 STARTING = "no configuration yet"
 ENDING = "this proxy ends"
-REJECTED_HERE = "refused-here"
-"""The label of our own rejections among the outcomes of attempts."""
 
 
-class ProxyNode(follow.FollowMixin, member.Member):
+class ProxyNode(request_ends.RequestEndsMixin, follow.FollowMixin, member.Member):
     """One reducer over all events of a proxy. Its parts are handed to each other when it is made; they read
     the time and the fleet from it. `requests`: all that have no end yet."""
 
@@ -95,6 +96,7 @@
         """Make the parts that share state with each other."""
         self.balancer = load_balancing.LoadBalancer(self, self.health, self.latency)
         self.readiness = model_readiness.ModelReadiness(self, self.balancer)
+        self.access = tenant_access.TenantAccess(self)
         self.admission = admission.Admission(self, self.queue, self.readiness, self.budgets)
         self.attempts = attempt.AttemptTracker(self, self.balancer, self.readiness, self.budgets)
         self.launcher = queue_launch.QueueLauncher(self.queue, self.balancer, self.attempts)
@@ -153,7 +155,7 @@
 
     def forget_routes(self) -> None:
         """Drop the figures of routes that are configured no more."""
-        names = {route.name for routes in self.table.hosts.values() for route in routes}
+        names = {NO_ROUTE, *(route.name for routes in self.table.hosts.values() for route in routes)}
         self.histograms.keep_routes(names)
         for counts in (self.refusals, self.failures):
             for key in [key for key in counts if key[0] not in names]:
@@ -196,23 +198,33 @@
             return
         route = self.table.match(event.host, event.path)
         if route is None:
-            self.emit(events.Close(event.request, NOT_FOUND, "no route"))
+            self.deny(event.request, NO_ROUTE, self.access.unknown_route())
             return
-        arrived = request.Request(event.request, route, event)
-        rejection = self.admission.admit(arrived, event)
+        access = self.access.check(route, event.key)
+        if isinstance(access, tenant_access.Denied):
+            self.deny(event.request, route.name, access)
+            return
+        self.admit(self.arrival_of(event, route, access.tenant), event)
+
+    def arrival_of(
+        self, event: events.Arrived, route: routing.Route, tenant: tenant_directory.Tenant | None
+    ) -> request.Request:
+        """A request that may be sent, as it begins."""
+        urgency = self.table.tenants.urgency(tenant)
+        return request.Request(event.request, route, event, tenant, urgency)
+
+    def admit(self, arrived: request.Request, event: events.Arrived) -> None:
+        """Take a request through the steps of its route into the queue, or reject it."""
+        rejection = self.admission.check(arrived, event)
         if rejection is not None:
-            self.count_rejection(route.name, rejection.detail)
+            self.count_rejection(arrived.route.name, rejection.detail)
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
+        self.admission.enqueue(arrived)
         self.requests[arrived.id] = arrived
         self.launch_item(arrived.item)
 
-    def count_rejection(self, route: str, reason: str) -> None:
-        """Count a rejection of our own."""
-        self.refusals[route, reason] += 1
-        self.outcome_counts[REJECTED_HERE] = self.outcome_counts.get(REJECTED_HERE, 0) + 1
-
     # a node that just started
 
     def hold(self, event: events.Arrived) -> None:
@@ -261,31 +273,6 @@
         if due.weights:
             self.want(due.weights, due.waited_ms)
 
-    def reject(self, ended: request.Request, detail: str, retry_after_ms: int) -> None:
-        """End a request that goes to no replica any more: with a promise where it never ran."""
-        move = retry_decision.give_up(ended.is_answer_begun, ended.may_have_run)
-        if move is not retry_decision.Move.REFUSE:
-            self.fail(ended, attempt.GATEWAY_TIMEOUT, detail)
-            return
-        self.forget(ended)
-        self.count_rejection(ended.route.name, detail)
-        self.emit(events.Close(ended.id, UNAVAILABLE, detail, int(retry_after_ms)))
-
-    def fail(self, ended: request.Request, status: int, detail: str) -> None:
-        """End a request that may have run."""
-        self.forget(ended)
-        self.failures[ended.route.name, detail] += 1
-        if ended.is_answer_begun:
-            self.emit(events.Cut(ended.id))
-            return
-        self.emit(events.Close(ended.id, status, detail))
-
-    def forget(self, ended: request.Request) -> None:
-        """A request has its end."""
-        self.attempts.release_retry(ended)
-        self.requests.pop(ended.id, None)
-        self.queue.pop(ended.id, None)
-
     def on_left(self, event: events.Left) -> None:
         """The client went away: its attempt is stopped."""
         self.held_arrivals.pop(event.request, None)
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -15,6 +15,7 @@
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
 import basaltport.proxy.routing as routing
+import basaltport.proxy.tenant_access as tenant_access
 
 Document = dict[str, typing.Any]
 LabelledValue = tuple[tuple[str, ...], float | latency_histograms.Histogram]
@@ -122,7 +123,7 @@
         page["outcome"] = "refused" if is_empty else "no route"
         return {
             **page,
-            "status": node.UNAVAILABLE if is_empty else node.NOT_FOUND,
+            "status": node.UNAVAILABLE if is_empty else tenant_access.NOT_FOUND,
             "route": None,
             "outcomes": [],
         }
@@ -155,12 +156,13 @@
     example = request.Request(0, route, arrived)
     example.service = service
     ahead = sum((w.service, w.item) == (service, example.item) for w in proxy.queue.values())
-    rejection = proxy.admission.admit(example, arrived, service)
+    rejection = proxy.admission.check(example, arrived, service)
     page: Document = {"service": service, "part": part, "item": example.item, "ahead": ahead}
     page["candidates"] = candidates(proxy, example)
     if rejection is not None:
         page |= {"outcome": "refused", "status": node.UNAVAILABLE, "why": rejection.detail}
         return {**page, "retry_after_ms": rejection.retry_after_ms}
+    proxy.admission.enqueue(example)
     chosen = proxy.balancer.choose(example)
     if chosen is not None:
         return {**page, "outcome": "sent", "replica": chosen.replica_id, "address": chosen.address}
