The soak has tenants with keys, which changes give and take away while processes stop and start

Why: the soak of real processes sent no keys, so neither UNASKED nor a key that is taken from a connected client could be seen in it.

Change: the configuration has four tenants and a public route. Of the keys, each tenant keeps one, one comes and goes, one goes from tenant to tenant, one is nobody's; changes, also those in series, draw anew who holds them, beside kills, pauses, stops and reloads. A client keeps one key on its open connection until the process is gone, and names a tenant drawn at random itself. Checked: (replicas, each run) the tenant told is one of the key's, once, and no key is shown; (clients) nobody's key runs nothing, a kept key is never answered 401, 403 or 404, a key runs for who surely holds it `configApplyMs` after the acknowledgement in calm times; (end) a key given and taken away twice is in force at each proxy within `configApplyMs`, on connections opened before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,7 +21,8 @@
     """Run a seed when its turn comes, and print its line; the number of violations."""
     async with jobs:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        verdict = await rig.Rig(seed, options.seconds, options.tree.resolve(), folder, options.proxies).run()
+        sizes = options.proxies, options.limits
+        verdict = await rig.Rig(seed, options.seconds, options.tree.resolve(), folder, *sizes).run()
     lines = [verdict.line(), *(f"  {violation}" for violation in verdict.violations)]
     if verdict.violations or options.keep:
         lines.append(f"  logs: {folder}")
@@ -46,6 +47,7 @@
     parser.add_argument("--seconds", type=float, default=30, help="how long each seed has troubles")
     parser.add_argument("--jobs", type=int, default=4, help=f"how many run at once, {MOST_JOBS} at most")
     parser.add_argument("--proxies", type=int, default=plan.PROXIES, help="how many proxies each has")
+    parser.add_argument("--limits", action="store_true", help="some tenants have a limit")
     parser.add_argument("--tree", type=pathlib.Path, default=fleet.ROOT, help="the code to run")
     parser.add_argument("--keep", action="store_true", help="keep the logs of all seeds")
     options = parser.parse_args()
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -1,6 +1,7 @@
 """Clients that keep their connection to a proxy, and go on using it until the proxy closes it or is gone."""
 
 import asyncio
+import collections.abc
 import random
 import time
 import typing
@@ -9,6 +10,7 @@
 
 import tests.soak.plan as plan
 import tests.soak.stalls as stalls
+import tests.soak.tenants as tenants
 
 LOST_SLACK_S = 0.5
 """A connection that ends later than this after a request was sent has been read from: the request is lost."""
@@ -27,32 +29,55 @@
 
 
 class KeptConnection:
-    """One client: one connection at a time, to one proxy, until that ends it. `lost`: its lost requests."""
+    """One client: one connection at a time, to one proxy, until that ends it, with one key for all of it.
+    `lost`: its lost requests; `wrong`: what its answers broke."""
 
     def __init__(
-        self, plan_: plan.Plan, chance: random.Random, watch: stalls.StallWatch | None = None
+        self,
+        plan_: plan.Plan,
+        chance: random.Random,
+        watch: stalls.StallWatch | None = None,
+        book: tenants.KeyBook | None = None,
+        keys: collections.abc.Sequence[tenants.Key] = (),
     ) -> None:
-        """No connection yet. `watch`: of this process, whose own stalls are no time of a proxy."""
+        """No connection yet. `watch`: of this process, whose own stalls are no time of a proxy. `book`: what
+        answers are judged by. `keys`: one of them for each connection, in place of any that its tenant keeps.
+        """
         self.plan, self.chance = plan_, chance
         self.watch = watch or stalls.StallWatch()
+        self.book, self.keys = book, keys
         self.proxy = chance.choice(plan_.proxies)
+        self.key = self.draw_key()
         self.lost: list[LostRequest] = []
+        self.wrong: list[str] = []
         self.session: aiohttp.ClientSession | None = None
 
+    def draw_key(self) -> tenants.Key:
+        """The key of the next connection."""
+        return self.chance.choice(self.keys or [key for key in self.plan.keys if key.is_steady])
+
     async def request(self, item: str, deadline_s: float) -> int:
         """The status of a request, 0 where there was no answer."""
         if self.session is None:
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
             self.session = aiohttp.ClientSession(connector=connector)
-        url = f"http://{self.plan.counters[self.proxy]}{self.chance.choice([*plan.PATHS.values()])}"
+        path = self.chance.choice([*plan.PATHS.values(), plan.PUBLIC])
+        url = f"http://{self.plan.counters[self.proxy]}{path}"
         headers = {"Host": plan.HOST, "Model": item, "Deadline-Ms": str(int(1000 * deadline_s))}
-        headers |= {"Tokens": "10,3", "Tracking-Id": f"{self.chance.getrandbits(64):016x}"}
+        request_id = tenants.request_id(self.key, self.chance)
+        headers |= {
+            "Tokens": "10,3",
+            "Tracking-Id": request_id,
+            "Sender": self.chance.choice(tenants.TENANTS),
+        }
+        headers |= {"Credential": self.key.text} if self.key.text else {}
         limit, sent_at = aiohttp.ClientTimeout(total=deadline_s), self.own_time()
         try:
             async with self.session.post(url, data=b"x", headers=headers, timeout=limit) as response:
                 await response.read()
                 closes = response.headers.get("Connection", "").lower() == "close"
                 status = response.status
+                self.judge(path == plan.PUBLIC, request_id, status, response.headers.get("Ran-For", ""))
         except (aiohttp.ClientConnectorError, TimeoutError):
             closes, status = True, 0
         except BROKEN as error:
@@ -62,6 +87,13 @@
             await self.leave()
         return status
 
+    def judge(self, is_public: bool, request_id: str, status: int, ran_for: str) -> None:
+        """Keep what an answer breaks."""
+        holder = self.book.in_force(self.key, tenants.sent_at(request_id)) if self.book else None
+        broken = tenants.broken_by_answer(self.key, is_public, holder, status, ran_for, self.plan.is_limited)
+        if broken:
+            self.wrong.append(f"{broken}, at {self.proxy}, key {self.key.number} of {self.key.owners}")
+
     def own_time(self) -> float:
         """Seconds in which this process did not stand still."""
         return time.monotonic() - self.watch.total_s
@@ -78,6 +110,7 @@
             self.session = None
         others = [name for name in self.plan.proxies if name != self.proxy]
         self.proxy = self.chance.choice(others or self.plan.proxies)
+        self.key = self.draw_key()
 
     async def close(self) -> None:
         """End the connection, also where its client is being cancelled."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -27,13 +27,15 @@
 class Fleet:
     """Three controllers, proxies and the stand-ins, on a network of their own that is drawn anew."""
 
-    def __init__(self, seed: int, tree: pathlib.Path, folder: pathlib.Path, proxies: int) -> None:
-        """Run the code of `tree`; settings, data and logs go to `folder`."""
+    def __init__(
+        self, seed: int, tree: pathlib.Path, folder: pathlib.Path, proxies: int, is_limited: bool = False
+    ) -> None:
+        """Run the code of `tree`; settings, data and logs go to `folder`. `is_limited`: as of the plan."""
         self.seed, self.tree, self.folder = seed, tree, folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         chance = random.SystemRandom()
         self.net = f"127.{chance.randrange(16, 250)}.{chance.randrange(1, 250)}"
-        self.plan = plan.Plan(seed, self.net, proxies)
+        self.plan = plan.Plan(seed, self.net, proxies, is_limited)
         self.unclean_stops: list[str] = []
         self.logged_before: dict[str, int] = {}
         """By process: how long its log was when it was started."""
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -15,8 +15,10 @@
 
 import tests.soak.clients as clients
 import tests.soak.fleet as fleet
+import tests.soak.key_checks as key_checks
 import tests.soak.plan as plan
 import tests.soak.stalls as stalls
+import tests.soak.tenants as tenants
 import tests.soak.troubles as troubles
 
 OK = 200
@@ -29,6 +31,11 @@
 CLIENTS = 16
 """Besides one for each proxy."""
 CLIENT_S = 3.0
+STEADY_WEIGHT = 2
+"""So many times as often as any other a client's key is one that its tenant keeps."""
+HOT_CLIENTS = 3
+"""For each tenant with a limit."""
+HOT_PAUSE_S = 0.01
 SHIFT_S = 3.0
 """After so long other models are asked for most."""
 WATCH_S = 1.0
@@ -81,11 +88,14 @@
         tree: pathlib.Path,
         folder: pathlib.Path,
         proxies: int = plan.PROXIES,
+        is_limited: bool = False,
     ) -> None:
-        """Soak the code of `tree` for some seconds; logs go to `folder`."""
+        """Soak the code of `tree` for some seconds; logs go to `folder`. `is_limited`: as of the plan."""
         self.seconds = seconds
-        self.fleet = fleet.Fleet(seed, tree, folder, proxies)
+        self.fleet = fleet.Fleet(seed, tree, folder, proxies, is_limited)
         self.plan = self.fleet.plan
+        self.book = tenants.KeyBook(self.plan.keys)
+        self.last_change = 0
         self.chance = random.Random(f"traffic {seed}")
         self.troubles = troubles.draw(seed, seconds, len(plan.CONTROLLERS))
         self.verdict = Verdict(seed, len(self.troubles))
@@ -105,7 +115,7 @@
             try:
                 if await self.start():
                     await self.soak()
-                    await self.check_progress()
+                    await asyncio.gather(self.check_progress(), key_checks.check(self))
                     await self.collect()
                 else:
                     self.verdict.violations.append(f"STUCK: not up within {STARTUP_S} s")
@@ -123,7 +133,7 @@
             self.fleet.start_member(name, is_first=True)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STARTUP_S):
-                while not await self.configure("PUT", self.plan.configuration()):
+                while not await self.put_first():
                     await asyncio.sleep(0.1)
                 for address in self.plan.readiness.values():
                     while (await self.call("GET", f"{address}/v1/ready"))[0] != OK:
@@ -136,6 +146,7 @@
         async with asyncio.TaskGroup() as group:
             number = CLIENTS + len(self.plan.proxies)
             background = [group.create_task(self.client()) for _ in range(number)]
+            background += [group.create_task(self.hot_client(key)) for key in self.hot_keys()]
             background.append(group.create_task(self.watch()))
             background.append(group.create_task(self.watch_stalls.run()))
             ending = [group.create_task(self.trouble(each)) for each in self.troubles]
@@ -182,22 +193,55 @@
                 self.edition = json.loads(text)["edition"] if status == OK else self.edition
         return False
 
+    async def put_first(self) -> bool:
+        """Whether the first configuration is acknowledged."""
+        held = tenants.steady(self.plan.keys)
+        return await self.give_keys(held, "PUT", self.plan.configuration())
+
+    async def give_keys(self, held: tenants.Held, method: str, document: plan.Document) -> bool:
+        """Whether a change is acknowledged after which keys are held so."""
+        self.last_change += 1
+        number = self.last_change
+        self.book.begin(number, held)
+        is_acknowledged = False
+        try:
+            is_acknowledged = await self.configure(method, document)
+        finally:
+            self.book.end(number, is_acknowledged)
+        return is_acknowledged
+
     # traffic and troubles
 
     async def client(self) -> None:
         """Ask for one item after the other, until cancelled; few models are asked for most."""
-        models, connection = (
-            [*self.plan.model_mb],
-            clients.KeptConnection(self.plan, self.chance, self.watch_stalls),
-        )
+        keys = [key for key in self.plan.keys if key.is_steady] * STEADY_WEIGHT + self.plan.keys
+        connection = clients.KeptConnection(self.plan, self.chance, self.watch_stalls, self.book, keys)
         try:
-            await self.ask(models, connection)
+            await self.ask([*self.plan.model_mb], connection)
         finally:
-            await connection.close()
-            for lost in connection.lost:
-                self.verdict.violations.append(
-                    f"LOST at {lost.proxy} after {lost.after_s:.2f} s: {lost.error}"
-                )
+            await self.end(connection)
+
+    def hot_keys(self) -> list[tenants.Key]:
+        """The keys of clients that send many times what their tenant may, one for each client."""
+        keys = [key for key in self.plan.keys if key.is_steady and key.owners[0] in tenants.LIMITED]
+        return keys * HOT_CLIENTS if self.plan.is_limited else []
+
+    async def hot_client(self, key: tenants.Key) -> None:
+        """Ask for one model with one key without a pause, until cancelled."""
+        connection = clients.KeptConnection(self.plan, self.chance, self.watch_stalls, self.book, [key])
+        try:
+            while not self.is_over:
+                await connection.request([*self.plan.model_mb][0], CLIENT_S)
+                await asyncio.sleep(HOT_PAUSE_S)
+        finally:
+            await self.end(connection)
+
+    async def end(self, connection: clients.KeptConnection) -> None:
+        """End a client, and keep what it found."""
+        await connection.close()
+        for lost in connection.lost:
+            self.verdict.violations.append(f"LOST at {lost.proxy} after {lost.after_s:.2f} s: {lost.error}")
+        self.verdict.violations += connection.wrong
 
     async def ask(self, models: list[str], connection: clients.KeptConnection) -> None:
         """Ask for one item after the other on a client's connection, until the soak is over. That is looked
@@ -238,10 +282,12 @@
                     self.fleet.reload(name)
 
     async def change(self, chance: float, number: int) -> None:
-        """The operator changes a route and puts another one."""
+        """The operator changes a route, puts another one, and gives and takes keys away."""
         lane = self.plan.configuration()["lanes"][0] | {"targetMs": int(1000 + 1000 * chance)}
         more = lane | {"name": "more", "pathPrefix": f"/more-{number}/"}
-        await self.configure("PATCH", {"putItems": {"lanes": [lane, more]}})
+        held = tenants.draw_held(self.plan.keys, chance + number)
+        put = {"lanes": [lane, more], "senders": self.plan.tenants(held)}
+        await self.give_keys(held, "PATCH", {"putItems": put})
 
     async def restart_proxy(self, trouble: troubles.Trouble) -> None:
         """Ask a proxy to stop, and start it again once it has ended; others take its clients meanwhile."""
@@ -255,6 +301,11 @@
 
     async def trouble_controller(self, trouble: troubles.Trouble) -> None:
         """Kill a controller and start it again, or stop it for a while."""
+        with self.book.troubled():
+            await self.stop_controller(trouble)
+
+    async def stop_controller(self, trouble: troubles.Trouble) -> None:
+        """The trouble itself."""
         name = plan.CONTROLLERS[trouble.target]
         if trouble.kind == troubles.Kind.PAUSE:
             self.fleet.processes[name].send_signal(signal.SIGSTOP)
@@ -299,6 +350,7 @@
             statuses.append(await connection.request(item, deadline_s))
             await asyncio.sleep(0.1)
         await connection.close()
+        self.verdict.violations += connection.wrong
         if statuses[-1] != OK:
             self.verdict.violations.append(f"STUCK: {item} not served in {PROGRESS_S} s: {statuses[1:]}")
 
@@ -309,4 +361,7 @@
         self.verdict.counts = state["counts"]
         self.verdict.own_stall_ms = int(1000 * self.watch_stalls.longest_s)
         self.verdict.violations += state["violations"]
+        if self.plan.is_limited:
+            ran = (await self.control("ran"))["ran"]
+            self.verdict.violations += tenants.windows_over(tenants.Arrival(*row) for row in ran)
         self.verdict.violations += [f"COUNTED {name}: {value:g}" for name, value in self.counted.items()]
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -13,6 +13,7 @@
 
 import tests.soak.plan as plan
 import tests.soak.replica_state as replica_state
+import tests.soak.tenants as tenants
 
 SNAPSHOT_S = 0.05
 SNAPSHOTS = 40
@@ -117,12 +118,13 @@
         served = life.serves(model, adapter, time.monotonic())
         if served != replica_state.OK:
             return self.refuse(request, served)
-        self.stand_ins.ran.append(request.headers.get("Tracking-Id", ""))
+        self.stand_ins.note_run(request)
         await asyncio.sleep(ANSWER_S)
         if self.life is not life and request.transport:
             request.transport.abort()
         headers = {"Postmark": "soak", "Tracking-Id": request.headers.get("Tracking-Id", "")}
         headers |= {"Content-Type": "text/event-stream", **self.headers()}
+        headers["Ran-For"] = ",".join(request.headers.getall("Sender", ()))
         return aiohttp.web.Response(text=EVENTS, headers=headers)
 
 
@@ -142,8 +144,8 @@
         self.lists: collections.deque[list[plan.Document]] = collections.deque(maxlen=SNAPSHOTS)
         self.counts: collections.Counter[str] = collections.Counter()
         self.violations: list[str] = []
-        self.ran: collections.deque[str] = collections.deque(maxlen=MOST_RAN)
-        """Ids of the requests that were run since they were last asked for."""
+        self.ran: collections.deque[tenants.Arrival] = collections.deque(maxlen=MOST_RAN)
+        """The requests that were run."""
         self.lives = 0
         self.began_at = self.snapshot_at = time.monotonic()
         self.log = open(orders_log, "w", buffering=1)
@@ -233,6 +235,14 @@
         if life and life.has_fallen:
             self.end_life(place, life)
 
+    def note_run(self, request: Request) -> None:
+        """Keep that a replica runs a request, and what is broken by that."""
+        request_id, told = request.headers.get("Tracking-Id", ""), request.headers.getall("Sender", [])
+        self.ran.append(tenants.Arrival(request_id, ",".join(told), time.monotonic()))
+        shown = request.headers.getall("Credential", [])
+        if broken := tenants.broken_by_arrival(self.plan.keys, request_id, told, shown):
+            self.violations.append(f"at {time.monotonic() - self.began_at:.3f} s {broken}")
+
     # the platform's list
 
     def take_snapshot(self) -> None:
--- a/tests/soak/stop_sweep.py
+++ b/tests/soak/stop_sweep.py
@@ -22,6 +22,7 @@
 import tests.soak.plan as plan
 import tests.soak.rig as rig
 import tests.soak.stalls as stalls
+import tests.soak.tenants as tenants
 
 SLACK_S = 0.2
 """`lostSlackMs` of the platform's pages."""
@@ -73,9 +74,9 @@
 class SweptClient:
     """One kept connection. `sent`: its requests."""
 
-    def __init__(self, address: str, number: int, chance: random.Random) -> None:
-        """Not connected yet."""
-        self.address, self.number, self.chance = address, number, chance
+    def __init__(self, address: str, number: int, chance: random.Random, key: tenants.Key) -> None:
+        """Not connected yet. `key`: of all its requests."""
+        self.address, self.number, self.chance, self.key = address, number, chance, key
         self.sent: list[Sent] = []
 
     async def connect(self) -> None:
@@ -85,10 +86,11 @@
 
     def request(self, model: str) -> tuple[Sent, bytes]:
         """A request and its bytes."""
-        sent = Sent(f"{self.chance.getrandbits(64):016x}")
+        sent = Sent(tenants.request_id(self.key, self.chance))
         path = self.chance.choice([*plan.PATHS.values()])
         head = f"POST {path} HTTP/1.1\r\nHost: {plan.HOST}\r\nModel: {model}\r\nTokens: 10,3\r\n"
-        head += f"Deadline-Ms: 6000\r\nTracking-Id: {sent.id}\r\nContent-Length: 8\r\n\r\n"
+        head += f"Deadline-Ms: 6000\r\nTracking-Id: {sent.id}\r\nCredential: {self.key.text}\r\n"
+        head += "Content-Length: 8\r\n\r\n"
         self.sent.append(sent)
         return sent, head.encode() + b"the body"
 
@@ -146,7 +148,9 @@
         chance = random.Random(f"stop {self.fleet.seed} {number}")
         await self.until_ready(proxy)
         models = [*self.plan.model_mb]
-        asking = [SweptClient(self.plan.counters[proxy], i, chance) for i in range(self.clients)]
+        keys = [key for key in self.plan.keys if key.is_steady]
+        address = self.plan.counters[proxy]
+        asking = [SweptClient(address, i, chance, keys[i % len(keys)]) for i in range(self.clients)]
         for client in asking:
             await client.connect()
         warm = models[0]
@@ -167,7 +171,7 @@
         await asyncio.gather(*tasks)
         watching.cancel()
         self.fleet.start_member(proxy)
-        ran = set((await self.rig.control("ran"))["ran"])
+        ran = {row[0] for row in (await self.rig.control("ran"))["ran"]}
         self.judge(number, proxy, asking, ran, watch.longest_s, ended_at - stopped_at, stopped_at)
 
     def begin(
