A comparison of two configurations counts the keys of tenants and tells none of them

What callers saw: nothing yet; found while looking for places that show keys. `config diff` printed the lists of keys of both files, on terminals and in the logs of whatever runs it.

Cause: it prints any value that differs. Change: lists of keys of tenants are compared as sets, and told by number ("2 keys -> 2 keys, 1 of them new").

Failed before: test_config_secrecy.py, 3 failed, e.g. `changed tenants.yard.keys: ['k-old-61fe', 'k-kept-0b2c'] -> ['k-kept-0b2c', 'k-new-93ad']`, and 1 change for the same keys in another order; 2 passed (findings of `config check`). All pass now.

--- a/basaltport/command_line/config.py
+++ b/basaltport/command_line/config.py
@@ -2,6 +2,7 @@
 
 import importlib.util
 import json
+import re
 import typing
 
 import absl.flags as flags
@@ -13,6 +14,9 @@
 import basaltport.command_line.output as output
 import basaltport.configuration.routes as routes
 
+KEYS_PLACE = re.compile(r"tenants\..*\.keys", re.DOTALL)
+"""Where a tenant's keys stand, known by its name or its position."""
+
 Document = dict[str, typing.Any]
 Findings = list[dict[str, str]]
 
@@ -111,7 +115,10 @@
 
 
 def differences(old: object, new: object, place: str = "") -> list[Document]:
-    """[{"place", "change": added|removed|changed, "was", "is"}]; what has a name is known by it."""
+    """[{"place", "change": added|removed|changed, "was", "is"}]; what has a name is known by it. Keys of
+    tenants are counted, not told."""
+    if isinstance(old, list) and isinstance(new, list) and KEYS_PLACE.fullmatch(place):
+        return _of_keys(old, new, place)
     if isinstance(old, dict) and isinstance(new, dict):
         return _of_objects(old, new, place)
     old_by_name, new_by_name = by_name(old), by_name(new)
@@ -120,6 +127,14 @@
     return [] if old == new else [{"place": place, "change": "changed", "was": old, "is": new}]
 
 
+def _of_keys(old: list[str], new: list[str], place: str) -> list[Document]:
+    before, after = set(old), set(new)
+    if before == after:
+        return []
+    came = f"{len(after)} keys, {len(after - before)} of them new"
+    return [{"place": place, "change": "changed", "was": f"{len(before)} keys", "is": came}]
+
+
 def _of_objects(old: Document, new: Document, place: str) -> list[Document]:
     rows: list[Document] = []
     for key in [*old, *(key for key in new if key not in old)]:
--- /dev/null
+++ b/tests/project/test_config_secrecy.py
@@ -0,0 +1,59 @@
+"""What `config check` and `config diff` print of tenants: never a key."""
+
+import json
+
+import pytest
+
+import basaltport.main as main
+import tests.support.proxy_stand as stand
+
+OLD, KEPT, NEW = "k-old-61fe", "k-kept-0b2c", "k-new-93ad"
+SECRETS = (OLD, KEPT, NEW)
+
+
+def printed(capsys, *argv):
+    with pytest.raises(SystemExit) as ended:
+        main.run(["basaltport", *map(str, argv)])
+    got = capsys.readouterr()
+    return ended.value.code, got.out, got.err
+
+
+def written(tmp_path, name, *tenants):
+    rows = [{"name": tenant, "keys": list(keys)} for tenant, keys in tenants]
+    document = {**stand.document(), "tenants": rows}
+    path = tmp_path / name
+    path.write_text(json.dumps(document))
+    return path
+
+
+# Guards against a key told to others: the comparison of two configurations printed the keys of both.
+@pytest.mark.parametrize("flags", [(), ("--json",)])
+def test_a_comparison_tells_how_many_keys_came_and_went_and_none_of_them(capsys, tmp_path, flags):
+    old = written(tmp_path, "old.json", ("yard", [OLD, KEPT]))
+    new = written(tmp_path, "new.json", ("yard", [KEPT, NEW]), ("north-hall", [OLD]))
+    code, out, err = printed(capsys, "config", "diff", *flags, old, new)
+    assert code == 1, (out, err)
+    assert not any(secret in out + err for secret in SECRETS), out
+    assert "tenants.yard.keys" in out and "2 keys, 1 of them new" in out and "tenants.north-hall" in out
+
+
+def test_the_same_keys_in_another_order_are_no_change(capsys, tmp_path):
+    old = written(tmp_path, "old.json", ("yard", [OLD, KEPT]))
+    new = written(tmp_path, "new.json", ("yard", [KEPT, OLD]))
+    assert printed(capsys, "config", "diff", old, new)[:2] == (0, "the same\n")
+
+
+def test_other_changes_of_a_tenant_are_told_whatever_its_name(capsys, tmp_path):
+    old = written(tmp_path, "old.json", ("yard.keys", [KEPT]))
+    new = tmp_path / "new.json"
+    new.write_text(old.read_text().replace('"name": "yard.keys"', '"name": "yard.keys", "urgency": 1'))
+    assert printed(capsys, "config", "diff", old, new)[1] == "added    tenants.yard.keys.urgency\n1 changes\n"
+
+
+# Guards against a key told to others: a finding quoted the key that it is about.
+@pytest.mark.parametrize("flags", [(), ("--json",)])
+def test_a_finding_about_a_key_does_not_tell_it(capsys, tmp_path, flags):
+    path = written(tmp_path, "wrong.json", ("yard", [OLD, OLD]), ("north-hall", [OLD, 7]))
+    code, out, err = printed(capsys, "config", "check", *flags, path)
+    assert code == 2 and "tenants.1.keys.0" in out
+    assert not any(secret in out + err for secret in SECRETS), out
