--- a/basaltport/simulation/routes/attempts.py
+++ b/basaltport/simulation/routes/attempts.py
@@ -32,8 +32,8 @@
     """An attempt on its way from a proxy to a replica.
 
     `written`: its bytes may have gone out; `begun`: a part of the answer reached the proxy; `replica`: the
-    one that has it; `pieces`: how many parts of the answer came; `piece_ms`: the time that one takes;
-    `ended_at`: when it was over."""
+    one that has it; `arrived_at`: when it reached that; `pieces`: how many parts of the answer came;
+    `piece_ms`: the time that one takes; `ended_at`: when it was over."""
 
     def __init__(
         self,
@@ -48,7 +48,7 @@
         self.client_try, self.item, self.sent_at = client_try, item, sent_at
         self.written = self.begun = self.over = self.touch = False
         self.replica: replicas.Replica | None = None
-        self.pieces, self.piece_ms, self.ended_at = 0, 0.0, 0
+        self.pieces, self.piece_ms, self.arrived_at, self.ended_at = 0, 0.0, 0, 0
 
     @property
     def streams(self) -> bool:
@@ -110,7 +110,7 @@
         attempt.written = True
         if replica.dark:
             return
-        attempt.replica = replica
+        attempt.replica, attempt.arrived_at = replica, self.now
         verdict = replica.verdict(attempt)
         self.record_arrival(attempt, replica, verdict)
         if verdict == "run":
--- a/basaltport/simulation/routes/clients.py
+++ b/basaltport/simulation/routes/clients.py
@@ -3,6 +3,7 @@
 
 import typing
 
+import basaltport.credentials as credentials
 import basaltport.identifiers as identifiers
 import basaltport.proxy.events as proxy_events
 import basaltport.simulation.routes.attempts as attempts
@@ -23,7 +24,7 @@
 MS_PER_S = 1000
 HOST = "desk.example"
 NEVER_RAN_STATUSES = (408, 421, 429, 503)
-FINAL_STATUSES = (400, 401, 404, 413, 431)
+FINAL_STATUSES = (400, 401, 403, 404, 413, 431)
 REPEATABLE = ("safe", "plain", "resume")
 ONCE_ONLY = ("once", "stream")
 
@@ -41,9 +42,9 @@
     """What a client wants: it may take several tries, each with an id of its own.
 
     `until`: when the client gives up; `tries`: how many were sent; `over`: what came of it; `pieces`: parts
-    of a stream that need not be sent again."""
+    of a stream that need not be sent again; `key`: by which it says for which tenant it sends."""
 
-    __slots__ = ("id", "kind", "item", "zone", "born", "until", "service", "tries", "over", "pieces")
+    __slots__ = ("id", "kind", "item", "zone", "born", "until", "service", "tries", "over", "pieces", "key")
 
     def __init__(
         self, operation_id: str, kind: str, item: str, zone: str, born: int, ms: int, service: str
@@ -52,15 +53,29 @@
         self.id, self.kind, self.item, self.zone, self.born = operation_id, kind, item, zone, born
         self.until, self.service = born + ms, service
         self.tries, self.over, self.pieces = 0, "", 0
+        self.key: str | None = None
 
 
 class Try:
-    """One request to one proxy. `read`: the proxy has read it; `over`: how it ended."""
-
-    __slots__ = ("id", "operation", "node", "incarnation", "request", "attempts", "over", "pieces", "read")
-
-    def __init__(self, try_id: str, operation: Operation, node: nodes.Node) -> None:
+    """One request to one proxy. `sent_at`: when its client sent it; `read`: the proxy has read it; `over`:
+    how it ended."""
+
+    __slots__ = (
+        "id",
+        "operation",
+        "node",
+        "incarnation",
+        "sent_at",
+        "request",
+        "attempts",
+        "over",
+        "pieces",
+        "read",
+    )
+
+    def __init__(self, try_id: str, operation: Operation, node: nodes.Node, sent_at: int) -> None:
         """It is about to be sent."""
+        self.sent_at = sent_at
         self.id, self.operation, self.node, self.incarnation = try_id, operation, node, node.incarnation
         self.request, self.over = 0, ""
         self.attempts: list[attempts.SentAttempt] = []
@@ -117,9 +132,13 @@
         operation_id = f"o{self.last_operation}"
         operation = Operation(operation_id, kind, item, zone, self.now, patience, service)
         self.record(request_rows.Operation, operation.id, kind, item, service)
+        self.choose_key(operation)
         self.send_try(operation)
         return operation
 
+    def choose_key(self, operation: Operation) -> None:
+        """Which key its client sends: none in a world without tenants."""
+
     def nodes_for(self, zone: str) -> list[nodes.Node]:
         """The proxies that a client in this zone is sent to: the zone's own, unless most of them are not
         ready."""
@@ -139,7 +158,7 @@
             return
         operation.tries += 1
         node = self.rng.choice(self.nodes_for(operation.zone))
-        client_try = Try(f"{operation.id}.{operation.tries}", operation, node)
+        client_try = Try(f"{operation.id}.{operation.tries}", operation, node, self.now)
         self.record(request_rows.Try, operation.id, node.name, client_try.id)
         if node.member is None:
             self.later(self.rng.randrange(2, 8), self.end_try, client_try, "unread", 0, 0)
@@ -156,7 +175,10 @@
         """The request as the proxy gets it."""
         operation = client_try.operation
         path, item = f"/{operation.kind}/1", identifiers.Item(operation.item)
-        return proxy_events.Arrived(self.now, client_try.request, HOST, path, item, int(left), BODY_BYTES)
+        event = proxy_events.Arrived(self.now, client_try.request, HOST, path, item, int(left), BODY_BYTES)
+        if operation.key is not None:
+            event.key = credentials.digest(operation.key)
+        return event
 
     def read(self, client_try: Try, event: proxy_events.Arrived) -> None:
         """The proxy reads the request, if it is still the same process."""
--- a/basaltport/simulation/routes/timings.py
+++ b/basaltport/simulation/routes/timings.py
@@ -23,6 +23,12 @@
     retry_window_s: int = 10
     retry_slack: int = 56
     """Retries allowed beside that share."""
+    quota_window_s: int = 5
+    """The span over which the requests of a tenant with a limit are counted."""
+    quota_excess: float = 0.1
+    """The share by which a tenant may exceed its limit."""
+    quota_slack: int = 20
+    """Requests of a tenant in such a span that are allowed beside that."""
     cold_excess: float = 1.5
     """The factor by which the rate of a cold replica may be exceeded."""
     cold_slack: int = 5
