Scenarios of tenants: hot tenants and keys in series under each fault, and at random

simulate routes tenants plays them. They wait for the parts that read keys and count; no test plays them yet.

--- a/basaltport/simulation/routes/play.py
+++ b/basaltport/simulation/routes/play.py
@@ -15,6 +15,7 @@
 import basaltport.simulation.routes.plays as plays
 import basaltport.simulation.routes.request_rows as request_rows
 import basaltport.simulation.routes.scenes as scenes
+import basaltport.simulation.routes.tenant_scenarios as tenant_scenarios
 import basaltport.simulation.trace as trace
 
 FINDINGS_SHOWN = 5
@@ -22,7 +23,8 @@
 
 ROUTES = list(scenes.SCENARIOS)
 CONTROL = list(control.SCENARIOS)
-GROUPS = {"all": ROUTES + CONTROL, "routes": ROUTES, "control": CONTROL}
+TENANTS = list(tenant_scenarios.SCENARIOS)
+GROUPS = {"all": ROUTES + CONTROL + TENANTS, "routes": ROUTES, "control": CONTROL, "tenants": TENANTS}
 
 
 def define(flag_values: flags.FlagValues) -> None:
@@ -64,6 +66,8 @@
 
 def play_of(name: str, seed: int, preset: str) -> plays.Play:
     """A run of a scenario, played to its end."""
+    if name in TENANTS:
+        return tenant_scenarios.Play(name, seed, preset).play()
     kind = control.Play if name in CONTROL else scenes.Play
     return kind(name, seed, preset).play()
 
@@ -128,9 +132,19 @@
     return "never" if len(times) < len(took) else f"at most {max(times)} ms"
 
 
+def examples(findings: list[finding.Finding]) -> list[finding.Finding]:
+    """The first of each rule, then others, `FINDINGS_SHOWN` at least where there are so many."""
+    first_of = {found.rule: found for found in reversed(findings)}
+    firsts = sorted(first_of.values(), key=lambda found: found.at_ms)
+    others = [found for found in findings if found not in firsts]
+    return firsts + others[: max(0, FINDINGS_SHOWN - len(firsts))]
+
+
 def show(flag_values: flags.FlagValues, play: plays.Play, findings: list[finding.Finding]) -> None:
     """The first findings of a run, and how to play it again."""
-    for found in findings[:FINDINGS_SHOWN]:
+    counts = collections.Counter(found.rule for found in findings)
+    print("  " + ", ".join(f"{rule} {count}" for rule, count in sorted(counts.items())))
+    for found in examples(findings):
         print(f"  {found.rule} at {found.at_ms} ms: {found.text}")
     if play.name.startswith("mayhem") and flag_values.shrink:
         rules = {found.rule for found in findings}
@@ -145,6 +159,6 @@
         "Play a scenario on the whole path of routes on virtual time and check every rule.",
         run,
         define,
-        "SCENARIO ...|all|routes|control",
+        "SCENARIO ...|all|routes|control|tenants",
     )
 }
--- a/basaltport/simulation/routes/plays.py
+++ b/basaltport/simulation/routes/plays.py
@@ -127,6 +127,11 @@
         """Some proxy that runs."""
         return self.rng.choice([node.name for node in self.world.proxies() if node.member])
 
+    def proxies(self, count: int) -> list[str]:
+        """So many of the proxies that run, or all where there are fewer."""
+        names = [node.name for node in self.world.proxies() if node.member]
+        return self.rng.sample(names, min(count, len(names)))
+
     def controller(self, led: bool = False) -> str:
         """Some controller; the leader only with `led`."""
         names = sorted(self.world.core)
