Checks of tenants: a key that comes on a public route counts as everywhere

By the rule's words a request must not run by a key that nobody ever had, on public routes as well: only a request without a key runs there for nobody. Strangers' keys came on public routes before, unjudged.

--- a/basaltport/simulation/routes/tenant_checks.py
+++ b/basaltport/simulation/routes/tenant_checks.py
@@ -34,10 +34,10 @@
 def expected(
     versions: typing.Iterable[tenant_versions.Version], key: tenant_rows.Keyed
 ) -> typing.Collection[str]:
-    """The tenants that a replica may be told where one of these versions is gone by; NOBODY on a public
-    route, and where no version has the key."""
-    owners = {version.owners.get(key.key or "", NOBODY) for version in versions}
-    return owners if key.public else (owners - {NOBODY} or {NOBODY})
+    """The tenants that a replica may be told where one of these versions is gone by; NOBODY where none has
+    the key, as there is none on a public route."""
+    owners = {version.owners[key.key] for version in versions if key.key in version.owners}
+    return owners or {NOBODY}
 
 
 def tenant_of(rows: trace.Trace, facts: run_facts.RunFacts) -> list[Finding]:
@@ -54,12 +54,12 @@
 
 
 def key_known(rows: trace.Trace, facts: run_facts.RunFacts) -> list[Finding]:
-    """Nothing runs whose key no configuration ever had, nor without a key, but on public routes."""
+    """Nothing runs whose key no configuration ever had, nor without a key where the route is not public."""
     versions, keys = tenant_versions.of(rows), keys_sent(rows)
     findings = []
     for row in trace.of_kind(rows, tenant_rows.TenantRan):
         sent = keys[row.operation]
-        if sent.public:
+        if sent.key is None and sent.public:
             continue
         if not any(sent.key in version.owners for version in versions.sent_by(row.at_ms)):
             what = "without a key" if sent.key is None else "with a key that nobody ever had"
@@ -85,7 +85,7 @@
             continue
         owners = expected(versions.allowed(row.sent, row.at_ms, facts.timings.apply_ms), sent)
         text = f"{row.try_id}, sent at {row.sent} ms, ran by {row.node}"
-        if not sent.public and NOBODY in owners:
+        if NOBODY in owners:
             findings.append(Finding("keys-in-force", row.at_ms, f"{text} with a key that was dropped"))
         elif row.tenant not in owners and row.tenant in expected(ever, sent):
             text = f"{text} for {row.tenant!r}, its key is of {sorted(owners)}"
@@ -120,8 +120,8 @@
 
 def is_there(versions: tenant_versions.Versions, end: KeyedEnd, apply_ms: int) -> bool:
     """Whether each configuration by which a request may be handled lets it pass."""
-    if end.key.public:
-        return True
+    if end.key.key is None:
+        return end.key.public
     allowed = versions.allowed(end.sent_ms, end.row.at_ms, apply_ms)
     return bool(allowed) and all(end.key.key in version.owners for version in allowed)
 
--- a/basaltport/simulation/routes/tenant_versions.py
+++ b/basaltport/simulation/routes/tenant_versions.py
@@ -26,7 +26,7 @@
         self.tenants = {row.name: row for row in rows}
 
     @functools.cached_property
-    def owners(self) -> dict[str, str]:
+    def owners(self) -> dict[str | None, str]:
         """The tenant of each key."""
         return {key: tenant.name for tenant in self.tenants.values() for key in tenant.keys}
 
--- a/tests/simulation/test_tenant_checks.py
+++ b/tests/simulation/test_tenant_checks.py
@@ -106,6 +106,11 @@
     assert len(found(tenant_checks.key_known, *rows)) == count
 
 
+def test_a_public_route_needs_no_key_but_runs_nothing_by_one_that_nobody_ever_had():
+    rows = [version(1, [ANNA]), asked(1, "x", 50, public=True), ran(1, "", 50)]
+    assert len(found(tenant_checks.key_known, *rows)) == 1
+
+
 def test_a_key_counts_as_known_from_when_its_configuration_is_sent():
     rows = [version(1, [ANNA]), version(2, [BODO], 500, 520)]
     early = [asked(1, "b1", 400), ran(1, "bodo", 400)]
