--- a/basaltport/simulation/routes/tenant_world.py
+++ b/basaltport/simulation/routes/tenant_world.py
@@ -70,6 +70,12 @@
         for (node, of, _), client_try in self.tries.items():
             if not on and (node, of) == (name, incarnation) and not client_try.over:
                 client_try.read = True
+        self.look_who_is_alone()
+
+    def heal(self) -> None:
+        """All links are whole."""
+        super().heal()
+        self.look_who_is_alone()
 
     def cut_bridge(self, zone: str, other: str) -> None:
         """Nothing passes between two zones any more, neither between processes nor to replicas."""
@@ -102,6 +108,10 @@
     def look_round(self) -> None:
         """Also which proxies can reach no controller."""
         super().look_round()
+        self.look_who_is_alone()
+
+    def look_who_is_alone(self) -> None:
+        """Tells which proxies can reach no controller from now on, and which can again."""
         running = [node.name for node in self.core_nodes() if node.member and not node.frozen]
         alone = frozenset(
             node.name
