--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -121,7 +121,12 @@
         me = self.identity(node)
         seed = self.rng.getrandbits(ID_BITS)
         controller: typing.Any = role.Controller
-        return controller(me, seed, self.clock(node), held, current_term, self.placement())
+        options = self.controller_options()
+        return controller(me, seed, self.clock(node), held, current_term, self.placement(), **options)
+
+    def controller_options(self) -> dict[str, typing.Any]:
+        """What else controllers are started with."""
+        return {}
 
     def start_proxy(self, node: Node) -> processes.Reducer:
         """A proxy's reducer."""
