--- a/basaltport/command_line/config.py
+++ b/basaltport/command_line/config.py
@@ -124,20 +124,22 @@
     old_by_name, new_by_name = by_name(old), by_name(new)
     if old_by_name is not None and new_by_name is not None:
         return _of_objects(old_by_name, new_by_name, place)
-    return [] if old == new else [_changed(old, new, place)]
+    return [] if old == new else _changed(old, new, place)
 
 
-def _changed(old: object, new: object, place: str) -> Document:
-    """The row of a value that changed."""
+def _changed(old: object, new: object, place: str) -> list[Document]:
+    """The row of a value that changed; none where a tenant's keys stand in another order."""
     row: Document = {"place": place, "change": "changed"}
     section, _, rest = place.partition(".")
     field = rest.rpartition(".")[2]
     if section != tenants.SECTION or field in tenants.SHOWN:
-        return {**row, "was": old, "is": new}
+        return [{**row, "was": old, "is": new}]
     if field != tenants.KEYS or not isinstance(old, list) or not isinstance(new, list):
-        return row
+        return [row]
     added = len([key for key in new if key not in old])
-    return {**row, "was": len(old), "is": len(new), "new": added}
+    if not added and len(new) == len(old):
+        return []
+    return [{**row, "was": len(old), "is": len(new), "new": added}]
 
 
 def _of_objects(old: Document, new: Document, place: str) -> list[Document]:
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -54,8 +54,8 @@
 
 
 class ProxyNode(
-    limited_arrivals.LimitedArrivalsMixin,
     request_ends.RequestEndsMixin,
+    limited_arrivals.LimitedArrivalsMixin,
     follow.FollowMixin,
     member.Member,
 ):
