Weights of a route's parts may be fractions

A route with the weights 0.5 and 0.5 passed the checks and was acknowledged; weights were cut to whole numbers, and each of its requests ended in an IndexError in the proxy's reducer (CONFIG: a route that had been added is not served). 1.5 and 0.5 sent all to one part. Found while reading how the proxy compiles what the checks let pass.

Failed before: test_weights_that_are_fractions_have_their_parts, 6 of 7 ("IndexError: list index out of range", "assert 0.25 < 0.002", "OverflowError").

--- a/basaltport/proxy/routing.py
+++ b/basaltport/proxy/routing.py
@@ -49,14 +49,14 @@
 
 
 class ServiceShares(typing.NamedTuple):
-    """The services of a route, and the sums of their weights up to each."""
+    """The services of a route, and the sums of their weights up to each; the largest weight counts 1."""
 
     names: list[str]
-    weight_sums: list[int]
+    weight_sums: list[float]
 
     def parts(self) -> collections.abc.Iterator[tuple[str, float]]:
         """The services, each with its part of the draw."""
-        before = 0
+        before = 0.0
         for name, weight_sum in zip(self.names, self.weight_sums, strict=True):
             yield name, (weight_sum - before) / self.weight_sums[-1]
             before = weight_sum
@@ -124,7 +124,7 @@
     def service(self, draw: float) -> str:
         """The service for a draw in [0, 1), by weight."""
         names, weight_sums = self.shares
-        return names[bisect.bisect(weight_sums, draw * weight_sums[-1])]
+        return names[bisect.bisect(weight_sums, draw * weight_sums[-1], hi=len(names) - 1)]
 
 
 def _read_kind(document: Document) -> Kind:
@@ -137,7 +137,8 @@
     if "shares" not in document or not document["shares"]:
         return ServiceShares([document["service"]], [1])
     weighted = [share for share in document["shares"] if share["weight"] > 0]
-    sums = itertools.accumulate(int(share["weight"]) for share in weighted)
+    most = max(share["weight"] for share in weighted)
+    sums = itertools.accumulate(share["weight"] / most for share in weighted)
     return ServiceShares([share["service"] for share in weighted], list(sums))
 
 
--- a/tests/proxy/test_shares.py
+++ b/tests/proxy/test_shares.py
@@ -1,10 +1,12 @@
 """Each part of a route's `shares` gets its weight's part of the requests, at one proxy and over many."""
 
 import collections
+import math
 import random
 
 import pytest
 
+import basaltport.configuration.routes as routes
 import basaltport.proxy.events as events
 import basaltport.proxy.routing as routing
 import basaltport.proxy.share_draws as share_draws
@@ -87,6 +89,23 @@
     assert got == {name: weight for name, weight in parts(weights).items() if weight}
 
 
+FRACTIONS = [(0.5, 0.5), (0.9, 0.1), (0.05, 0.15), (1.5, 0.5), (1e-9, 3e-9), (1e308, 1e308), (2.0, 0)]
+
+
+# guards against CONFIG: a route whose weights are fractions is taken, and its requests fail or go astray
+@pytest.mark.parametrize("weights", FRACTIONS, ids=str)
+def test_weights_that_are_fractions_have_their_parts(weights):
+    routing_document = document(weights)
+    assert routes.check(routing_document) == []
+    route = routing.Route(routing_document["routes"][0])
+    got = collections.Counter(route.service((n + 0.5) / 1000) for n in range(1000))
+    most = max(weights)
+    total = sum(weight / most for weight in weights)
+    for name, weight in parts(weights).items():
+        assert abs(got[name] / 1000 - weight / most / total) < 0.002
+    assert route.service(math.nextafter(1, 0)) in got
+
+
 def test_a_further_attempt_and_a_refused_one_stay_with_the_part_that_was_drawn():
     s = proxy((50, 50), 1)
     for n in range(50):
