Requests by tenant, tenants in force and what a tenant's request gets are shown; no page shows a key

The reasons of refusals tell the hypotheses apart: *unknown key* and *no key* (keys nobody has), *its key was taken away* and *its key is another tenant's now* (a revocation that waits met), *out of touch with the controllers* (can't know); `outcome="moved"` is told already where a replica's address belongs to another one.

Tests: tests/proxy/test_tenant_pages.py, failed before (`KeyError: 'basaltport_tenant_requests'`, `KeyError: 'tenants'`, `TypeError: explain() got an unexpected keyword argument 'tenant'`, `KeyError: 'access'`); pass now.

--- a/basaltport/command_line/fleet.py
+++ b/basaltport/command_line/fleet.py
@@ -22,7 +22,7 @@
 NO_STATUS = 0
 NOT_STATED = -1
 _BROKEN = (aiohttp.ClientError, TimeoutError, ValueError, OSError)
-_EXPLAINED = ("host", "path", "item", "deadline_ms", "tokens")
+_EXPLAINED = ("host", "path", "item", "deadline_ms", "tokens", "tenant")
 
 Document = dict[str, typing.Any]
 Show = collections.abc.Callable[[Document], None]
@@ -60,6 +60,9 @@
         "deadline_ms", NOT_STATED, "Ms for which the client waits; -1: not stated.", flag_values=values
     )
     flags.DEFINE_integer("tokens", 0, "Tokens of the prompt.", flag_values=values)
+    flags.DEFINE_string(
+        "tenant", "", "Name of the tenant whose request it is; empty: without a key.", flag_values=values
+    )
 
 
 def faults(values: flags.FlagValues, arguments: list[str]) -> list[str]:
--- a/basaltport/command_line/fleet_tables.py
+++ b/basaltport/command_line/fleet_tables.py
@@ -85,10 +85,15 @@
     """What a proxy would do with a request."""
     route = answer["route"]
     if route is None:
-        print(f"{answer['outcome']} ({answer['status']}) for {answer['host']}{answer['path']}")
+        why = f", {answer['why']}," if answer["outcome"] == "refused" else ""
+        print(f"{answer['outcome']} ({answer['status']}){why} for {answer['host']}{answer['path']}")
         return
     attempts, deadline_ms = route["attempts"], route["deadline_ms"]
-    print(f"route {route['name']}: {route['kind']}, {attempts} attempts, {deadline_ms} ms")
+    access = answer["access"]
+    key = ", needs a key" if access["needs_key"] else ""
+    print(f"route {route['name']}: {route['kind']}, {attempts} attempts, {deadline_ms} ms{key}")
+    if access["outcome"] == "refused":
+        print(f"refused ({access['status']}), {access['why']}")
     for outcome in answer["outcomes"]:
         print(outcome_line(outcome))
         output.section("candidates", outcome["candidates"], ["replica", "zone", "verdict", "score"])
--- a/basaltport/controller/admin_api.py
+++ b/basaltport/controller/admin_api.py
@@ -210,7 +210,8 @@
         except ValueError:
             return Page(BAD_REQUEST, {"error": "deadline_ms and tokens are whole numbers"})
         request = query["host"], query["path"], query.get("item", ""), deadline_ms, tokens
-        return Page(OK, proxy_pages.explain(server.member, now(), *request))
+        tenant = query.get("tenant", "")
+        return Page(OK, proxy_pages.explain(server.member, now(), *request, tenant=tenant))
 
     pages: dict[str, PageMaker] = {"status": status, "explain": explain}
     return Admin(pages, lambda: proxy_pages.samples(server.member, now()))
--- a/basaltport/log_events.py
+++ b/basaltport/log_events.py
@@ -89,7 +89,9 @@
     Event.FRAME_REPLAYED: ("A heartbeat long past came again; it lengthens no lease and changes nothing."),
     Event.CHANGE_REFUSED: "A change was refused; it is never in force.",
     Event.CHANGE_ACKNOWLEDGED: ("A change is committed, and in force at every node that holds a lease."),
-    Event.CONFIGURATION_IN_FORCE: "This node now works by the configuration of the version given.",
+    Event.CONFIGURATION_IN_FORCE: (
+        "This node now works by the configuration of the version given; a proxy tells its routes and tenants."
+    ),
     Event.LOAD_WAIT_STARTED: "A shared wait for a model that is not loaded began.",
     Event.LOAD_WAIT_ENDED: "A shared wait ended: the model is loaded; the measured wait is given.",
     Event.TIMEOUT_CLASSIFIED: (
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -28,6 +28,7 @@
 import basaltport.proxy.retry_budget as retry_budget
 import basaltport.proxy.routing as routing
 import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_counts as tenant_counts
 import basaltport.proxy.tenant_directory as tenant_directory
 
 TIMINGS = {
@@ -83,6 +84,7 @@
         """Requests that were refused with a promise, by route and reason."""
         self.failures: collections.Counter[tuple[str, str]] = collections.Counter()
         """Requests that ended without an answer though they may have run, by route and reason."""
+        self.tenant_counts = tenant_counts.TenantCounts()
         self.histograms = latency_histograms.LatencyHistograms()
         self.stopped = False
         self.is_ending = False
@@ -109,6 +111,7 @@
         out.now, out.rng, out.out = now, random.Random(0), []
         out.requests, out.outcome_counts = dict(self.requests), {}
         out.refusals, out.failures = collections.Counter(), collections.Counter()
+        out.tenant_counts = tenant_counts.TenantCounts()
         out.histograms = latency_histograms.LatencyHistograms()
         out.queue = admission_queue.AdmissionQueue(self.queue)
         out.health = self.health.copied(self.rows)
@@ -146,16 +149,22 @@
             self.table = routing.RoutingTable(document)
             self.forget_routes()
             self.end_revoked()
-            routes = sum(map(len, self.table.hosts.values()))
-            version = int(self.cluster_state.configuration_version)
-            self.emit(
-                base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), {"serial": version, "lines": routes})
-            )
+            self.note_configuration()
         self.route_held_arrivals()
         self.launch_all()
 
+    def note_configuration(self) -> None:
+        """Log which configuration is in force here, and how large it is."""
+        fields = {
+            "serial": int(self.cluster_state.configuration_version),
+            "lines": sum(map(len, self.table.hosts.values())),
+            "tenants": len(self.table.tenants.tenants),
+        }
+        self.note(log_events.Event.CONFIGURATION_IN_FORCE, **fields)
+
     def forget_routes(self) -> None:
-        """Drop the figures of routes that are configured no more."""
+        """Drop the figures of routes and tenants that are configured no more."""
+        self.tenant_counts.keep(self.table.tenants.tenants)
         names = {NO_ROUTE, *(route.name for routes in self.table.hosts.values() for route in routes)}
         self.histograms.keep_routes(names)
         for counts in (self.refusals, self.failures):
@@ -218,11 +227,12 @@
         """Take a request through the steps of its route into the queue, or reject it."""
         rejection = self.admission.check(arrived, event)
         if rejection is not None:
-            self.count_rejection(arrived.route.name, rejection.detail)
+            self.count_rejection(arrived.route.name, rejection.detail, arrived.tenant)
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
         self.admission.enqueue(arrived)
+        self.tenant_counts.count(arrived.tenant, tenant_counts.Verdict.ADMITTED)
         self.requests[arrived.id] = arrived
         self.launch_item(arrived.item)
 
--- a/basaltport/proxy/request_ends.py
+++ b/basaltport/proxy/request_ends.py
@@ -10,6 +10,8 @@
 import basaltport.proxy.request as request
 import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_counts as tenant_counts
+import basaltport.proxy.tenant_directory as tenant_directory
 
 UNAVAILABLE = 503
 REJECTED_HERE = "refused-here"
@@ -21,7 +23,7 @@
 
     `requests`: all that have no end yet; `queue`: those of them that wait; `outcome_counts`: ends of
     attempts by outcome; `refusals`: requests that never ran, `failures`: those that may have, by route and
-    reason.
+    reason; `tenant_counts`: requests by tenant.
     """
 
     now: identifiers.Millis
@@ -30,6 +32,7 @@
     outcome_counts: dict[str, int]
     refusals: collections.Counter[tuple[str, str]]
     failures: collections.Counter[tuple[str, str]]
+    tenant_counts: tenant_counts.TenantCounts
     attempts: attempt.AttemptTracker
     access: tenant_access.TenantAccess
 
@@ -47,14 +50,21 @@
 class RequestEndsMixin(Needs):
     """Promises only for what never ran, and one end for each request."""
 
-    def deny(self, request_id: int, route: str, denied: tenant_access.Denied) -> None:
-        """Answer a request that may not be sent."""
-        self.count_rejection(route, denied.reason)
+    def deny(
+        self,
+        request_id: int,
+        route: str,
+        denied: tenant_access.Denied,
+        tenant: tenant_directory.Tenant | None = None,
+    ) -> None:
+        """Answer a request that may not be sent. `tenant`: whose it was, if it was anybody's."""
+        self.count_rejection(route, denied.reason, tenant)
         self.emit(events.Close(request_id, denied.status, denied.reason, denied.retry_after_ms))
 
-    def count_rejection(self, route: str, reason: str) -> None:
+    def count_rejection(self, route: str, reason: str, tenant: tenant_directory.Tenant | None = None) -> None:
         """Count a rejection of our own."""
         self.refusals[route, reason] += 1
+        self.tenant_counts.count(tenant, tenant_counts.Verdict.REFUSED)
         self.outcome_counts[REJECTED_HERE] = self.outcome_counts.get(REJECTED_HERE, 0) + 1
 
     def reject(self, ended: request.Request, detail: str, retry_after_ms: int) -> None:
@@ -64,7 +74,7 @@
             self.fail(ended, attempt.GATEWAY_TIMEOUT, detail)
             return
         self.forget(ended)
-        self.count_rejection(ended.route.name, detail)
+        self.count_rejection(ended.route.name, detail, ended.tenant)
         self.emit(events.Close(ended.id, UNAVAILABLE, detail, int(retry_after_ms)))
 
     def end_denied(self, ended: request.Request, denied: tenant_access.Denied) -> None:
@@ -74,7 +84,7 @@
             self.fail(ended, attempt.BAD_GATEWAY, denied.reason)
             return
         self.forget(ended)
-        self.deny(ended.id, ended.route.name, denied)
+        self.deny(ended.id, ended.route.name, denied, ended.tenant)
 
     def end_revoked(self) -> None:
         """End what is at no replica and may not be sent by the configuration that is in force now."""
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -6,6 +6,7 @@
 import collections.abc
 import typing
 
+import basaltport.credentials as credentials
 import basaltport.fleet.follow as follow
 import basaltport.identifiers as identifiers
 import basaltport.proxy.events as events
@@ -16,6 +17,7 @@
 import basaltport.proxy.request as request
 import basaltport.proxy.routing as routing
 import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_directory as tenant_directory
 
 Document = dict[str, typing.Any]
 LabelledValue = tuple[tuple[str, ...], float | latency_histograms.Histogram]
@@ -23,6 +25,8 @@
 SECOND_MS = 1000
 PART_DIGITS = 4
 SCORE_DIGITS = 3
+REFUSED = "refused"
+GRANTED = "granted"
 
 
 def queue(proxy: node.ProxyNode, now: identifiers.Millis) -> list[Document]:
@@ -113,26 +117,58 @@
     item: str = "",
     deadline: int = -1,
     tokens: int = 0,
+    tenant: str = "",
 ) -> Document:
-    """What would become of a request that came now: {"route", "outcomes": one for each service that it may
-    go to, with its part of the draw}."""
+    """What would become of a request that came now: {"route", "access": whether it may be sent for a tenant
+    of a name ("" for one without a key), "outcomes": if so, one for each service that it may go to, with its
+    part of the draw}."""
     page: Document = {"host": host, "path": path, "item": item, "edition": proxy.table.edition}
     route = proxy.table.match(host, path)
     if route is None:
-        is_empty = proxy.table.is_empty
-        page["outcome"] = "refused" if is_empty else "no route"
-        return {
-            **page,
-            "status": node.UNAVAILABLE if is_empty else tenant_access.NOT_FOUND,
-            "route": None,
-            "outcomes": [],
-        }
+        return {**page, **no_route(proxy.what_if(now)), "route": None, "outcomes": []}
+    page |= {"route": described(route), "access": access(proxy.what_if(now), route, tenant), "outcomes": []}
+    if page["access"]["outcome"] == REFUSED:
+        return page
     arrived = events.Arrived(now, 0, host, path, identifiers.Item(item), deadline, tokens, "")
-    outcomes = [
-        outcome(proxy.what_if(now), route, arrived, service, round(part, PART_DIGITS))
+    owner = proxy.table.tenants.get(tenant)
+    page["outcomes"] = [
+        outcome(proxy.what_if(now), route, arrived, owner, service, round(part, PART_DIGITS))
         for service, part in route.shares.parts()
     ]
-    return {**page, "route": described(route), "outcomes": outcomes}
+    return page
+
+
+def no_route(proxy: node.ProxyNode) -> Document:
+    """What becomes of a request that no route is known for."""
+    if proxy.table.is_empty:
+        return {"outcome": REFUSED, "status": node.UNAVAILABLE, "why": node.STARTING}
+    return denial(proxy.access.unknown_route())
+
+
+def access(proxy: node.ProxyNode, route: routing.Route, tenant: str) -> Document:
+    """Whether a request by a route may be sent for a tenant of a name, "" for one without a key. Keys are
+    never asked for or shown."""
+    needs_key = not proxy.table.tenants.is_empty and not route.public
+    page: Document = {"needs_key": needs_key, "tenant": tenant}
+    if tenant and proxy.table.tenants.get(tenant) is None:
+        return {**page, "outcome": REFUSED, "status": 0, "why": "no tenant of this name"}
+    if tenant:
+        return {**page, "outcome": GRANTED}
+    found = proxy.access.check(route, credentials.NO_KEY)
+    if isinstance(found, tenant_access.Granted):
+        return {**page, "outcome": GRANTED}
+    return {**page, **denial(found)}
+
+
+def denial(denied: tenant_access.Denied) -> Document:
+    """Why a request may not be sent."""
+    is_final = denied.reason is tenant_access.Reason.NO_ROUTE
+    return {
+        "outcome": str(denied.reason) if is_final else REFUSED,
+        "status": denied.status,
+        "why": str(denied.reason),
+        "retry_after_ms": denied.retry_after_ms,
+    }
 
 
 def described(route: routing.Route) -> Document:
@@ -144,23 +180,30 @@
         "urgency": route.urgency,
         "attempts": route.attempts,
         "pinned": route.pinned,
+        "public": route.public,
         "deadline_ms": int(route.deadline_ms),
         "target_ms": int(route.target_ms),
     }
 
 
 def outcome(
-    proxy: node.ProxyNode, route: routing.Route, arrived: events.Arrived, service: str, part: float
+    proxy: node.ProxyNode,
+    route: routing.Route,
+    arrived: events.Arrived,
+    tenant: tenant_directory.Tenant | None,
+    service: str,
+    part: float,
 ) -> Document:
     """What would become of a request that goes to a service. `proxy` is a copy that may be changed."""
-    example = request.Request(0, route, arrived)
+    example = request.Request(0, route, arrived, tenant, proxy.table.tenants.urgency(tenant))
     example.service = service
     ahead = sum((w.service, w.item) == (service, example.item) for w in proxy.queue.values())
     rejection = proxy.admission.check(example, arrived, service)
     page: Document = {"service": service, "part": part, "item": example.item, "ahead": ahead}
+    page["priority"] = proxy.table.tenants.priority(tenant, route.urgency)
     page["candidates"] = candidates(proxy, example)
     if rejection is not None:
-        page |= {"outcome": "refused", "status": node.UNAVAILABLE, "why": rejection.detail}
+        page |= {"outcome": REFUSED, "status": node.UNAVAILABLE, "why": rejection.detail}
         return {**page, "retry_after_ms": rejection.retry_after_ms}
     proxy.admission.enqueue(example)
     chosen = proxy.balancer.choose(example)
@@ -224,6 +267,9 @@
     by_reason = ("route", "reason")
     refusals, failures = sorted(proxy.refusals.items()), sorted(proxy.failures.items())
     yield "basaltport_refusals", "counter", "Requests refused here that never ran", by_reason, refusals
+    by_tenant = ("tenant", "outcome")
+    of_tenants = sorted(proxy.tenant_counts.items())
+    yield "basaltport_tenant_requests", "counter", "Requests by tenant", by_tenant, of_tenants
     yield "basaltport_failures", "counter", "Requests that may have run and failed", by_reason, failures
     durations = [((route, part.value), counted) for (route, part), counted in proxy.histograms.items()]
     text = "How long requests took, by part of their way"
--- /dev/null
+++ b/tests/proxy/test_tenant_pages.py
@@ -0,0 +1,144 @@
+"""What operators are shown of tenants and their requests, and that no key is among it."""
+
+import json
+
+import pytest
+
+import basaltport.command_line.fleet_tables as fleet_tables
+import basaltport.controller.admin_api as admin
+import basaltport.identifiers as identifiers
+import basaltport.log_events as log_events
+import basaltport.proxy.status_pages as status_pages
+import tests.proxy.test_proxy as reducer
+import tests.support.tenant_stand as stand
+
+FIRST, SECOND, UNKNOWN = stand.FIRST, stand.SECOND, stand.UNKNOWN
+
+
+def figures(fleet, name):
+    """The values of a metric by their labels."""
+    return {row[0]: dict(row[4]) for row in status_pages.samples(fleet.m, fleet.now)}[name]
+
+
+def explained(fleet, path="/safe/x", item="birch", tenant=""):
+    return status_pages.explain(fleet.m, fleet.now, "desk.example", path, item, tenant=tenant)
+
+
+def test_requests_are_counted_by_tenant_as_admitted_or_refused():
+    fleet = stand.Fleet(rows=[reducer.row("a", models=())])
+    fleet.ask("safe", key=FIRST)
+    fleet.ask("safe", key=SECOND, deadline=1000)
+    fleet.ask("safe", key=SECOND, item="unknown")
+    fleet.ask("safe", key=UNKNOWN)
+    fleet.wait(1000)
+    assert figures(fleet, "basaltport_tenant_requests") == {
+        ("first", "admitted"): 1,
+        ("second", "admitted"): 1,
+        ("second", "refused"): 2,
+    }
+    assert figures(fleet, "basaltport_refusals")[("safe", "unknown key")] == 1
+
+
+def test_figures_of_a_tenant_go_with_it():
+    fleet = stand.Fleet()
+    for key in (FIRST, SECOND):
+        fleet.ask("safe", key=key)
+    fleet.told(stand.document(stand.TENANTS[1:]))
+    assert figures(fleet, "basaltport_tenant_requests") == {("second", "admitted"): 1}
+
+
+def test_without_tenants_nothing_is_counted_by_tenant():
+    fleet = stand.Fleet(stand.document(None))
+    fleet.ask("safe", key=FIRST)
+    assert figures(fleet, "basaltport_tenant_requests") == {}
+
+
+@pytest.mark.parametrize(
+    ("doc", "count"), [(stand.document(), 2), (stand.document(None), 0)], ids=["two", "none"]
+)
+def test_the_event_of_a_configuration_in_force_tells_how_many_tenants_it_has(doc, count):
+    fleet = stand.Fleet(stand.document(()))
+    fleet.told(doc)
+    [note] = fleet.notes()
+    assert note.number == log_events.Event.CONFIGURATION_IN_FORCE and note.fields["tenants"] == count
+
+
+@pytest.mark.parametrize("tenant", ["first", "second"])
+def test_an_explanation_for_a_tenant_tells_what_its_next_request_gets(tenant):
+    fleet = stand.Fleet()
+    page = explained(fleet, tenant=tenant)
+    assert page["access"] == {"needs_key": True, "tenant": tenant, "outcome": "granted"}
+    [outcome] = page["outcomes"]
+    [attempt] = fleet.ask("safe", key=stand.credentials.digest(f"k-{tenant}"))
+    assert (outcome["outcome"], outcome["replica"]) == ("sent", attempt.replica)
+    assert outcome["priority"] == attempt.priority
+
+
+@pytest.mark.parametrize(
+    ("path", "tenant", "needs_key", "outcome", "why"),
+    [
+        ("/safe/x", "", True, "refused", "no key"),
+        ("/safe/x", "nobody", True, "refused", "no tenant of this name"),
+        ("/open/x", "", False, "granted", None),
+        ("/open/x", "first", False, "granted", None),
+        ("/open/x", "nobody", False, "refused", "no tenant of this name"),
+    ],
+)
+def test_an_explanation_tells_whether_a_route_needs_a_key_and_why_a_request_is_refused(
+    path, tenant, needs_key, outcome, why
+):
+    page = explained(stand.Fleet(), path, tenant=tenant)
+    access = page["access"]
+    assert (access["needs_key"], access["outcome"], access.get("why")) == (needs_key, outcome, why)
+    assert bool(page["outcomes"]) == (outcome == "granted")
+
+
+def test_without_tenants_an_explanation_needs_no_key():
+    page = explained(stand.Fleet(stand.document(None)))
+    assert page["access"] == {"needs_key": False, "tenant": "", "outcome": "granted"}
+    assert page["outcomes"][0]["outcome"] == "sent"
+
+
+def test_a_proxy_out_of_touch_explains_what_it_would_answer():
+    fleet = stand.Fleet()
+    fleet.wait(2000, led=False)
+    refused = explained(fleet)["access"]
+    assert (refused["status"], refused["why"]) == (503, "out of touch with the controllers")
+    page = explained(fleet, "/none/x")
+    assert (page["outcome"], page["status"]) == ("refused", 503) and page["retry_after_ms"] > 0
+    assert explained(fleet, tenant="first")["access"]["outcome"] == "granted"
+
+
+def test_the_explanation_of_the_command_line_tells_of_keys(capsys):
+    fleet = stand.Fleet()
+    for path, tenant in (("/safe/x", "first"), ("/safe/x", ""), ("/open/x", "")):
+        fleet_tables.explanation(explained(fleet, path, tenant=tenant))
+    out = [line for line in capsys.readouterr().out.splitlines() if line.startswith(("route", "refused"))]
+    assert out == [
+        "route safe: safe, 2 attempts, 3000 ms, needs a key",
+        "route safe: safe, 2 attempts, 3000 ms, needs a key",
+        "refused (401), no key",
+        "route open: safe, 2 attempts, 3000 ms",
+    ]
+
+
+def test_the_page_of_explanations_takes_the_name_of_a_tenant():
+    fleet = stand.Fleet()
+    pages = admin.proxy_admin(type("Shell", (), {"member": fleet.m})(), lambda: identifiers.Millis(fleet.now))
+    query = {"host": "desk.example", "path": "/safe/x", "item": "birch", "tenant": "second"}
+    assert pages.pages["explain"](query).document["access"]["tenant"] == "second"
+
+
+# Guards against keys on pages, in figures or in the log.
+def test_no_page_figure_or_event_shows_a_key_or_its_digest():
+    fleet = stand.Fleet(rows=[reducer.row("a", models=())])
+    for key in (FIRST, SECOND, UNKNOWN):
+        fleet.ask("safe", key=key)
+    fleet.told(stand.keys(first=()))
+    fleet.told(stand.keys(first=("k-first",)))
+    shown = [*fleet.shown, *fleet.notes()]
+    shown += [status_pages.status(fleet.m, fleet.now), list(status_pages.samples(fleet.m, fleet.now))]
+    shown += [explained(fleet, tenant=tenant) for tenant in ("", "first", "nobody")]
+    text = json.dumps(shown, default=repr) + repr(shown)
+    for key, word in ((FIRST, "k-first"), (SECOND, "k-second"), (UNKNOWN, "k-nobody")):
+        assert word not in text and key.hex() not in text and repr(bytes(key)) not in text
--- a/tests/support/tenant_stand.py
+++ b/tests/support/tenant_stand.py
@@ -34,13 +34,24 @@
 
 
 class Fleet(reducer.Sim):
-    """Two replicas and a proxy, unless `rows` says otherwise."""
+    """Two replicas and a proxy, unless `rows` says otherwise. `shown`: all effects, notes too."""
 
     def __init__(self, doc=None, rows=None):
+        self.shown = []
         rows = [reducer.row("a"), reducer.row("b", "z2")] if rows is None else rows
         super().__init__(rows, doc or document())
         self.hears_leader()
 
+    def step(self, event):
+        got = self.m.step(event)
+        self.shown += got
+        got = [e for e in got if not isinstance(e, (base.Note, base.Send))]
+        self.out += got
+        return got
+
+    def notes(self):
+        return [effect for effect in self.shown if isinstance(effect, base.Note)]
+
     def hears_leader(self):
         self.m.led_at = identifiers.Millis(self.now)
 
