A proxy that lacks what its leader told of says 503, not 401 or 404, for what it does not know

The same fault as with no leader, one step further: a proxy that hears its leader but lost the message with the newest entries refused a key or route of them for good until it was sent again.

Change: `FollowMixin.told_index` keeps how far the leader said that the agreed state goes; `knows_newest` is false below it.

Failed before: test_a_proxy_that_knows_that_it_lacks_what_was_agreed_says_503_until_it_has_it: `[401] == [503]`, `[404] == [503]`.

--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -44,12 +44,14 @@
 
 
 class FollowMixin(Needs):
-    """`cluster_state`: the agreed state, `rows`: replicas by id, `controllers`: addresses, `proxies`: how
-    many live, `led_at`: when the leader was heard. Hooks: `followed`, `rows_changed`, `on_facts`, `usage`."""
+    """`cluster_state`: the agreed state, `told_index`: how far the leader said that it goes, `rows`: replicas
+    by id, `controllers`: addresses, `proxies`: how many live, `led_at`: when the leader was heard.
+    Hooks: `followed`, `rows_changed`, `on_facts`, `usage`."""
 
     def follow_start(self) -> None:
         """Begin with nothing known."""
         self.cluster_state = state_machine.ClusterState()
+        self.told_index = identifiers.LogIndex(0)
         self.rows: Rows = {}
         self.controllers: list[str] = []
         self.proxies = 0
@@ -63,6 +65,10 @@
         """Whether the leader was heard lately."""
         return self.now - self.led_at < UNLED_MS
 
+    def knows_newest(self) -> bool:
+        """Whether all that the leader told of lately is in force here."""
+        return self.led() and self.cluster_state.log_index >= self.told_index
+
     # hooks
 
     def followed(self) -> None:
@@ -127,6 +133,8 @@
             return
         if update.gen > self.feed_gen:
             self.feed_gen, self.feed_n, self.leader_address = update.gen, -1, ""
+            self.told_index = update.serial
+        self.told_index = max(self.told_index, update.serial)
         self.led_at = self.now
         self.proxies = update.proxies
         if update.leader_address:
--- a/basaltport/proxy/tenant_access.py
+++ b/basaltport/proxy/tenant_access.py
@@ -1,7 +1,7 @@
 """Who may use a route: the key that came with a request, and the tenant that has it.
 
 What a proxy can't know is no refusal for good: a key or route that is unknown here may be in a newer
-configuration, of which a proxy that hears no leader is not told.
+configuration, which a proxy that hears no leader, or lost a message of its, does not have.
 """
 
 import dataclasses
@@ -67,8 +67,8 @@
 
     table: routing.RoutingTable
 
-    def led(self) -> bool:
-        """Whether the leader was heard lately."""
+    def knows_newest(self) -> bool:
+        """Whether all that the leader told of lately is in force here."""
         ...
 
 
@@ -108,7 +108,7 @@
         return self.node.table.tenants.get(_name(known.tenant))
 
     def _denied(self, status: int, reason: Reason) -> Denied:
-        if not self.node.led():
+        if not self.node.knows_newest():
             return Denied(UNAVAILABLE, Reason.OUT_OF_TOUCH, RETRY_AFTER_MS)
         return Denied(status, reason)
 
--- a/tests/proxy/test_tenant_access.py
+++ b/tests/proxy/test_tenant_access.py
@@ -111,3 +111,13 @@
 
 def test_a_route_that_no_configuration_has_is_answered_with_404_where_a_leader_is_heard():
     assert stand.told(stand.Fleet().ask("none", key=FIRST)) == [(404, "no route", 0)]
+
+
+# Guards against final refusals by a proxy that has missed the message with the newest configuration.
+@pytest.mark.parametrize(("route", "detail"), [("safe", "unknown key"), ("none", "no route")])
+def test_a_proxy_that_knows_that_it_lacks_what_was_agreed_says_503_until_it_has_it(route, detail):
+    fleet = stand.Fleet()
+    fleet.told(stand.document(), is_lost=True)
+    assert [status for status, _, _ in stand.told(fleet.ask(route, key=UNKNOWN))] == [503]
+    fleet.told(stand.document())
+    assert stand.told(fleet.ask(route, key=UNKNOWN))[0][1] == detail
--- a/tests/support/tenant_stand.py
+++ b/tests/support/tenant_stand.py
@@ -63,8 +63,9 @@
             got += super().wait(50)
         return got
 
-    def told(self, doc, entries=1):
-        """The feed brings a configuration, which is so many entries of the log later."""
+    def told(self, doc, entries=1, is_lost=False):
+        """The feed brings a configuration, which is so many entries of the log later. `is_lost`: a message
+        that tells how far the log is, but the one with the configuration was lost."""
         state = self.m.cluster_state
         state = dataclasses.replace(
             state,
@@ -72,9 +73,10 @@
             configuration_version=state.configuration_version + entries,
             log_index=identifiers.LogIndex(state.log_index + entries),
         )
+        copy = None if is_lost else state
         term, n = self.m.feed_gen, self.m.feed_n
         update = messages.Update(
-            term, LEADER, ADDRESS, [ADDRESS], state.log_index, [], state, False, n, n, {}, [], 1
+            term, LEADER, ADDRESS, [ADDRESS], state.log_index, [], copy, False, n, n, {}, [], 1
         )
         return self.step(base.Heard(self.now, ADDRESS, update))
 
