--- /dev/null
+++ b/tests/proxy/test_tenant_machine.py
@@ -0,0 +1,243 @@
+"""Any order of arrivals with keys, configurations, attempts and their ends, over the rules of keys."""
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as strategies
+import pytest
+
+import basaltport.credentials as credentials
+import basaltport.identifiers as identifiers
+import basaltport.proxy.attempt as attempt
+import basaltport.proxy.attempt_outcome as attempt_outcome
+import basaltport.proxy.events as events
+import basaltport.proxy.node as node
+import basaltport.proxy.retry_decision as retry_decision
+import basaltport.proxy.tenant_access as tenant_access
+import tests.proxy.test_proxy as reducer
+import tests.support.tenant_stand as stand
+
+Outcome = attempt_outcome.Outcome
+NOBODY = ""
+NO_KEY = ""
+TEXTS = ["k0", "k1", "k2", "k3"]
+NAMES = ["t0", "t1", "t2"]
+ROUTES = ["safe", "once", "stream", "single", "open"]
+HELD = {"models": ("birch",)}
+BARE = {"models": ()}
+SETTINGS = hypothesis.settings(max_examples=150, stateful_step_count=40, deadline=None, derandomize=True)
+
+
+class KeyRuleError(AssertionError):
+    """A rule of keys does not hold."""
+
+
+class Sent:
+    """A request. `holder`: whose its key was when it came; `ends`: effects that ended it."""
+
+    def __init__(self, route, key, holder):
+        self.route = route
+        self.key = key
+        self.holder = holder
+        self.ran = self.begun = False
+        self.flight = None
+        self.ends = []
+
+
+class Keys(stateful.RuleBasedStateMachine):
+    """`owners`: the tenant of each key by the configuration in force, None where there are no tenants;
+    `ever`: keys that any configuration here had; `has_lost`: the proxy knows that it lacks entries."""
+
+    def __init__(self):
+        super().__init__()
+        self.owners = {"k0": "t0", "k1": "t1"}
+        self.ever = set(self.owners)
+        self.fleet = stand.Fleet(self.document())
+        self.sent = {}
+        self.is_fed, self.is_led, self.has_lost, self.is_over = True, True, False, False
+        self.holds_model = True
+
+    def must(self, held, rule, detail=""):
+        if not held:
+            self.is_over = True
+            raise KeyRuleError(f"{rule}: {detail}")
+
+    def document(self):
+        if self.owners is None:
+            return stand.document(None)
+        rows = [
+            {"name": name, "keys": [k for k in TEXTS if self.owners.get(k) == name], "urgency": n}
+            for n, name in enumerate(NAMES)
+        ]
+        return stand.document(rows)
+
+    def holder(self, key):
+        """Whose a key is by the configuration in force, NOBODY where that is not needed, None for unknown."""
+        if self.owners is None or key == NO_KEY:
+            return NOBODY
+        return self.owners.get(key)
+
+    def may_be_sent(self, route, key, holder):
+        """Whether a request that came as its holder's may be sent now."""
+        if self.owners is None:
+            return True
+        has_holder = holder is not None and (key != NO_KEY or route == "open")
+        return has_holder and self.holder(key) == holder
+
+    # what the proxy does
+
+    def take(self, effects):
+        for effect in effects:
+            match effect:
+                case events.Attempt():
+                    self.launched(effect)
+                case events.Close() | events.Cut() | events.Pass():
+                    self.ended(effect)
+
+    def launched(self, effect):
+        sent = self.sent[effect.request]
+        self.must(not sent.ends, "nothing is sent of what has its end", effect)
+        if self.owners is not None and sent.key != NO_KEY:
+            self.must(sent.key in self.ever, "what is sent has a key that some configuration had", effect)
+        allowed = self.may_be_sent(sent.route, sent.key, sent.holder)
+        self.must(allowed, "what is sent has a key that is held now", effect)
+        expected = NOBODY if self.owners is None else sent.holder
+        self.must(effect.tenant == expected, "the tenant told is the one that has the key", effect)
+        sent.flight = effect.attempt
+
+    def ended(self, effect):
+        sent = self.sent[effect.request]
+        sent.ends.append(effect)
+        self.must(len(sent.ends) == 1, "a request has one end", sent.ends)
+        status = getattr(effect, "status", 0)
+        if status in retry_decision.PROMISES | {401}:
+            self.must(not sent.ran, "what is refused never ran", effect)
+        if status == 401:
+            allowed = self.may_be_sent(sent.route, sent.key, self.holder(sent.key))
+            self.must(not allowed, "401 is for what may not be sent", effect)
+            self.must(self.is_led and not self.has_lost, "401 is said by who can know", effect)
+
+    # what happens
+
+    @stateful.rule(
+        route=strategies.sampled_from(ROUTES), key=strategies.sampled_from([*TEXTS, *TEXTS, NO_KEY, "k9"])
+    )
+    def arrives(self, route, key):
+        digest = credentials.digest(key) if key else credentials.NO_KEY
+        self.sent[self.fleet.n + 1] = Sent(route, key, self.holder(key))
+        self.take(self.fleet.ask(route, deadline=2500, key=digest))
+
+    @stateful.rule(
+        owners=strategies.none()
+        | strategies.dictionaries(strategies.sampled_from(TEXTS), strategies.sampled_from(NAMES)),
+        entries=strategies.integers(1, 3),
+        is_lost=strategies.sampled_from([False, False, False, True]),
+    )
+    def configured(self, owners, entries, is_lost):
+        self.is_led = True
+        self.has_lost = is_lost
+        if not is_lost:
+            self.owners = owners
+            self.ever |= set(owners or ())
+        self.take(self.fleet.told(self.document(), entries, is_lost))
+
+    @stateful.rule(ms=strategies.sampled_from([50, 400, 1500]), is_led=strategies.booleans())
+    def time_passes(self, ms, is_led):
+        if not is_led:
+            self.is_led = self.fleet.now + ms - self.fleet.m.led_at < 1200
+        self.take(self.fleet.wait(ms, is_led))
+        self.is_led = self.fleet.m.led()
+
+    @stateful.rule(holds=strategies.booleans())
+    def model_comes_or_goes(self, holds):
+        row = HELD if holds else BARE
+        self.fleet.m.rows = {"a": reducer.row("a", **row), "b": reducer.row("b", "z2", **row)}
+        self.fleet.m.out = []
+        self.fleet.m.rows_changed(["a", "b"])
+        self.take(self.fleet.m.out)
+
+    def flying(self):
+        return [sent for sent in self.sent.values() if sent.flight is not None]
+
+    @stateful.precondition(lambda self: self.flying())
+    @stateful.rule(n=strategies.integers(0, 50), outcome=strategies.sampled_from(list(Outcome)))
+    def attempt_ends(self, n, outcome):
+        sent = self.flying()[n % len(self.flying())]
+        if sent.begun and outcome in (Outcome.BROKEN, Outcome.LATE):
+            outcome = Outcome.CUT
+        number, sent.flight = sent.flight, None
+        sent.ran = sent.ran or outcome.may_have_run
+        sent.begun = sent.begun or outcome is Outcome.CUT
+        if outcome is Outcome.DONE:
+            self.must(not sent.ends, "a request has one end", sent.ends)
+            sent.ends.append("its answer")
+        resumes = outcome is Outcome.CUT and sent.route == "stream"
+        status = 500 if outcome is Outcome.FAILED else 0
+        result = attempt_outcome.Result(outcome, status, "", resumes)
+        self.take(self.fleet.step(events.Ended(self.fleet.now, number, result)))
+
+    @stateful.precondition(lambda self: self.flying())
+    @stateful.rule(n=strategies.integers(0, 50))
+    def progresses(self, n):
+        sent = self.flying()[n % len(self.flying())]
+        self.take(self.fleet.step(events.Progress(self.fleet.now, sent.flight)))
+
+    @stateful.invariant()
+    def what_waits_may_be_sent(self):
+        if self.is_over:
+            return
+        for number, known in self.fleet.m.requests.items():
+            sent = self.sent[number]
+            allowed = known.attempt is not None or self.may_be_sent(sent.route, sent.key, sent.holder)
+            self.must(allowed, "what waits has a key that is held now", number)
+
+    def teardown(self):
+        if self.is_over:
+            return
+        self.take(self.fleet.step(events.Finish(identifiers.Millis(self.fleet.now))))
+        while self.flying():
+            self.attempt_ends(0, Outcome.BROKEN)
+        self.must(not self.fleet.m.requests, "every request has its end", self.fleet.m.requests)
+        for number, sent in self.sent.items():
+            self.must(len(sent.ends) == 1, "every request has one end", number)
+
+
+def test_any_order_of_keys_configurations_and_attempts():
+    stateful.run_state_machine_as_test(Keys, settings=SETTINGS)
+
+
+def _granted(*_):
+    return tenant_access.Granted(None)
+
+
+def _nothing(*_):
+    return None
+
+
+BREAKS = [
+    ("some configuration had|held now", tenant_access, "check_key", _granted),
+    ("held now", tenant_access.TenantAccess, "loss", _nothing),
+    ("what waits has", node.ProxyNode, "end_revoked", _nothing),
+    ("said by who can know", node.ProxyNode, "knows_newest", lambda self: True),
+    ("the tenant told", tenant_access.TenantAccess, "tenant_of", _nothing),
+    ("never ran", retry_decision, "give_up", lambda begun, ran: retry_decision.Move.REFUSE),
+    ("one end|its end", node.ProxyNode, "deny", _nothing),
+]
+
+
+@pytest.mark.parametrize(("rule", "owner", "name", "broken"), BREAKS, ids=[row[2] for row in BREAKS])
+def test_a_broken_rule_of_keys_is_found(monkeypatch, rule, owner, name, broken):
+    monkeypatch.setattr(owner, name, broken)
+    quick = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate], max_examples=2000)
+    with pytest.raises(KeyRuleError, match=rule):
+        stateful.run_state_machine_as_test(Keys, settings=quick)
+
+
+# Guards against further attempts of a request whose key was taken away while its attempt ran.
+def test_a_further_attempt_without_a_look_at_its_key_is_found(monkeypatch):
+    known = attempt.AttemptTracker.known
+    monkeypatch.setattr(
+        attempt.AttemptTracker, "known", lambda self, sent, result, may: known(self, sent, result, True)
+    )
+    quick = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate], max_examples=2000)
+    with pytest.raises(KeyRuleError, match="held now"):
+        stateful.run_state_machine_as_test(Keys, settings=quick)
