--- a/tests/proxy/test_request_safety.py
+++ b/tests/proxy/test_request_safety.py
@@ -36,6 +36,7 @@
     "address reused",
     "drain",
     "evacuation",
+    "key taken away",
 ]
 TESTS = dict(re.findall(r"^- \[([a-z-]+)\]:\s+`(\S+)`$", PAGE, re.M))
 NEWEST = "Rules of the newest pages"
