--- a/basaltport/proxy/limited_arrivals.py
+++ b/basaltport/proxy/limited_arrivals.py
@@ -8,18 +8,21 @@
 import basaltport.proxy.events as events
 import basaltport.proxy.quota_admission as quota_admission
 import basaltport.proxy.request as request
+import basaltport.proxy.request_ends as request_ends
 import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_counts as tenant_counts
 import basaltport.quota.messages as messages
 import basaltport.quota.outcomes as outcomes
 
 
-class LimitedArrivalsNeeds(typing.Protocol):
-    """What `LimitedArrivalsMixin` needs of the node it is part of."""
+class LimitedArrivalsNeeds(request_ends.RequestEndsNeeds, typing.Protocol):
+    """What `LimitedArrivalsMixin` needs of the node besides."""
 
     access: tenant_access.TenantAccess
     admission: admission.Admission
     quota: quota_admission.QuotaAdmission
     requests: dict[int, request.Request]
+    tenant_counts: tenant_counts.TenantCounts
 
     def emit(self, effect: object) -> None:
         """Add an effect."""
@@ -28,17 +31,13 @@
     def launch_item(self, item: str) -> None:
         """Launch what can go of those that wait for an item."""
 
-    def deny(self, request_id: int, route: str, denied: tenant_access.Denied) -> None:
-        """Answer a request that may not be sent."""
-
-    def count_rejection(self, route: str, reason: str) -> None:
-        """Count a rejection of our own."""
-
 
 if typing.TYPE_CHECKING:
-    Needs = LimitedArrivalsNeeds
+
+    class Needs(request_ends.RequestEndsMixin, LimitedArrivalsNeeds):
+        """The other parts of the node."""
 else:
-    Needs = object
+    Needs = request_ends.RequestEndsMixin
 
 
 class LimitedArrivalsMixin(Needs):
@@ -56,6 +55,7 @@
     def enqueue(self, arrived: request.Request) -> None:
         """A request that is within its tenant's limit waits for a replica."""
         self.admission.enqueue(arrived)
+        self.tenant_counts.count(arrived.tenant, tenant_counts.Verdict.ADMITTED)
         self.requests[arrived.id] = arrived
         self.launch_item(arrived.item)
 
@@ -63,7 +63,7 @@
         self, arrived: request.Request, reason: outcomes.Reason, retry_after_ms: int
     ) -> None:
         """Answer a request that its tenant may not make now, or of which that can't be told."""
-        self.count_rejection(arrived.route.name, reason.value)
+        self.count_rejection(arrived.route.name, reason.value, arrived.tenant)
         status = quota_admission.status_of(reason)
         self.emit(events.Close(arrived.id, status, reason.value, retry_after_ms))
 
@@ -72,7 +72,7 @@
         for arrived, word in settled:
             denied = self.access.loss(arrived)
             if denied is not None:
-                self.deny(arrived.id, arrived.route.name, denied)
+                self.deny(arrived.id, arrived.route.name, denied, arrived.tenant)
             elif word.is_admitted:
                 self.enqueue(arrived)
             else:
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -30,6 +30,7 @@
 import basaltport.proxy.retry_budget as retry_budget
 import basaltport.proxy.routing as routing
 import basaltport.proxy.tenant_access as tenant_access
+import basaltport.proxy.tenant_counts as tenant_counts
 import basaltport.proxy.tenant_directory as tenant_directory
 import basaltport.quota.bounds as bounds
 
@@ -54,7 +55,6 @@
 
 
 class ProxyNode(
-    request_ends.RequestEndsMixin,
     limited_arrivals.LimitedArrivalsMixin,
     follow.FollowMixin,
     member.Member,
@@ -91,6 +91,7 @@
         """Requests that were refused with a promise, by route and reason."""
         self.failures: collections.Counter[tuple[str, str]] = collections.Counter()
         """Requests that ended without an answer though they may have run, by route and reason."""
+        self.tenant_counts = tenant_counts.TenantCounts()
         self.histograms = latency_histograms.LatencyHistograms()
         self.stopped = False
         self.is_ending = False
@@ -120,6 +121,7 @@
         out.now, out.rng, out.out = now, random.Random(0), []
         out.requests, out.outcome_counts = dict(self.requests), {}
         out.refusals, out.failures = collections.Counter(), collections.Counter()
+        out.tenant_counts = tenant_counts.TenantCounts()
         out.histograms = latency_histograms.LatencyHistograms()
         out.queue = admission_queue.AdmissionQueue(self.queue)
         out.health = self.health.copied(self.rows)
@@ -174,7 +176,8 @@
         }
 
     def forget_routes(self) -> None:
-        """Drop the figures of routes that are configured no more."""
+        """Drop the figures of routes and tenants that are configured no more."""
+        self.tenant_counts.keep(self.table.tenants.tenants)
         names = {NO_ROUTE, *(route.name for routes in self.table.hosts.values() for route in routes)}
         self.histograms.keep_routes(names)
         for counts in (self.refusals, self.failures):
@@ -237,7 +240,7 @@
         """Take a request through the steps of its route into the queue, or reject it."""
         rejection = self.admission.check(arrived, event)
         if rejection is not None:
-            self.count_rejection(arrived.route.name, rejection.detail)
+            self.count_rejection(arrived.route.name, rejection.detail, arrived.tenant)
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
--- a/tests/support/tenant_proxy.py
+++ b/tests/support/tenant_fleet.py
@@ -34,13 +34,24 @@
 
 
 class Fleet(reducer.Sim):
-    """Two replicas and a proxy, unless `rows` says otherwise."""
+    """Two replicas and a proxy, unless `rows` says otherwise. `shown`: all effects, notes too."""
 
     def __init__(self, doc=None, rows=None):
+        self.shown = []
         rows = [reducer.row("a"), reducer.row("b", "z2")] if rows is None else rows
         super().__init__(rows, doc or document())
         self.hears_leader()
 
+    def step(self, event):
+        got = self.m.step(event)
+        self.shown += got
+        got = [e for e in got if not isinstance(e, (base.Note, base.Send))]
+        self.out += got
+        return got
+
+    def notes(self):
+        return [effect for effect in self.shown if isinstance(effect, base.Note)]
+
     def hears_leader(self):
         self.m.led_at = identifiers.Millis(self.now)
 
@@ -52,8 +63,9 @@
             got += super().wait(50)
         return got
 
-    def told(self, doc, entries=1):
-        """The feed brings a configuration, which is so many entries of the log later."""
+    def told(self, doc, entries=1, is_lost=False):
+        """The feed brings a configuration, which is so many entries of the log later. `is_lost`: a message
+        that tells how far the log is, but the one with the configuration was lost."""
         state = self.m.cluster_state
         state = dataclasses.replace(
             state,
@@ -61,9 +73,10 @@
             configuration_version=state.configuration_version + entries,
             log_index=identifiers.LogIndex(state.log_index + entries),
         )
+        copy = None if is_lost else state
         term, n = self.m.feed_gen, self.m.feed_n
         update = messages.Update(
-            term, LEADER, ADDRESS, [ADDRESS], state.log_index, [], state, False, n, n, {}, [], 1
+            term, LEADER, ADDRESS, [ADDRESS], state.log_index, [], copy, False, n, n, {}, [], 1
         )
         return self.step(base.Heard(self.now, ADDRESS, update))
 
