--- a/tests/proxy/test_key_headers.py
+++ b/tests/proxy/test_key_headers.py
@@ -127,7 +127,6 @@
 
     async def go():
         async with stand.Front([stand.Replica("i-1", wire.ok)], tenant_stand.document()) as proxy:
-            tenant_stand.stand_in_reducer(proxy)
             raw = tenant_stand.text(proxy, "/safe/x", [(KEY, KEYS[0]), ("Connection", "close")], body)
             return await proxy.raw(raw), proxy.replicas[0].seen, tenant_stand.told(proxy.replicas[0])
 
--- a/tests/proxy/test_key_secrecy.py
+++ b/tests/proxy/test_key_secrecy.py
@@ -63,7 +63,6 @@
     caplog.set_level(logging.DEBUG)
     replica = stand.Replica("i-1", script)
     async with stand.Front([replica], doc or tenant_stand.document()) as proxy:
-        tenant_stand.stand_in_reducer(proxy)
         answered = await exchange(proxy)
         pages = await shown(proxy)
     out, err = capfd.readouterr()
--- a/tests/proxy/test_tenant_headers.py
+++ b/tests/proxy/test_tenant_headers.py
@@ -41,7 +41,6 @@
 async def told_by(script, path, pairs, doc=None):
     """(what the client got, the key and tenant headers that the replica saw)"""
     async with stand.Front([stand.Replica("i-1", script)], doc or tenant_stand.document()) as proxy:
-        tenant_stand.stand_in_reducer(proxy)
         got = await proxy.raw(tenant_stand.text(proxy, path, [*pairs, ("Connection", "close")]))
         return got, tenant_stand.told(proxy.replicas[0])
 
@@ -68,7 +67,6 @@
 def test_requests_on_one_connection_each_run_for_the_tenant_of_their_own_key():
     async def go():
         async with stand.Front([stand.Replica("i-1", wire.ok)], tenant_stand.document()) as proxy:
-            tenant_stand.stand_in_reducer(proxy)
             reader, writer = await proxy.open()
             for n, key in enumerate((NORTH, YARD, KEYS["north-hall"][1], YARD)):
                 pairs, own = [(KEY, key), (TENANT, "another")], {stand.W.request_id: f"q{n}"}
@@ -108,7 +106,6 @@
     async def go():
         replicas = [stand.Replica("i-1", script), stand.Replica("i-2", script, "z2")]
         async with stand.Front(replicas, tenant_stand.document()) as proxy:
-            tenant_stand.stand_in_reducer(proxy)
             pairs = [(TENANT, "yard"), (KEY, NORTH), ("Connection", "close")]
             got = await proxy.raw(tenant_stand.text(proxy, path, pairs))
             return got, [row for replica in replicas for row in tenant_stand.told(replica)]
--- a/tests/support/tenant_stand.py
+++ b/tests/support/tenant_stand.py
@@ -1,10 +1,6 @@
 """Tenants in front of stand-in replicas: their configuration, requests with any key headers, and what of
 those headers came to a replica."""
 
-import dataclasses
-
-import basaltport.proxy.events as events
-import basaltport.proxy.tenant_directory as tenant_directory
 import tests.support.proxy_stand as stand
 
 KEY = "Basaltport-Key"
@@ -19,25 +15,6 @@
     return {**stand.document(**more), "tenants": rows}
 
 
-def stand_in_reducer(proxy):
-    """Give each attempt the tenant of its request's key, where the reducer doesn't."""
-    directory = tenant_directory.TenantDirectory(proxy.doc)
-    owners = {}
-    step, start = proxy.shell.clients.step, proxy.shell.attempts.start
-
-    def keep_owner(event):
-        if isinstance(event, events.Arrived):
-            owner = directory.owner_of(event.key)
-            owners[event.request] = owner.name if owner else ""
-        step(event)
-
-    def start_with_tenant(effect, answer):
-        start(dataclasses.replace(effect, tenant=effect.tenant or owners[effect.request]), answer)
-
-    proxy.shell.clients.step = keep_owner
-    proxy.shell.attempts.start = start_with_tenant
-
-
 def text(proxy, path, pairs, body=b"hello", **more):
     """A request with further headers as pairs, in their order, before all others."""
     line, _, rest = proxy.text(path, body, **more).partition(b"\r\n")
