The soak searches logs, metrics and answers of real processes for keys, and sends garbled heads

A client sends a head that can't be read, with a key, each second; no answer, no log of a process and no page of metrics may hold a key of the plan.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -19,6 +19,31 @@
 BROKEN = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
+GARBLED = (
+    "POST {path} HTTP/1.1\r\nCredential : {key}\r\n\r\n",
+    "POST {path} HTTP/1.1\r\nHost: x\r\nCredential {key}\r\n\r\n",
+    "POST {path} HTTP/1.1\r\nCredential: {key}\x00\r\n\r\n",
+    "Credential: {key}\r\n\r\n",
+)
+"""Heads that can't be read."""
+GARBLED_S = 2.0
+
+
+async def send_garbled(address: str, key: tenants.Key, chance: random.Random) -> str:
+    """What a proxy answers to a head that can't be read."""
+    host, port = address.split(":")
+    head = chance.choice(GARBLED).format(path=chance.choice([*plan.PATHS.values()]), key=key.text)
+    try:
+        async with asyncio.timeout(GARBLED_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head.encode())
+            answer = await reader.read()
+            writer.close()
+            return answer.decode(errors="replace")
+    except (TimeoutError, OSError):
+        return ""
+
+
 class LostRequest(typing.NamedTuple):
     """A request that a proxy had time to read, and whose connection it ended without a whole answer."""
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,6 +11,7 @@
 import sys
 
 import tests.soak.plan as plan
+import tests.soak.tenants as tenants
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 INNER_PORTS = [7660, 7675]
@@ -132,4 +133,14 @@
         """The processes that ended by themselves, and the logs that hold a traceback."""
         found = [f"ENDED {n} with {p.returncode}" for n, p in self.processes.items() if p.poll() is not None]
         logs = [path for path in self.folder.glob("*.out") if "Traceback" in path.read_text(errors="replace")]
-        return self.unclean_stops + found + [f"TRACEBACK in {path.name}" for path in logs]
+        found += [f"TRACEBACK in {path.name}" for path in logs]
+        return self.unclean_stops + found + self.told_keys()
+
+    def told_keys(self) -> list[str]:
+        """The logs that hold a key of a client."""
+        logs = [*self.folder.glob("*.out"), *self.folder.glob("*.jsonl")]
+        return [
+            f"KEY in {path.name}"
+            for path in logs
+            if tenants.holds_key(self.plan.keys, path.read_text(errors="replace"))
+        ]
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -148,6 +148,7 @@
             background = [group.create_task(self.client()) for _ in range(number)]
             background += [group.create_task(self.hot_client(key)) for key in self.hot_keys()]
             background.append(group.create_task(self.watch()))
+            background.append(group.create_task(self.send_garbled()))
             background.append(group.create_task(self.watch_stalls.run()))
             ending = [group.create_task(self.trouble(each)) for each in self.troubles]
             await asyncio.wait([*ending, group.create_task(asyncio.sleep(self.seconds))])
@@ -331,9 +332,27 @@
         """Keep the controllers' own counters of violations."""
         for name, address in self.plan.operators.items():
             _, text = await self.call("GET", f"{address}/basaltport/metrics")
+            self.judge_text(f"the metrics of {name}", text)
             if (counted := counted_violations(text)) and name in self.fleet.processes:
                 self.counted[f"{name} of pid {self.fleet.processes[name].pid}"] = counted
 
+    def judge_text(self, what: str, text: str) -> None:
+        """Keep that something that others see holds a key."""
+        if tenants.holds_key(self.plan.keys, text):
+            self.verdict.violations.append(f"KEY in {what}")
+
+    async def send_garbled(self) -> None:
+        """Send heads that can't be read and hold a key, until cancelled; no answer may hold it."""
+        while not self.is_over:
+            key, address = (
+                self.chance.choice(self.plan.keys),
+                self.chance.choice([*self.plan.counters.values()]),
+            )
+            self.judge_text(
+                "an answer to a garbled head", await clients.send_garbled(address, key, self.chance)
+            )
+            await asyncio.sleep(WATCH_S)
+
     async def check_progress(self) -> None:
         """Once all is well, items that no replica holds are served in time."""
         held = (await self.control("tell"))["held"]
--- a/tests/soak/tenants.py
+++ b/tests/soak/tenants.py
@@ -61,6 +61,11 @@
     return f"{key.number:x}-{time.monotonic_ns():x}-{chance.getrandbits(32):08x}"
 
 
+def holds_key(keys: list[Key], text: str) -> bool:
+    """Whether a text that others see holds a key."""
+    return any(key.text in text for key in keys if key.text)
+
+
 def key_number(request: str) -> int:
     """The number of a request's key, from its id."""
     return int(request.split("-")[0], 16)
--- a/tests/soak/test_tenants.py
+++ b/tests/soak/test_tenants.py
@@ -6,6 +6,7 @@
 import pytest
 
 import tests.soak.clients as clients
+import tests.soak.fleet as fleet
 import tests.soak.key_checks as key_checks
 import tests.soak.plan as plan
 import tests.soak.tenants as tenants
@@ -193,3 +194,12 @@
 )
 def test_a_change_of_keys_has_settled_once_the_last_answers_agree(statuses, is_held, is_settled):
     assert key_checks.is_settled(statuses, is_held) is is_settled
+
+
+def test_a_log_that_holds_a_key_is_a_finding(tmp_path):
+    rigged = fleet.Fleet(1, fleet.ROOT, tmp_path, 1)
+    (tmp_path / "proxy-1.out").write_text("as usual")
+    assert rigged.told_keys() == []
+    text = next(key.text for key in rigged.plan.keys if key.is_steady)
+    (tmp_path / "proxy-1.out").write_text(f'{{"why": "Invalid header: b\'{text}\'"}}')
+    assert rigged.told_keys() == ["KEY in proxy-1.out"]
