--- a/basaltport/simulation/routes/tenant_faults.py
+++ b/basaltport/simulation/routes/tenant_faults.py
@@ -8,6 +8,8 @@
 Fault = typing.Callable[[Play], None]
 
 AFTER_MS = 2500
+LONG_MS = 12_000
+"""Longer than a share of a limit holds."""
 
 
 def nothing(play: Play) -> None:
@@ -39,7 +41,7 @@
     """Two proxies reach no controller and are reached by clients for a while."""
     for name in play.proxies(2):
         play.world.isolate_proxy(name)
-    play.world.run(9000)
+    play.world.run(LONG_MS)
     play.world.heal()
     play.world.run(AFTER_MS)
 
@@ -47,7 +49,7 @@
 def proxies_frozen(play: Play) -> None:
     """Proxies are frozen for a while, some at once."""
     world = play.world
-    for lasts_ms in (600, 2500, 5500):
+    for lasts_ms in (600, 2500, LONG_MS):
         for name in play.proxies(2):
             world.freeze(name)
             world.later(lasts_ms, world.freeze, name, False)
--- a/basaltport/simulation/routes/tenant_mayhem.py
+++ b/basaltport/simulation/routes/tenant_mayhem.py
@@ -16,6 +16,8 @@
 LIMIT_FACTORS = (0.3, 0.6, 1.7, 3.0)
 MOST_PROXIES = 12
 EDITS = 3
+LONGER = 4
+"""Some faults last so much longer, beyond the time for which a share of a limit holds."""
 HOT_PER_S = 80.0
 
 World = tenant_world.TenantWorld
@@ -79,7 +81,12 @@
     """A proxy reaches no controller for a while."""
     if mayhem.up(world, "p"):
         world.isolate_proxy(planned_fault.pick(mayhem.up(world, "p"), first))
-        world.later(ms, world.heal)
+        world.later(LONGER * ms, world.heal)
+
+
+def freeze_long(world: World, first: float, second: float, ms: int) -> None:
+    """A proxy is frozen for long."""
+    mayhem.freeze_proxy(world, first, second, LONGER * ms)
 
 
 def add_proxy(world: World, first: float, second: float, ms: int) -> None:
@@ -90,7 +97,17 @@
 
 OF_TENANTS = {
     fault.__name__: fault
-    for fault in (heat, edit_keys, edit_limits, series, cut_bridge, cut_leader, isolate, add_proxy)
+    for fault in (
+        heat,
+        edit_keys,
+        edit_limits,
+        series,
+        cut_bridge,
+        cut_leader,
+        isolate,
+        add_proxy,
+        freeze_long,
+    )
 }
 OF_PROCESSES = {
     fault.__name__: fault
