--- a/basaltport/quota/holder.py
+++ b/basaltport/quota/holder.py
@@ -57,10 +57,12 @@
 
     def configure(self, limits: collections.abc.Mapping[str, bounds.TenantLimit], now: int) -> None:
         """The limits now in force; a tenant that isn't among them has none."""
-        self._limits = dict(limits)
+        former, self._limits = self._limits, dict(limits)
         waiting = {waiter.tenant.name for waiter in self._waiters.values()}
         for name, held in list(self._tenants.items()):
             limit = self._limits.get(name)
+            if limit is not None and limit == former.get(name):
+                continue
             if limit is not None:
                 held.change_budget(self._bounds.budget(limit), now)
             elif name not in waiting:
--- a/basaltport/quota/owned_tenant.py
+++ b/basaltport/quota/owned_tenant.py
@@ -13,6 +13,8 @@
 """A share is left as it is while what it should be differs by less."""
 ROOM_TO_BEGIN = 1.25
 """A new share is this much larger than the least, so that it doesn't end at once."""
+LEAST_DEMAND = 500
+"""Requests per 1000 s from which a proxy is given a share; it keeps one down to half of that."""
 DEMAND_ROOM = 1.5
 """A share is no larger than this much of what its holder's demand needs."""
 LEAST_RETRY_MS = 100
@@ -170,7 +172,8 @@
         return fraction if fraction >= least else 0
 
     def _wanted(self, row: HolderRow, least: int) -> int:
-        if not row.demand or not self.budget.rate_per_s:
+        least_demand = LEAST_DEMAND // 2 if row.held else LEAST_DEMAND
+        if row.demand < least_demand or not self.budget.rate_per_s:
             return 0
         of_all = bounds.SHARED_UNITS * row.demand // max(1, self.demand)
         needed = DEMAND_ROOM * row.demand / bounds.MS / self.budget.rate_per_s * bounds.UNIT
--- a/basaltport/quota/owner.py
+++ b/basaltport/quota/owner.py
@@ -11,6 +11,8 @@
 import basaltport.quota.rows as rows
 import basaltport.quota.shards as shards
 
+EXPIRED_AT_ONCE = 200
+
 
 @dataclasses.dataclass(slots=True)
 class OwnedShard:
@@ -30,6 +32,7 @@
         self._bounds = quota_bounds
         self._limits: dict[str, bounds.TenantLimit] = {}
         self._shards: dict[str, OwnedShard] = {}
+        self._to_expire: list[tuple[str, str]] = []
         self._asked = self._granted = self._requests = 0
 
     def begin(self, shard: str, fence: int, now: int) -> None:
@@ -45,9 +48,11 @@
 
     def configure(self, limits: collections.abc.Mapping[str, bounds.TenantLimit], now: int) -> None:
         """The limits now in force. What tenants without a limit had is kept until it has ended."""
-        self._limits = dict(limits)
+        former, self._limits = self._limits, dict(limits)
         for shard, owned in self._shards.items():
             for name, tenant in owned.tenants.items():
+                if self._limits.get(name) == former.get(name):
+                    continue
                 budget = self._budget(shard, name)
                 if budget is not None:
                     tenant.change_budget(budget, now)
@@ -76,12 +81,20 @@
         )
 
     def expire(self, now: int) -> None:
-        """Forget what has ended; each second or so."""
-        for owned in self._shards.values():
-            for name, tenant in list(owned.tenants.items()):
-                tenant.sweep(now)
-                if tenant.is_like_new(self._bounds.window_ms, now):
-                    del owned.tenants[name]
+        """Forget what has ended, a few tenants at a time; each 100 ms or so."""
+        if not self._to_expire:
+            self._to_expire = [
+                (shard, name) for shard, owned in self._shards.items() for name in owned.tenants
+            ]
+        for _ in range(min(EXPIRED_AT_ONCE, len(self._to_expire))):
+            shard, name = self._to_expire.pop()
+            owned = self._shards.get(shard)
+            tenant = owned.tenants.get(name) if owned is not None else None
+            if owned is None or tenant is None:
+                continue
+            tenant.sweep(now)
+            if tenant.is_like_new(self._bounds.window_ms, now):
+                del owned.tenants[name]
 
     def counts(self) -> outcomes.OwnerCounts:
         """For metrics."""
