--- a/basaltport/simulation/routes/tenant_world.py
+++ b/basaltport/simulation/routes/tenant_world.py
@@ -1,6 +1,10 @@
 """A fleet whose clients belong to tenants: keys, limits, and what replicas are told of them."""
 
+import dataclasses
+import typing
+
 import basaltport.events as events
+import basaltport.quota.bounds as bounds
 import basaltport.simulation.routes.attempts as attempts
 import basaltport.simulation.routes.document as document
 import basaltport.simulation.routes.fleet_world as fleet_world
@@ -23,6 +27,10 @@
         self.alone: frozenset[str] = frozenset()
         super().__init__(seed, preset, packed)
 
+    def controller_options(self) -> dict[str, typing.Any]:
+        """Controllers go by the bounds of limits that are checked."""
+        return {"quota_bounds": bounds.QuotaBounds.from_timings(dataclasses.asdict(self.timings))}
+
     # configurations
 
     def document(self, edition: int, change: str) -> document.Document:
