--- a/basaltport/proxy/limited_arrivals.py
+++ b/basaltport/proxy/limited_arrivals.py
@@ -9,7 +9,6 @@
 import basaltport.proxy.quota_admission as quota_admission
 import basaltport.proxy.request as request
 import basaltport.proxy.request_ends as request_ends
-import basaltport.proxy.tenant_access as tenant_access
 import basaltport.proxy.tenant_counts as tenant_counts
 import basaltport.quota.messages as messages
 import basaltport.quota.outcomes as outcomes
@@ -18,15 +17,8 @@
 class LimitedArrivalsNeeds(request_ends.RequestEndsNeeds, typing.Protocol):
     """What `LimitedArrivalsMixin` needs of the node besides."""
 
-    access: tenant_access.TenantAccess
     admission: admission.Admission
     quota: quota_admission.QuotaAdmission
-    requests: dict[int, request.Request]
-    tenant_counts: tenant_counts.TenantCounts
-
-    def emit(self, effect: object) -> None:
-        """Add an effect."""
-        return None
 
     def launch_item(self, item: str) -> None:
         """Launch what can go of those that wait for an item."""
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -26,7 +26,6 @@
 import basaltport.proxy.quota_admission as quota_admission
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
-import basaltport.proxy.request_ends as request_ends
 import basaltport.proxy.retry_budget as retry_budget
 import basaltport.proxy.routing as routing
 import basaltport.proxy.tenant_access as tenant_access
