--- a/tests/proxy/test_taken_keys.py
+++ b/tests/proxy/test_taken_keys.py
@@ -4,7 +4,7 @@
 
 import basaltport.proxy.events as events
 import tests.proxy.test_proxy as reducer
-import tests.support.tenant_stand as stand
+import tests.support.tenant_proxy as stand
 
 ROUTES = ["safe", "once", "stream", "single"]
 FIRST, SECOND = stand.FIRST, stand.SECOND
--- a/tests/proxy/test_tenant_access.py
+++ b/tests/proxy/test_tenant_access.py
@@ -6,7 +6,7 @@
 import basaltport.proxy.tenant_access as tenant_access
 import basaltport.proxy.tenant_directory as tenant_directory
 import tests.proxy.test_proxy as reducer
-import tests.support.tenant_stand as stand
+import tests.support.tenant_proxy as stand
 
 Reason = tenant_access.Reason
 FIRST, SECOND, UNKNOWN = stand.FIRST, stand.SECOND, stand.UNKNOWN
--- a/tests/proxy/test_tenant_machine.py
+++ b/tests/proxy/test_tenant_machine.py
@@ -14,7 +14,7 @@
 import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.tenant_access as tenant_access
 import tests.proxy.test_proxy as reducer
-import tests.support.tenant_stand as stand
+import tests.support.tenant_proxy as stand
 
 Outcome = attempt_outcome.Outcome
 NOBODY = ""
--- a/tests/proxy/test_tenant_pages.py
+++ b/tests/proxy/test_tenant_pages.py
@@ -10,7 +10,7 @@
 import basaltport.log_events as log_events
 import basaltport.proxy.status_pages as status_pages
 import tests.proxy.test_proxy as reducer
-import tests.support.tenant_stand as stand
+import tests.support.tenant_proxy as stand
 
 FIRST, SECOND, UNKNOWN = stand.FIRST, stand.SECOND, stand.UNKNOWN
 
