--- a/basaltport/controller/server.py
+++ b/basaltport/controller/server.py
@@ -23,6 +23,7 @@
 import basaltport.member as member
 import basaltport.placement.effects as effects
 import basaltport.placement.order_types as order_types
+import basaltport.quota.bounds as bounds
 import basaltport.shell as shell
 import basaltport.started as started
 import basaltport.wires as wires
@@ -44,7 +45,7 @@
 
 class Port(typing.Protocol):
     """The platform's part: lists replicas, sends orders to them, and serves operators. It may have `reload()`
-    besides, called on SIGHUP."""
+    besides, called on SIGHUP, and `read_stored`, as of `stored_configuration`."""
 
     async def start(self, server: "ControllerServer") -> None:
         """Serve operators on behalf of a controller."""
@@ -107,7 +108,9 @@
             recovered.current_term,
             lease_ms=settings.get("timings", {}).get("lease_ms", node.REPLICA_LEASE_MS),
             began=identifiers.Millis(started.AT_MS),
+            quota_bounds=bounds.QuotaBounds.from_timings(settings.get("timings", {})),
         )
+        self.member.read_stored = getattr(self.port, "read_stored", None)
         term, index = self.member.head()
         fields = {"serial": int(index), "generation": term.text(), "seat": self.me.seat}
         logs.note(log_events.Event.DISK_OPENED, fields)
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -19,9 +19,11 @@
 import basaltport.proxy.health as health
 import basaltport.proxy.held_arrivals as held_arrivals
 import basaltport.proxy.latency_histograms as latency_histograms
+import basaltport.proxy.limited_arrivals as limited_arrivals
 import basaltport.proxy.load_balancing as load_balancing
 import basaltport.proxy.model_readiness as model_readiness
 import basaltport.proxy.queue_launch as queue_launch
+import basaltport.proxy.quota_admission as quota_admission
 import basaltport.proxy.replica_table as replica_table
 import basaltport.proxy.request as request
 import basaltport.proxy.request_ends as request_ends
@@ -30,6 +32,7 @@
 import basaltport.proxy.tenant_access as tenant_access
 import basaltport.proxy.tenant_counts as tenant_counts
 import basaltport.proxy.tenant_directory as tenant_directory
+import basaltport.quota.bounds as bounds
 
 TIMINGS = {
     "retry_ratio": 0.2,
@@ -51,7 +54,12 @@
 ENDING = "this proxy ends"
 
 
-class ProxyNode(request_ends.RequestEndsMixin, follow.FollowMixin, member.Member):
+class ProxyNode(
+    request_ends.RequestEndsMixin,
+    limited_arrivals.LimitedArrivalsMixin,
+    follow.FollowMixin,
+    member.Member,
+):
     """One reducer over all events of a proxy. Its parts are handed to each other when it is made; they read
     the time and the fleet from it. `requests`: all that have no end yet."""
 
@@ -91,6 +99,9 @@
         self.health = health.HealthTable()
         self.latency = health.LatencyEstimates()
         self.budgets = retry_budget.RetryBudgets(now, self.timings)
+        incarnation = random.Random(f"{seed} incarnation").getrandbits(quota_admission.INCARNATION_BITS)
+        quota_bounds = bounds.QuotaBounds.from_timings(self.timings)
+        self.quota = quota_admission.QuotaAdmission(self, incarnation, quota_bounds)
         self.assemble()
         follow.FollowMixin.follow_start(self)
 
@@ -146,21 +157,24 @@
         document = self.cluster_state.configuration
         if document is not self.compiled_document:
             self.compiled_document = document
-            self.table = routing.RoutingTable(document)
+            self.table = routing.RoutingTable(document, self.table)
+            self.quota.configure(document)
             self.forget_routes()
             self.end_revoked()
-            self.note_configuration()
+            self.emit(base.Note(int(log_events.Event.CONFIGURATION_IN_FORCE), self.counts_in_force()))
         self.route_held_arrivals()
         self.launch_all()
 
-    def note_configuration(self) -> None:
-        """Log which configuration is in force here, and how large it is."""
-        fields = {
+    def counts_in_force(self) -> dict[str, int | None]:
+        """What is logged of a configuration that comes into force; `tenants` is null where none is needed."""
+        tenants = self.table.tenants
+        return {
             "serial": int(self.cluster_state.configuration_version),
+            "edition": self.table.edition,
             "lines": sum(map(len, self.table.hosts.values())),
-            "tenants": len(self.table.tenants.tenants),
+            "tenants": None if tenants.is_empty else len(tenants.tenants),
+            "keys": tenants.key_count,
         }
-        self.note(log_events.Event.CONFIGURATION_IN_FORCE, **fields)
 
     def forget_routes(self) -> None:
         """Drop the figures of routes and tenants that are configured no more."""
@@ -231,10 +245,7 @@
             effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
             self.emit(effect)
             return
-        self.admission.enqueue(arrived)
-        self.tenant_counts.count(arrived.tenant, tenant_counts.Verdict.ADMITTED)
-        self.requests[arrived.id] = arrived
-        self.launch_item(arrived.item)
+        self.admit_within_limit(arrived)
 
     # a node that just started
 
@@ -287,6 +298,7 @@
     def on_left(self, event: events.Left) -> None:
         """The client went away: its attempt is stopped."""
         self.held_arrivals.pop(event.request, None)
+        self.quota.forget(event.request)
         left = self.requests.get(event.request)
         if left is None:
             return
@@ -308,6 +320,7 @@
         """What time alone brings about."""
         follow.FollowMixin.tick_follow(self)
         self.expire_held_arrivals()
+        self.settle(self.quota.tick())
         self.expire()
         self.attempts.stop_silent()
         self.launch_all()
@@ -337,8 +350,10 @@
         """What waits is rejected; attempts under way are stopped, and their ends tell what may be
         promised."""
         self.is_ending = True
-        for arrived in self.held_arrivals.take_all():
-            self.emit(events.Close(arrived.request, UNAVAILABLE, ENDING, attempt.RETRY_AFTER_MS))
+        held_back = [arrived.request for arrived in self.held_arrivals.take_all()]
+        held_back += [waiting.id for waiting in self.quota.take_all()]
+        for request_id in held_back:
+            self.emit(events.Close(request_id, UNAVAILABLE, ENDING, attempt.RETRY_AFTER_MS))
         for waiting in list(self.queue.values()):
             self.reject(waiting, ENDING, attempt.RETRY_AFTER_MS)
         self.attempts.stop_all()
