A change of a configuration counts with the bytes that it has

What callers would see: a change of many tenants in force late (CONFIG). A change counted as 136 bytes whatever it held: the feed took a proxy that half a megabyte was still on its way to for one that had lost it, and sent it again each 300 to 600 ms, to each proxy, over links of 5 Mbit/s; the log was kept for 4 MB that could be hundreds. Only whole configurations were counted exactly. Found while looking for a second cause of CONFIG: whether the feed delays these documents.

Failed before: test_a_large_change_that_is_under_way_is_not_sent_again ("assert 5 == 1"), test_a_large_change_counts_with_its_bytes ("assert (538926 * 0.9) < 136").

--- a/basaltport/consensus/sizes.py
+++ b/basaltport/consensus/sizes.py
@@ -7,11 +7,14 @@
 
 
 def entry_size(entry: log.LogEntry) -> int:
-    """About how many bytes an entry takes; only a configuration's own are counted exactly."""
+    """About how many bytes an entry takes; only a configuration's own, whole or a change of it, are counted
+    exactly."""
     operation = entry.operation
     size = 2 * text.OVERHEAD + text.SCALAR_SIZE
     if isinstance(operation, log.ConfigurationPut):
         size += text.size_of_configuration(operation.configuration)
+    elif isinstance(operation, log.ItemsPatched | log.ConfigurationMerged):
+        size += text.size_of_configuration(operation.patch)
     return size
 
 
--- a/tests/fleet/test_tenants_of_a_fleet.py
+++ b/tests/fleet/test_tenants_of_a_fleet.py
@@ -4,8 +4,12 @@
 
 import pytest
 
+import basaltport.consensus.log as log
+import basaltport.consensus.sizes as sizes
 import basaltport.controller.admin_api as admin_api
 import basaltport.credentials as credentials
+import basaltport.fleet.messages as fleet_messages
+import basaltport.identifiers as identifiers
 import basaltport.log_events as log_events
 import basaltport.proxy.node as proxy_node
 import basaltport.proxy.status_pages as status_pages
@@ -105,6 +109,37 @@
     assert [(proxy.table.edition, known(proxy)) for proxy in proxies] == [(30, [29 % 9])] * 2
 
 
+BIG = [{"name": f"t{number}", "keys": [f"secret-{number:0500}"]} for number in range(1000)]
+"""Half a megabyte, which takes 1.7 s over the slowest link that is reckoned with."""
+
+
+# guards against CONFIG: a large change is sent again and again over a slow link, so that it comes late
+def test_a_large_change_that_is_under_way_is_not_sent_again():
+    w, _ = world(proxies=1)
+    w.cut(w.leader(), "p1", False)
+    sent, send = [], w.do_send
+
+    def look(node, effect):
+        if isinstance(effect.msg, fleet_messages.Update) and (effect.msg.entries or effect.msg.copy):
+            sent.append(w.now)
+        send(node, effect)
+
+    w.do_send = look
+    change(w, 2, put={"tenants": BIG})
+    w.run(1500)
+    assert len(sent) == 1
+    w.run(1500)
+    assert len(sent) > 1
+
+
+# guards against memory that large changes take although the log is kept within bounds
+def test_a_large_change_counts_with_its_bytes():
+    patch = {"edition": 2, "put": {"tenants": BIG}}
+    entry = log.LogEntry(identifiers.LogIndex(1), identifiers.Term(), log.ItemsPatched(patch))
+    size = sizes.entry_size(entry)
+    assert len(json.dumps(patch)) * 0.9 < size < len(json.dumps(patch)) * 1.1
+
+
 # guards against CONFIG: a proxy that starts anew, or hears of a new leader, takes an older configuration
 def test_a_proxy_that_starts_while_keys_change_has_the_newest():
     w, _ = world(proxies=1)
