--- a/basaltport/simulation/routes/tenant_mayhem.py
+++ b/basaltport/simulation/routes/tenant_mayhem.py
@@ -142,6 +142,7 @@
     """Faults, hot tenants and edits at random, one on another, then peace."""
     world = play.world
     play.limit_all()
+    world.run(tenant_play.SHARED_MS)
     for index, planned in enumerate(schedule(play.seed)):
         if index not in play.skip:
             world.record(process_rows.Fault, planned.kind, index)
--- a/basaltport/simulation/routes/tenant_play.py
+++ b/basaltport/simulation/routes/tenant_play.py
@@ -7,6 +7,8 @@
 import basaltport.simulation.routes.tenant_world as tenant_world
 
 APPLIED_MS = 3500
+SHARED_MS = 8000
+"""From when limits are in force until proxies have shares of them."""
 HOT_FACTOR = 10
 SMALL_PER_S = 25
 KEYS_EVERY_MS = 700
