--- a/basaltport/simulation/routes/tenant_faults.py
+++ b/basaltport/simulation/routes/tenant_faults.py
@@ -83,6 +83,19 @@
     play.world.run(AFTER_MS)
 
 
+def proxies_cut_off_and_added(play: Play) -> None:
+    """All proxies reach no controller for long; as many others are added, which reach them."""
+    world = play.world
+    cut_off = play.proxies(world.size.proxies)
+    for name in cut_off:
+        world.isolate_proxy(name)
+    for _ in cut_off:
+        world.add_proxy()
+    world.run(LONG_MS + LONG_MS // 2)
+    world.heal()
+    world.run(AFTER_MS)
+
+
 FAULTS: dict[str, Fault] = {
     fault.__name__: fault
     for fault in (
@@ -94,5 +107,6 @@
         proxies_killed,
         controllers_killed,
         proxies_added,
+        proxies_cut_off_and_added,
     )
 }
--- a/basaltport/simulation/routes/tenant_scenes.py
+++ b/basaltport/simulation/routes/tenant_scenes.py
@@ -12,7 +12,8 @@
 
 Play = tenant_play.TenantPlay
 SHARE = 0.9
-LARGE_PER_S = 80.0
+LARGE_PER_S, LARGE_BURST = 80.0, 40.0
+LARGE_FACTOR = 3
 
 
 @scenario
@@ -67,14 +68,14 @@
 
 
 def large_limit(play: Play, fault: tenant_faults.Fault) -> None:
-    """A tenant whose limit is large enough for shares at each proxy sends twice as much under a fault."""
+    """A tenant with a limit that is large enough for shares sends three times as much under a fault."""
     world = play.world
     world.limit_all()
     large = world.hottest()
-    world.limit(large, LARGE_PER_S / world.usual_rate(large))
+    world.put(world.book[large]._replace(rate_per_s=LARGE_PER_S, burst=LARGE_BURST))
     world.must(world.configure)
     world.run(tenant_play.APPLIED_MS)
-    world.heat(large, 2 * LARGE_PER_S)
+    world.heat(large, LARGE_FACTOR * LARGE_PER_S)
     world.run(3000)
     fault(play)
     world.heat(large, 0)
--- a/tests/simulation/test_quota_mutations.py
+++ b/tests/simulation/test_quota_mutations.py
@@ -3,12 +3,15 @@
 import pytest
 
 import basaltport.quota.bounds as bounds
+import basaltport.quota.held_slice as held_slice
 import basaltport.quota.holder as holder
 import basaltport.quota.owned_tenant as owned_tenant
 import basaltport.simulation.routes.tenant_scenarios as tenant_scenarios
 
 SEEDS = (1, 2)
 
+_hold = held_slice.HeldSlice.hold
+
 
 def _anything(self, tenant, request_id, now):
     """No limit is looked at."""
@@ -30,11 +33,17 @@
     return 0
 
 
+def _for_ever(self, fraction, ends_at, last_number, now):
+    """A share holds until the proxy is told otherwise."""
+    _hold(self, fraction, ends_at + 10**9, last_number, now)
+
+
 CASES = [
     ("hot-tenant-nothing", [(holder.QuotaHolder, "admit", _anything)]),
     ("large-limit-nothing", [(bounds.Budget, "owner_rate", _whole_rate)]),
     ("large-limit-nothing", [(bounds.Budget, "share_rate", _whole_share)]),
     ("large-limit-nothing", [(owned_tenant.HolderRow, "outstanding", _nothing)]),
+    ("large-limit-proxies-cut-off-and-added", [(held_slice.HeldSlice, "hold", _for_ever)]),
 ]
 
 
