A proxy that stood still refuses no key for good before it heard what is new

For 300 ms after a pause of 1.2 s it answers 503 to what it doesn't know. The test failed before: 401 == 503.

--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -19,6 +19,8 @@
 """A leader that was not heard of for longer is looked for anew."""
 AT_ONCE_MS = 100
 """The least time between two requests for what is lacking."""
+WAKING_MS = 300
+"""After a pause of this process what waited in its sockets is heard first, which may be old."""
 LONG_AGO = -(10**9)
 
 Row = dict[str, typing.Any]
@@ -60,14 +62,17 @@
         self.feed_n = -1
         self.leader_address = ""
         self.follow_at = LONG_AGO
+        self.ticked_at = int(self.now)
+        self.woke_at = LONG_AGO
 
     def led(self) -> bool:
         """Whether the leader was heard lately."""
         return self.now - self.led_at < UNLED_MS
 
     def knows_newest(self) -> bool:
-        """Whether all that the leader told of lately is in force here."""
-        return self.led() and self.cluster_state.log_index >= self.told_index
+        """Whether all that the leader told of lately is in force here, and this process did not pause."""
+        is_awake = self.now - self.ticked_at < UNLED_MS and self.now - self.woke_at >= WAKING_MS
+        return is_awake and self.led() and self.cluster_state.log_index >= self.told_index
 
     # hooks
 
@@ -88,6 +93,9 @@
 
     def tick_follow(self) -> None:
         """Tell the leader what is known, or look for one, as often as each is due."""
+        if self.now - self.ticked_at >= UNLED_MS:
+            self.woke_at = self.now
+        self.ticked_at = self.now
         unled = SEEK_MS if self.feed_n >= 0 else FIRST_SEEK_MS
         every = FOLLOW_MS if self.led() else unled
         if self.now - self.follow_at >= every:
--- a/tests/proxy/test_taken_keys.py
+++ b/tests/proxy/test_taken_keys.py
@@ -191,3 +191,22 @@
     fleet = waiting()
     fleet.told(stand.document([{**stand.TENANTS[0], "urgency": 0}, stand.TENANTS[1]]))
     assert stand.sent(fleet.rows(reducer.row("a"))) == [("first", 0)]
+
+
+# Guards against a key that is in force being refused for good: a proxy that stood still answered 401 by what it
+# knew before, since the old words of its leader that it then heard made it take itself for up to date.
+def test_a_proxy_that_stood_still_refuses_no_key_for_good_before_it_heard_what_is_new():
+    fleet = stand.Fleet()
+    assert status_of_unknown_key(fleet) == 401
+    fleet.now += 3600
+    fleet.hears_leader()
+    assert status_of_unknown_key(fleet) == 503
+    fleet.wait(200)
+    assert status_of_unknown_key(fleet) == 503
+    fleet.wait(200)
+    assert status_of_unknown_key(fleet) == 401
+
+
+def status_of_unknown_key(fleet):
+    [(status, _, _)] = stand.told(fleet.ask("safe", key=stand.UNKNOWN))
+    return status
