Faults of HTTP servers are logged by type and place, so that no log holds the keys of an operator's call

An operator's PUT or PATCH whose body does not fit its framing (a broken chunk, more bytes than stated) stood on standard error of the controller as the library quotes it, keys and all; so did the text of a fault of our own within the call.

Change: wherever a process opens its log, a filter of the library's logger keeps type and place of a fault and leaves out its text; faults of proxies are described by the same function.

Failed before: test_operator_secrecy.py, 3 failed, `assert 'k-operator-61fe' not in "DEBUG as...'\n ^\n"`.

--- a/basaltport/proxy/request_faults.py
+++ b/basaltport/proxy/request_faults.py
@@ -4,7 +4,6 @@
 head may be a client's key.
 """
 
-import traceback
 import aiohttp.web
 
 import basaltport.log_events as log_events
@@ -46,13 +45,4 @@
 
 def log_fault(error: BaseException) -> None:
     """Log a fault of our own: its type and where it arose, since its text may hold what a client sent."""
-    logs.note(log_events.Event.STEP_FAILED, {"why": describe(error)})
-
-
-def describe(error: BaseException) -> str:
-    """The type of an error, and where it arose."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return type(error).__name__
-    last = frames[-1]
-    return f"{type(error).__name__} at {last.name}, line {last.lineno} of {last.filename.rpartition('/')[2]}"
+    logs.note(log_events.Event.STEP_FAILED, {"why": logs.describe_fault(error)})
--- /dev/null
+++ b/tests/project/test_operator_secrecy.py
@@ -0,0 +1,56 @@
+"""What a controller says of an operator's call that can't be read: never the keys that its body holds."""
+
+import asyncio
+import importlib
+import logging
+import pathlib
+import sys
+
+import pytest
+
+import basaltport.logs as logs
+import tests.support.live as live
+
+sys.path.append(str(pathlib.Path(__file__).parent.parent.parent / "platform"))
+operators = importlib.import_module("operators")
+
+KEY = "k-operator-61fe"
+BODY = f'{{"senders":[{{"name":"yard","apiKeys":["{KEY}"]}}]}}'
+CHUNKED = f"PUT /v1/config HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n{BODY}\r\n"
+SHORT = f"PUT /v1/config HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{{}}{BODY}\r\n\r\n"
+FAULT = f"PUT /v1/config HTTP/1.1\r\nHost: x\r\nIf-Match: 1\r\nContent-Length: {len(BODY)}\r\n\r\n{BODY}"
+
+
+class Shell:
+    """A controller that breaks at each change, with a text that holds what was sent."""
+
+    async def ask(self, verb, body):
+        raise KeyError(str(body))
+
+
+async def sent(raw):
+    server = operators.Operators(Shell(), lambda: (), None)
+    await server.start("127.0.0.1:0")
+    try:
+        reader, writer = await asyncio.open_connection(*server.runner.addresses[0])
+        writer.write(raw.encode())
+        async with asyncio.timeout(live.BOUND):
+            await reader.read()
+        writer.close()
+    finally:
+        await server.stop()
+
+
+# Guards against a key told to others: the library logged what it could not read of an operator's call.
+@pytest.mark.parametrize(
+    "raw, fault",
+    [(CHUNKED, "BadHttpMessage"), (SHORT, "BadHttpMethod"), (FAULT, "KeyError")],
+    ids=["a body that is no chunk", "a body longer than stated", "a fault of our own"],
+)
+def test_a_call_that_breaks_is_logged_without_what_was_sent(caplog, raw, fault):
+    caplog.set_level(logging.DEBUG)
+    logs.leave_out_texts()
+    asyncio.run(sent(raw))
+    logged = caplog.text
+    assert fault in logged, "the fault itself is told"
+    assert KEY not in logged
