--- a/tests/proxy/test_key_headers.py
+++ b/tests/proxy/test_key_headers.py
@@ -133,3 +133,31 @@
     got, seen, told = asyncio.run(asyncio.wait_for(go(), stand.BOUND))
     assert got.count(b"HTTP/1.1") == 1 and [row[2] for row in seen] == [body]
     assert told == [[(TENANT, "north-hall")]]
+
+
+def in_trailer(path, pairs, trailers):
+    """A request whose body is in chunks, with trailers behind it."""
+    own = {stand.W.request_id: "q1", stand.W.model: "birch", stand.W.deadline: "2000", "Connection": "close"}
+    said = "".join(f"{name}: {value}\r\n" for name, value in [*own.items(), *pairs])
+    head = f"POST {path} HTTP/1.1\r\nHost: desk.example\r\n{said}Transfer-Encoding: chunked\r\n\r\n"
+    behind = "".join(f"{name}: {value}\r\n" for name, value in trailers)
+    return f"{head}5\r\nhello\r\n0\r\n{behind}\r\n".encode()
+
+
+# Guards against UNASKED: what stands behind a body was taken for a header of the request.
+@pytest.mark.parametrize(
+    "pairs, status, told",
+    [([], b"401", []), ([(KEY, KEYS[0])], b"200", [[(TENANT, "north-hall")]])],
+    ids=["no key before", "a key before"],
+)
+def test_a_key_or_tenant_behind_a_body_counts_for_nothing_and_is_not_passed_on(pairs, status, told):
+    async def go():
+        async with stand.Front([stand.Replica("i-1", wire.ok)], tenant_stand.document()) as proxy:
+            proxy.member.led_at = identifiers.steady()
+            raw = in_trailer("/safe/x", pairs, [(KEY, KEYS[-1]), (TENANT, "yard")])
+            got = await proxy.raw(raw)
+            return got, proxy.replicas[0].seen, tenant_stand.told(proxy.replicas[0])
+
+    got, seen, seen_told = asyncio.run(asyncio.wait_for(go(), stand.BOUND))
+    assert got.split(b" ", 2)[1] == status and seen_told == told
+    assert [row[2] for row in seen] == [b"hello"] * len(told)
