Requests that wait to be counted have one end; decisions on limits are counted and shown

Metrics tell what a refusal within a limit comes from: basaltport_limit_decisions by share, owner's token, limit, silent owner; at controllers basaltport_limit_tokens, basaltport_limit_shards.

--- a/basaltport/controller/metrics.py
+++ b/basaltport/controller/metrics.py
@@ -48,6 +48,7 @@
     yield gauge("edition", "Edition of the configuration in force", status_view.edition(node))
     yield gauge("unsettled", "Reasons why this controller is not settled", len(reasons))
     yield _invariant_family(node)
+    yield from _limit_families(node)
     if node.leading:
         yield from _leader_families(node, now, listed_at)
     if node.leading and node.placement_fence is not None:
@@ -62,6 +63,17 @@
     return Family(PREFIX + "invariant_violations", COUNTER, help_text, ("invariant",), samples)
 
 
+def _limit_families(node: Node) -> Families:
+    """What this controller counts of tenants' limits, for the shards that it owns."""
+    counts = node.quota_owner.counts()
+    tokens = [(("asked",), float(counts.asked)), (("granted",), float(counts.granted))]
+    text = "Tokens of tenants' limits that proxies asked for, and got"
+    yield Family(PREFIX + "limit_tokens", COUNTER, text, ("tokens",), tokens)
+    counted = sum(node.counts_for(shard) for shard in node.shards())
+    yield gauge("limit_shards", "Shards whose tenants this controller counts now", counted)
+    yield gauge("limit_tenants", "Slices of tenants' limits that are kept here", counts.tenants)
+
+
 def _leader_families(node: Node, now: int, listed_at: int | None) -> Families:
     rows = status_view.controllers(node, now)
     votes = sum(row["votes"] for row in rows)
--- a/basaltport/controller/quota_control.py
+++ b/basaltport/controller/quota_control.py
@@ -69,13 +69,16 @@
         """Whether this controller alone may count for a shard now."""
         if not self.is_owner_here(shard) or not self.former_owner_stopped(shard):
             return False
+        return self.now - self.quota_leased_at < self.replica_lease_ms - END_EARLY_MS
+
+    def note_quota_lease(self) -> None:
+        """Note until when this controller was surely leased."""
         if self.executor_leased():
             self.quota_leased_at = self.now
-            return True
-        return self.now - self.quota_leased_at < self.replica_lease_ms - END_EARLY_MS
 
     def hear_quota_request(self, source: str, request: messages.QuotaRequest) -> None:
         """A proxy asks for tokens and shares; who does not count for their shard says nothing."""
+        self.note_quota_lease()
         if not self.counts_for(request.shard):
             return
         self.begin_quota_ownership(request.shard)
@@ -101,6 +104,7 @@
     def tick_quota(self) -> None:
         """Begin with shards as soon as they are counted for, so that shares of their former owners are over
         as early as can be; forget what has ended, now and then."""
+        self.note_quota_lease()
         for shard in self.shards():
             if self.counts_for(shard):
                 self.begin_quota_ownership(shard)
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -277,11 +277,29 @@
     left = [((service,), row["left"]) for service, row in sorted(retries(proxy, now).items())]
     text = "Further attempts that there may be now"
     yield "basaltport_retries_left", "gauge", text, ("service",), left
+    yield from limit_samples(proxy)
     states = collections.Counter(place(seen) for seen in replicas(proxy, now))
     labels = ("service", "zone", "state")
     yield "basaltport_replicas", "gauge", "Replicas as this proxy sees them", labels, sorted(states.items())
 
 
+def limit_samples(proxy: node.ProxyNode) -> collections.abc.Iterator[Sample]:
+    """How requests of tenants with a limit were counted."""
+    counts = proxy.quota.holder.counts()
+    ends = [
+        (("share",), counts.admitted_by_share),
+        (("owner",), counts.admitted_by_owner),
+        (("over-limit",), counts.refused_over_limit),
+        (("owner-silent",), counts.refused_owner_silent),
+    ]
+    text = "Requests of limited tenants: admitted by a share or an owner's token, or refused"
+    yield "basaltport_limit_decisions", "counter", text, ("by",), ends
+    waited_s = [((), counts.waited_ms / SECOND_MS)]
+    yield "basaltport_limit_wait_seconds", "counter", "Waits for owners of limits, together", (), waited_s
+    yield gauge("limit_shares", "Shares of limits held here", counts.shares)
+    yield gauge("limit_waiting", "Requests that wait for the word of a limit's owner", counts.waiting)
+
+
 def first(sample: LabelledValue) -> tuple[str, ...]:
     """The labels of a sample."""
     return sample[0]
--- a/tests/fleet/test_fleet_cli.py
+++ b/tests/fleet/test_fleet_cli.py
@@ -85,6 +85,7 @@
     for line in ("basaltport_holds 1.0", "basaltport_wants 1.0", "basaltport_list_age_seconds 0.3"):
         assert f"\n{line}\n" in text
     assert "\nbasaltport_leads 0.0\n" in get(at, "metrics")[1]
+    assert '\nbasaltport_limit_tokens_total{tokens="granted"} 0.0\n' in text
     assert get(at, "journal")[0] == 404 and get(at, "status?own=1", b"x")[0] == 405
     counts = json.loads(get(fleet.served.address(fleet.leader), "configuration")[1])
     counts.pop("serial")
--- /dev/null
+++ b/tests/proxy/test_limited_arrivals.py
@@ -0,0 +1,124 @@
+"""Requests of tenants with a limit: what waits for the word of a limit's owner has one end."""
+
+import pytest
+
+import basaltport.consensus.state_machine as state_machine
+import basaltport.events as base
+import basaltport.proxy.events as events
+import basaltport.quota.messages as messages
+import basaltport.quota.shards as shards
+import tests.support.tenant_proxy as stand
+
+OWNER = "127.0.0.1:77"
+LIMITED = {**stand.TENANTS[0], "rate_per_s": 10, "burst": 10}
+
+
+class Limited(stand.Fleet):
+    """A fleet whose first tenant has a limit, with an owner of all shards that the test speaks for."""
+
+    def __init__(self):
+        super().__init__(stand.document([LIMITED, stand.TENANTS[1]]))
+        self.m.quota.owner_address = lambda shard: OWNER
+
+    def asked(self):
+        """The requests to owners that are not answered yet."""
+        sent = [effect.msg for effect in self.shown if isinstance(effect, base.Send)]
+        self.shown.clear()
+        return [message for message in sent if isinstance(message, messages.QuotaRequest)]
+
+    def answer(self, asked, granted, retry_after_ms=0, at=None):
+        rows = {name: [granted, retry_after_ms] for name in asked.rows}
+        grant = messages.QuotaGrant(asked.incarnation, asked.shard, asked.number, asked.sent_at, rows)
+        return self.step(base.Heard(self.now if at is None else at, OWNER, grant))
+
+
+def waiting(fleet):
+    """A request of the limited tenant that waits, and what its owner was asked."""
+    assert fleet.ask("safe", key=stand.FIRST) == []
+    [asked] = fleet.asked()
+    return asked
+
+
+# Guards against QUOTA: a request of a limited tenant that goes before anybody counted it.
+def test_a_request_beyond_a_share_goes_once_its_limit_s_owner_gave_a_token():
+    fleet = Limited()
+    asked = waiting(fleet)
+    assert list(asked.rows) == ["first"] and asked.shard in shards.shards_of("first")
+    assert stand.sent(fleet.answer(asked, 1)) == [("first", 1)]
+    assert not fleet.m.quota.waiting
+
+
+def test_a_request_over_the_limit_is_told_so_by_each_owner_and_gets_429():
+    fleet = Limited()
+    asked = waiting(fleet)
+    got = fleet.answer(asked, 0, 400)
+    for _ in range(len(shards.shards_of("first")) - 1):
+        assert got == []
+        [asked] = fleet.asked()
+        got = fleet.answer(asked, 0, 400)
+    [(status, detail, retry_after_ms)] = stand.told(got)
+    assert (status, detail) == (429, "over the tenant's limit") and 100 <= retry_after_ms <= 1000
+
+
+# Guards against a request that is held: owners that say nothing.
+def test_a_request_whose_owners_are_silent_is_refused_soon_with_503():
+    fleet = Limited()
+    waiting(fleet)
+    got = fleet.wait(500)
+    assert [told[0] for told in stand.told(got)] == [503]
+    assert not fleet.m.quota.waiting and not fleet.m.requests
+
+
+# Guards against UNASKED and GONE: a request that goes to a replica after its client left.
+def test_a_client_that_leaves_while_its_request_waits_is_forgotten():
+    fleet = Limited()
+    asked = waiting(fleet)
+    [request_id] = fleet.m.quota.waiting
+    fleet.step(events.Left(fleet.now, request_id))
+    assert fleet.answer(asked, 1) == [] and not fleet.m.quota.waiting
+
+
+# Guards against LOST: a request that waits for an owner while its proxy ends.
+def test_a_proxy_that_ends_answers_what_waits_for_an_owner():
+    fleet = Limited()
+    asked = waiting(fleet)
+    assert [told[0] for told in stand.told(fleet.step(events.Finish(fleet.now)))] == [503]
+    assert fleet.answer(asked, 1) == []
+
+
+# Guards against CONFIG and ROUTE: a key that is taken away while its request waits to be counted.
+@pytest.mark.parametrize("granted", [0, 1])
+def test_a_key_that_is_taken_away_while_its_request_waits_is_not_sent(granted):
+    fleet = Limited()
+    asked = waiting(fleet)
+    fleet.told(stand.document([{**LIMITED, "keys": []}, stand.TENANTS[1]]))
+    got = fleet.answer(asked, granted, 0 if granted else 400)
+    for asked in fleet.asked():
+        got += fleet.answer(asked, granted, 400)
+    got += fleet.wait(500)
+    assert len(stand.told(got)) == 1 and stand.told(got)[0][0] in (401, 429) and stand.sent(got) == []
+
+
+def test_a_tenant_without_a_limit_asks_nobody():
+    fleet = Limited()
+    assert stand.sent(fleet.ask("safe", key=stand.SECOND)) != [] and fleet.asked() == []
+
+
+# Guards against QUOTA: tokens that were held up on their way and spent in a later window.
+def test_a_grant_that_comes_late_lets_nothing_go():
+    fleet = Limited()
+    asked = waiting(fleet)
+    fleet.wait(500)
+    assert fleet.answer(asked, 5) == []
+    assert fleet.ask("safe", key=stand.FIRST) == [] or stand.told(fleet.out)
+
+
+def test_the_owner_of_a_shard_is_the_member_that_the_agreed_state_names():
+    fleet = stand.Fleet(stand.document([LIMITED, stand.TENANTS[1]]))
+    state = fleet.m.cluster_state
+    shard = state_machine.Shard("m1", 3, None)
+    assert fleet.m.quota.owner_address("0") == ""
+    member = type("Record", (), {"address": OWNER})()
+    fleet.m.cluster_state = type("State", (), {"shards": {"0": shard}, "members": {"m1": member}})()
+    assert fleet.m.quota.owner_address("0") == OWNER
+    fleet.m.cluster_state = state
