Limits of any size come into force; a key twice in one tenant is valid; small limits wait for no shares

A rate of 1e308 was acknowledged and then failed the step that takes a configuration up, at each proxy (OverflowError: failed before); larger numbers than 10^9 count as that.

--- a/basaltport/configuration/tenants.py
+++ b/basaltport/configuration/tenants.py
@@ -44,21 +44,18 @@
 def _check_keys(
     keys: list[object], holder: Holder, holders: dict[str, Holder], findings: forms.Findings
 ) -> None:
-    """Note the keys of a tenant; what is no key, or is somebody's already, is a finding."""
+    """Note the keys of a tenant; what is no key, or is another tenant's already, is a finding."""
     for position, key in enumerate(keys):
         if not forms.is_header_text(key):
             said = forms.SAYS[forms.is_header_text]
-        elif key in holders:
-            said = _say_shared(holders[key], holder)
+        elif holders.setdefault(key, holder).position != holder.position:
+            said = _say_shared(holders[key])
         else:
-            holders[key] = holder
             continue
         findings.append(forms.finding_at(f"{SECTION}.{holder.position}.{KEYS}.{position}", said))
 
 
-def _say_shared(first: Holder, holder: Holder) -> str:
-    if first.position == holder.position:
-        return "a key that stands here twice"
+def _say_shared(first: Holder) -> str:
     if forms.is_text(first.name):
         return f"a key of tenant {first.name!r} too"
     return "a key of another tenant too"
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -154,8 +154,8 @@
         """The agreed state changed."""
         document = self.cluster_state.configuration
         if document is not self.compiled_document:
-            self.compiled_document = document
             self.table = routing.RoutingTable(document, self.table)
+            self.compiled_document = document
             self.quota.configure(document)
             self.forget_routes()
             self.end_revoked()
--- a/basaltport/proxy/tenant_directory.py
+++ b/basaltport/proxy/tenant_directory.py
@@ -8,6 +8,7 @@
 
 import basaltport.credentials as credentials
 import basaltport.identifiers as identifiers
+import basaltport.quota.limits as limits
 
 Document = collections.abc.Mapping[str, typing.Any]
 PRIORITIES = 10
@@ -105,9 +106,6 @@
 
 
 def _read_tenant(row: Document) -> Tenant:
-    return Tenant(
-        identifiers.TenantName(row["name"]),
-        int(row.get("urgency") or 0),
-        float(row.get("rate_per_s") or 0),
-        float(row.get("burst") or 0),
-    )
+    limit = limits.limit_of(row)
+    name, urgency = identifiers.TenantName(row["name"]), int(row.get("urgency") or 0)
+    return Tenant(name, urgency, limit.rate_per_s, limit.burst)
--- a/basaltport/quota/limits.py
+++ b/basaltport/quota/limits.py
@@ -5,14 +5,22 @@
 
 import basaltport.quota.bounds as bounds
 
+MOST_REQUESTS = 10**9
+"""Larger rates and bursts are taken for this many requests, so that sums of them are exact."""
+
 Document = collections.abc.Mapping[str, typing.Any]
 
 
 def limits_of(document: Document | None) -> dict[str, bounds.TenantLimit]:
     """The limits of a configuration by tenant; a tenant without a rate has none."""
     rows = (document or {}).get("tenants") or ()
-    return {row["name"]: _limit_of(row) for row in rows if row.get("rate_per_s")}
+    return {row["name"]: limit_of(row) for row in rows if row.get("rate_per_s")}
+
+
+def limit_of(row: Document) -> bounds.TenantLimit:
+    """The limit of a tenant; a rate of 0 is none."""
+    return bounds.TenantLimit(_requests(row.get("rate_per_s")), _requests(row.get("burst")))
 
 
-def _limit_of(row: Document) -> bounds.TenantLimit:
-    return bounds.TenantLimit(float(row["rate_per_s"]), float(row.get("burst") or 0))
+def _requests(number: float | None) -> float:
+    return float(min(number or 0, MOST_REQUESTS))
--- a/basaltport/quota/owned_tenant.py
+++ b/basaltport/quota/owned_tenant.py
@@ -85,8 +85,11 @@
         return max(self.counted, self.unknown(now))
 
     def unknown(self, now: int) -> int:
-        """What earlier owners may have given."""
-        return bounds.SHARED_UNITS if now < self.unknown_until else 0
+        """What earlier owners may have given that can be spent; nothing where no share has room for a
+        token."""
+        if now >= self.unknown_until or self.budget.least_share() is None:
+            return 0
+        return bounds.SHARED_UNITS
 
     def change_budget(self, budget: bounds.Budget, now: int) -> None:
         """Another limit."""
@@ -131,7 +134,7 @@
         return self.bucket.fill(now) >= self.budget.owner_capacity(0)
 
     def _first_bucket(self, begun_at: int) -> bucket.Bucket:
-        unknown = bounds.SHARED_UNITS
+        unknown = self.unknown(begun_at)
         return bucket.Bucket(self.budget.owner_rate(unknown), self.budget.owner_capacity(unknown), begun_at)
 
     def _hear(
--- a/tests/proxy/test_limited_arrivals.py
+++ b/tests/proxy/test_limited_arrivals.py
@@ -122,3 +122,14 @@
     fleet.m.cluster_state = type("State", (), {"shards": {"0": shard}, "members": {"m1": member}})()
     assert fleet.m.quota.owner_address("0") == OWNER
     fleet.m.cluster_state = state
+
+
+# Guards against CONFIG: a valid configuration that no proxy takes up, for a number that is too large to count with.
+@pytest.mark.parametrize("number", [10**400, 1e308, 2.5e9])
+def test_a_limit_of_any_size_comes_into_force(number):
+    fleet = Limited()
+    huge = {**LIMITED, "rate_per_s": number, "burst": number}
+    fleet.told(stand.document([huge, {**stand.TENANTS[1], "keys": ["k-second", "k-new"]}]))
+    assert fleet.m.table.tenants.key_count == 3
+    asked = waiting(fleet)
+    assert stand.sent(fleet.answer(asked, 1)) == [("first", 1)]
--- a/tests/quota/test_owner.py
+++ b/tests/quota/test_owner.py
@@ -210,3 +210,12 @@
     ]
     assert before + after <= max(part.capacity + part.rate_per_s * part.span_s for part in both)
     assert after > 0
+
+
+# Guards against requests within a small limit refused for seconds after each change of its owner.
+def test_an_owner_of_a_limit_too_small_for_shares_waits_for_none_that_were_given_before():
+    small = quota_owner.QuotaOwner(bounds.QuotaBounds(5000, 0, 0))
+    small.configure({"t": bounds.TenantLimit(2, 3)}, 0)
+    small.begin(SHARD, 7, 0)
+    granted = [ask(small, at, wanted=1, number=at).granted for at in range(500, 10_000, 500)]
+    assert sum(granted) >= 4
