--- a/tests/configuration/test_tenants.py
+++ b/tests/configuration/test_tenants.py
@@ -129,7 +129,7 @@
     assert places(document) == ["tenants.0.name", "tenants.1.keys.0"]
 
 
-# guards against a valid change that is refused: only a key of two tenants is invalid, not one that stands twice in one
+# guards against a valid change that is refused: only a key of two tenants is invalid
 def test_a_key_twice_in_one_tenant_is_valid_and_still_no_other_tenant_s():
     document = changed("tenants.0.keys", ["secret-1", "secret-1"])
     assert routes.check(document) == []
--- a/tests/proxy/test_limited_arrivals.py
+++ b/tests/proxy/test_limited_arrivals.py
@@ -124,7 +124,7 @@
     fleet.m.cluster_state = state
 
 
-# Guards against CONFIG: a valid configuration that no proxy takes up, for a number that is too large to count with.
+# Guards against CONFIG: a valid configuration that no proxy takes up, as a number is too large to count with.
 @pytest.mark.parametrize("number", [10**400, 1e308, 2.5e9])
 def test_a_limit_of_any_size_comes_into_force(number):
     fleet = Limited()
