--- a/basaltport/proxy/admission.py
+++ b/basaltport/proxy/admission.py
@@ -98,6 +98,11 @@
         self.item_uses[arrived.item] = self.item_uses.get(arrived.item, 0) + 1
         return None
 
+    def uncount_item(self, refused: request.Request) -> None:
+        """What is beyond its tenant's limit is no use of its item."""
+        if self.item_uses.get(refused.item):
+            self.item_uses[refused.item] -= 1
+
     def check_load_time(self, arrived: request.Request) -> Rejection | None:
         """Fail before sending where the time left cannot cover the expected load (ADR 0041, section 6)."""
         if not arrived.item or self.readiness.on_arrival(arrived) is not cold_start.Arrival.FAIL:
--- a/basaltport/proxy/limited_arrivals.py
+++ b/basaltport/proxy/limited_arrivals.py
@@ -55,6 +55,8 @@
         self, arrived: request.Request, reason: outcomes.Reason, retry_after_ms: int
     ) -> None:
         """Answer a request that its tenant may not make now, or of which that can't be told."""
+        if reason is outcomes.Reason.OVER_LIMIT:
+            self.admission.uncount_item(arrived)
         self.count_rejection(arrived.route.name, reason.value, arrived.tenant)
         status = quota_admission.status_of(reason)
         self.emit(events.Close(arrived.id, status, reason.value, retry_after_ms))
--- a/tests/proxy/test_limited_arrivals.py
+++ b/tests/proxy/test_limited_arrivals.py
@@ -58,6 +58,7 @@
         got = fleet.answer(asked, 0, 400)
     [(status, detail, retry_after_ms)] = stand.told(got)
     assert (status, detail) == (429, "over the tenant's limit") and 100 <= retry_after_ms <= 1000
+    assert not any(fleet.m.admission.take_item_uses().values())
 
 
 # Guards against a request that is held: owners that say nothing.
