A spent burst counts through changes of a limit, in series and over owners

Windows were over the bound after ordinary changes to less burst and a higher rate: 147 of 135.5 for (1/s, 100) to (20/s, 5), 219 of 135.5 in a series of two, 61 of 45 with little slack, found by review with a full old burst and pairs of limits of equal bounds (drawn at random they were missed). What was owed for the spent burst was divided by capacity and paid back by rate, compared with the limit just before alone, and unknown to the next owner.

--- a/basaltport/controller/quota_control.py
+++ b/basaltport/controller/quota_control.py
@@ -102,9 +102,10 @@
             self.quota_owner.configure(limits.limits_of(document), self.now)
 
     def tick_quota(self) -> None:
-        """Begin with shards as soon as they are counted for, so that shares of their former owners are over
-        as early as can be; forget what has ended, now and then."""
+        """Know each limit that was in force, also for shards of others; begin with shards as soon as they are
+        counted for, so that shares of their former owners are over as early as can be; forget what ended."""
         self.note_quota_lease()
+        self.configure_quota()
         for shard in self.shards():
             if self.counts_for(shard):
                 self.begin_quota_ownership(shard)
--- a/basaltport/controller/shard_ownership.py
+++ b/basaltport/controller/shard_ownership.py
@@ -120,8 +120,8 @@
         return self.former_owner_stopped(shard) and self.executor_leased()
 
     def is_owner_here(self, shard: str) -> bool:
-        """Whether a shard is this controller's, as far as it knows. It may act for it as long as its lease
-        holds, and once the former owner stopped."""
+        """Whether a shard is this controller's, as far as it knows. For how long it may act for it after its
+        lease, and from when on after a former owner, is for its callers to say."""
         row = self.shards().get(shard)
         if self.stopped or row is None or row.owner != self.me.seat:
             return False
--- a/basaltport/proxy/limited_arrivals.py
+++ b/basaltport/proxy/limited_arrivals.py
@@ -13,6 +13,8 @@
 import basaltport.quota.messages as messages
 import basaltport.quota.outcomes as outcomes
 
+UNAVAILABLE = 503
+
 
 class LimitedArrivalsNeeds(request_ends.RequestEndsNeeds, typing.Protocol):
     """What `LimitedArrivalsMixin` needs of the node besides."""
@@ -45,7 +47,13 @@
                 self.refuse_beyond_limit(arrived, found.reason, found.retry_after_ms)
 
     def enqueue(self, arrived: request.Request) -> None:
-        """A request that is within its tenant's limit waits for a replica."""
+        """A request that is within its tenant's limit waits for a replica, if there is room."""
+        rejection = self.admission.check_queue()
+        if rejection is not None:
+            self.count_rejection(arrived.route.name, rejection.detail, arrived.tenant)
+            effect = events.Close(arrived.id, UNAVAILABLE, rejection.detail, rejection.retry_after_ms)
+            self.emit(effect)
+            return
         self.admission.enqueue(arrived)
         self.tenant_counts.count(arrived.tenant, tenant_counts.Verdict.ADMITTED)
         self.requests[arrived.id] = arrived
--- a/basaltport/quota/bounds.py
+++ b/basaltport/quota/bounds.py
@@ -86,16 +86,6 @@
             + (Budget(0.0, 0.0),) * (SLICES - usable - 1)
         )
 
-    def owed(self, former: "Budget", lost_capacity: float, rate_per_s: float) -> float:
-        """Tokens that a bucket owes when another budget with less capacity and a higher rate takes effect:
-        what was spent of the former burst and the new rate together would be over both limits. That is the
-        capacity that the bucket loses, or what it gets in a window at its new rate."""
-        if self.rate_per_s <= former.rate_per_s or self.capacity >= former.capacity:
-            return 0.0
-        if former.capacity - self.capacity <= self.rate_per_s * self.span_s:
-            return lost_capacity
-        return rate_per_s * self.span_s
-
     def owner_rate(self, outstanding: int) -> float:
         """Tokens a second of the owner's bucket while so much is outstanding in shares."""
         return self.rate_per_s * max(0, UNIT - outstanding) / UNIT
--- a/basaltport/quota/bucket.py
+++ b/basaltport/quota/bucket.py
@@ -30,11 +30,6 @@
         self.capacity = capacity
         self.level = min(self.level, capacity)
 
-    def owe(self, tokens: float, now: int) -> None:
-        """Take so much away, also what isn't there yet."""
-        self.fill(now)
-        self.level -= tokens
-
     def take(self, tokens: int, now: int) -> int:
         """Take whole tokens, as many as are there of those wanted."""
         taken = max(0, min(tokens, int(self.fill(now))))
--- a/basaltport/quota/held_slice.py
+++ b/basaltport/quota/held_slice.py
@@ -81,10 +81,9 @@
 
     def change_budget(self, budget: bounds.Budget, now: int) -> None:
         """Another limit: what is held is the same fraction of it."""
-        former, self.budget = self.budget, budget
+        self.budget = budget
         if self.share is not None:
             rate, capacity = budget.share_rate(self.fraction), budget.share_capacity(self.fraction)
-            self.share.owe(budget.owed(former, self.share.capacity - capacity, rate), now)
             self.share.change(rate, capacity, now)
 
     def ask_row(self, wanted: int, demand: int, now: int) -> rows.Row:
--- a/basaltport/quota/holder.py
+++ b/basaltport/quota/holder.py
@@ -8,6 +8,7 @@
 import basaltport.quota.held_slice as held_slice
 import basaltport.quota.held_tenant as held_tenant
 import basaltport.quota.holder_requests as holder_requests
+import basaltport.quota.limit_history as limit_history
 import basaltport.quota.messages as messages
 import basaltport.quota.outcomes as outcomes
 import basaltport.quota.rows as rows
@@ -47,8 +48,7 @@
         """Nothing is held. `address`: where grants are to be sent."""
         self.name = name
         self.incarnation = incarnation
-        self._bounds = quota_bounds
-        self._limits: dict[str, bounds.TenantLimit] = {}
+        self._limits = limit_history.LimitHistory(quota_bounds)
         self._tenants: dict[str, held_tenant.HeldTenant] = {}
         self._waiters: dict[identifiers.RequestId, held_tenant.Waiter] = {}
         self._requests = holder_requests.HolderRequests(name, incarnation, address)
@@ -57,26 +57,19 @@
 
     def configure(self, limits: collections.abc.Mapping[str, bounds.TenantLimit], now: int) -> None:
         """The limits now in force; a tenant that isn't among them has none."""
-        former, self._limits = self._limits, dict(limits)
         waiting = {waiter.tenant.name for waiter in self._waiters.values()}
-        for name, held in list(self._tenants.items()):
-            limit = self._limits.get(name)
-            if limit is not None and limit == former.get(name):
-                continue
-            if limit is not None:
-                held.change_budget(self._bounds.budget(limit), now)
-            elif name not in waiting:
+        for name in self._limits.configure(limits, now):
+            held = self._tenants.get(name)
+            if held is not None and name not in self._limits and name not in waiting:
                 self._forget_tenant(held)
+            else:
+                self._change_budget(name, now)
 
     def admit(self, tenant: str, request_id: identifiers.RequestId, now: int) -> outcomes.Admission:
         """Whether a request may go now; each that is admitted has taken a token."""
-        limit = self._limits.get(tenant)
-        if limit is None:
+        if tenant not in self._limits:
             return ADMITTED
-        held = self._tenants.get(tenant)
-        if held is None:
-            budget, by = self._bounds.budget(limit), self._requests.number
-            held = self._tenants[tenant] = held_tenant.HeldTenant(tenant, self.name, budget, by, now)
+        held = self._tenants.get(tenant) or self._begin_tenant(tenant, now)
         held.arrive(now)
         for part in held.slices:
             if part.spend(now):
@@ -130,6 +123,8 @@
                 left = part.asked + part.waiting
                 part.asked, part.waiting = [], []
                 out += self._move(left, now)
+        for name in self._limits.take_ended(now):
+            self._change_budget(name, now)
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_MS
             for held in [held for held in self._tenants.values() if held.is_idle(now)]:
@@ -147,6 +142,19 @@
             waiting=len(self._waiters),
         )
 
+    def _begin_tenant(self, name: str, now: int) -> held_tenant.HeldTenant:
+        budget = self._limits.budget(name, now)
+        assert budget is not None
+        held = held_tenant.HeldTenant(name, self.name, budget, self._requests.number, now)
+        self._tenants[name] = held
+        return held
+
+    def _change_budget(self, name: str, now: int) -> None:
+        """Bring what is held of a limit to what that allows now."""
+        held, budget = self._tenants.get(name), self._limits.budget(name, now)
+        if held is not None and budget is not None:
+            held.change_budget(budget, now)
+
     def _forget_tenant(self, held: held_tenant.HeldTenant) -> None:
         del self._tenants[held.name]
         for part in held.slices:
--- a/basaltport/quota/outcomes.py
+++ b/basaltport/quota/outcomes.py
@@ -7,7 +7,8 @@
 
 
 class Outcome(enum.Enum):
-    """`WAITING`: the owner is asked; a `Settled` follows within `holder.WAIT_MS`."""
+    """`WAITING`: the owner is asked; a `Settled` follows within `holder.MOST_WAIT_MS` +
+    `holder.WAIT_MS` and a tick."""
 
     ADMITTED = "admitted"
     WAITING = "waiting"
--- a/basaltport/quota/owned_tenant.py
+++ b/basaltport/quota/owned_tenant.py
@@ -93,10 +93,7 @@
 
     def change_budget(self, budget: bounds.Budget, now: int) -> None:
         """Another limit."""
-        former, self.budget = self.budget, budget
-        outstanding = self.outstanding(now)
-        lost_capacity = self.bucket.capacity - budget.owner_capacity(outstanding)
-        self.bucket.owe(budget.owed(former, lost_capacity, budget.owner_rate(outstanding)), now)
+        self.budget = budget
         self._set_bucket(now)
 
     def answer(self, key: HolderKey, number: int, asked: rows.Asked, now: int) -> rows.Granted | None:
--- a/basaltport/quota/owner.py
+++ b/basaltport/quota/owner.py
@@ -5,6 +5,7 @@
 
 import basaltport.identifiers as identifiers
 import basaltport.quota.bounds as bounds
+import basaltport.quota.limit_history as limit_history
 import basaltport.quota.messages as messages
 import basaltport.quota.outcomes as outcomes
 import basaltport.quota.owned_tenant as owned_tenant
@@ -30,7 +31,7 @@
     def __init__(self, quota_bounds: bounds.QuotaBounds) -> None:
         """It owns nothing."""
         self._bounds = quota_bounds
-        self._limits: dict[str, bounds.TenantLimit] = {}
+        self._limits = limit_history.LimitHistory(quota_bounds)
         self._shards: dict[str, OwnedShard] = {}
         self._to_expire: list[tuple[str, str]] = []
         self._asked = self._granted = self._requests = 0
@@ -48,14 +49,7 @@
 
     def configure(self, limits: collections.abc.Mapping[str, bounds.TenantLimit], now: int) -> None:
         """The limits now in force. What tenants without a limit had is kept until it has ended."""
-        former, self._limits = self._limits, dict(limits)
-        for shard, owned in self._shards.items():
-            for name, tenant in owned.tenants.items():
-                if self._limits.get(name) == former.get(name):
-                    continue
-                budget = self._budget(shard, name)
-                if budget is not None:
-                    tenant.change_budget(budget, now)
+        self._change_budgets(self._limits.configure(limits, now), now)
 
     def answer(self, request: messages.QuotaRequest, now: int) -> messages.QuotaGrant | None:
         """The answer to a proxy; None if the shard isn't owned."""
@@ -82,6 +76,7 @@
 
     def expire(self, now: int) -> None:
         """Forget what has ended, a few tenants at a time; each 100 ms or so."""
+        self._change_budgets(self._limits.take_ended(now), now)
         if not self._to_expire:
             self._to_expire = [
                 (shard, name) for shard, owned in self._shards.items() for name in owned.tenants
@@ -117,18 +112,28 @@
             for name, tenant in owned.tenants.items()
         ]
 
-    def _budget(self, shard: str, name: str) -> bounds.Budget | None:
+    def _change_budgets(self, names: collections.abc.Iterable[str], now: int) -> None:
+        """Bring the slices of tenants that are kept here to what their limits allow now."""
+        for name in names:
+            for shard in shards.shards_of(name):
+                owned = self._shards.get(shard)
+                tenant = owned.tenants.get(name) if owned is not None else None
+                budget = self._budget(shard, name, now)
+                if tenant is not None and budget is not None:
+                    tenant.change_budget(budget, now)
+
+    def _budget(self, shard: str, name: str, now: int) -> bounds.Budget | None:
         """The slice of a tenant's limit that a shard has."""
-        limit, places = self._limits.get(name), shards.shards_of(name)
-        if limit is None or shard not in places:
+        whole, places = self._limits.budget(name, now), shards.shards_of(name)
+        if whole is None or shard not in places:
             return None
-        return self._bounds.budget(limit).slices()[places.index(shard)]
+        return whole.slices()[places.index(shard)]
 
     def _tenant(self, shard: str, owned: OwnedShard, name: str, now: int) -> owned_tenant.OwnedTenant | None:
         tenant = owned.tenants.get(name)
         if tenant is not None:
             return tenant if name in self._limits else None
-        budget = self._budget(shard, name)
+        budget = self._budget(shard, name, now)
         if budget is not None:
             tenant = owned.tenants[name] = owned_tenant.OwnedTenant(budget, owned.begun_at, now)
         return tenant
--- a/tests/controller/test_quota_ownership.py
+++ b/tests/controller/test_quota_ownership.py
@@ -87,3 +87,18 @@
             took_over = found
             break
     assert took_over is not None and gap > 0
+
+
+# Guards against QUOTA: a controller that takes a shard over doesn't know what was in force before a change.
+def test_each_controller_knows_the_limits_that_were_in_force_before():
+    world = settled(7)
+    for edition, limit in ((1, (1, 100)), (2, (1, 5)), (3, (20, 5))):
+        tenants = [{"name": "t", "keys": ["k-t"], "rate_per_s": limit[0], "burst": limit[1]}]
+        document = {**controllers.document(edition), "tenants": tenants}
+        leader = world.leader()
+        asked = world.asked(leader, "configure", change=f"e{edition}", base=edition - 1, document=document)
+        assert asked[0] == 200
+        world.run(200)
+    for node in world.up():
+        history = node.member.quota_owner._limits
+        assert history.budget("t", world.now).rate_per_s < 2, node.name
--- a/tests/proxy/test_limited_arrivals.py
+++ b/tests/proxy/test_limited_arrivals.py
@@ -134,3 +134,12 @@
     assert fleet.m.table.tenants.key_count == 3
     asked = waiting(fleet)
     assert stand.sent(fleet.answer(asked, 1)) == [("first", 1)]
+
+
+# Guards against a queue without a bound: what was counted went into a full one.
+def test_a_counted_request_that_finds_the_queue_full_is_refused(monkeypatch):
+    fleet = Limited()
+    asked = waiting(fleet)
+    monkeypatch.setattr(type(fleet.m.queue), "is_full", lambda self: True)
+    assert [told[:2] for told in stand.told(fleet.answer(asked, 1))] == [(503, "the queue is full")]
+    assert not fleet.m.requests and not fleet.m.queue
--- a/tests/quota/test_changed_limits.py
+++ b/tests/quota/test_changed_limits.py
@@ -13,12 +13,21 @@
 TENANT = "t"
 STEP_MS = 5
 CHANGED_AT = 6_000_000
-CHANGES = [
-    (bounds.TenantLimit(1, 40), bounds.TenantLimit(8, 0)),
-    (bounds.TenantLimit(1, 120), bounds.TenantLimit(24, 0)),
-    (bounds.TenantLimit(1, 400), bounds.TenantLimit(80, 1)),
+STRICT = bounds.QuotaBounds(5000, 0, 0)
+USUAL = bounds.QuotaBounds(5000, 0.1, 20)
+SERIES = [
+    (STRICT, [(1, 40), (8, 0)]),
+    (STRICT, [(1, 120), (24, 0)]),
+    (STRICT, [(1, 400), (80, 1)]),
+    (USUAL, [(1, 100), (20, 5)]),
+    (USUAL, [(1, 200), (40, 0)]),
+    (USUAL, [(1, 60), (12, 3)]),
+    (USUAL, [(1, 100), (1, 5), (20, 5)]),
+    (USUAL, [(1, 200), (1, 0), (40, 0)]),
+    (USUAL, [(2, 100), (0.5, 5), (20, 5), (2, 100)]),
+    (USUAL, [(20, 5), (1, 100), (30, 3), (1, 100)]),
 ]
-LARGE_BURST = (bounds.TenantLimit(0.5, 200), bounds.TenantLimit(40, 0))
+LARGE_BURST = [(0.5, 200), (40, 0)]
 
 
 class Count:
@@ -51,6 +60,8 @@
             self.admitted += [now] * (admission.outcome is outcomes.Outcome.ADMITTED)
 
     def run(self, now):
+        if now % 100 == 0:
+            self.owner.expire(now)
         for _ in range(bounds.SLICES + 1):
             for request in self.holder.take_requests(now):
                 grant = self.owner.answer(request, now) if self.owner is not None else None
@@ -66,37 +77,78 @@
         )
 
 
-def play(former, limit, owner_is_lost=False):
-    """The burst of the former limit is spent, the limit changes, and all that may go goes."""
-    count = Count(bounds.QuotaBounds(5000, 0, 0), former)
+def play(quota_bounds, series, gap_ms=50, new_owner=None):
+    """The burst of the first limit is spent, the limit changes in series, and all that may go goes.
+    `new_owner`: what counts on from half a second after the first change, the former owner being lost."""
+    first, *later = [bounds.TenantLimit(*limit) for limit in series]
+    count = Count(quota_bounds, first)
     for now in range(0, CHANGED_AT, 500):
         count.run(now)
-    for now in range(CHANGED_AT, CHANGED_AT + 12_000, STEP_MS):
+    changes = {CHANGED_AT + gap_ms * (place + 1): limit for place, limit in enumerate(later)}
+    for now in range(CHANGED_AT, CHANGED_AT + 14_000, STEP_MS):
         count.ask(2600 if now == CHANGED_AT else 5, now)
         count.run(now)
-        match now - CHANGED_AT:
-            case 50:
-                count.configure(limit, now)
-            case 100 if owner_is_lost:
-                count.owner = None
-            case 600 if owner_is_lost:
-                count.begin_owner(2, now)
+        if now in changes:
+            count.configure(changes[now], now)
+        if new_owner is not None and now == CHANGED_AT + gap_ms + 500:
+            count.owner = new_owner(quota_bounds, first, changes, now)
     return count
 
 
-def most_allowed(count, former, limit):
-    return max(count.bounds.most_in_window(former), count.bounds.most_in_window(limit))
+def begun(owner, now):
+    for shard in shards.shards_of(TENANT):
+        owner.begin(shard, 2, now)
+    return owner
 
 
-# Guards against QUOTA: the spent burst of slices that the new limit is too small for was forgotten.
-@pytest.mark.parametrize(("former", "limit"), CHANGES)
-def test_a_spent_burst_counts_when_a_limit_changes_to_less_burst_and_a_higher_rate(former, limit):
-    count = play(former, limit)
-    assert count.most_in_window() <= most_allowed(count, former, limit)
+def another_controller(quota_bounds, first, changes, now):
+    """One that followed the log, and knows what was in force before."""
+    owner = quota_owner.QuotaOwner(quota_bounds)
+    owner.configure({TENANT: first}, 0)
+    for at, limit in changes.items():
+        owner.configure({TENANT: limit}, at)
+    return begun(owner, now)
 
 
-# Guards against QUOTA: an owner that begins anew doesn't know which burst was spent before the change.
-def test_a_spent_burst_counts_when_the_owners_are_lost_right_after_such_a_change():
-    former, limit = LARGE_BURST
-    count = play(former, limit, owner_is_lost=True)
-    assert count.most_in_window() <= most_allowed(count, former, limit)
+def restarted(quota_bounds, first, changes, now):
+    """One that has just started, and knows only what is in force."""
+    owner = quota_owner.QuotaOwner(quota_bounds)
+    owner.configure({TENANT: list(changes.values())[-1]}, now)
+    return begun(owner, now)
+
+
+def most_allowed(quota_bounds, series):
+    return max(quota_bounds.most_in_window(bounds.TenantLimit(*limit)) for limit in series)
+
+
+# Guards against QUOTA: a burst that was spent before a change, and the higher rate after it, in one window.
+@pytest.mark.parametrize("gap_ms", [50, 1000])
+@pytest.mark.parametrize(("quota_bounds", "series"), SERIES)
+def test_a_spent_burst_counts_when_limits_change_to_less_burst_and_a_higher_rate(
+    quota_bounds, series, gap_ms
+):
+    count = play(quota_bounds, series, gap_ms)
+    assert count.most_in_window() <= most_allowed(quota_bounds, series)
+
+
+# Guards against requests within a raised limit refused for longer than the burst before it counts.
+def test_a_raised_rate_is_in_force_once_the_burst_before_it_is_over():
+    count = play(USUAL, [(1, 100), (20, 5)])
+    assert sum(at > CHANGED_AT + 8000 for at in count.admitted) >= 0.9 * 20 * 5.9
+
+
+def test_a_raised_rate_with_no_less_burst_is_in_force_at_once():
+    count = play(USUAL, [(1, 10), (20, 10)])
+    assert sum(CHANGED_AT + 1000 < at <= CHANGED_AT + 5000 for at in count.admitted) >= 0.9 * 20 * 4
+
+
+# Guards against QUOTA: the next owner of a shard forgets which burst was spent before a change.
+def test_a_spent_burst_counts_when_another_controller_takes_over_right_after_such_a_change():
+    count = play(STRICT, LARGE_BURST, new_owner=another_controller)
+    assert count.most_in_window() <= most_allowed(STRICT, LARGE_BURST)
+
+
+# Guards against QUOTA: an owner that restarts doesn't know which burst was spent before a change.
+def test_a_spent_burst_counts_when_the_owners_restart_right_after_such_a_change():
+    count = play(STRICT, LARGE_BURST, new_owner=restarted)
+    assert count.most_in_window() <= most_allowed(STRICT, LARGE_BURST)
