--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -306,12 +306,15 @@
             await self.stop_controller(trouble)
 
     async def stop_controller(self, trouble: troubles.Trouble) -> None:
-        """The trouble itself."""
+        """The trouble itself; one that meets a controller which another one keeps down does nothing more."""
         name = plan.CONTROLLERS[trouble.target]
+        process = self.fleet.processes.get(name)
+        if process is None:
+            return
         if trouble.kind == troubles.Kind.PAUSE:
-            self.fleet.processes[name].send_signal(signal.SIGSTOP)
+            process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(trouble.length)
-            self.fleet.processes[name].send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGCONT)
             return
         if trouble.chance > troubles.STOPPED_ABOVE and self.fleet.has_started(name):
             await self.fleet.terminate(name)
