--- a/tests/project/test_platform_wire.py
+++ b/tests/project/test_platform_wire.py
@@ -109,6 +109,22 @@
     assert [v for v, _ in asked[-2:]] == ["evacuate", "readmit"] and asked[-1][1]["zone"] == "barn-a"
 
 
+TWICE = [
+    '{"edition":7,"senders":[{"name":"a","apiKeys":{"secret":1,"secret":1}}]}',
+    '{"edition":7,"senders":{"secret":1,"secret":1}}',
+    '{"edition":7,"putItems":{"senders":[{"secret":1,"secret":2}]}}',
+]
+
+
+# guards against a key of a tenant in an answer to an operator
+@pytest.mark.parametrize("body", TWICE)
+def test_what_stands_twice_below_senders_is_not_told(body):
+    (got,) = asyncio.run(served(Stub(), [request("PUT", CONFIG, body, 5)]))
+    assert got.startswith(b"HTTP/1.1 400 ") and b"secret" not in got
+    (finding,) = json.loads(got.partition(b"\r\n\r\n")[2])["findings"]
+    assert finding["finding"] == "this name stands twice" and finding["place"].endswith("senders")
+
+
 def test_calls_that_differ_have_other_digests():
     parts = ["PUT", "/v1/config", "5", b"x"]
     seen = {operators.digest(*parts)}
