Logs tell which controller read an operator's request, and what each change was

Cause: event 41 gave the index and a digest only.

Change: 41 gives verb, zone and call (which begins with the controller that read it); 43, new, is logged where a request is read and waits for the leader. The requests' words moved to controller/operator_calls.py.

--- a/basaltport/controller/operator_requests.py
+++ b/basaltport/controller/operator_requests.py
@@ -7,12 +7,12 @@
 
 import collections.abc
 import dataclasses
-import enum
 import typing
 
 import basaltport.configuration.routes as routes
 import basaltport.consensus.log as log
 import basaltport.consensus.state_machine as state_machine
+import basaltport.controller.operator_calls as operator_calls
 import basaltport.events as events
 import basaltport.identifiers as identifiers
 import basaltport.log_events as log_events
@@ -35,59 +35,12 @@
 OK = 200
 BAD_REQUEST = 400
 PRECONDITION_FAILED = 412
-UNAVAILABLE = 503
-TIMED_OUT = 504
 
 Document = dict[str, typing.Any]
 Operation = log.Operation
 State = state_machine.ClusterState
-
-
-class Verb(enum.StrEnum):
-    """What an operator may request."""
-
-    CONFIGURE = "configure"
-    RECONFIGURE = "reconfigure"
-    EVACUATE = "evacuate"
-    READMIT = "readmit"
-    CONFIGURATION = "configuration"
-
-
-VERBS = frozenset(Verb)
-READS = frozenset({Verb.CONFIGURATION})
-
-
-class Answer(typing.NamedTuple):
-    """The answer to a request."""
-
-    status: int
-    body: Document
-
-
-def no_leader() -> Answer:
-    """Nobody decided the request; nothing was changed."""
-    return Answer(UNAVAILABLE, {"error": "no-leader"})
-
-
-def undecided() -> Answer:
-    """Whether the request was taken is not known."""
-    return Answer(TIMED_OUT, {"error": "unknown"})
-
-
-class ForwardedRequest:
-    """A request that waits for a leader's answer."""
-
-    __slots__ = ("received_at", "verb", "body", "term", "retry_at", "may_be_taken")
-
-    def __init__(self, received_at: int, verb: str, body: Document, may_be_taken: int = 0) -> None:
-        """`may_be_taken`: how many times it was sent to a leader that may have taken it."""
-        self.received_at = received_at
-        self.verb = verb
-        self.body = body
-        self.may_be_taken = may_be_taken
-        self.term: identifiers.Term | None = None
-        """The term of the leader that was asked last."""
-        self.retry_at = received_at
+Decide = collections.abc.Callable[[State, Document], Operation | tuple[int, Document]]
+"""Gives the operation to append, or the answer where there is nothing to append."""
 
 
 class OperatorRequestsNeeds(typing.Protocol):
@@ -137,7 +90,7 @@
     """Takes requests, and, where this controller leads, decides them. In all methods `source` is the
     address of the controller that forwarded a request, None for one that was taken here."""
 
-    calls: dict[str, ForwardedRequest]
+    calls: dict[str, operator_calls.ForwardedRequest]
 
     def operator_requests_start(self) -> None:
         """Begin with no request."""
@@ -148,16 +101,17 @@
 
     def on_asked(self, event: events.Asked) -> None:
         """An operator's request was taken here."""
-        if event.verb not in VERBS:
+        if event.verb not in operator_calls.VERBS:
             self.respond(None, event.call, BAD_REQUEST, {"error": "unknown-verb"})
             return
         if self.leading and self.settled():
             self.serve(None, event.call, event.verb, event.body, event.now)
             return
-        self.calls[event.call] = ForwardedRequest(self.now, event.verb, event.body)
+        self.note(log_events.Event.REQUEST_FORWARDED, verb=event.verb, call=event.call)
+        self.calls[event.call] = operator_calls.ForwardedRequest(self.now, event.verb, event.body)
         self.forward(event.call, self.calls[event.call])
 
-    def forward(self, call: str, request: ForwardedRequest) -> None:
+    def forward(self, call: str, request: operator_calls.ForwardedRequest) -> None:
         """Send a request to the leader if it is time, or serve it if that is this controller by now."""
         if self.leading:
             if self.settled():
@@ -193,8 +147,9 @@
 
     def end_undecided(self, source: str | None, call: str, verb: str, may_be_taken: int) -> None:
         """Answer a request that no leader decided."""
-        nothing_changed = verb in READS or not may_be_taken
-        self.respond(source, call, *(no_leader() if nothing_changed else undecided()))
+        nothing_changed = verb in operator_calls.READS or not may_be_taken
+        answer = operator_calls.no_leader() if nothing_changed else operator_calls.undecided()
+        self.respond(source, call, *answer)
 
     def hear_reply(self, source: str, reply: messages.Reply) -> None:
         """The leader's answer. One that did not take the request says 503, one that can't tell 504: the
@@ -202,8 +157,8 @@
         request = self.calls.get(reply.call)
         if request is None:
             return
-        if reply.status in (UNAVAILABLE, TIMED_OUT):
-            request.may_be_taken -= reply.status == UNAVAILABLE
+        if reply.status in (operator_calls.UNAVAILABLE, operator_calls.TIMED_OUT):
+            request.may_be_taken -= reply.status == operator_calls.UNAVAILABLE
             request.term, request.retry_at = None, self.now + RETRY_MS
             return
         del self.calls[reply.call]
@@ -218,10 +173,10 @@
     def serve(self, source: str | None, call: str, verb: str, body: Document, received_at: int) -> None:
         """Decide a request."""
         if not self.leading or not self.settled():
-            self.respond(source, call, *no_leader())
+            self.respond(source, call, *operator_calls.no_leader())
             return
         self.tick_stored()
-        if verb in READS:
+        if verb in operator_calls.READS:
             self.confirm(source, call, verb, body, received_at)
             return
         change = body.get("change")
@@ -229,7 +184,7 @@
         if index is not None:
             self.wait_for_commit(source, call, verb, body, received_at, index)
             return
-        decided = self.change_operations()[Verb(verb)](self.appended_state, body)
+        decided = self.change_operations()[operator_calls.Verb(verb)](self.appended_state, body)
         if isinstance(decided, tuple):
             if decided[0] != OK:
                 self.note_refused(change, decided)
@@ -278,16 +233,18 @@
         answer = row["got"] or self.read_configuration(self.cluster_state)
         self.respond(row["src"], row["call"], *answer)
 
-    def read_configuration(self, state: State) -> Answer:
+    def read_configuration(self, state: State) -> operator_calls.Answer:
         """The configuration in force."""
         document = {"document": state.configuration, "serial": int(state.configuration_version)}
-        return Answer(OK, document)
+        return operator_calls.Answer(OK, document)
 
     def acknowledge(self, row: Document) -> None:
         """A change is agreed."""
         index = int(row["serial"])
         event = log_events.Event.CHANGE_ACKNOWLEDGED
-        self.note(event, serial=index, change=row["body"].get("change"))
+        body = row["body"]
+        fields = {"verb": row["verb"], "call": row["call"], "zone": body.get("zone")}
+        self.note(event, serial=index, change=body.get("change"), **fields)
         self.respond(row["src"], row["call"], OK, {"serial": index})
 
     def unknown(self, row: Document) -> None:
@@ -298,7 +255,7 @@
         """A request is left to the next leader: what was taken here is forwarded to it, all else is
         answered as undecided to whom it came from."""
         if row["src"] is None:
-            request = ForwardedRequest(received_at, row["verb"], row["body"], may_be_taken)
+            request = operator_calls.ForwardedRequest(received_at, row["verb"], row["body"], may_be_taken)
             self.calls[row["call"]] = request
             return
         self.end_undecided(row["src"], row["call"], row["verb"], may_be_taken)
@@ -311,15 +268,13 @@
 
     # changes: each gives the operation to append, or the answer where there is nothing to append
 
-    def change_operations(
-        self,
-    ) -> dict[Verb, collections.abc.Callable[[State, Document], Operation | tuple[int, Document]]]:
+    def change_operations(self) -> dict[operator_calls.Verb, Decide]:
         """What decides each change."""
         return {
-            Verb.CONFIGURE: self.put_configuration,
-            Verb.RECONFIGURE: self.patch_configuration,
-            Verb.EVACUATE: self.evacuate_zone,
-            Verb.READMIT: self.readmit_zone,
+            operator_calls.Verb.CONFIGURE: self.put_configuration,
+            operator_calls.Verb.RECONFIGURE: self.patch_configuration,
+            operator_calls.Verb.EVACUATE: self.evacuate_zone,
+            operator_calls.Verb.READMIT: self.readmit_zone,
         }
 
     def edition(self, state: State) -> int:
@@ -338,10 +293,10 @@
         """The operation, if the change is based on the edition of `state` and its whole document is valid."""
         if body.get("base") != self.edition(state):
             error = {"error": "edition", "edition": self.edition(state)}
-            return Answer(PRECONDITION_FAILED, error)
+            return operator_calls.Answer(PRECONDITION_FAILED, error)
         findings = findings or routes.check(document(), state.configuration)
         if findings:
-            return Answer(BAD_REQUEST, {"error": "invalid", "findings": findings})
+            return operator_calls.Answer(BAD_REQUEST, {"error": "invalid", "findings": findings})
         return operation
 
     def put_configuration(self, state: State, body: Document) -> Operation | tuple[int, Document]:
@@ -366,9 +321,9 @@
         zone = body.get("zone")
         if not isinstance(zone, str) or not zone:
             findings = [{"place": "zone", "finding": "not a name"}]
-            return Answer(BAD_REQUEST, {"error": "invalid", "findings": findings})
+            return operator_calls.Answer(BAD_REQUEST, {"error": "invalid", "findings": findings})
         if (zone in state.evacuated_zones) is evacuated:
-            return Answer(OK, {"serial": int(state.log_index)})
+            return operator_calls.Answer(OK, {"serial": int(state.log_index)})
         return make(zone)
 
     def evacuate_zone(self, state: State, body: Document) -> Operation | tuple[int, Document]:
--- a/basaltport/log_events.py
+++ b/basaltport/log_events.py
@@ -33,6 +33,7 @@
     CHANGE_REFUSED = 40
     CHANGE_ACKNOWLEDGED = 41
     CONFIGURATION_IN_FORCE = 42
+    REQUEST_FORWARDED = 43
     LOAD_WAIT_STARTED = 50
     LOAD_WAIT_ENDED = 51
     TIMEOUT_CLASSIFIED = 52
@@ -92,6 +93,7 @@
     Event.CONFIGURATION_IN_FORCE: (
         "This node now works by the configuration of the version given; a proxy tells its routes and tenants."
     ),
+    Event.REQUEST_FORWARDED: "An operator's request was read here, and waits for the leader.",
     Event.LOAD_WAIT_STARTED: "A shared wait for a model that is not loaded began.",
     Event.LOAD_WAIT_ENDED: "A shared wait ended: the model is loaded; the measured wait is given.",
     Event.TIMEOUT_CLASSIFIED: (
