--- a/basaltport/controller/metrics.py
+++ b/basaltport/controller/metrics.py
@@ -48,6 +48,7 @@
     yield gauge("edition", "Edition of the configuration in force", status_view.edition(node))
     yield gauge("unsettled", "Reasons why this controller is not settled", len(reasons))
     yield _invariant_family(node)
+    yield _zone_order_family(node)
     yield from _limit_families(node)
     if node.leading:
         yield from _leader_families(node, now, listed_at)
@@ -63,6 +64,13 @@
     return Family(PREFIX + "invariant_violations", COUNTER, help_text, ("invariant",), samples)
 
 
+def _zone_order_family(node: Node) -> Family:
+    """Zone orders that were not applied, since the process began."""
+    samples = [((reason.value,), float(count)) for reason, count in node.zone_orders_dropped.items()]
+    help_text = "Evacuations and withdrawals that were not applied, by why"
+    return Family(PREFIX + "zone_orders_dropped", COUNTER, help_text, ("reason",), samples)
+
+
 def _limit_families(node: Node) -> Families:
     """What this controller counts of tenants' limits, for the shards that it owns."""
     counts = node.quota_owner.counts()
--- a/basaltport/controller/operator_calls.py
+++ b/basaltport/controller/operator_calls.py
@@ -23,6 +23,16 @@
 
 VERBS = frozenset(Verb)
 READS = frozenset({Verb.CONFIGURATION})
+ZONE_ORDERS = frozenset({Verb.EVACUATE, Verb.READMIT})
+"""Each is for the state that a zone is to have, and says nothing of the state that it is made for: a copy
+that is applied late takes back what was ordered since."""
+
+
+class Dropped(enum.StrEnum):
+    """Why a zone order was not applied."""
+
+    TOO_OLD = "too-old"
+    CALLER_LEFT = "caller-left"
 
 
 class Answer(typing.NamedTuple):
@@ -42,6 +52,11 @@
     return Answer(TIMED_OUT, {"error": "unknown"})
 
 
+def too_old() -> Answer:
+    """The caller may have gone elsewhere by now; nothing was changed."""
+    return Answer(UNAVAILABLE, {"error": Dropped.TOO_OLD.value})
+
+
 class ForwardedRequest:
     """A request that waits for a leader's answer."""
 
@@ -50,7 +65,8 @@
     def __init__(
         self, received_at: identifiers.Millis, verb: str, body: Document, may_be_taken: int = 0
     ) -> None:
-        """`may_be_taken`: how many times it was sent to a leader that may have taken it."""
+        """`received_at`: of a zone order, the earliest time at which it can have been sent; `may_be_taken`:
+        how many times it was sent to a leader that may have taken it."""
         self.received_at = received_at
         self.verb = verb
         self.body = body
--- a/basaltport/controller/operator_requests.py
+++ b/basaltport/controller/operator_requests.py
@@ -13,12 +13,12 @@
 import basaltport.consensus.log as log
 import basaltport.consensus.state_machine as state_machine
 import basaltport.controller.operator_calls as operator_calls
+import basaltport.controller.zone_orders as zone_orders
 import basaltport.events as events
 import basaltport.identifiers as identifiers
 import basaltport.log_events as log_events
 import basaltport.member as member
 import basaltport.messages as messages
-import basaltport.operator_answers as operator_answers
 
 UNLED_MS = 900
 """A request that no leader was ever asked ends after this."""
@@ -80,10 +80,10 @@
 
 if typing.TYPE_CHECKING:
 
-    class Needs(operator_answers.OperatorAnswersMixin, OperatorRequestsNeeds):
+    class Needs(zone_orders.ZoneOrdersMixin, OperatorRequestsNeeds):
         """The other parts of the controller."""
 else:
-    Needs = operator_answers.OperatorAnswersMixin
+    Needs = zone_orders.ZoneOrdersMixin
 
 
 class OperatorRequestsMixin(Needs):
@@ -95,6 +95,7 @@
     def operator_requests_start(self) -> None:
         """Begin with no request."""
         self.desk_start()
+        self.zone_orders_start()
         self.listeners.leadership_ending.append(self.leave_reads_open)
 
     # any controller
@@ -104,11 +105,16 @@
         if event.verb not in operator_calls.VERBS:
             self.respond(None, event.call, BAD_REQUEST, {"error": "unknown-verb"})
             return
+        received_at = self.received_at(event)
+        if self.is_too_old(event.verb, received_at):
+            self.refuse_too_old(None, event.call, event.verb, received_at)
+            return
         if self.leading and self.settled():
-            self.serve(None, event.call, event.verb, event.body, event.now)
+            self.serve(None, event.call, event.verb, event.body, received_at)
             return
-        self.note(log_events.Event.REQUEST_FORWARDED, verb=event.verb, call=event.call)
-        self.calls[event.call] = operator_calls.ForwardedRequest(self.now, event.verb, event.body)
+        age_ms = self.now - received_at
+        self.note(log_events.Event.REQUEST_FORWARDED, verb=event.verb, call=event.call, age_ms=age_ms)
+        self.calls[event.call] = operator_calls.ForwardedRequest(received_at, event.verb, event.body)
         self.forward(event.call, self.calls[event.call])
 
     def forward(self, call: str, request: operator_calls.ForwardedRequest) -> None:
@@ -124,16 +130,21 @@
             return
         request.term, request.retry_at = self.leader.gen, self.now + SILENT_MS
         request.may_be_taken += 1
-        self.send(self.leader.addr, messages.Forward(call, self.me.addr, request.verb, request.body))
+        message = messages.Forward(call, self.me.addr, request.verb, request.body)
+        self.state_age(message, request)
+        self.send(self.leader.addr, message)
 
     def tick_requests(self) -> None:
         """Send requests again that are due, and end those whose time is over."""
         for call, request in list(self.calls.items()):
             limit_ms = LIMIT_MS if request.may_be_taken or request.term else UNLED_MS
-            if self.now - request.received_at < limit_ms:
+            too_old = self.is_too_old(request.verb, request.received_at)
+            if not too_old and self.now - request.received_at < limit_ms:
                 self.forward(call, request)
                 continue
             del self.calls[call]
+            if too_old:
+                self.drop_zone_order(operator_calls.Dropped.TOO_OLD, request.verb, call)
             self.end_undecided(None, call, request.verb, request.may_be_taken)
         self.waiting = [row for row in self.waiting if not self.end_overdue(row, row["at"], 1)]
         self.reads = [row for row in self.reads if not self.end_overdue(row, row["asked"], 0)]
@@ -166,6 +177,10 @@
 
     def hear_forward(self, source: str, request: messages.Forward) -> None:
         """Another controller forwards a request."""
+        sent_after = self.sent_after(request) if self.leading else self.now
+        if self.is_too_old(request.verb, sent_after):
+            self.refuse_too_old(request.addr, request.call, request.verb, sent_after)
+            return
         self.serve(request.addr, request.call, request.verb, request.body, self.now)
 
     # the leader
--- a/basaltport/controller/server.py
+++ b/basaltport/controller/server.py
@@ -34,6 +34,8 @@
 HAND_OVER_S = 0.1
 """How long the messages of a leader that hands over take to go out."""
 PORT_STOP_S = 0.3
+PASSES_TO_A_CLOSE = 4
+"""Passes of the loop from a request to the cancelling of its handler, if a close stands right behind it."""
 STOPPING = (503, {"error": "stopping"})
 UNKNOWN = (504, {"error": "unknown"})
 
@@ -194,19 +196,36 @@
 
     # operators
 
-    async def ask(self, verb: str, body: Document) -> Answer:
-        """The answer (status and document) to an operator's request; see docs/design/platform.md."""
+    def earliest_arrival(self) -> identifiers.Millis:
+        """The earliest time at which a connection can have come that is made now, in ms."""
+        return self.progress.earliest_arrival()
+
+    async def ask(self, verb: str, body: Document, sent_after: identifiers.Millis | None = None) -> Answer:
+        """The answer (status and document) to an operator's request; see docs/design/platform.md.
+
+        `sent_after`: the earliest time at which the caller can have sent it, in ms; with it the request is
+        for as long as its caller waits, who ends it by cancelling this call."""
         if self.stopping:
             return STOPPING
         self.last_call += 1
         call = f"{self.me.seat}-{os.urandom(3).hex()}-{self.last_call}"
         answer = self.calls[call] = asyncio.get_running_loop().create_future()
         try:
-            self.step(events.Asked(identifiers.steady(), call, verb, body))
+            if sent_after is not None:
+                await self.hear_of_closed_connections()
+            self.step(events.Asked(identifiers.steady(), call, verb, body, sent_after))
             return await answer
+        except asyncio.CancelledError:
+            self.step(events.CallerLeft(identifiers.steady(), call, verb))
+            raise
         finally:
             self.calls.pop(call, None)
 
+    async def hear_of_closed_connections(self) -> None:
+        """Let the loop read what stands behind a request in its socket: maybe that the caller has gone."""
+        for _ in range(PASSES_TO_A_CLOSE):
+            await asyncio.sleep(0)
+
     def do_answer(self, effect: events.Answer) -> None:
         """A request is answered."""
         answer = self.calls.get(effect.call)
--- a/basaltport/events.py
+++ b/basaltport/events.py
@@ -37,12 +37,23 @@
 
 @dataclasses.dataclass(slots=True)
 class Asked:
-    """An operator, or the platform, asks something of this member."""
+    """An operator, or the platform, asks something of this member. `sent_after`: the earliest time at which
+    that can have been sent, None where it is of no matter."""
 
     now: identifiers.Millis
     call: str
     verb: str
     body: Document
+    sent_after: identifiers.Millis | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class CallerLeft:
+    """Nobody waits any more for the answer to a call, which may have ended before it was asked."""
+
+    now: identifiers.Millis
+    call: str
+    verb: str
 
 
 @dataclasses.dataclass(slots=True)
--- a/basaltport/log_events.py
+++ b/basaltport/log_events.py
@@ -34,6 +34,7 @@
     CHANGE_ACKNOWLEDGED = 41
     CONFIGURATION_IN_FORCE = 42
     REQUEST_FORWARDED = 43
+    ZONE_ORDER_DROPPED = 44
     LOAD_WAIT_STARTED = 50
     LOAD_WAIT_ENDED = 51
     TIMEOUT_CLASSIFIED = 52
@@ -94,6 +95,9 @@
         "This node now works by the configuration of the version given; a proxy tells its routes and tenants."
     ),
     Event.REQUEST_FORWARDED: "An operator's request was read here, and waits for the leader.",
+    Event.ZONE_ORDER_DROPPED: (
+        "An evacuation, or the withdrawal of one, was not applied: it was read late, or its caller has gone."
+    ),
     Event.LOAD_WAIT_STARTED: "A shared wait for a model that is not loaded began.",
     Event.LOAD_WAIT_ENDED: "A shared wait ended: the model is loaded; the measured wait is given.",
     Event.TIMEOUT_CLASSIFIED: (
--- a/basaltport/messages.py
+++ b/basaltport/messages.py
@@ -134,12 +134,17 @@
 
 @message(8)
 class Forward:
-    """An operator's call, passed on to the leader."""
+    """An operator's call, passed on to the leader. `age`: ms since its caller may have sent it; `term`,
+    `heartbeat`: of the leader's newest heartbeat heard before `age` was taken, by which the leader can tell
+    how long the message may have been under way."""
 
     call: str
     addr: str
     verb: str
     body: Document
+    age: identifiers.Millis = identifiers.Millis(0)
+    term: identifiers.Term = identifiers.Term()
+    heartbeat: int = 0
 
 
 @message(9)
--- a/basaltport/shell.py
+++ b/basaltport/shell.py
@@ -12,6 +12,7 @@
 import basaltport.identifiers as identifiers
 import basaltport.log_events as log_events
 import basaltport.logs as logs
+import basaltport.loop_progress as loop_progress
 import basaltport.member as member
 import basaltport.wires as wires
 
@@ -36,11 +37,14 @@
         self.disk: typing.Any = None
         self.writes: Writes = []
         self.writing = False
+        self.progress = loop_progress.LoopProgress(identifiers.steady())
 
     async def tick(self) -> None:
         """Give the reducer a tick each `period`, until cancelled."""
         while True:
-            self.step(events.Tick(identifiers.steady()))
+            now = identifiers.steady()
+            self.progress.note_tick(now)
+            self.step(events.Tick(now))
             await asyncio.sleep(self.period)
 
     def heard(self, src: str, msg: object) -> None:
--- a/basaltport/simulation/routes/nodes.py
+++ b/basaltport/simulation/routes/nodes.py
@@ -338,7 +338,8 @@
         call = f"c{self.n}"
         self.answers[call] = None
         node = self.nodes[name]
-        self.give(node, node.incarnation, events.Asked(self.now, call, verb, body))
+        event = events.Asked(self.now, call, verb, body, self.clock(node))
+        self.give(node, node.incarnation, event)
         return call
 
     def do_answer(self, node: Node, effect: events.Answer) -> None:
--- a/basaltport/simulation/routes/operator.py
+++ b/basaltport/simulation/routes/operator.py
@@ -17,6 +17,8 @@
 READ_PAUSE_MS = 100
 ACKNOWLEDGED = 200
 CLEAR_STATUSES = (200, 400, 409, 412)
+ZONE_CHANGES = ("evacuate", "readmit")
+"""Nothing tells a copy of one of these from a new one, as on the platform."""
 GAVE_UP = 0
 
 Then = typing.Callable[[int], object]
@@ -52,7 +54,7 @@
         call = f"c{self.n}"
         self.answers[call] = None
         node = self.nodes[name]
-        event = events.Asked(self.now, call, verb, body)
+        event = events.Asked(self.now, call, verb, body, self.clock(node))
         self.later(self.rng.randrange(1, LINK_MS), self.give, node, node.incarnation, event)
         return call
 
@@ -82,7 +84,8 @@
             return
         others = [name for name in running if name != change.requested_at]
         change.requested_at = self.rng.choice(others or [change.requested_at])
-        call = self.ask(change.requested_at, change.verb, change=change.id, **change.body)
+        change_id = f"{change.id}-{self.n}" if change.verb in ZONE_CHANGES else change.id
+        call = self.ask(change.requested_at, change.verb, change=change_id, **change.body)
         self.change_of[call] = change
         self.later(NO_ANSWER_MS, self.time_out_change, change, call, longer)
 
--- a/tests/project/test_operator_secrecy.py
+++ b/tests/project/test_operator_secrecy.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+import basaltport.identifiers as identifiers
 import basaltport.logs as logs
 import tests.support.live as live
 
@@ -24,7 +25,10 @@
 class Shell:
     """A controller that breaks at each change, with a text that holds what was sent."""
 
-    async def ask(self, verb, body):
+    def earliest_arrival(self):
+        return identifiers.steady()
+
+    async def ask(self, verb, body, sent_after=None):
         raise KeyError(str(body))
 
 
@@ -32,7 +36,7 @@
     server = operators.Operators(Shell(), lambda: (), None)
     await server.start("127.0.0.1:0")
     try:
-        reader, writer = await asyncio.open_connection(*server.runner.addresses[0])
+        reader, writer = await asyncio.open_connection(*server.server.address)
         writer.write(raw.encode())
         async with asyncio.timeout(live.BOUND):
             await reader.read()
--- a/tests/project/test_platform_wire.py
+++ b/tests/project/test_platform_wire.py
@@ -10,6 +10,7 @@
 import aiohttp.web
 import pytest
 
+import basaltport.identifiers as identifiers
 import basaltport.placement.effects as effects
 import tests.support.live as live
 
@@ -26,7 +27,10 @@
         self.answers = list(answers)
         self.asked = []
 
-    async def ask(self, verb, body):
+    def earliest_arrival(self):
+        return identifiers.steady()
+
+    async def ask(self, verb, body, sent_after=None):
         self.asked.append((verb, body))
         return self.answers.pop(0)
 
@@ -44,7 +48,7 @@
     o = operators.Operators(shell, lambda: ("barn-a",), memory_mb)
     await o.start("127.0.0.1:0")
     try:
-        return [await call(o.runner.addresses[0], raw) for raw in requests]
+        return [await call(o.server.address, raw) for raw in requests]
     finally:
         await o.stop()
 
