A list or report that is read late is not taken for the state of now

A trial that held the loop over the limit of a call while the answer lay in its socket showed that aiohttp's own limit does not end such a call: list, report and order all gave the late answer (3 of 3).

Change: the controller measures from the call. A list that is read over 2.5 s after it was asked for, or a report over 1 s after, counts as no answer; the age of a list is that of its call. The answer to an order is taken however late: it tells of what the replica has taken, which stays true, and the next order is bound to the replica's count.

--- a/basaltport/controller/server.py
+++ b/basaltport/controller/server.py
@@ -34,6 +34,10 @@
 HAND_OVER_S = 0.1
 """How long the messages of a leader that hands over take to go out."""
 PORT_STOP_S = 0.3
+LIST_LIMIT_MS = 2500
+REPORT_LIMIT_MS = 1000
+"""An answer that was read later than this says how things stood, not how they stand: this process, or its
+machine, stood still with the answer in its socket. Both are the longest that a port waits by itself."""
 PASSES_TO_A_CLOSE = 4
 """Passes of the loop from a request to the cancelling of its handler, if a close stands right behind it."""
 STOPPING = (503, {"error": "stopping"})
@@ -246,9 +250,13 @@
 
     async def list(self) -> None:
         """Read the platform's list."""
+        asked_at = identifiers.steady()
         rows = await self.call_port(self.port.list(), None)
-        self.listed_at = self.listed_at if rows is None else identifiers.steady()
-        self.step(controller_events.Listed(identifiers.steady(), rows is not None, rows or []))
+        now = identifiers.steady()
+        if now - asked_at > LIST_LIMIT_MS:
+            rows = None
+        self.listed_at = self.listed_at if rows is None else asked_at
+        self.step(controller_events.Listed(now, rows is not None, rows or []))
 
     def do_order(self, effect: effects.Order) -> None:
         """Send an order to its replica."""
@@ -277,9 +285,13 @@
 
     async def report(self, effect: effects.Report) -> None:
         """Ask a replica what it holds."""
+        asked_at = identifiers.steady()
         report = await self.call_port(self.port.report(effect), None)
-        answered = report is not None
-        self.step(controller_events.Reported(identifiers.steady(), effect.replica, answered, report or {}))
+        now = identifiers.steady()
+        answered = report is not None and now - asked_at <= REPORT_LIMIT_MS
+        self.step(
+            controller_events.Reported(now, effect.replica, answered, (report if answered else None) or {})
+        )
 
     async def call_port(
         self, call: collections.abc.Coroutine[typing.Any, typing.Any, Result], otherwise: Result
