Zone orders that are read late: a scene of the simulator, and an operator in the soak

The soak's new operator evacuates a zone and takes it back in series, among kills and freezes, and checks at the leader that nothing takes back what was acknowledged last (ZONE).

Measured: with zone_orders.is_too_old switched off the scene finds 'evacuated'; it passes as it is.

--- a/basaltport/simulation/routes/scenes.py
+++ b/basaltport/simulation/routes/scenes.py
@@ -362,3 +362,22 @@
     world.must(lambda: world.readmit("x"))
     world.run(4000)
     play.calm()
+
+
+@scenario
+def zone_orders_read_late(play: Play) -> None:
+    """One controller after another is frozen with an order in its socket that was acknowledged elsewhere
+    meanwhile, and the opposite of it after that."""
+    world = play.world
+    world.must(lambda: world.evacuate("x"))
+    for name in sorted(world.core):
+        world.freeze(name)
+        world.ask(name, "readmit", change=f"late-{name}", zone="x")
+        world.run(1000)
+        world.must(lambda: world.readmit("x"))
+        world.must(lambda: world.evacuate("x"))
+        world.freeze(name, False)
+        world.run(7000)
+    world.must(lambda: world.readmit("x"))
+    world.run(4000)
+    play.calm()
--- a/tests/simulation/test_route_scenarios.py
+++ b/tests/simulation/test_route_scenarios.py
@@ -6,6 +6,7 @@
 import basaltport.consensus.election as election
 import basaltport.fleet.follow as follow
 import basaltport.controller.operator_requests as operator_requests
+import basaltport.controller.zone_orders as zone_orders
 import basaltport.controller.shard_ownership as shard_ownership
 import basaltport.placement.replica_choice as replica_choice
 import basaltport.placement.machine as machine
@@ -137,6 +138,10 @@
     return plan_execution.Verdict.GO
 
 
+def _never_too_old(self, verb, received_at):
+    return False
+
+
 CASES = [
     (
         "once-only",
@@ -149,6 +154,7 @@
     ("promise", "replicas-ill", [(retry_decision, "give_up", _all_is_refused)]),
     ("draining", "released-one-by-one", [(load_balancing.LoadBalancer, "is_open", _any_state)]),
     ("evacuated", "evacuation-while-a-keeper-dies", [(load_balancing.LoadBalancer, "is_open", _any_zone)]),
+    ("evacuated", "zone-orders-read-late", [(zone_orders.ZoneOrdersMixin, "is_too_old", _never_too_old)]),
     ("in-force", "quiet", [(follow.FollowMixin, "take_book", _book_once)]),
     ("back", "quiet", [(follow.FollowMixin, "take_book", _forgets)]),
     ("agreed", "power-loss", [(virtual_disk.VirtualDisk, "done", _not_written)]),
--- a/tests/soak/rig.py
+++ b/tests/soak/rig.py
@@ -20,6 +20,7 @@
 import tests.soak.stalls as stalls
 import tests.soak.tenants as tenants
 import tests.soak.troubles as troubles
+import tests.soak.zone_checks as zone_checks
 
 OK = 200
 STALE = 412
@@ -149,6 +150,7 @@
             background += [group.create_task(self.hot_client(key)) for key in self.hot_keys()]
             background.append(group.create_task(self.watch()))
             background.append(group.create_task(self.send_garbled()))
+            background.append(group.create_task(zone_checks.ZoneOperator(self).run()))
             background.append(group.create_task(self.watch_stalls.run()))
             ending = [group.create_task(self.trouble(each)) for each in self.troubles]
             await asyncio.wait([*ending, group.create_task(asyncio.sleep(self.seconds))])
