--- a/tests/controller/test_controllers.py
+++ b/tests/controller/test_controllers.py
@@ -271,3 +271,20 @@
         w.boot(n)
     assert w.until(lambda: w.leader() and w.settled(*THREE), 4000) is not None
     assert w.read() == 1
+
+
+def two_first_configurations(edition):
+    """The answers to two operators that set an empty system up, one of them with this edition."""
+    w = world()
+    k = others(w)[0]
+    documents = [("x", controllers.document(edition)), ("y", controllers.document(edition + 1))]
+    return [w.asked(k, "configure", change=name, base=0, document=found)[0] for name, found in documents]
+
+
+def test_of_two_first_configurations_one_prevails():
+    assert two_first_configurations(1) == [200, 412]
+
+
+# guards against a first configuration that is gone without a word: its edition looked like none at all
+def test_of_two_first_configurations_one_prevails_also_where_its_edition_is_0():
+    assert two_first_configurations(0).count(200) <= 1
