--- a/tests/controller/test_late_zone_orders.py
+++ b/tests/controller/test_late_zone_orders.py
@@ -83,8 +83,8 @@
     world.boot(name)
 
 
-def frozen_after_reading(world, name, send):
-    """The order was read, and its leader is lost; then the process that waits for the next one is frozen."""
+def lose_the_leader(world, name, send):
+    """An order is read by a controller that is cut off, and its leader ends with the order under way to it."""
     leader = world.leader()
     for other in world.nodes:
         if other != name:
@@ -92,6 +92,11 @@
     send()
     world.run(20)
     restart(world, leader)
+
+
+def frozen_after_reading(world, name, send):
+    """The order was read, and its leader is lost; then the process that waits for the next one is frozen."""
+    lose_the_leader(world, name, send)
     world.freeze(name)
 
     def end():
@@ -103,13 +108,7 @@
 
 def forwarded_to_a_lost_leader(world, name, send):
     """The leader ends with the order under way to it, and the controller that keeps it is cut off."""
-    leader = world.leader()
-    for other in world.nodes:
-        if other != name:
-            world.cut(name, other)
-    send()
-    world.run(20)
-    restart(world, leader)
+    lose_the_leader(world, name, send)
     return world.heal
 
 
