--- a/tests/controller/test_late_zone_orders.py
+++ b/tests/controller/test_late_zone_orders.py
@@ -84,7 +84,7 @@
 
 
 def lose_the_leader(world, name, send):
-    """An order is read by a controller that is cut off, and its leader ends with the order under way to it."""
+    """An order is read by a controller that is cut off; its leader ends with the order under way to it."""
     leader = world.leader()
     for other in world.nodes:
         if other != name:
