--- a/basaltport/model/checks.py
+++ b/basaltport/model/checks.py
@@ -64,6 +64,8 @@
         self.acknowledged: dict[tuple[Incarnation, identifiers.Term], dict[str, int]] = {}
         self.taken: set[str] = set()
         self.refused: set[str] = set()
+        self.confirmed: set[str] = set()
+        """Calls whose answers were given on a majority's word."""
         self.history: list[linearizability.Operation] = []
         self.orders: dict[str, ReplicaOrder] = {}
         self.no_leader_since: int | None = None
@@ -182,13 +184,17 @@
         return electorate.bears(have, electorate.rosters(member.cluster_state, member.tail))
 
     def answers(self, node: nodes.Node, call: str, status: int, body: interfaces.Body) -> None:
-        """A leader's own answer to a read, or its refusal of a change."""
+        """A leader's own answer to a read, or its refusal of a change. One that another member passes on was
+        looked at when its leader gave it."""
         if status not in (STATUS_OK, STATUS_STALE) or status == STATUS_OK and "document" not in body:
             return
         self.counts.update(reads=1)
         begin = self.world.calls[call]
-        if node.member.leading and not self._majority_since(node, begin):
+        if not node.member.leading:
+            return
+        if not self._majority_since(node, begin):
             self._broken(Rule.WORD, node=node.name, call=call, begin=begin)
+        self.confirmed.add(call)
 
     def feeds(self, node: nodes.Node) -> None:
         """A leader sends an update to a proxy."""
--- a/basaltport/model/world.py
+++ b/basaltport/model/world.py
@@ -50,6 +50,8 @@
         self.zombies: set[str] = set()
         self.parted: collections.Counter[tuple[str, str]] = collections.Counter()
         self.checks = checks.Checks(self)
+        self.passed_on: str | None = None
+        """The call whose answer a member is just hearing of its leader."""
         super().__init__(seed, members)
         self.operators = [operators.Operator(self, f"op{i + 1}", OPERATOR_PAUSE_MS) for i in range(OPERATORS)]
         self.delay_max = 1
@@ -142,8 +144,10 @@
         """Acknowledgements are seen by the checks first."""
         if node.member is None:
             return
-        if isinstance(event, events.Heard) and isinstance(event.msg, messages.HeartbeatAck):
-            self.checks.ack_heard(node, event.msg)
+        message = event.msg if isinstance(event, events.Heard) else None
+        if isinstance(message, messages.HeartbeatAck):
+            self.checks.ack_heard(node, message)
+        self.passed_on = message.call if isinstance(message, messages.Reply) else None
         if isinstance(event, events.Synced):
             self.checks.durable.synced(node, event.token, event.ok)
         try:
@@ -218,7 +222,8 @@
     def do_answer(self, node: nodes.Node, effect: events.Answer) -> None:
         """The caller goes on."""
         super().do_answer(node, effect)
-        if node.member.leading:
+        was_checked = effect.call == self.passed_on and effect.call in self.checks.confirmed
+        if node.member.leading and not was_checked:
             self.checks.answers(node, effect.call, effect.status, effect.body)
         callback = self.waiting.pop(effect.call, None)
         if callback:
