--- a/tests/fleet/test_fleet_cli.py
+++ b/tests/fleet/test_fleet_cli.py
@@ -138,7 +138,7 @@
         o = operators.Operators(fleet_stand.Shell(fleet.w, fleet.leader), lambda: ())
         await o.start("127.0.0.1:0")
         try:
-            r, w = await asyncio.open_connection(*o.runner.addresses[0])
+            r, w = await asyncio.open_connection(*o.server.address)
             w.write(live.get("/basaltport/configuration"))
             async with asyncio.timeout(live.BOUND):
                 got = await r.read()
--- a/tests/support/fleet_stand.py
+++ b/tests/support/fleet_stand.py
@@ -106,6 +106,9 @@
     def listed_at(self):
         return self.world.now - 300
 
+    def earliest_arrival(self):
+        return self.world.now
+
 
 class Fleet:
     """Three controllers and a proxy that follows; one replica holds birch, and alder is wanted a while."""
