--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import json
 import os
@@ -24,6 +25,9 @@
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 ZONES = ("z1", "z2", "z3")
 ANSWER_S = 3.0
+LIST_LAG_S = 0.8
+"""The list tells the state of so long ago, as `lagAllowMs` says."""
+SNAPSHOT_S = 0.02
 OK = 200
 SERVER_ERROR = 500
 
@@ -150,6 +154,8 @@
         self.replicas: list[ReplicaProcess] = []
         self.started: list[ReplicaProcess] = []
         self.platform: asyncio.Server | None = None
+        self.listing: asyncio.Task[None] | None = None
+        self.lists: collections.deque[tuple[float, list[Document]]] = collections.deque()
         self.edition = 0
         self.last_address = 30
         self.notes: list[Document] = []
@@ -259,6 +265,7 @@
 
     async def up(self, configuration: Document) -> None:
         """Start everything and put the first configuration."""
+        self.listing = asyncio.create_task(self.remember_lists())
         self.platform = await asyncio.start_server(self.serve_list, f"{self.net}.21", 8142)
         for name in self.ips:
             self.start(name, first=True)
@@ -307,6 +314,8 @@
                 await replica.reading
         if self.platform is not None:
             self.platform.close()
+        if self.listing is not None:
+            self.listing.cancel()
 
     async def until(self, is_so: collections.abc.Callable[[], bool], limit_s: float, what: str) -> None:
         """Wait until something is so."""
@@ -318,13 +327,21 @@
 
     # the platform, the operator, clients
 
+    async def remember_lists(self) -> None:
+        """Keep the lists of the last `LIST_LAG_S`, the oldest first."""
+        while True:
+            now = time.monotonic()
+            self.lists.append((now, [self.row(replica) for replica in self.replicas]))
+            while self.lists[0][0] < now - LIST_LAG_S:
+                self.lists.popleft()
+            await asyncio.sleep(SNAPSHOT_S)
+
     async def serve_list(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer calls of the list; it tells the present state, which is within its lag."""
+        """Answer calls of the list."""
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
-                rows = [self.row(replica) for replica in self.replicas]
-                raw = json.dumps({"replicas": rows, "nextToken": None}).encode()
+                raw = json.dumps({"replicas": self.lists[0][1], "nextToken": None}).encode()
                 head = (
                     f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(raw)}\r\n\r\n"
                 )
