--- a/review/rates_2.py
+++ b/review/rates_2.py
@@ -9,6 +9,8 @@
 """Of the site furrow-bid."""
 BOUND = COLD_RATE_S * rig_2.TIMINGS["coldExcess"] + rig_2.TIMINGS["coldSlack"]
 FALLS_AT = int(2 * COLD_RATE_S)
+"""A cold stand-in bears twice its rate in a second, which is well above it, and falls over at more."""
+PATH = "/lohu930/"
 DEADLINE_MS = 5000
 
 
@@ -38,7 +40,9 @@
         """Stop to send and wait for all answers."""
         assert self.sending is not None
         self.sending.cancel()
-        await asyncio.gather(*self.tasks)
+        answers = await asyncio.gather(*self.tasks)
+        if sum(answer.status == rig_2.OK for answer in answers) < len(answers) / 2:
+            raise rig_2.CouldNotRunError("most requests were not served")
 
 
 def most_in_a_second(rig: rig_2.Rig, replica: rig_2.ReplicaProcess) -> int:
