--- a/review/replica_2.py
+++ b/review/replica_2.py
@@ -76,14 +76,19 @@
         if (method, path) == ("POST", "/v1/order"):
             return await self.answer(writer, headers, self.order(json.loads(body)), b"{}")
         if (method, path) == ("GET", "/health"):
-            return await self.answer(writer, headers, OK, b"")
+            return await self.answer(writer, headers, OK, b"", f"Cold-Ms: {self.cold_ms()}\r\n")
         return await self.run(reader, writer, headers)
 
-    async def answer(self, writer: asyncio.StreamWriter, headers: Headers, status: int, body: bytes) -> bool:
+    def cold_ms(self) -> int:
+        """How much longer this replica is cold."""
+        return max(0, int(1000 * (self.cold_until - time.monotonic())))
+
+    async def answer(
+        self, writer: asyncio.StreamWriter, headers: Headers, status: int, body: bytes, more: str = ""
+    ) -> bool:
         """Send an answer that has a length."""
-        more = f"Tracking-Id: {headers['tracking-id']}\r\n" if "tracking-id" in headers else ""
-        if status == UNAVAILABLE or (status == MISDIRECTED and "tracking-id" in headers):
-            more += "Not-Delivered: 1\r\n" if status == UNAVAILABLE else ""
+        more += f"Tracking-Id: {headers['tracking-id']}\r\n" if "tracking-id" in headers else ""
+        more += "Not-Delivered: 1\r\n" if status == UNAVAILABLE else ""
         writer.write(
             f"HTTP/1.1 {status} {REASONS[status]}\r\nReplica: {self.id}\r\n{more}Keep-Alive: timeout=5\r\n"
             f"Content-Length: {len(body)}\r\n\r\n".encode()
