--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -263,12 +263,16 @@
             self.replicas.append(replica)
         return replica
 
-    async def up(self, configuration: Document) -> None:
-        """Start everything and put the first configuration."""
+    async def start_all(self) -> None:
+        """Start the platform's list, the controllers and the proxies, for the first time of all."""
         self.listing = asyncio.create_task(self.remember_lists())
         self.platform = await asyncio.start_server(self.serve_list, f"{self.net}.21", 8142)
         for name in self.ips:
             self.start(name, first=True)
+
+    async def up(self, configuration: Document) -> None:
+        """Start everything and put the first configuration."""
+        await self.start_all()
         ends_at = time.monotonic() + 25
         while await self.operator("PUT", "/v1/config", configuration, 0) != OK:
             if time.monotonic() > ends_at:
