--- a/review/rates_2.py
+++ b/review/rates_2.py
@@ -8,8 +8,8 @@
 COLD_S, COLD_RATE_S = 3.0, 31.0
 """Of the site furrow-bid."""
 BOUND = COLD_RATE_S * rig_2.TIMINGS["coldExcess"] + rig_2.TIMINGS["coldSlack"]
-FALLS_AT = int(2 * COLD_RATE_S)
-"""A cold stand-in bears twice its rate in a second, which is well above it, and falls over at more."""
+FALLS_AT = int(1.8 * COLD_RATE_S)
+"""A cold stand-in falls over at more than this in a second, well above its rate and above the bound."""
 PATH = "/lohu930/"
 DEADLINE_MS = 5000
 
--- a/review/replica_2.py
+++ b/review/replica_2.py
@@ -256,6 +256,7 @@
         command = json.loads(line)
         replica.cold_until = command.get("cold_until", replica.cold_until)
     server.close()
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import collections.abc
+import ctypes
 import json
 import os
 import pathlib
@@ -28,10 +29,17 @@
 LIST_LAG_S = 0.8
 """The list tells the state of so long ago, as `lagAllowMs` says."""
 SNAPSHOT_S = 0.02
+SET_DEATH_SIGNAL = 1
+"""Of prctl: the signal that a process gets when its parent ends."""
 OK = 200
 SERVER_ERROR = 500
 
 
+def end_with_parent() -> None:
+    """Have the kernel end this process when the script ends, however that ends."""
+    ctypes.CDLL(None).prctl(SET_DEATH_SIGNAL, signal.SIGKILL)
+
+
 class CouldNotRunError(Exception):
     """Raised when the deployment did not come up, so that nothing can be judged."""
 
