Review: a case's processes and folder are gone however its script ends

The death signal had not been set for the project's programs: six were left after a script was killed in a trial, ended by their ids. Killed again: none left. Cases 4 to 6 played twice each: broken, and held with TROUBLE=0. Entries: 30 evacuations withdrawn and ordered anew while controllers are frozen or killed, none broken.

--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -239,7 +240,7 @@
         with open(self.folder / f"{name}.out", "ab") as out:
             command = ["python3", "platform/run.py", role]
             self.processes[name] = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=out, stderr=out
+                command, cwd=ROOT, env=environment, stdout=out, stderr=out, preexec_fn=end_with_parent
             )
 
     def signal(self, name: str, number: int) -> None:
@@ -499,6 +500,7 @@
         findings, code = [f"could not run: {error!r}"], COULD_NOT_RUN
     finally:
         await rig.down()
+        shutil.rmtree(rig.folder, ignore_errors=True)
     lines = [f"trouble: {trouble}", f"exit: {code}", *findings]
     rig.write_record(folder / "record.txt", "\n".join(lines))
     print("\n".join(lines))
