Proxy: a stream without a length that ends inside an event is not complete

Cause: a body without a stated end counted as complete if its connection was closed without a reset. The kernel closes the connections of a killed process in the same way.

Fix: a stream whose end is told by its connection alone and which ends inside an event is an interrupted attempt: resumed where the route lets it, else cut.

--- a/basaltport/proxy/http_headers.py
+++ b/basaltport/proxy/http_headers.py
@@ -23,6 +23,8 @@
 """Headers of a single connection (RFC 9110, section 7.6.1), and those that aiohttp writes itself."""
 NO_BODY_STATUSES = (204, 304)
 """Statuses of responses without a body."""
+EVENT_STREAM = "text/event-stream"
+"""Media type of Server-Sent Events."""
 
 
 def end_to_end(
@@ -46,3 +48,9 @@
         return True
     headers = response.headers
     return "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "").lower()
+
+
+def may_be_event_stream(headers: collections.abc.Mapping[str, str]) -> bool:
+    """Whether a body may be a stream of Server-Sent Events: its media type says so, or is not stated."""
+    media_type = headers.get("Content-Type", EVENT_STREAM).partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM
--- a/basaltport/proxy/response.py
+++ b/basaltport/proxy/response.py
@@ -147,6 +147,10 @@
         attempt."""
         return self.event_stream().resume()
 
+    def is_inside_event(self) -> bool:
+        """Whether the part of the stream that the current attempt received ends inside an event."""
+        return self.event_stream().is_inside_event()
+
     async def send_part(self, status: int, headers: multidict.CIMultiDictProxy[str], raw: bytes) -> None:
         """Process a part of a stream and send its complete events."""
         stream = self.event_stream()
--- a/basaltport/proxy/upstream.py
+++ b/basaltport/proxy/upstream.py
@@ -72,6 +72,10 @@
         """Store a complete error response, which may be passed on later."""
         ...
 
+    def is_inside_event(self) -> bool:
+        """Whether the part of the stream that this attempt received ends inside an event."""
+        ...
+
     async def send_complete(self, status: int, headers: multidict.CIMultiDict[str], body: bytes) -> None:
         """Send a complete response to the client."""
         ...
@@ -308,10 +312,23 @@
             progress()
             await sink.send_part(response.status, response.headers, part)
         self.check_end(attempt, response)
+        check_last_event(response, sink)
         await sink.send_end(response.status, response.headers)
         return Result(Outcome.DONE, response.status)
 
 
+def check_last_event(response: aiohttp.ClientResponse, sink: ResponseSink) -> None:
+    """Raise InvalidResponseError if only the end of the connection ends a stream, and it ends inside an
+    event.
+
+    The kernel closes the connections of a replica that crashed as cleanly as the replica itself does.
+    """
+    if http_headers.has_stated_end(response) or not http_headers.may_be_event_stream(response.headers):
+        return
+    if sink.is_inside_event():
+        raise reject_response(response, "a stream without a length ended inside an event")
+
+
 async def discard(response: aiohttp.ClientResponse) -> None:
     """Read and drop a body, so that its connection can be reused."""
     size = 0
--- a/tests/proxy/test_request_bytes.py
+++ b/tests/proxy/test_request_bytes.py
@@ -54,6 +54,13 @@
     check_cases(request_sweeps.answers(route, Kind.STREAM, end))
 
 
+@pytest.mark.parametrize("end", request_sweeps.BREAKS)
+@pytest.mark.parametrize("route", request_sweeps.STREAMS)
+def test_a_stream_without_a_length_that_ends_at_each_byte(route, end):
+    statuses = ("200",) if end in (End.CLOSE, End.HALF_CLOSE) else ()
+    check_cases(request_sweeps.answers(route, Kind.NO_LENGTH, end), *statuses)
+
+
 @pytest.mark.parametrize("end", request_sweeps.BREAKS)
 @pytest.mark.parametrize("route", ROUTES)
 def test_a_replica_that_reads_up_to_each_byte_and_says_nothing(route, end):
--- a/tests/support/request_stand.py
+++ b/tests/support/request_stand.py
@@ -113,6 +113,9 @@
     proven: bool = False
     is_reset: bool = False
     """Whether the response had no length and its connection was reset, so that it is incomplete."""
+    ends_with_connection: bool = False
+    """Whether the response had no length and its connection was closed cleanly, so that `answer_body` is
+    complete, if a stream does not end inside an event."""
 
 
 class Replica:
@@ -270,6 +273,7 @@
     arrival.is_reset = end is End.RESET
     if end in (End.CLOSE, End.HALF_CLOSE):
         arrival.answer_body = sent
+        arrival.ends_with_connection = True
     if end is End.GARBAGE:
         arrival.answer_body = sent + GARBAGE
 
