Proxy: a response with another transfer coding than chunked is rejected

Callers got 200 and a body as it was encoded, without the header that names its coding; where the connection of such a response was reset, the torn body was passed on as complete.

Cause: any Transfer-Encoding that contains the letters "chunked" counted as a stated end, and codings other than chunked were passed on unread.

Fix: the codings are read as a list; only none, or chunked alone, is passed on.

--- a/basaltport/proxy/http_headers.py
+++ b/basaltport/proxy/http_headers.py
@@ -23,6 +23,10 @@
 """Headers of a single connection (RFC 9110, section 7.6.1), and those that aiohttp writes itself."""
 NO_BODY_STATUSES = (204, 304)
 """Statuses of responses without a body."""
+CHUNKED = "chunked"
+"""The transfer coding that states the end of a body (RFC 9112, section 7.1)."""
+IDENTITY = "identity"
+"""The coding of a body that is not encoded."""
 EVENT_STREAM = "text/event-stream"
 """Media type of Server-Sent Events."""
 
@@ -46,8 +50,13 @@
     """
     if response.method == "HEAD" or response.status in NO_BODY_STATUSES:
         return True
-    headers = response.headers
-    return "Content-Length" in headers or "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return "Content-Length" in response.headers or CHUNKED in transfer_codings(response.headers)
+
+
+def transfer_codings(headers: multidict.CIMultiDictProxy[str]) -> list[str]:
+    """Returns the transfer codings of a body in lower case and in order, without the identity coding."""
+    values = ",".join(headers.getall("Transfer-Encoding", ())).lower().split(",")
+    return [name for name in (value.strip() for value in values) if name not in ("", IDENTITY)]
 
 
 def may_be_event_stream(headers: collections.abc.Mapping[str, str]) -> bool:
--- a/basaltport/proxy/upstream.py
+++ b/basaltport/proxy/upstream.py
@@ -243,7 +243,9 @@
 
     def check_body(self, response: aiohttp.ClientResponse) -> None:
         """Raise InvalidResponseError if the body cannot be an unmodified response of the replica."""
-        if response.headers.get("Content-Encoding", "identity").lower() != "identity":
+        content_coding = response.headers.get("Content-Encoding", http_headers.IDENTITY).lower()
+        transfer_codings = http_headers.transfer_codings(response.headers)
+        if content_coding != http_headers.IDENTITY or transfer_codings not in ([], [http_headers.CHUNKED]):
             raise reject_response(response, "the answer is encoded")
         if response.status in SUCCESS and self.names.stamp not in response.headers:
             raise reject_response(response, "the answer has no stamp")
--- a/tests/proxy/test_answers_without_length.py
+++ b/tests/proxy/test_answers_without_length.py
@@ -169,3 +169,43 @@
             writer.write(stand.whole(headers, body, **EVENT_STREAM))
 
     assert run(ask(path, script))[:2] == (200, body)
+
+
+# A transfer coding other than chunked states no end of a body and changes its bytes; a reset connection ended
+# such a response, and the client was told that it is complete.
+
+
+def coded(coding, body, is_reset):
+    """Returns a replica's script whose response has a transfer coding and ends with its connection."""
+
+    async def script(replica, headers, writer):
+        writer.write(stand.head(headers, **{"Transfer-Encoding": coding}) + body)
+        await writer.drain()
+        if is_reset:
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        writer.close()
+
+    return script
+
+
+@pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("coding", ["xchunked", "chunked, gzip", "gzip"])
+def test_a_response_with_another_transfer_coding_is_rejected(coding, is_reset):
+    assert run(ask("/once/x", coded(coding, b"written", is_reset)))[0] == 502
+
+
+@pytest.mark.parametrize("body", [b"3\r\nwri\r\n0\r\n\r\n"])
+def test_a_response_that_is_coded_and_chunked_is_rejected(body):
+    assert run(ask("/once/x", coded("gzip, chunked", body, False)))[0] == 502
+
+
+def test_a_chunked_response_is_complete_in_any_case_of_its_coding():
+    body = b"3\r\nwri\r\n0\r\n\r\n"
+    assert run(ask("/once/x", coded("Chunked", body, False)))[:2] == (200, b"wri")
+
+
+def test_a_response_with_the_identity_coding_ends_with_its_connection():
+    assert run(ask("/once/x", coded("identity", b"written", False)))[:2] == (200, b"written")
+    assert run(ask("/once/x", coded("identity", b"written", True)))[0] == 502
