--- a/basaltport/proxy/event_boundaries.py
+++ b/basaltport/proxy/event_boundaries.py
@@ -13,7 +13,7 @@
     complete ones between two events belong to no event.
     """
 
-    __slots__ = ("has_fields", "is_in_line", "is_in_comment", "ends_with_cr")
+    __slots__ = ("has_fields", "is_in_line", "is_in_comment", "is_after_event", "ends_with_cr")
 
     def __init__(self) -> None:
         """Start between two events."""
@@ -24,6 +24,7 @@
         self.has_fields = False
         self.is_in_line = False
         self.is_in_comment = False
+        self.is_after_event = True
         self.ends_with_cr = False
 
     def is_inside_event(self) -> bool:
@@ -36,12 +37,13 @@
         if not raw:
             return 0
         position = int(self.ends_with_cr and raw.startswith(b"\n"))
-        end = 0 if self.is_inside_event() else position
+        end = position if self.is_after_event else 0
         self.ends_with_cr = raw.endswith(b"\r")
         empty_line_at = raw.rfind(EMPTY_LINE, position)
         if empty_line_at >= 0:
             position = end = empty_line_at + len(EMPTY_LINE)
             self.has_fields = self.is_in_line = False
+            self.is_after_event = True
         for line in raw[position:].splitlines(keepends=True):
             position += len(line)
             if self.take_line(line):
@@ -53,6 +55,7 @@
         content = line.rstrip(b"\r\n")
         if content and not self.is_in_line:
             self.is_in_line = True
+            self.is_after_event = False
             self.is_in_comment = content.startswith(COMMENT_START)
         if not line.endswith(LINE_ENDS):
             return False
@@ -61,4 +64,5 @@
             self.is_in_line = False
             return False
         self.has_fields = False
+        self.is_after_event = True
         return True
--- a/tests/proxy/test_event_boundaries.py
+++ b/tests/proxy/test_event_boundaries.py
@@ -35,6 +35,7 @@
     return has_fields or bool(rest)
 
 
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
 @hypothesis.given(
     lines=strategies.lists(strategies.sampled_from(LINES)),
     line_end=strategies.sampled_from(LINE_ENDS),
@@ -50,6 +51,7 @@
     assert end == len(b"".join(line + line_end for line in complete))
 
 
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
 @hypothesis.given(
     cuts=strategies.lists(strategies.integers(0, 500), max_size=6),
     ends=strategies.lists(strategies.sampled_from(LINE_ENDS), min_size=8, max_size=8),
@@ -66,6 +68,13 @@
     assert stream.is_inside_event() == bool(rest)
 
 
+# Found by hypothesis: the LF of a comment's CRLF, arriving by itself, counted as the end of an event.
+def test_the_rest_of_a_comment_s_line_end_ends_no_event():
+    boundaries = event_boundaries.EventBoundaries()
+    assert boundaries.feed(b"\r\n:\r") == 2
+    assert boundaries.feed(b"\n") == 0
+
+
 @pytest.mark.parametrize("line_end", LINE_ENDS)
 def test_an_id_never_holds_a_line_end(line_end):
     stream = response_stream.EventStream()
