Configuration: editions from 1 to 10^18 - 1, so that each can be built on

Cause: the edition was compared with the current one only where there is a configuration, and 0 also stands for none. Trace of both decisions on one leader: "base 0, in force none, current 0: accepted", "base 0, in force edition 0, current 0: accepted".

Fix: an edition is higher than 0, the version that a first configuration builds on, and has at most the 18 digits that If-Match can name; before, an edition of 10^18 was acknowledged and nothing could be built on it. A stored edition out of this range, from an earlier release, stays in force and is converted and replaced as before.

--- a/basaltport/configuration/forms.py
+++ b/basaltport/configuration/forms.py
@@ -11,6 +11,7 @@
 import trafaret
 
 import basaltport.configuration.check as check
+import basaltport.configuration.editions as editions
 
 KINDS = ("safe", "unsafe", "stream")
 """The kinds of a route: whether its requests may be repeated, and whether they are answered by a stream."""
@@ -94,6 +95,7 @@
     is_number: "not a number of 0 or more",
     is_positive: "not a number over 0",
     is_integer: "not a whole number of 0 or more",
+    editions.is_edition: editions.FINDING,
     is_adapter_count: f"not a whole number of 0 to {MAX_ADAPTERS}",
     is_model_name: "not a text without a slash",
     is_list: "not a list",
--- a/basaltport/configuration/routes.py
+++ b/basaltport/configuration/routes.py
@@ -4,6 +4,7 @@
 import collections.abc
 import typing
 
+import basaltport.configuration.editions as editions
 import basaltport.configuration.forms as forms
 import basaltport.configuration.tenants as tenants
 
@@ -65,12 +66,13 @@
     {field: forms.is_number for field in ("header_bytes", "body_bytes", "header_wait_ms", "idle_close_ms")},
 )
 TOP = forms.Form(
-    {"edition": forms.is_integer, "routes": forms.is_list, "services": forms.is_list},
+    {"routes": forms.is_list, "services": forms.is_list},
     {"limits": forms.is_object, "tenants": forms.is_list},
     ("limits", "tenants"),
 )
+EDITION = forms.Form({"edition": editions.is_edition}, {})
 CHANGE = forms.Form(
-    {"edition": forms.is_integer}, {"put": forms.is_object, "remove": forms.is_object}, ("put", "remove")
+    {"edition": editions.is_edition}, {"put": forms.is_object, "remove": forms.is_object}, ("put", "remove")
 )
 NAMED = forms.Form({"name": forms.is_text}, {})
 
@@ -81,17 +83,30 @@
 
 
 def check(document: object, current: Document | None = None) -> Findings:
-    """Returns the findings {"place", "finding"} of a complete configuration, in order; empty if it is valid.
+    """Returns the findings {"place", "finding"} of a complete configuration; empty if it is valid.
 
     `current` is the configuration in force, or None; the new edition must be higher than its edition."""
     findings = TOP.findings(document, "")
-    if type(document) is not dict:
-        return findings
-    edition, current_edition = document.get("edition"), (current or {}).get("edition")
-    if forms.is_integer(edition) and current_edition is not None and edition <= current_edition:
-        findings.append(
-            forms.finding_at("edition", f"{edition} is not higher than the current {current_edition}")
-        )
+    if type(document) is dict:
+        findings += _edition_findings(document, current) + _section_findings(document)
+    return findings
+
+
+def check_content(document: Document) -> Findings:
+    """Returns the findings of all sections of a configuration, whatever its edition."""
+    return TOP.findings(document, "") + _section_findings(document)
+
+
+def _edition_findings(document: Document, current: Document | None) -> Findings:
+    edition, current_edition = document.get("edition"), editions.edition_of(current)
+    if editions.is_edition(edition) and edition <= current_edition:
+        finding = f"{edition} is not higher than the current {current_edition}"
+        return [forms.finding_at("edition", finding)]
+    return EDITION.findings(document, "")
+
+
+def _section_findings(document: Document) -> Findings:
+    findings: Findings = []
     service_names = _check_services(_get(document, "services", list), findings)
     _check_routes(
         _get(document, "routes", list),
@@ -176,13 +191,20 @@
     findings = CHANGE.findings(change, "")
     if type(change) is not dict:
         return findings
-    for section, items in _get(change, "put", dict).items():
-        _put_findings(items, f"put.{section}", findings)
+    findings += check_put_sections(_get(change, "put", dict))
     for section, removed in _get(change, "remove", dict).items():
         _remove_findings(removed, f"remove.{section}", findings)
     return findings
 
 
+def check_put_sections(sections: Document) -> Findings:
+    """Returns the schema findings of the items, by section, that a change puts."""
+    findings: Findings = []
+    for section, items in sections.items():
+        _put_findings(items, f"put.{section}", findings)
+    return findings
+
+
 def _put_findings(items: object, place: str, findings: Findings) -> None:
     if not forms.is_list(items):
         findings.append(forms.finding_at(place, forms.FAILURE_MESSAGES[forms.is_list]))
--- a/basaltport/controller/operator_requests.py
+++ b/basaltport/controller/operator_requests.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+import basaltport.configuration.editions as editions
 import basaltport.configuration.routes as routes
 import basaltport.consensus.log as log
 import basaltport.consensus.state_machine as state_machine
@@ -308,11 +309,6 @@
             operator_calls.Verb.READMIT: self.readmit_zone,
         }
 
-    def edition(self, state: State) -> int:
-        """Returns the edition of a state's configuration, 0 if there is none."""
-        found: int = (state.configuration or {}).get("edition", 0)
-        return found
-
     def validate_change(
         self,
         state: State,
@@ -323,8 +319,9 @@
     ) -> Operation | tuple[int, Document]:
         """Returns the operation if the change is based on the current edition and the resulting document is
         valid, otherwise the refusal."""
-        if body.get("base") != self.edition(state):
-            error = {"error": "edition", "edition": self.edition(state)}
+        current_edition = editions.edition_of(state.configuration)
+        if body.get("base") != current_edition:
+            error = {"error": "edition", "edition": current_edition}
             return operator_calls.Answer(PRECONDITION_FAILED, error)
         findings = findings or routes.check(document(), state.configuration)
         if findings:
--- a/basaltport/controller/status_view.py
+++ b/basaltport/controller/status_view.py
@@ -5,6 +5,7 @@
 
 import typing
 
+import basaltport.configuration.editions as editions
 import basaltport.placement.replica_state as replica_state
 
 if typing.TYPE_CHECKING:
@@ -191,8 +192,7 @@
 
 def edition(node: Node) -> int:
     """Returns the edition of the committed configuration, 0 while there is none."""
-    found: int = (node.cluster_state.configuration or {}).get("edition", 0)
-    return found
+    return editions.edition_of(node.cluster_state.configuration)
 
 
 def configuration(node: Node, now: int) -> Row:
--- a/basaltport/controller/stored_configuration.py
+++ b/basaltport/controller/stored_configuration.py
@@ -67,9 +67,9 @@
     def store_converted(self, kept: Document, sections: Document) -> None:
         """Store the unconverted sections together with the converted ones, if the result is valid."""
         change = {"edition": kept["edition"], "put": sections}
-        findings = routes.check_patch(change)
+        findings = routes.check_put_sections(sections)
         current = {} if findings else routes.patch({**dict.fromkeys(sections, []), **kept}, change)
-        findings = findings or routes.check(current)
+        findings = findings or routes.check_content(current)
         if not findings:
             self.append(log.ConfigurationPut(current))
             self.last_checked_document = self.appended_state.configuration
--- a/basaltport/local_fleet/port.py
+++ b/basaltport/local_fleet/port.py
@@ -9,6 +9,8 @@
 import aiohttp
 import aiohttp.web
 
+import basaltport.configuration.editions as editions
+import basaltport.configuration.read as read
 import basaltport.controller.admin_pages as pages
 import basaltport.local_fleet.stand_ins as stand_ins
 import basaltport.placement.effects as effects
@@ -88,12 +90,15 @@
     async def put(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Replace the configuration; `If-Match` holds the edition that is replaced, 0 if there is none."""
         raw = await request.read()
-        edition = request.headers.get("If-Match", "")
-        try:
-            body: Document = {"base": int(edition), "document": json.loads(raw)}
-        except ValueError as error:
-            return _response(http.HTTPStatus.BAD_REQUEST, {"error": str(error)})
-        body["change"] = hashlib.sha256(f"{edition}\n".encode() + raw).hexdigest()
+        if_match = request.headers.get("If-Match", "")
+        base = editions.parse_base(if_match)
+        if base is None:
+            return _response(http.HTTPStatus.BAD_REQUEST, {"error": "If-Match: not the number of an edition"})
+        document, findings = read.loads_bytes(raw)
+        if findings:
+            return _response(http.HTTPStatus.BAD_REQUEST, {"error": "invalid", "findings": findings})
+        body: Document = {"base": base, "document": document}
+        body["change"] = hashlib.sha256(f"{if_match}\n".encode() + raw).hexdigest()
         return _response(*await self._shell().ask("configure", body))
 
     async def get(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
