Numbers of clients and replicas are read by one rule, with bounds

Callers got 500 for `Model: m/a²`, or for an adapter of 5,000 digits; a replica's `Keep-Alive: timeout=` of 400 digits made the next attempts on its connections fail, and an event id of other digits than ASCII ones ended an attempt that should go on.

Cause: str.isdigit takes digits that int refuses, int refuses more than 4,300 digits, and a float can't hold an int of 400.

Fix: adapters are matched by their name (ASCII, at most seven digits), which the proxy and placement now do in one place; keep-alive times and ids are read with bounds. Placement no longer makes a name for each adapter of a model: a model of a million adapters took that many strings on the leader.

--- a/basaltport/configuration/forms.py
+++ b/basaltport/configuration/forms.py
@@ -10,6 +10,7 @@
 
 import trafaret
 
+import basaltport.configuration.adapters as adapters
 import basaltport.configuration.check as check
 import basaltport.configuration.editions as editions
 
@@ -17,8 +18,6 @@
 """The kinds of a route: whether its requests may be repeated, and whether they are answered by a stream."""
 MAX_TEXT_LENGTH = 1000
 """The most characters of a text field."""
-MAX_ADAPTERS = 1_000_000
-"""The most adapters of a model."""
 
 Document = dict[str, typing.Any]
 Finding = dict[str, str]
@@ -68,7 +67,7 @@
 
 def is_adapter_count(value: object) -> bool:
     """Whether a value is a valid number of adapters."""
-    return is_integer(value) and value <= MAX_ADAPTERS
+    return is_integer(value) and value <= adapters.MAX_ADAPTERS
 
 
 def is_model_name(value: object) -> bool:
@@ -96,7 +95,7 @@
     is_positive: "not a number over 0",
     is_integer: "not a whole number of 0 or more",
     editions.is_edition: editions.FINDING,
-    is_adapter_count: f"not a whole number of 0 to {MAX_ADAPTERS}",
+    is_adapter_count: f"not a whole number of 0 to {adapters.MAX_ADAPTERS}",
     is_model_name: "not a text without a slash",
     is_list: "not a list",
     is_object: "not an object",
--- a/basaltport/placement/catalog.py
+++ b/basaltport/placement/catalog.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import basaltport.configuration.adapters as adapters
+
 Document = dict[str, typing.Any]
 
 
@@ -12,10 +14,15 @@
     weights_mb: float
     load_ms: int
     """Configured duration of a load from the store of weights."""
-    adapters: frozenset[str]
+    adapter_count: int
+    """Number of its adapters; see `configuration.adapters`."""
     adapter_mb: float
     """Size of each adapter of the model."""
 
+    def has_adapter(self, name: str) -> bool:
+        """Whether the model has an adapter of this name."""
+        return adapters.is_adapter_of(name, self.adapter_count)
+
 
 class Service(typing.NamedTuple):
     """The models of a service and the capacity of each of its replicas."""
@@ -55,7 +62,7 @@
         """Whether any service has the model or adapter."""
         model, _, adapter = item.partition("/")
         services = self.services_of.get(model, ())
-        return any(not adapter or adapter in s.models[model].adapters for s in services)
+        return any(not adapter or s.models[model].has_adapter(adapter) for s in services)
 
     def size_mb(self, service_name: str, model_name: str, adapter: str = "") -> float:
         """Return the size of a model, or of an adapter of it.
@@ -85,10 +92,9 @@
 
 
 def read_model(entry: Document) -> Model:
-    """Read a model from an `engine` section; `adapters` is a list of names, or a number n for a1 to an."""
-    adapters = entry.get("adapters", 0)
-    if isinstance(adapters, int | float):
-        adapters = [f"a{number}" for number in range(1, int(adapters) + 1)]
+    """Read a model from an `engine` section."""
     load_ms = int(entry.get("load_s", 0) * 1000)
     weights_mb = float(entry.get("weights_mb", 0))
-    return Model(entry["name"], weights_mb, load_ms, frozenset(adapters or ()), entry.get("adapter_mb", 0.0))
+    return Model(
+        entry["name"], weights_mb, load_ms, int(entry.get("adapters", 0)), entry.get("adapter_mb", 0.0)
+    )
--- a/basaltport/placement/plan_execution.py
+++ b/basaltport/placement/plan_execution.py
@@ -132,7 +132,7 @@
         model = self.catalog.model(replica.service, step.model)
         if model is None:
             return False
-        if step.adapter and (loaded is None or loaded.unloading or step.adapter not in model.adapters):
+        if step.adapter and (loaded is None or loaded.unloading or not model.has_adapter(step.adapter)):
             return False
         service = self.catalog.services[replica.service]
         needed_mb = model.adapter_mb if step.adapter else model.weights_mb
--- a/basaltport/placement/replica_choice.py
+++ b/basaltport/placement/replica_choice.py
@@ -216,7 +216,7 @@
             if replica.id not in with_model or barred or adapter in replica.models[model].adapters:
                 continue
             known = self.catalog.model(replica.service, model)
-            if known is None or adapter not in known.adapters:
+            if known is None or not known.has_adapter(adapter):
                 continue
             cost = OTHER_ZONE_COST * (1 - requests.get(replica.zone, 0) / total) if total else 0.0
             cost += 100 * replica.running / replica.slots
--- a/basaltport/proxy/response_stream.py
+++ b/basaltport/proxy/response_stream.py
@@ -4,6 +4,8 @@
 import basaltport.proxy.event_boundaries as event_boundaries
 
 ID_FIELD = b"id:"
+MAX_ID_DIGITS = 1000
+"""Longer ids are not read as numbers."""
 
 
 class EventStream:
@@ -54,7 +56,7 @@
         """Returns the id to resume after, "" if no event was passed on, and drops the unfinished event."""
         self.incomplete = b""
         self.boundaries.restart()
-        self.expected_id = str(int(self.last_id) + 1) if self.last_id.isdigit() else None
+        self.expected_id = id_after(self.last_id)
         return self.last_id
 
     def is_inside_event(self) -> bool:
@@ -65,3 +67,9 @@
         """Returns the bytes that are left when the stream ends."""
         rest, self.incomplete = self.incomplete, b""
         return rest
+
+
+def id_after(event_id: str) -> str | None:
+    """Returns the id of the next event, or None if the id is no number."""
+    is_number = event_id.isascii() and event_id.isdigit() and len(event_id) <= MAX_ID_DIGITS
+    return str(int(event_id) + 1) if is_number else None
--- a/basaltport/proxy/routing.py
+++ b/basaltport/proxy/routing.py
@@ -7,6 +7,7 @@
 import itertools
 import typing
 
+import basaltport.configuration.adapters as adapters
 import basaltport.identifiers as identifiers
 import basaltport.proxy.retry_decision as retry_decision
 import basaltport.proxy.tenant_directory as tenant_directory
@@ -14,8 +15,6 @@
 Document = collections.abc.Mapping[str, typing.Any]
 SECOND_MS = 1000
 DEFAULT_DEADLINE_MS = 60_000
-ADAPTER_PREFIX = "a"
-"""Adapters are named by this prefix and a number starting at 1."""
 
 
 class Kind(enum.StrEnum):
@@ -171,11 +170,7 @@
         model, _, adapter = item.partition("/")
         if model not in self.load_ms:
             return False
-        if not adapter:
-            return True
-        number = adapter.removeprefix(ADAPTER_PREFIX)
-        has_number = adapter != number and number.isdigit()
-        return has_number and 1 <= int(number) <= self.adapters[model]
+        return not adapter or adapters.is_adapter_of(adapter, self.adapters[model])
 
 
 class RoutingTable:
--- a/basaltport/proxy/upstream_pool.py
+++ b/basaltport/proxy/upstream_pool.py
@@ -16,6 +16,7 @@
 import aiohttp.connector
 import aiohttp.tracing
 
+import basaltport.proxy.header_names as header_names
 import basaltport.sockets as sockets
 
 Request = aiohttp.client_reqrep.ClientRequest
@@ -29,6 +30,8 @@
 keep-alive time that is not stated may be below one second."""
 MARGIN_S = 0.35
 """A connection is no longer used this long before its replica's keep-alive time ends."""
+MAX_KEEP_ALIVE_S = 86_400
+"""Longer stated keep-alive times count as this."""
 AIOHTTP_LIMIT_S = 60.0
 """aiohttp's own limit for kept connections, longer than any limit used here."""
 MS_PER_SECOND = 1000
@@ -41,9 +44,15 @@
         return None
     for part in value.split(","):
         key, _, number = part.strip().partition("=")
-        if key.lower() == "timeout" and number.strip().isdigit():
-            return int(number)
-    return int(value) if value.strip().isdigit() else None
+        if key.lower() == "timeout":
+            return stated_seconds(number)
+    return stated_seconds(value)
+
+
+def stated_seconds(value: str) -> int | None:
+    """Returns the seconds of a keep-alive time, at most MAX_KEEP_ALIVE_S, or None if it is no number."""
+    seconds = header_names.parse_number(value.strip(), MAX_KEEP_ALIVE_S)
+    return None if seconds < 0 else seconds
 
 
 def has_unread(transport: asyncio.BaseTransport) -> bool:
--- a/tests/simulation/test_scale.py
+++ b/tests/simulation/test_scale.py
@@ -108,7 +108,7 @@
     assert routes.check(doc) == [] and routes.check_patch(size_.change(2)) == []
     cat = catalog.Catalog(doc)
     models = cat.services[size_.SERVICE].models
-    assert len(models) == 530 and sum(len(m.adapters) for m in models.values()) == 94_000
+    assert len(models) == 530 and sum(m.adapter_count for m in models.values()) == 94_000
     rows = size_.rows(size_.TARGET)
     assert len(rows) == 600 and all(
         cat.knows(f"{m}/{a}") for r in rows.values() for m in r["models"] for a in r["models"][m]
