Configuration: each number has a range that is checked

What operators saw: a configuration with an integer of 400 digits, or a load_s of 1e308, was acknowledged, and from then on steps of proxies and of the leader ended with an error.

Fix: every number of a configuration has a range, in which times, sums and quotients are exact or finite; a finding names the place, the value and the range, and nothing is in force. The ranges end far beyond what a fleet has (10^15; weights and tenants' limits 1e308, which were taken soundly before).

One literal text of a finding changed in test_fleet_cli.py, which names the value now.

--- a/basaltport/configuration/forms.py
+++ b/basaltport/configuration/forms.py
@@ -10,9 +10,9 @@
 
 import trafaret
 
-import basaltport.configuration.adapters as adapters
 import basaltport.configuration.check as check
 import basaltport.configuration.editions as editions
+import basaltport.configuration.ranges as ranges
 
 KINDS = ("safe", "unsafe", "stream")
 """The kinds of a route: whether its requests may be repeated, and whether they are answered by a stream."""
@@ -55,21 +55,6 @@
     return (type(value) is int or type(value) is float) and 0 <= value < math.inf
 
 
-def is_positive(value: object) -> bool:
-    """Whether a value is a finite number over 0."""
-    return is_number(value) and value > 0
-
-
-def is_integer(value: object) -> typing.TypeGuard[int]:
-    """Whether a value is an integer of 0 or more."""
-    return type(value) is int and value >= 0
-
-
-def is_adapter_count(value: object) -> bool:
-    """Whether a value is a valid number of adapters."""
-    return is_integer(value) and value <= adapters.MAX_ADAPTERS
-
-
 def is_model_name(value: object) -> bool:
     """Whether a value is a valid name of a model: a text without a slash."""
     return is_text(value) and "/" not in value
@@ -92,22 +77,27 @@
     is_kind: "none of " + ", ".join(KINDS),
     is_flag: "neither true nor false",
     is_number: "not a number of 0 or more",
-    is_positive: "not a number over 0",
-    is_integer: "not a whole number of 0 or more",
     editions.is_edition: editions.FINDING,
-    is_adapter_count: f"not a whole number of 0 to {adapters.MAX_ADAPTERS}",
     is_model_name: "not a text without a slash",
     is_list: "not a list",
     is_object: "not an object",
 }
 
 
+def failure_message(predicate: Predicate, value: object) -> str:
+    """Returns the finding about a value that fails a predicate. A number outside its range is shown."""
+    if not isinstance(predicate, ranges.NumberRange):
+        return FAILURE_MESSAGES[predicate]
+    shown = ranges.describe_value(value)
+    return f"{shown} is {predicate.describe()}" if shown else predicate.describe()
+
+
 def _field_check(predicate: Predicate, or_null: bool) -> trafaret.Trafaret:
     def _check_field(value: object) -> object:
         return (
             value
             if predicate(value) or (or_null and value is None)
-            else trafaret.DataError(FAILURE_MESSAGES[predicate])
+            else trafaret.DataError(failure_message(predicate, value))
         )
 
     return trafaret.Call(_check_field)
--- a/basaltport/configuration/routes.py
+++ b/basaltport/configuration/routes.py
@@ -6,6 +6,7 @@
 
 import basaltport.configuration.editions as editions
 import basaltport.configuration.forms as forms
+import basaltport.configuration.ranges as ranges
 import basaltport.configuration.tenants as tenants
 
 Document = forms.Document
@@ -16,27 +17,27 @@
 ROUTE = forms.Form(
     {"name": forms.is_text, "host": forms.is_text, "prefix": forms.is_prefix, "kind": forms.is_kind},
     {
-        "deadline_ms": forms.is_positive,
-        "target_ms": forms.is_number,
-        "urgency": forms.is_integer,
+        "deadline_ms": ranges.DEADLINE_MS,
+        "target_ms": ranges.DURATION,
+        "urgency": ranges.COUNT,
         "service": forms.is_text,
         "shares": forms.is_list,
-        "attempts": forms.is_integer,
+        "attempts": ranges.COUNT,
         "pinned": forms.is_flag,
         "resumable": forms.is_flag,
-        "gap_target_ms": forms.is_number,
+        "gap_target_ms": ranges.DURATION,
         "public": forms.is_flag,
     },
     ("target_ms", "service", "shares", "gap_target_ms", "public"),
 )
-SHARE = forms.Form({"service": forms.is_text, "weight": forms.is_number}, {})
+SHARE = forms.Form({"service": forms.is_text, "weight": ranges.WEIGHT}, {})
 SERVICE = forms.Form(
     {"name": forms.is_text},
     {
         "health_path": forms.is_text,
-        "connections": forms.is_integer,
-        "cold_s": forms.is_number,
-        "cold_rate_s": forms.is_number,
+        "connections": ranges.COUNT,
+        "cold_s": ranges.DURATION,
+        "cold_rate_s": ranges.RATE_PER_S,
         "engine": forms.is_object,
     },
     ("health_path", "connections", "cold_s", "cold_rate_s", "engine"),
@@ -44,26 +45,26 @@
 ENGINE = forms.Form(
     {},
     {
-        "slots": forms.is_integer,
-        "kv_tokens": forms.is_number,
+        "slots": ranges.COUNT,
+        "kv_tokens": ranges.AMOUNT,
         "models": forms.is_list,
-        "weights_mb": forms.is_number,
-        "adapter_slots": forms.is_integer,
-        "loads_per_s": forms.is_number,
+        "weights_mb": ranges.AMOUNT,
+        "adapter_slots": ranges.COUNT,
+        "loads_per_s": ranges.RATE_PER_S,
     },
 )
 MODEL = forms.Form(
     {"name": forms.is_model_name},
     {
-        "weights_mb": forms.is_number,
-        "load_s": forms.is_number,
-        "adapters": forms.is_adapter_count,
-        "adapter_mb": forms.is_number,
+        "weights_mb": ranges.AMOUNT,
+        "load_s": ranges.DURATION,
+        "adapters": ranges.ADAPTER_COUNT,
+        "adapter_mb": ranges.AMOUNT,
     },
 )
 LIMITS = forms.Form(
     {},
-    {field: forms.is_number for field in ("header_bytes", "body_bytes", "header_wait_ms", "idle_close_ms")},
+    {field: ranges.AMOUNT for field in ("header_bytes", "body_bytes", "header_wait_ms", "idle_close_ms")},
 )
 TOP = forms.Form(
     {"routes": forms.is_list, "services": forms.is_list},
--- a/basaltport/configuration/tenants.py
+++ b/basaltport/configuration/tenants.py
@@ -6,6 +6,7 @@
 import typing
 
 import basaltport.configuration.forms as forms
+import basaltport.configuration.ranges as ranges
 
 SECTION = "tenants"
 KEYS = "keys"
@@ -13,7 +14,7 @@
 """The fields of a tenant that may be shown to users who may not read the configuration itself."""
 TENANT = forms.Form(
     {"name": forms.is_header_text, KEYS: forms.is_list},
-    {"urgency": forms.is_integer, "rate_per_s": forms.is_number, "burst": forms.is_number},
+    {"urgency": ranges.COUNT, "rate_per_s": ranges.REQUEST_RATE_PER_S, "burst": ranges.REQUESTS},
     ("urgency", "rate_per_s", "burst"),
 )
 
--- a/tests/fleet/test_fleet_cli.py
+++ b/tests/fleet/test_fleet_cli.py
@@ -283,7 +283,7 @@
     new["routes"][0]["deadline_ms"] = -1
     b = file("b", new)
     code, out, _ = call(capsys, "config", "check", b)
-    assert code == 2 and out.startswith("routes.0.deadline_ms: not a number over 0\n")
+    assert code == 2 and out.startswith("routes.0.deadline_ms: -1 is not a number of 1 to 1e+15\n")
     names = ROOT / "platform" / "names.py"
     lanes = file("c", {"edition": 1, "lanes": [{"name": "x"}], "depots": []})
     code, out, _ = call(capsys, "config", "check", f"--words={names}", lanes)
