Feed: what a proxy lacks is decided by what it reports, not by a clock

Cause: the leader believed in a loss only once all it had sent must have arrived by an estimate of 300 bytes a millisecond, summed over all updates, 9 s here, while the connection to the frozen proxy had ended with all that was on it. Nothing bounded what was on its way.

Fix: updates are numbered, a proxy reports the last one that it got, soon after a change. Updates arrive in order, so a report proves what was lost, and that is sent again at once; a small update as a probe tells a slow link from a lost connection. Both fields are optional at the end of their messages; a proxy of the former release is told by its missing number and fed by time, bounded.

--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -70,6 +70,10 @@
         self.feed_term = identifiers.Term()
         self.rows_version = -1
         self.leader_address = ""
+        self.last_update_number = 0
+        """The highest number of an update of this feed."""
+        self.is_report_due = False
+        """Whether the leader waits for a report of what this proxy has received."""
         self.last_follow_at = LONG_AGO
         self.last_tick_at = int(self.now)
         self.resumed_at = LONG_AGO
@@ -110,6 +114,8 @@
         self.last_tick_at = self.now
         seek_interval = SEEK_INTERVAL_MS if self.rows_version >= 0 else FIRST_SEEK_INTERVAL_MS
         interval = FOLLOW_INTERVAL_MS if self.has_leader() else seek_interval
+        if self.is_report_due:
+            interval = MIN_FOLLOW_INTERVAL_MS
         if self.now - self.last_follow_at >= interval:
             self.send_follow()
 
@@ -128,7 +134,7 @@
 
     def send_follow(self) -> None:
         """Send a `Follow` message with the usage since the last one."""
-        self.last_follow_at = self.now
+        self.last_follow_at, self.is_report_due = self.now, False
         request_counts, running_counts = self.usage() if self.has_leader() else ({}, {})
         for address in self.target_addresses():
             self.send(address, self.follow_message(request_counts, running_counts))
@@ -142,7 +148,15 @@
         me, log_index = self.me, self.cluster_state.log_index
         term = self.feed_term if self.leader_address else identifiers.Term()
         return messages.Follow(
-            me.name, me.zone, me.addr, term, log_index, self.rows_version, request_counts, running_counts
+            me.name,
+            me.zone,
+            me.addr,
+            term,
+            log_index,
+            self.rows_version,
+            request_counts,
+            running_counts,
+            self.last_update_number,
         )
 
     def report_demand(self, demand: dict[str, int], waited_ms: dict[str, int] | None = None) -> None:
@@ -161,8 +175,9 @@
             return
         if update.term > self.feed_term:
             self.feed_term, self.rows_version, self.leader_address = update.term, -1, ""
-            self.leader_log_index = update.log_index
+            self.leader_log_index, self.last_update_number = update.log_index, 0
         self.leader_log_index = max(self.leader_log_index, update.log_index)
+        self.last_update_number = max(self.last_update_number, update.number)
         self.last_update_at = self.now
         self.proxies = update.proxy_count
         if update.leader_address:
@@ -175,7 +190,9 @@
         if changed:
             self.rows_changed(changed)
         is_behind = update.log_index > self.cluster_state.log_index or update.rows_version > self.rows_version
-        if is_behind and self.now - self.last_follow_at >= MIN_FOLLOW_INTERVAL_MS:
+        has_much = self.cluster_state.log_index > before or update.has_all_rows
+        self.is_report_due = self.is_report_due or is_behind or has_much
+        if self.is_report_due and self.now - self.last_follow_at >= MIN_FOLLOW_INTERVAL_MS:
             self.send_follow()
 
     def apply_state_update(self, update: messages.Update) -> None:
--- a/basaltport/fleet/messages.py
+++ b/basaltport/fleet/messages.py
@@ -12,7 +12,8 @@
 
     `term`: of the leader whose feed it has. `log_index`: of its copy of the replicated state. `rows_version`:
     of its rows, -1 if it has none. `request_counts`: requests by item since its last report.
-    `running_counts`: requests that run now, by replica.
+    `running_counts`: requests that run now, by replica. `last_update`: the number of the last update of that
+    feed that it has received, 0 if none; proxies of older releases don't send it.
     """
 
     name: identifiers.Name
@@ -23,6 +24,7 @@
     rows_version: int
     request_counts: messages.Document
     running_counts: messages.Document
+    last_update: int = 0
 
 
 @messages.message(41)
@@ -32,7 +34,8 @@
     The state comes as the `entries` that the proxy lacks, or as `state_copy`. `rows` and `removed_ids` are
     the changes after `base_version`; with `has_all_rows`, `rows` replaces all rows. `leader`,
     `leader_address` and `controller_addresses` are empty if they have not changed. `proxy_count`: live
-    proxies.
+    proxies. `number`: of this update in the leader's feed, from 1 on; leaders of older releases don't send
+    it.
     """
 
     term: identifiers.Term
@@ -48,6 +51,7 @@
     rows: messages.Document
     removed_ids: list[str]
     proxy_count: int
+    number: int = 0
 
 
 @messages.message(42)
--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -6,7 +6,7 @@
 import basaltport.consensus.sizes as sizes
 import basaltport.consensus.state_machine as state_machine
 import basaltport.consensus.listeners as listeners
-import basaltport.consensus.replication as replication
+import basaltport.fleet.in_flight as in_flight
 import basaltport.fleet.messages as messages
 import basaltport.identifiers as identifiers
 import basaltport.member as member
@@ -16,8 +16,6 @@
 """Interval of the empty updates to a proxy that is up to date."""
 PROXY_TIMEOUT_MS = 3000
 """A proxy that has sent nothing for this long is dropped."""
-RESEND_MS = 300
-"""An update counts as lost if the proxy has not acknowledged it this long after its arrival time."""
 ROWS_INTERVAL_MS = 40
 """Minimum interval between two updates with changed rows."""
 MAX_REMOVED_ROWS = 5000
@@ -67,44 +65,12 @@
     removed_ids: list[str]
 
 
-class Position:
-    """The version of the state or of the rows that a proxy acknowledged last, and since when it is the
-    same."""
-
-    __slots__ = ("acknowledged", "unchanged_since")
-
-    def __init__(self) -> None:
-        """Initialize: the proxy has acknowledged nothing."""
-        self.acknowledged: int | None = None
-        self.unchanged_since = LONG_AGO
-
-    def is_lost(self, acknowledged: int, sent: int, arrives_at: int, now: int) -> bool:
-        """Whether an update was lost: the proxy has acknowledged the same version for RESEND_MS, although a
-        newer one was sent and must have arrived."""
-        if acknowledged >= sent or self.acknowledged != acknowledged:
-            self.acknowledged, self.unchanged_since = acknowledged, now
-            return False
-        if now - self.unchanged_since < RESEND_MS or now < arrives_at:
-            return False
-        self.unchanged_since = now
-        return True
-
-
 class Proxy:
     """What the leader knows of a proxy: what it was sent and what it acknowledged. Times are in ms."""
 
     __slots__ = (
-        *(
-            "zone",
-            "address",
-            "last_heard_at",
-            "sent_log_index",
-            "sent_rows_version",
-            "sent_controllers",
-            "sent_at",
-            "reset_at",
-        ),
-        *("arrives_at", "state_position", "rows_position"),
+        *("zone", "address", "last_heard_at", "sent_at", "probed_at", "in_flight"),
+        *("sent_log_index", "sent_rows_version", "sent_controllers"),
     )
 
     def __init__(self) -> None:
@@ -117,17 +83,27 @@
         self.sent_rows_version = NO_ROWS_VERSION
         self.sent_controllers: list[str] | None = None
         self.sent_at = LONG_AGO
-        self.reset_at = LONG_AGO
-        self.arrives_at = LONG_AGO
-        """The time by which all updates sent so far must have arrived."""
-        self.state_position = Position()
-        self.rows_position = Position()
+        self.probed_at = LONG_AGO
+        self.in_flight = in_flight.UpdatesInFlight()
+
+    def restart(self, log_index: int, rows_version: int) -> None:
+        """Let the next update start from what the proxy reports that it has."""
+        self.sent_log_index, self.sent_rows_version, self.sent_controllers = log_index, rows_version, None
+        self.in_flight.clear()
 
-    def record_sent(self, size: int, now: int) -> None:
-        """Record that an update of `size` bytes was sent; updates arrive one after another at the rate of the
-        slowest supported link."""
-        self.sent_at = now
-        self.arrives_at = max(self.arrives_at, now) + size // replication.SLOWEST_LINK_BYTES_PER_MS
+    def lacks_sent(self, follow: messages.Follow) -> bool:
+        """Whether a proxy reports less than it was sent."""
+        return follow.log_index < self.sent_log_index or follow.rows_version < self.sent_rows_version
+
+    def has_lost(self, follow: messages.Follow, now: int) -> bool:
+        """Whether a report of this term's feed proves that an update was lost."""
+        if not follow.last_update:
+            self.in_flight.remove_held(follow.log_index, follow.rows_version)
+            return self.lacks_sent(follow) and self.in_flight.is_overdue(now)
+        reported = self.in_flight.remove_reported(follow.last_update)
+        if reported is not None:
+            return follow.log_index < reported.log_index or follow.rows_version < reported.rows_version
+        return self.lacks_sent(follow) and not self.in_flight
 
 
 class ReplicaRows(typing.Protocol):
@@ -182,6 +158,8 @@
     def forget_proxies(self) -> None:
         """Reset the attributes: no proxies, no rows version, nothing published."""
         self.proxies: dict[str, Proxy] = {}
+        self.update_count = 0
+        """Number of the last update; it never repeats within a term."""
         self.rows_known = False
         self.rows_version = 0
         self.row_versions: dict[str, int] = {}
@@ -233,21 +211,29 @@
         """Choose what the next update to a proxy starts from.
 
         A proxy whose feed is not of this term, because it or this leader has just started, is sent all rows,
-        all addresses and the entries after its log index. If its acknowledged version stays behind the one
-        that was sent, an update was lost, no matter how many newer ones were sent since, and the next one
-        starts from the acknowledged version.
+        all addresses and the entries after its log index. If a report proves that an update was lost, the
+        next one starts from what is reported. While that is open, a probe is sent: a small update, whose
+        arrival proves it.
         """
-        if follow.term != self.current_term:
-            if self.now - proxy.reset_at >= RESEND_MS and self.now >= proxy.arrives_at:
-                proxy.sent_log_index, proxy.sent_rows_version = follow.log_index, NO_ROWS_VERSION
-                proxy.sent_controllers, proxy.reset_at = None, self.now
+        is_of_term = follow.term == self.current_term
+        if not is_of_term:
+            proxy.sent_controllers = None
+        if not is_of_term and not proxy.in_flight:
+            proxy.restart(follow.log_index, NO_ROWS_VERSION)
+        elif is_of_term and proxy.has_lost(follow, self.now):
+            proxy.restart(
+                min(proxy.sent_log_index, follow.log_index), min(proxy.sent_rows_version, follow.rows_version)
+            )
+        elif proxy.in_flight and (not is_of_term or proxy.lacks_sent(follow)):
+            self.probe_proxy(proxy)
+
+    def probe_proxy(self, proxy: Proxy) -> None:
+        """Send a proxy an update without content, at most once within RESEND_MS."""
+        if self.now - proxy.probed_at < in_flight.RESEND_MS:
             return
-        if proxy.state_position.is_lost(follow.log_index, proxy.sent_log_index, proxy.arrives_at, self.now):
-            proxy.sent_log_index = follow.log_index
-        if proxy.rows_position.is_lost(
-            follow.rows_version, proxy.sent_rows_version, proxy.arrives_at, self.now
-        ):
-            proxy.sent_rows_version = follow.rows_version
+        proxy.probed_at = self.now
+        version = self.rows_version if self.rows_known else NO_ROWS_VERSION
+        self.send_parts(proxy, StatePart([], None), RowsPart(False, version, {}, []))
 
     def send_model_statuses(self, address: str, statuses: Row) -> None:
         """Answer a `Want` message."""
@@ -278,8 +264,10 @@
                 or is_rows_due
                 and proxy.sent_rows_version < self.rows_version
             )
-            if is_behind or self.now - proxy.sent_at >= IDLE_UPDATE_INTERVAL_MS:
+            if is_behind and proxy.in_flight.has_room():
                 self.send_update(proxy)
+            elif self.now - proxy.sent_at >= IDLE_UPDATE_INTERVAL_MS:
+                self.probe_proxy(proxy)
         if is_rows_due or not self.rows_known:
             self.rows_sent_at, self.published_versions = self.now, versions
 
@@ -295,34 +283,40 @@
 
     def send_update(self, proxy: Proxy) -> None:
         """Send a proxy the entries and rows that it lacks."""
-        entries, copy = self.state_since(proxy.sent_log_index)
-        is_full, base, rows, removed_ids = self.rows_since(proxy.sent_rows_version)
-        version = self.rows_version if self.rows_known else NO_ROWS_VERSION
+        state, rows = self.state_since(proxy.sent_log_index), self.rows_since(proxy.sent_rows_version)
+        proxy.sent_log_index = self.cluster_state.log_index
+        proxy.sent_rows_version = self.rows_version if self.rows_known else NO_ROWS_VERSION
+        self.send_parts(proxy, state, rows)
+
+    def send_parts(self, proxy: Proxy, state: StatePart, rows: RowsPart) -> None:
+        """Send a proxy an update with these parts, and with the addresses of the controllers if it lacks
+        them."""
         controllers = self.controllers()
         includes_leader = proxy.sent_controllers != controllers
+        self.update_count += 1
         update = messages.Update(
             self.current_term,
             self.me.name if includes_leader else NO_LEADER,
             self.me.addr if includes_leader else "",
             controllers if includes_leader else [],
             self.cluster_state.log_index,
-            entries,
-            copy,
-            is_full,
-            base,
-            version,
-            rows,
-            removed_ids,
+            state.entries,
+            state.copy,
+            rows.is_full,
+            rows.base,
+            self.rows_version if self.rows_known else NO_ROWS_VERSION,
+            rows.rows,
+            rows.removed_ids,
             len(self.proxies),
+            self.update_count,
         )
-        proxy.sent_log_index, proxy.sent_rows_version, proxy.sent_controllers = (
-            self.cluster_state.log_index,
-            version,
-            controllers,
+        proxy.sent_controllers, proxy.sent_at = controllers, self.now
+        size = sum(map(sizes.entry_size, state.entries)) + ROW_BYTES * len(rows.rows)
+        size += sizes.state_size(state.copy) if state.copy else text.OVERHEAD
+        sent = in_flight.SentUpdate(
+            self.update_count, proxy.sent_log_index, proxy.sent_rows_version, size, self.now
         )
-        size = sum(map(sizes.entry_size, entries)) + ROW_BYTES * len(rows)
-        size += sizes.state_size(copy) if copy else text.OVERHEAD
-        proxy.record_sent(size, self.now)
+        proxy.in_flight.record(sent)
         self.send(proxy.address, update)
 
     def state_since(self, index: int) -> StatePart:
