Feed: the number of proxies is never too low while it is uncertain

Cause: proxies divide a cold replica's rate, and the fixed part of retries, by the number of proxies that the leader tells; a new leader counted from none on, so that nine proxies went by 1, 2, 3 and so on.

Fix: for 3 s a new leader's count only raises what proxies go by; proxies report their count, so that it tells at least the highest of these; a proxy without any goes by the most that are supported; one that comes is told to all at once. The new fields are optional, and both ways between releases work as before or better.

Two tests of the feed wait until the count is settled before they look at it.

--- a/basaltport/fleet/follow.py
+++ b/basaltport/fleet/follow.py
@@ -54,9 +54,9 @@
     """Receives the feed from the leader; a proxy overrides its hooks.
 
     `cluster_state`: the replicated state. `leader_log_index`: the highest log index that the leader has
-    announced. `rows`: replicas by id. `controllers`: their addresses. `proxies`: the number of live proxies.
-    `last_update_at`: when the leader's last update came, in ms. Hooks: `state_changed`, `rows_changed`,
-    `model_statuses_received`, `usage`.
+    announced. `rows`: replicas by id. `controllers`: their addresses. `proxies`: the number of live proxies,
+    0 if unknown. `last_update_at`: when the leader's last update came, in ms. Hooks: `state_changed`,
+    `rows_changed`, `model_statuses_received`, `usage`.
     """
 
     def follow_start(self) -> None:
@@ -157,6 +157,7 @@
             request_counts,
             running_counts,
             self.last_update_number,
+            self.proxies,
         )
 
     def report_demand(self, demand: dict[str, int], waited_ms: dict[str, int] | None = None) -> None:
@@ -179,7 +180,7 @@
         self.leader_log_index = max(self.leader_log_index, update.log_index)
         self.last_update_number = max(self.last_update_number, update.number)
         self.last_update_at = self.now
-        self.proxies = update.proxy_count
+        self.proxies = self.count_proxies(update)
         if update.leader_address:
             self.leader_address, self.controllers = update.leader_address, list(update.controller_addresses)
         before = self.cluster_state.log_index
@@ -195,6 +196,16 @@
         if self.is_report_due and self.now - self.last_follow_at >= MIN_FOLLOW_INTERVAL_MS:
             self.send_follow()
 
+    def count_proxies(self, update: messages.Update) -> int:
+        """Returns the number of live proxies after an update, 0 if it is unknown.
+
+        It divides rates that hold over all proxies, so it may be too high but never too low. A leader that
+        has just begun to lead has not heard all proxies: until then it only raises a count that is known.
+        """
+        if update.is_count_settled:
+            return update.proxy_count
+        return max(self.proxies, update.proxy_count) if self.proxies else 0
+
     def apply_state_update(self, update: messages.Update) -> None:
         """Install the copy of the state if it is newer, and apply the entries that follow on it without a
         gap."""
--- a/basaltport/fleet/messages.py
+++ b/basaltport/fleet/messages.py
@@ -13,7 +13,8 @@
     `term`: of the leader whose feed it has. `log_index`: of its copy of the replicated state. `rows_version`:
     of its rows, -1 if it has none. `request_counts`: requests by item since its last report.
     `running_counts`: requests that run now, by replica. `last_update`: the number of the last update of that
-    feed that it has received, 0 if none; proxies of older releases don't send it.
+    feed that it has received, 0 if none. `proxy_count`: the number of proxies that it goes by, 0 if
+    unknown. Proxies of older releases don't send the last two.
     """
 
     name: identifiers.Name
@@ -25,6 +26,7 @@
     request_counts: messages.Document
     running_counts: messages.Document
     last_update: int = 0
+    proxy_count: int = 0
 
 
 @messages.message(41)
@@ -34,8 +36,8 @@
     The state comes as the `entries` that the proxy lacks, or as `state_copy`. `rows` and `removed_ids` are
     the changes after `base_version`; with `has_all_rows`, `rows` replaces all rows. `leader`,
     `leader_address` and `controller_addresses` are empty if they have not changed. `proxy_count`: live
-    proxies. `number`: of this update in the leader's feed, from 1 on; leaders of older releases don't send
-    it.
+    proxies; `is_count_settled`: that every live proxy has had time to report to this leader. `number`: of
+    this update in the leader's feed, from 1 on. Leaders of older releases don't send the last two.
     """
 
     term: identifiers.Term
@@ -52,6 +54,7 @@
     removed_ids: list[str]
     proxy_count: int
     number: int = 0
+    is_count_settled: bool = True
 
 
 @messages.message(42)
--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -70,7 +70,7 @@
 
     __slots__ = (
         *("zone", "address", "last_heard_at", "sent_at", "probed_at", "in_flight"),
-        *("sent_log_index", "sent_rows_version", "sent_controllers"),
+        *("sent_log_index", "sent_rows_version", "sent_controllers", "sent_proxy_count"),
     )
 
     def __init__(self) -> None:
@@ -82,6 +82,7 @@
         self.sent_log_index = 0
         self.sent_rows_version = NO_ROWS_VERSION
         self.sent_controllers: list[str] | None = None
+        self.sent_proxy_count = 0
         self.sent_at = LONG_AGO
         self.probed_at = LONG_AGO
         self.in_flight = in_flight.UpdatesInFlight()
@@ -160,6 +161,9 @@
         self.proxies: dict[str, Proxy] = {}
         self.update_count = 0
         """Number of the last update; it never repeats within a term."""
+        self.leads_since = self.now
+        self.former_proxy_count = 0
+        """The highest number of proxies by which proxies went that reported while the count was unsettled."""
         self.rows_known = False
         self.rows_version = 0
         self.row_versions: dict[str, int] = {}
@@ -177,6 +181,16 @@
         """Start the feed from nothing when this controller begins to lead: every proxy gets a full update."""
         self.clear_feed()
 
+    def is_count_settled(self) -> bool:
+        """Whether every live proxy has had time to report since this controller began to lead."""
+        return self.now - self.leads_since >= PROXY_TIMEOUT_MS
+
+    def live_proxy_count(self) -> int:
+        """Returns the number of live proxies; while it is unsettled, at least what proxies went by before."""
+        if self.is_count_settled():
+            return len(self.proxies)
+        return max(len(self.proxies), self.former_proxy_count)
+
     def redirect_proxies(self) -> None:
         """Tell all proxies, when this controller stops leading, to look for the next leader at once."""
         redirect = messages.Redirect(self.current_term, NO_LEADER, "", self.controllers())
@@ -202,6 +216,8 @@
         if proxy is None:
             proxy = self.proxies[follow.name] = Proxy()
         proxy.zone, proxy.address, proxy.last_heard_at = follow.zone, follow.address, self.now
+        if not self.is_count_settled():
+            self.former_proxy_count = max(self.former_proxy_count, follow.proxy_count)
         self.update_position(proxy, follow)
         if follow.request_counts or follow.running_counts:
             self.usage_reported(follow.zone, follow.request_counts, follow.running_counts)
@@ -258,6 +274,7 @@
         ]:
             del self.proxies[name]
         is_rows_due = self.rows_known and self.now - self.rows_sent_at >= ROWS_INTERVAL_MS
+        proxy_count = self.live_proxy_count()
         for proxy in self.proxies.values():
             is_behind = (
                 proxy.sent_log_index < log_index
@@ -266,7 +283,7 @@
             )
             if is_behind and proxy.in_flight.has_room():
                 self.send_update(proxy)
-            elif self.now - proxy.sent_at >= IDLE_UPDATE_INTERVAL_MS:
+            elif proxy.sent_proxy_count < proxy_count or self.now - proxy.sent_at >= IDLE_UPDATE_INTERVAL_MS:
                 self.probe_proxy(proxy)
         if is_rows_due or not self.rows_known:
             self.rows_sent_at, self.published_versions = self.now, versions
@@ -307,10 +324,12 @@
             self.rows_version if self.rows_known else NO_ROWS_VERSION,
             rows.rows,
             rows.removed_ids,
-            len(self.proxies),
+            self.live_proxy_count(),
             self.update_count,
+            self.is_count_settled(),
         )
         proxy.sent_controllers, proxy.sent_at = controllers, self.now
+        proxy.sent_proxy_count = update.proxy_count
         size = sum(map(sizes.entry_size, state.entries)) + ROW_BYTES * len(rows.rows)
         size += sizes.state_size(state.copy) if state.copy else text.OVERHEAD
         sent = in_flight.SentUpdate(
--- a/basaltport/proxy/attempt.py
+++ b/basaltport/proxy/attempt.py
@@ -127,7 +127,7 @@
 
     def has_budget(self, service: str) -> bool:
         """Whether the retry budget of a service allows one more retry."""
-        return self.budgets.for_service(service).has_room(self.node.now, self.node.proxy_count())
+        return self.budgets.for_service(service).has_room(self.node.now, self.node.max_proxy_count())
 
     # launching and tracking
 
--- a/basaltport/proxy/interfaces.py
+++ b/basaltport/proxy/interfaces.py
@@ -27,7 +27,11 @@
     rows: dict[str, replica_table.FeedRow]
 
     def proxy_count(self) -> int:
-        """Returns how many proxies share the limits that hold over all proxies."""
+        """Returns about how many proxies there are, for the balance of load."""
+        ...
+
+    def max_proxy_count(self) -> int:
+        """Returns how many proxies share the limits that hold over all proxies: never too few."""
         ...
 
     def evacuated_zones(self) -> collections.abc.Collection[str]:
--- a/basaltport/proxy/load_balancing.py
+++ b/basaltport/proxy/load_balancing.py
@@ -109,7 +109,7 @@
         if service is None or not service.slow_start_rate:
             return UNBOUNDED
         total = service.slow_start_rate * node.timings["cold_excess"] + node.timings["cold_slack"]
-        return retry_budget.SlowStart.share(total, node.proxy_count(), node.me.name, replica.replica_id)
+        return retry_budget.SlowStart.share(total, node.max_proxy_count(), node.me.name, replica.replica_id)
 
     def accepts_requests(self, replica: ReplicaRow) -> bool:
         """Whether a replica accepts new requests."""
--- a/basaltport/proxy/node.py
+++ b/basaltport/proxy/node.py
@@ -45,6 +45,8 @@
 """Defaults of the settings that a deployment may change; see docs/design/platform.md."""
 STARTING_RETRY_AFTER_MS = 1500
 """Retry time that is sent to clients before the first configuration arrives."""
+MAX_PROXIES = 340
+"""Number of proxies assumed for limits over all proxies until it is known: the most that are supported."""
 ASSUMED_PROXIES = 16
 """Number of proxies assumed until the feed reports it."""
 UNAVAILABLE = 503
@@ -135,9 +137,13 @@
         return hypothetical
 
     def proxy_count(self) -> int:
-        """Returns how many proxies share the limits that hold over all proxies."""
+        """Returns about how many proxies there are, for the balance of load."""
         return self.proxies or ASSUMED_PROXIES
 
+    def max_proxy_count(self) -> int:
+        """Returns how many proxies share the limits that hold over all proxies: never too few."""
+        return self.proxies or MAX_PROXIES
+
     def evacuated_zones(self) -> collections.abc.Collection[str]:
         """Returns the zones that accept no new requests."""
         zones: collections.abc.Collection[str] = self.cluster_state.evacuated_zones
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -52,7 +52,7 @@
         by_service[service] = {
             "first": budget.first_attempts.peek(now),
             "further": budget.retries.peek(now),
-            "left": budget.remaining(now, proxy.proxy_count()),
+            "left": budget.remaining(now, proxy.max_proxy_count()),
         }
     return by_service
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -50,6 +50,7 @@
 
 def test_a_new_proxy_gets_one_full_update_and_then_only_changes():
     w, _ = world(0)
+    w.run(publish.PROXY_TIMEOUT_MS)
     got = sent(w, messages.Update)
     p = w.proxy("p1")
     w.run(100)
@@ -190,7 +191,7 @@
 
 def test_live_proxies_are_counted_and_silent_ones_forgotten():
     w, (p, _) = world()
-    w.run(1500)
+    w.run(publish.PROXY_TIMEOUT_MS)
     assert p.proxies == 2
     w.nodes["p2"].member, w.nodes["p2"].incarnation = None, 99
     w.run(4500)
