Placement: a replica that becomes cold again while it is cold is told anew

Cause: same_but_for_times took two rows for the same if both are cold at all, so that the later end was never fed, and proxies ended the slow start by their clock.

Fix: a row whose end is later by over 0.1 s is fed; a proxy ends the slow start when a row says that the replica is warm, and by the clock only 1.5 s after the time it was told.

A row whose time only passes is no change.

--- a/basaltport/placement/held_models.py
+++ b/basaltport/placement/held_models.py
@@ -81,12 +81,17 @@
                 del self.serving_ids[item]
 
     def update_row(self, replica: replica_state.Replica) -> None:
-        """Rebuild the feed's row of a replica; changed remaining times alone do not mark it as changed."""
+        """Rebuild the feed's row of a replica.
+
+        Remaining times that only pass do not mark it as changed; a replica that became cold again does.
+        """
         row = replica_rows.feed_row(replica.listed, replica.serving(), replica.loading())
         former = self.rows.get(replica.id)
         self.rows[replica.id] = row
-        if former is None or not replica_rows.same_but_for_times(former, row):
+        is_cold_again = replica.cold_until > replica.fed_cold_until + replica_rows.COLD_TOLERANCE_MS
+        if former is None or is_cold_again or not replica_rows.same_but_for_times(former, row):
             self.changed.add(replica.id)
+            replica.fed_cold_until = replica.cold_until
 
     def hide_item(self, replica: replica_state.Replica, model: str, adapter: str = "") -> None:
         """Stop routing requests to an item that is about to be unloaded or may be missing."""
--- a/basaltport/placement/replica_inventory.py
+++ b/basaltport/placement/replica_inventory.py
@@ -131,6 +131,7 @@
         known = self.replicas.get(listed.id)
         replica = known or self.add_replica(listed.id, as_of)
         replica.apply_listing(listed, listed.service in self.catalog.services)
+        replica.cold_until = self.now + listed.cold_ms if listed.cold_ms else 0
         if replica.has_engine and not replica.report_requested_at:
             self.apply_listed_models(replica, listed.models, as_of)
         self.update_row(replica)
--- a/basaltport/placement/replica_rows.py
+++ b/basaltport/placement/replica_rows.py
@@ -9,6 +9,8 @@
 Models = dict[str, list[str]]
 """The names of the adapters of each model, by model name."""
 READY = "ready"
+COLD_TOLERANCE_MS = 100
+"""Ends of a warm-up that differ by less, as lists arrive sooner or later, count as the same."""
 
 
 class ListedReplica(typing.NamedTuple):
--- a/basaltport/placement/replica_state.py
+++ b/basaltport/placement/replica_state.py
@@ -98,6 +98,8 @@
             "reported_as_of",
             "hidden_items",
             "no_orders_until",
+            "cold_until",
+            "fed_cold_until",
         ),
     )
 
@@ -108,6 +110,10 @@
         self.service = self.address = self.zone = self.state = ""
         self.leaves_in_ms: int | None = None
         self.slots = 1
+        self.cold_until = 0
+        """Until when the replica is cold, by the last list; 0 if it is warm."""
+        self.fed_cold_until = 0
+        """The same as proxies were told."""
         self.has_engine = False
         """Whether the configuration gives its service an engine, so that it loads models."""
         self.models: dict[str, LoadedModel] = {}
--- a/basaltport/proxy/load_balancing.py
+++ b/basaltport/proxy/load_balancing.py
@@ -33,6 +33,8 @@
 """Concurrent requests of a replica if neither it nor the configuration states them."""
 MIN_ATTEMPTS_PER_REPLICA = 4
 """Number of attempts that one proxy may always run at a replica."""
+WARM_ROW_DELAY_MS = 1500
+"""How long after the end of a replica's warm-up time the row that says so may come."""
 UNBOUNDED = 10**6
 """Slow-start share of a service without a slow-start rate."""
 
@@ -79,12 +81,24 @@
         self.health.remove_unlisted(rows)
         for replica_id in replica_ids:
             row = rows.get(replica_id)
-            slow_start_ms = row and row.get("cold_ms")
-            if slow_start_ms:
-                self.health.for_replica(replica_id).slow_start_until = identifiers.Millis(now + slow_start_ms)
+            if row:
+                self.update_slow_start(replica_id, row.get("cold_ms") or 0)
             if row and replica_id in self.health:
                 self.health[replica_id].remove_expired_missing(now)
 
+    def update_slow_start(self, replica_id: str, cold_ms: int) -> None:
+        """Apply the remaining warm-up time of a replica's row.
+
+        The slow start ends when a row says that the replica is warm. The time alone ends it only after
+        WARM_ROW_DELAY_MS more, since the replica may have become cold again, which rows tell late.
+        """
+        now = self.node.now
+        if cold_ms:
+            until = now + cold_ms + WARM_ROW_DELAY_MS
+            self.health.for_replica(replica_id).slow_start_until = identifiers.Millis(until)
+        elif replica_id in self.health:
+            self.health[replica_id].slow_start_until = now
+
     # capacity and health of replicas
 
     def slot_count(self, replica: ReplicaRow) -> int:
--- a/tests/fleet/test_readmitted_zones.py
+++ b/tests/fleet/test_readmitted_zones.py
@@ -196,3 +196,48 @@
         assert zones.unconfirmed(at) == unconfirmed
     zones.confirm(3)
     assert zones.unconfirmed(5) == ["z"]
+
+
+# A replica that becomes cold again while it is cold was taken for warm once the first time was over.
+
+LIST_INTERVAL_MS = 700
+
+
+@pytest.mark.parametrize("again_ms", [500, 1500, 2500, 2950])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_replica_that_becomes_cold_again_is_limited_until_it_is_warm(seed, again_ms):
+    w = world(seed)
+    order(w, "readmit")
+    w.run(WARM_WITHIN_MS + 500)
+    w.cold_until = w.now + COLD_MS
+    w.run(LAG_MS + LIST_INTERVAL_MS + 100)
+    assert all(w.is_limited(proxy) for proxy in w.proxies()), "the list has told it"
+    w.run(max(0, again_ms - LAG_MS - LIST_INTERVAL_MS - 100))
+    w.cold_until = w.now + COLD_MS
+    watch_cold(w)
+    warm_within_ms = LAG_MS + LIST_INTERVAL_MS + 300
+    assert w.until(lambda: not any(w.is_limited(proxy) for proxy in w.proxies()), warm_within_ms) is not None
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_replica_counts_as_warm_some_time_after_its_warm_up_although_no_row_comes(seed):
+    w = world(seed)
+    order(w, "readmit")
+    w.run(WARM_WITHIN_MS + 500)
+    w.cold_until = w.now + COLD_MS
+    w.run(LAG_MS + LIST_INTERVAL_MS + 100)
+    w.list_is_down = True
+    w.run(COLD_MS + 2000)
+    assert not any(w.is_limited(proxy) for proxy in w.proxies())
+
+
+def test_a_cold_replica_whose_time_only_passes_is_no_change():
+    w = world()
+    order(w, "readmit")
+    w.run(WARM_WITHIN_MS + 500)
+    w.cold_until = w.now + 60_000
+    w.run(2000)
+    leader = w.nodes[w.leader()].member
+    version = leader.rows_version
+    w.run(10_000)
+    assert leader.rows_version == version
