Shell and connections: an unexpected error costs its message, step or effect

Operators saw processes that lived on without a clock, or that sent a member nothing any more, after an integer of 400 digits was in force.

Cause: the tasks that send to a member and that tick a controller ended for good on any error but two or three kinds.

--- a/basaltport/controller/metrics.py
+++ b/basaltport/controller/metrics.py
@@ -47,6 +47,8 @@
     yield gauge("serial", "Index of the last agreed log entry", int(node.cluster_state.log_index))
     yield gauge("edition", "Edition of the configuration in force", status_view.edition(node))
     yield gauge("unsettled", "Reasons why this controller is not settled", len(reasons))
+    failed = [((), float(node.failed_steps))]
+    yield Family(PREFIX + "failed_steps", "counter", "Steps that ended with an unexpected error", (), failed)
     yield _invariant_family(node)
     yield _zone_order_family(node)
     yield from _limit_families(node)
--- a/basaltport/logs.py
+++ b/basaltport/logs.py
@@ -62,3 +62,8 @@
     )
     name = message.get("message_type", "").split(":")[-1]
     print(f"{message.get('number', 0):>3} {name} {fields}", file=sys.stderr, flush=True)
+
+
+def note_fault(error: BaseException) -> None:
+    """Log an internal error by its type and place, since its message may contain what a client sent."""
+    note(log_events.Event.STEP_FAILED, {"why": describe_fault(error)})
--- a/basaltport/member.py
+++ b/basaltport/member.py
@@ -104,6 +104,8 @@
         self.synced_promise: list[identifiers.Term] = []
         self.ticks = 0
         self.bad = False
+        self.failed_steps = 0
+        """Number of steps that ended with an unexpected error."""
 
     def step(self, event: Event) -> list[object]:
         """Handle an event; returns its effects."""
@@ -112,6 +114,16 @@
         handlers.require(self, "on_", type(event))(event)
         return self.out
 
+    def abandon_step(self) -> list[object]:
+        """Returns the effects of a step that ended with an unexpected error, up to the error.
+
+        Records that its rest would have written are missing on the disk, as after a failed write, so the next
+        write is a snapshot.
+        """
+        self.failed_steps += 1
+        self.bad = self.bad or self.durable
+        return self.out
+
     def emit(self, effect: object) -> None:
         """Add an effect to those that the current step returns."""
         self.out.append(effect)
--- a/basaltport/proxy/request_faults.py
+++ b/basaltport/proxy/request_faults.py
@@ -6,7 +6,6 @@
 
 import aiohttp.web
 
-import basaltport.log_events as log_events
 import basaltport.logs as logs
 
 SERVER_ERROR = 500
@@ -29,7 +28,7 @@
         Raises ConnectionError if a response has already started.
         """
         if exc is not None and status >= SERVER_ERROR:
-            log_fault(exc)
+            logs.note_fault(exc)
         if request.writer.output_size > 0:
             raise ConnectionError("an answer is begun")
         reply = aiohttp.web.Response(status=status)
@@ -43,9 +42,4 @@
         """Log the type and place of an exception that aiohttp caught."""
         error = kwargs.get("exc_info")
         if isinstance(error, BaseException):
-            log_fault(error)
-
-
-def log_fault(error: BaseException) -> None:
-    """Log an internal error by its type and place, since its message may contain what a client sent."""
-    logs.note(log_events.Event.STEP_FAILED, {"why": logs.describe_fault(error)})
+            logs.note_fault(error)
--- a/basaltport/proxy/server.py
+++ b/basaltport/proxy/server.py
@@ -22,7 +22,6 @@
 import basaltport.proxy.events as events
 import basaltport.proxy.header_names as header_names
 import basaltport.proxy.node as node
-import basaltport.proxy.request_faults as request_faults
 import basaltport.proxy.upstream as upstream
 import basaltport.sockets as sockets
 import basaltport.wires as wires
@@ -69,7 +68,7 @@
         self.member = node.ProxyNode(me, seed, now, settings.get("timings"), zones)
         self.pages = pages.Pages(self, "proxy")
         self.replicas = upstream.Upstream(names)
-        self.attempts = attempt_runner.AttemptRunner(self.replicas, self.step, request_faults.log_fault)
+        self.attempts = attempt_runner.AttemptRunner(self.replicas, self.step, logs.note_fault)
         self.clients = client_server.ClientServer(
             settings, names, self.member, self.step, lambda: self.is_stopping
         )
@@ -129,10 +128,7 @@
         reloaded_at = swept_at = identifiers.steady()
         while True:
             now = identifiers.steady()
-            try:
-                self.step(base.Tick(now))
-            except Exception as error:
-                request_faults.log_fault(error)
+            self.step_safely(base.Tick(now))
             if now - reloaded_at > STALE_FEED_MS and now - self.member.last_update_at > STALE_FEED_MS:
                 reloaded_at = now
                 self.reload_settings()
@@ -168,7 +164,15 @@
 
     def receive_message(self, source: str, message: object) -> None:
         """Pass a message of another member to the reducer."""
-        self.step(base.Heard(identifiers.steady(), source, message))
+        self.step_safely(base.Heard(identifiers.steady(), source, message))
+
+    def step_safely(self, event: member.Event) -> None:
+        """Run one step; an unexpected error is logged, and the process goes on."""
+        try:
+            self.step(event)
+        except Exception as error:
+            self.member.failed_steps += 1
+            logs.note_fault(error)
 
     def step(self, event: member.Event) -> None:
         """Run one step of the reducer and execute its effects."""
--- a/basaltport/proxy/status_pages.py
+++ b/basaltport/proxy/status_pages.py
@@ -276,6 +276,8 @@
     if proxy.last_update_at > 0:
         age_s = (now - proxy.last_update_at) / SECOND_MS
         yield gauge("rows_age_seconds", "Since replicas' rows were last confirmed", age_s)
+    failed = [((), float(proxy.failed_steps))]
+    yield "basaltport_failed_steps", "counter", "Steps that ended with an unexpected error", (), failed
     yield gauge("requests", "Requests here, waiting or sent", len(proxy.requests))
     yield gauge("runs", "Attempts under way", len(proxy.attempts.in_flight))
     yield gauge("waiting", "Requests that wait", len(proxy.queue))
--- a/basaltport/shell.py
+++ b/basaltport/shell.py
@@ -59,9 +59,28 @@
         logs.note(log_events.Event.FRAME_REFUSED, {"peer": peer, "why": why})
 
     def step(self, event: Event) -> None:
-        """Pass an event to the reducer, and carry out each effect by the `do_` method of its class."""
-        for effect in self.member.step(event):
-            handlers.require(self, "do_", type(effect))(effect)
+        """Pass an event to the reducer, and carry out each effect by the `do_` method of its class.
+
+        An error of the reducer or of an effect is logged, and the process goes on.
+        """
+        try:
+            effects = self.member.step(event)
+        except Exception as error:
+            effects = self.member.abandon_step()
+            logs.note_fault(error)
+        for effect in effects:
+            try:
+                handlers.require(self, "do_", type(effect))(effect)
+            except Exception as error:
+                self.member.failed_steps += 1
+                logs.note_fault(error)
+                self.effect_failed(effect)
+
+    def effect_failed(self, effect: object) -> None:
+        """Report a write that could not be queued to the reducer, as a failed one."""
+        if isinstance(effect, events.Write):
+            failed = events.Synced(identifiers.steady(), effect.token, False)
+            asyncio.get_running_loop().call_soon(self.step, failed)
 
     # effects
 
--- a/basaltport/wires.py
+++ b/basaltport/wires.py
@@ -12,6 +12,7 @@
 import result
 
 import basaltport.frames as frames
+import basaltport.logs as logs
 import basaltport.sockets as sockets
 
 MAX_QUEUED_MESSAGES = 2000
@@ -45,6 +46,8 @@
         self.queues: dict[str, tuple[Queue, asyncio.Event]] = {}
         self.send_tasks: dict[str, asyncio.Task[None]] = {}
         self.server: asyncio.Server | None = None
+        self.failed_messages = 0
+        """Number of messages that were dropped because of an unexpected error."""
         self.receive_tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -89,6 +92,8 @@
                 await self.write_frames(reader, writer, queue, filled)
             except (OSError, TimeoutError):
                 pass
+            except Exception as error:
+                self.message_failed(error)
             finally:
                 writer.transport.abort()
 
@@ -102,7 +107,8 @@
         """Write queued messages until the connection is closed."""
         while True:
             while queue:
-                writer.writelines(frames.parts(queue.popleft()))
+                parts = self.encode(queue.popleft())
+                writer.writelines(parts)
                 if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
                     await writer.drain()
             filled.clear()
@@ -110,6 +116,20 @@
             if writer.transport.is_closing() or reader.at_eof():
                 return
 
+    def encode(self, message: object) -> collections.abc.Sequence[bytes]:
+        """Returns the parts of a message's frame; none for a message that cannot be encoded, which is
+        dropped."""
+        try:
+            return frames.parts(message)
+        except Exception as error:
+            self.message_failed(error)
+            return ()
+
+    def message_failed(self, error: Exception) -> None:
+        """Log an unexpected error about a message that is dropped."""
+        self.failed_messages += 1
+        logs.note_fault(error)
+
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Receive frames from a peer until its connection closes or one of them is malformed."""
         task = typing.cast(asyncio.Task[None], asyncio.current_task())
@@ -122,9 +142,14 @@
                 if isinstance(received, result.Err):
                     self.frame_refused(peer, received.err_value)
                     return
-                self.message_received("", received.ok_value)
+                try:
+                    self.message_received("", received.ok_value)
+                except Exception as error:
+                    self.message_failed(error)
         except (asyncio.IncompleteReadError, OSError, TimeoutError, asyncio.CancelledError):
             pass
+        except Exception as error:
+            self.message_failed(error)
         finally:
             self.receive_tasks.discard(task)
             writer.close()
