Feed: probes of a proxy go out under a lease only

Cause: every other update passes publish(), which asks for the lease; a probe is sent from the handler of a report. Fix: it asks for the lease as well.

--- a/basaltport/fleet/publish.py
+++ b/basaltport/fleet/publish.py
@@ -249,8 +249,9 @@
             self.probe_proxy(proxy)
 
     def probe_proxy(self, proxy: Proxy) -> None:
-        """Send a proxy an update without content, at most once within RESEND_MS."""
-        if self.now - proxy.probed_at < in_flight.RESEND_MS:
+        """Send a proxy an update without content, at most once within RESEND_MS, and only under a lease, as
+        every update: a former leader must not seem alive."""
+        if self.now - proxy.probed_at < in_flight.RESEND_MS or not self.holds_lease():
             return
         proxy.probed_at = self.now
         version = self.rows_version if self.rows_known else NO_ROWS_VERSION
