Soak: proxies are frozen, and each rig has its network for itself

A fifth lane of troubles freezes a proxy for 0.5 to 3.5 s beside the others; the draws of the former lanes stay. Once it is in touch again, 3 s after it woke, it must go by every edition that was acknowledged 2.5 s before, if no controller was in trouble; answers of a proxy that is out of touch are not judged by who holds a key.

A rig now reserves its network by a bound socket; the test draws a taken one twice.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 
 import tests.soak.clients as clients
 import tests.soak.fleet as fleet
+import tests.soak.networks as networks
 import tests.soak.plan as plan
 import tests.soak.replica_state as replica_state
 import tests.soak.rig as rig
@@ -184,3 +185,14 @@
 
     verdict = asyncio.run(run())
     assert verdict.violations == [], f"{verdict.line()}; logs: {tmp_path}"
+
+
+# Guards against two rigs on one network: the processes of one answered for the other.
+def test_a_network_is_used_by_one_rig_at_a_time(monkeypatch):
+    drawn = iter([16, 1, 16, 1, 17, 2])
+    monkeypatch.setattr(networks.random.SystemRandom, "randrange", lambda self, *bounds: next(drawn))
+    first = networks.Network()
+    second = networks.Network()
+    assert (first.prefix, second.prefix) == ("127.16.1", "127.17.2")
+    first.release()
+    second.release()
--- a/tests/soak/test_tenants.py
+++ b/tests/soak/test_tenants.py
@@ -220,3 +220,14 @@
 )
 def test_no_answer_at_all_tells_nothing_of_a_key(status, is_held, is_wrong):
     assert key_checks.is_wrong(status, is_held) is is_wrong
+
+
+def test_who_holds_a_key_is_not_sure_at_a_proxy_that_was_frozen_until_it_is_in_touch():
+    book = tenants.KeyBook(KEYS)
+    book.begin(1, {PASSING.number: "tenant-0"})
+    book.end(1, True)
+    with book.frozen("p1"):
+        assert book.in_force(PASSING, later(100), "p1") is None
+        assert book.in_force(PASSING, later(), "p2") == "tenant-0"
+    assert book.in_force(PASSING, time.monotonic() + tenants.APPLY_S, "p1") is None
+    assert book.in_force(PASSING, time.monotonic() + tenants.IN_TOUCH_S + 1, "p1") == "tenant-0"
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -19,6 +19,7 @@
     STOP = "stop"  # a proxy is asked to stop, and started again once it has ended
     RELOAD = "reload"  # some processes are told that their settings changed
     CHANGES = "changes"  # the operator sends changes in quick succession
+    FREEZE = "freeze"  # a proxy is stopped by a signal, and goes on
 
 
 class Trouble(typing.NamedTuple):
@@ -50,6 +51,7 @@
     Lane({Kind.CUT: 3, Kind.LATE: 5}, (0.2, 1.0), (1.5, 6.0)),
     Lane({Kind.LOST: 4, Kind.RESTART: 2, Kind.LEAVE: 1, Kind.CONFIGURE: 2}, (0.2, 1.0), (0.5, 4.0)),
     Lane({Kind.STOP: 4, Kind.RELOAD: 3, Kind.CHANGES: 3}, (0.2, 1.0), (0.5, 2.0)),
+    Lane({Kind.FREEZE: 1}, (1.0, 4.0), (0.5, 3.5)),
 )
 
 
