--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -74,3 +74,28 @@
     assert frames.unpack(frames.pack(plain)).ok_value == plain
     assert frames.unpack(frames.pack(newer)).ok_value == newer
     assert frames.pack(newer)[frames.HEADER_SIZE :].startswith(frames.pack(plain)[frames.HEADER_SIZE :])
+
+
+FOLLOW = fleet_messages.Follow("p", "z", "a:1", identifiers.Term(3, "n"), 7, 4, {"m": 1}, {"r": 2})
+UPDATE = fleet_messages.Update(
+    identifiers.Term(3, "n"), "n", "a:1", ["a:1"], 7, [], None, False, 4, 4, {}, [], 9
+)
+
+
+@pytest.mark.parametrize(
+    "plain, added",
+    [
+        (FOLLOW, {"last_update": 5}),
+        (FOLLOW, {"last_update": 5, "proxy_count": 9}),
+        (UPDATE, {"number": 5}),
+        (UPDATE, {"number": 5, "is_count_settled": False}),
+        (UPDATE, {"number": 5, "is_count_settled": False, "unconfirmed_zones": ["z1", "z2"]}),
+        (UPDATE, {"unconfirmed_zones": ["z1"]}),
+    ],
+)
+def test_the_added_fields_of_the_feed_follow_those_that_earlier_releases_know(plain, added):
+    newer = dataclasses.replace(plain, **added)
+    former_body = frames.pack(plain)[frames.HEADER_SIZE :]
+    assert frames.unpack(frames.pack(plain)).ok_value == plain
+    assert frames.unpack(frames.pack(newer)).ok_value == newer
+    assert frames.pack(newer)[frames.HEADER_SIZE :].startswith(former_body)
