Soak: a stall of the rig counts from when it is over, not from its check on

Cause, by reading: a client's time is that of the clock less the stalls of the rig's own loop, but a stall was added only when the watch's next check ran. What the loop runs first after a stall, like the end of a connection, still took it for the proxy's time. The new test stalls a loop and asks at once; on the former code it counted nothing. The bound is as it was.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -125,7 +125,7 @@
 
     def own_time(self) -> float:
         """Seconds in which this process did not stand still."""
-        return time.monotonic() - self.watch.total_s
+        return time.monotonic() - self.watch.total_s()
 
     def note_lost(self, after_s: float, deadline_s: float, error: str) -> None:
         """Keep that a connection ended without an answer, if the request was surely read, and how."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -129,7 +129,7 @@
     watch = stalls.StallWatch()
     connection = clients.KeptConnection(plan.Plan(1, "127.1.1"), random.Random(1), watch)
     sent_at = connection.own_time()
-    watch.total_s += 1.2
+    watch.ended_s += 1.2
     assert connection.own_time() - sent_at < clients.LOST_SLACK_S
 
 
@@ -144,7 +144,7 @@
         return watch
 
     watch = asyncio.run(run())
-    assert 0.05 <= watch.longest_s <= watch.total_s
+    assert 0.05 <= watch.longest_s <= watch.total_s()
 
 
 async def terminated(folder, script):
@@ -187,6 +187,23 @@
     assert verdict.violations == [], f"{verdict.line()}; logs: {tmp_path}"
 
 
+# Guards against a stall that counts as a proxy's time: what runs first after it came before the check.
+def test_a_stall_counts_at_once_when_it_is_over():
+    async def run():
+        watch = stalls.StallWatch()
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(2 * stalls.CHECK_S)
+        before = watch.total_s()
+        time.sleep(0.1)
+        counted = watch.total_s() - before
+        await asyncio.sleep(2 * stalls.CHECK_S)
+        watching.cancel()
+        return counted, watch.total_s() - before
+
+    at_once, later = asyncio.run(run())
+    assert 0.09 <= at_once <= later
+
+
 # Guards against two rigs on one network: the processes of one answered for the other.
 def test_a_network_is_used_by_one_rig_at_a_time(monkeypatch):
     drawn = iter([16, 1, 16, 1, 17, 2])
